--- /dev/null
+++ b/cmd/bramblelift/main.go
@@ -0,0 +1,13 @@
+// Command bramblelift runs one process of the system: a control replica, a relay or a
+// node.
+package main
+
+import (
+	"os"
+
+	"bramblelift/pkg/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/pkg/bench/cli/cli.go
@@ -0,0 +1,52 @@
+// Package cli is the command line of the bench.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"bramblelift/pkg/bench/demo"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	// ExitOK: the run held what it must.
+	ExitOK = 0
+	// ExitFailure: it did not, or could not be made.
+	ExitFailure = 1
+	// ExitUsage: the command line is wrong.
+	ExitUsage = 2
+)
+
+type options struct {
+	Demo demo.Options `command:"demo" description:"run the whole system for a short while and judge it"`
+}
+
+// Main runs the bench and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	var parsed options
+	parser := flags.NewParser(&parsed, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "bramblebench"
+	if _, err := parser.ParseArgs(arguments); err != nil {
+		var flagsError *flags.Error
+		if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+			fmt.Fprintln(stdout, flagsError.Message)
+			return ExitOK
+		}
+		fmt.Fprintln(stderr, "bramblebench:", err)
+		return ExitUsage
+	}
+	var err error
+	switch parser.Active.Name {
+	case "demo":
+		err = demo.Run(parsed.Demo, stdout)
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "bramblebench:", err)
+		return ExitFailure
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/pkg/bench/fleet/fleet.go
@@ -0,0 +1,360 @@
+package fleet
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/operator"
+	"bramblelift/pkg/settings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Config describes a fleet.
+type Config struct {
+	// Folder takes settings, data and logs; it is created.
+	Folder    string
+	Cluster   string
+	Zones     []string
+	Replicas  int
+	RelaysPer int
+	Proxies   int
+	// Groups are given to the proxies in turn; empty gives every proxy none.
+	Groups []string
+	// ProxyData gives each proxy a data folder.
+	ProxyData   bool
+	PlatformURL string
+	SourceURL   string
+	// Through, if set, may put a fault proxy before an address: it returns the
+	// address that clients of the named process should use.
+	Through func(client, server, address string) (string, error)
+}
+
+// Node is one proxy process with its addresses.
+type Node struct {
+	*Process
+	Zone    string
+	Group   string
+	Address string
+	Admin   string
+}
+
+// Fleet is a running system.
+type Fleet struct {
+	Config   Config
+	Controls []*Node
+	Relays   []*Node
+	Proxies  []*Node
+	KeyFile  string
+	key      ed25519.PrivateKey
+	public   string
+	binary   string
+	ports    *portAllocator
+}
+
+// New lays out a fleet and writes its settings; Start runs it.
+func New(config Config) (*Fleet, error) {
+	binary, err := FindBinary()
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(config.Folder, 0o700); err != nil {
+		return nil, fmt.Errorf("create fleet folder: %w", err)
+	}
+	f := &Fleet{Config: config, binary: binary, ports: newPortAllocator(), KeyFile: filepath.Join(config.Folder, "approval.key")}
+	if f.public, err = bundle.GenerateKeyFile(f.KeyFile); err != nil {
+		return nil, err
+	}
+	if f.key, err = bundle.LoadKeyFile(f.KeyFile); err != nil {
+		return nil, err
+	}
+	return f, f.layOut()
+}
+
+func (f *Fleet) layOut() error {
+	for i := range f.Config.Replicas {
+		if err := f.addNode(&f.Controls, fmt.Sprintf("control-%d", i+1), i); err != nil {
+			return err
+		}
+	}
+	relays := f.Config.RelaysPer * len(f.Config.Zones)
+	for i := range relays {
+		if err := f.addNode(&f.Relays, fmt.Sprintf("relay-%d", i+1), i); err != nil {
+			return err
+		}
+	}
+	for i := range f.Config.Proxies {
+		if err := f.addNode(&f.Proxies, fmt.Sprintf("proxy-%d", i+1), i); err != nil {
+			return err
+		}
+	}
+	return f.writeSettings()
+}
+
+func (f *Fleet) addNode(list *[]*Node, name string, index int) error {
+	address, err := f.ports.address()
+	if err != nil {
+		return err
+	}
+	admin, err := f.ports.address()
+	if err != nil {
+		return err
+	}
+	node := &Node{
+		Process: &Process{Name: name, Log: filepath.Join(f.Config.Folder, name+".log"), binary: f.binary},
+		Zone:    f.Config.Zones[index%len(f.Config.Zones)], Address: address, Admin: admin,
+	}
+	if len(f.Config.Groups) > 0 {
+		node.Group = f.Config.Groups[index%len(f.Config.Groups)]
+	}
+	*list = append(*list, node)
+	return nil
+}
+
+func (f *Fleet) common(node *Node) settings.Common {
+	return settings.Common{
+		Cluster: f.Config.Cluster, Name: node.Name, Zone: node.Zone,
+		AdminListen: node.Admin, ApprovalKeys: []string{f.public},
+	}
+}
+
+func (f *Fleet) writeSettings() error {
+	for _, node := range f.Controls {
+		peers, err := f.peers(node, f.Controls)
+		if err != nil {
+			return err
+		}
+		config := settings.Control{
+			Common: f.common(node), Data: f.DataFolder(node.Name), Listen: node.Address, Replicas: peers,
+			PlatformURL: f.Config.PlatformURL, SourceURL: f.Config.SourceURL,
+		}
+		if err := f.prepare(node, "control", config); err != nil {
+			return err
+		}
+	}
+	for _, node := range f.Relays {
+		peers, err := f.peers(node, f.Controls)
+		if err != nil {
+			return err
+		}
+		if err := f.prepare(node, "relay", settings.Relay{Common: f.common(node), Listen: node.Address, Controls: peers}); err != nil {
+			return err
+		}
+	}
+	for _, node := range f.Proxies {
+		if err := f.prepareProxy(node); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) prepareProxy(node *Node) error {
+	peers, err := f.peers(node, f.Relays)
+	if err != nil {
+		return err
+	}
+	config := settings.Proxy{Common: f.common(node), Group: node.Group, Listen: node.Address, Relays: peers}
+	if f.Config.ProxyData {
+		config.Data = f.DataFolder(node.Name)
+	}
+	return f.prepare(node, "proxy", config)
+}
+
+// peers lists servers as a client should reach them.
+func (f *Fleet) peers(client *Node, servers []*Node) ([]settings.Peer, error) {
+	var peers []settings.Peer
+	for _, server := range servers {
+		address := server.Address
+		if f.Config.Through != nil && client.Name != server.Name {
+			var err error
+			if address, err = f.Config.Through(client.Name, server.Name, address); err != nil {
+				return nil, err
+			}
+		}
+		peers = append(peers, settings.Peer{Name: server.Name, Address: address, Zone: server.Zone, Operator: server.Admin})
+	}
+	return peers, nil
+}
+
+// DataFolder returns where a process keeps its state.
+func (f *Fleet) DataFolder(name string) string {
+	return filepath.Join(f.Config.Folder, "data", name)
+}
+
+func (f *Fleet) prepare(node *Node, role string, config any) error {
+	text, err := toml.Marshal(config)
+	if err != nil {
+		return fmt.Errorf("settings of %s: %w", node.Name, err)
+	}
+	path := filepath.Join(f.Config.Folder, node.Name+".toml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return fmt.Errorf("settings of %s: %w", node.Name, err)
+	}
+	node.args = []string{role, "--settings", path}
+	return nil
+}
+
+// Start creates the cluster and starts every process.
+func (f *Fleet) Start() error {
+	for _, node := range f.Controls {
+		initialize := &Process{Name: node.Name + "-init", Log: node.Log, binary: f.binary, args: append(append([]string(nil), node.args...), "--init")}
+		if err := initialize.Start(); err != nil {
+			return err
+		}
+		if err := initialize.Wait(10 * time.Second); err != nil {
+			return fmt.Errorf("create %s: %w", node.Name, err)
+		}
+	}
+	for _, node := range f.All() {
+		if err := node.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// All returns every process.
+func (f *Fleet) All() []*Node {
+	var all []*Node
+	all = append(all, f.Controls...)
+	all = append(all, f.Relays...)
+	return append(all, f.Proxies...)
+}
+
+// Kill ends every process that is still running.
+func (f *Fleet) Kill() {
+	for _, node := range f.All() {
+		if node.Running() {
+			_ = node.Thaw()
+			node.Kill()
+		}
+	}
+}
+
+// Operators returns the operators' addresses of the control replicas.
+func (f *Fleet) Operators() []string {
+	var addresses []string
+	for _, node := range f.Controls {
+		addresses = append(addresses, node.Admin)
+	}
+	return addresses
+}
+
+// Client returns an operators' client for the fleet.
+func (f *Fleet) Client() *operator.Client { return operator.NewClient(f.Operators()) }
+
+// Publish creates, approves and rolls a bundle; it returns the version and when the
+// roll was accepted.
+func (f *Fleet) Publish(ctx context.Context, text string) (uint64, time.Time, error) {
+	number, err := f.Prepare(ctx, text)
+	if err != nil {
+		return 0, time.Time{}, err
+	}
+	accepted, err := f.Roll(ctx, number)
+	return number, accepted, err
+}
+
+// Prepare creates and approves a bundle.
+func (f *Fleet) Prepare(ctx context.Context, text string) (uint64, error) {
+	client := f.Client()
+	var list operator.VersionList
+	if err := client.Do(ctx, http.MethodGet, operator.PathVersions, nil, &list); err != nil {
+		return 0, fmt.Errorf("read head: %w", err)
+	}
+	var created operatorResult
+	request := operator.CreateRequest{OperationID: operator.NewOperationID(), ExpectedHead: &list.Head, TOML: text, FileName: "bundle.toml"}
+	if err := client.Do(ctx, http.MethodPost, operator.PathVersions, request, &created); err != nil {
+		return 0, fmt.Errorf("create: %w", err)
+	}
+	approve := operator.ApproveRequest{OperationID: operator.NewOperationID(), Approval: bundle.Sign(f.key, f.Config.Cluster, created.Version)}
+	path := fmt.Sprintf("%s/%d/approve", operator.PathVersions, created.Version.Version)
+	if err := client.Do(ctx, http.MethodPost, path, approve, &created); err != nil {
+		return 0, fmt.Errorf("approve: %w", err)
+	}
+	return created.Version.Version, nil
+}
+
+// operatorResult is the part of an operator's answer that the fleet needs.
+type operatorResult struct {
+	Version bundle.Manifest `json:"version"`
+}
+
+// Roll puts a version in force and returns when that was accepted.
+func (f *Fleet) Roll(ctx context.Context, number uint64) (time.Time, error) {
+	path := fmt.Sprintf("%s/%d/roll", operator.PathVersions, number)
+	var rolled operatorResult
+	err := f.Client().Do(ctx, http.MethodPost, path, operator.RollRequest{OperationID: operator.NewOperationID()}, &rolled)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("roll: %w", err)
+	}
+	return time.Now(), nil
+}
+
+// Get reads a path of a process's administration service.
+func (n *Node) Get(path string) (status int, body []byte, err error) {
+	client := &http.Client{Timeout: 2 * time.Second}
+	response, err := client.Get("http://" + n.Admin + path)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	body, err = io.ReadAll(response.Body)
+	return response.StatusCode, body, err
+}
+
+// Status decodes a process's status page.
+func (n *Node) Status(target any) error {
+	code, body, err := n.Get("/status")
+	if err != nil {
+		return err
+	}
+	if code != http.StatusOK {
+		return fmt.Errorf("status of %s: %d", n.Name, code)
+	}
+	return json.Unmarshal(body, target)
+}
+
+// Ready reports whether a process says it can do its job.
+func (n *Node) Ready() bool {
+	code, _, err := n.Get("/ready")
+	return err == nil && code == http.StatusOK
+}
+
+// WaitReady waits until every given process is ready.
+func WaitReady(ctx context.Context, nodes []*Node) error {
+	for _, node := range nodes {
+		for !node.Ready() {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%s is not ready: %w", node.Name, ctx.Err())
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// LogLines returns the lines of a process's log that contain text.
+func (n *Node) LogLines(text string) []string {
+	content, err := os.ReadFile(n.Log)
+	if err != nil {
+		return nil
+	}
+	var lines []string
+	for line := range strings.Lines(string(content)) {
+		if strings.Contains(line, text) {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/pkg/bench/fleet/metrics.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// ControlBytes returns the bytes of control traffic that a process counted on its
+// connections, both ways.
+func ControlBytes(node *Node) (float64, error) {
+	samples, err := Metric(node, "bramblelift_control_bytes_total")
+	if err != nil {
+		return 0, err
+	}
+	var total float64
+	for _, value := range samples {
+		total += value
+	}
+	return total, nil
+}
+
+// Metric returns the samples of one metric by their label text.
+func Metric(node *Node, name string) (map[string]float64, error) {
+	_, body, err := node.Get("/metrics")
+	if err != nil {
+		return nil, fmt.Errorf("metrics of %s: %w", node.Name, err)
+	}
+	samples := map[string]float64{}
+	for line := range strings.Lines(string(body)) {
+		rest, found := strings.CutPrefix(strings.TrimSpace(line), name)
+		if !found || rest == "" || (rest[0] != '{' && rest[0] != ' ') {
+			continue
+		}
+		split := strings.LastIndexByte(rest, ' ')
+		value, err := strconv.ParseFloat(rest[split+1:], 64)
+		if err != nil {
+			return nil, fmt.Errorf("metric %s of %s: %w", name, node.Name, err)
+		}
+		samples[rest[:split]] = value
+	}
+	return samples, nil
+}
--- /dev/null
+++ b/pkg/bundle/content.go
@@ -0,0 +1,213 @@
+package bundle
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// ScopeAll is the scope of whoever needs the whole bundle: control replicas and
+// relays. It cannot be the name of a node group.
+const ScopeAll = "*"
+
+// Duration is a time.Duration that is written like "250ms" in files.
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("parse duration: %w", err)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Route sends calls whose path starts with PathPrefix to a service.
+type Route struct {
+	Name       string `toml:"name" json:"name"`
+	PathPrefix string `toml:"path_prefix" json:"path_prefix"`
+	// Sources are the node groups whose nodes serve the route; empty means all.
+	Sources []string `toml:"sources,omitempty" json:"sources,omitempty"`
+	Service string   `toml:"service" json:"service"`
+	// HandBackService takes the calls instead of Service once the bundle hands
+	// traffic back; empty keeps Service.
+	HandBackService string `toml:"hand_back_service,omitempty" json:"hand_back_service,omitempty"`
+	// Secret names the credential the node adds to calls; empty means none.
+	Secret string `toml:"secret,omitempty" json:"secret,omitempty"`
+	// Timeout bounds a call whose caller sets no earlier deadline.
+	Timeout Duration `toml:"timeout,omitempty" json:"timeout,omitempty"`
+	// Once forbids to send any call of the route twice, whatever its method.
+	Once bool `toml:"once,omitempty" json:"once,omitempty"`
+}
+
+// Service is a set of back ends. Endpoints that the platform lists for the service
+// join the ones named here.
+type Service struct {
+	Name string `toml:"name" json:"name"`
+	// MaxConcurrency is how many calls one back end takes at a time.
+	MaxConcurrency int `toml:"max_concurrency,omitempty" json:"max_concurrency,omitempty"`
+	// MaxConnections bounds the connections of one node to one back end.
+	MaxConnections int        `toml:"max_connections,omitempty" json:"max_connections,omitempty"`
+	Endpoints      []Endpoint `toml:"endpoint,omitempty" json:"endpoints,omitempty"`
+}
+
+// Endpoint is one back end named in a bundle.
+type Endpoint struct {
+	ID      string `toml:"id" json:"id"`
+	Address string `toml:"address" json:"address"`
+	Zone    string `toml:"zone,omitempty" json:"zone,omitempty"`
+	// Incarnation must grow to bring a back end back that has said it was leaving.
+	Incarnation uint64 `toml:"incarnation,omitempty" json:"incarnation,omitempty"`
+}
+
+// Secret is a named credential. Its value must never reach a log, a diff or an
+// error.
+type Secret struct {
+	Name  string `toml:"name" json:"name"`
+	Value string `toml:"value" json:"value"`
+}
+
+// Format keeps the value out of every printed form.
+func (s Secret) Format(state fmt.State, _ rune) {
+	fmt.Fprintf(state, "secret %s (digest %s)", s.Name, s.ShortDigest())
+}
+
+// Content is a set of routes with the services and secrets they use, each list
+// sorted by name.
+type Content struct {
+	// HandBack directs every route to its HandBackService.
+	HandBack bool      `toml:"hand_back,omitempty" json:"hand_back,omitempty"`
+	Routes   []Route   `toml:"route" json:"routes,omitempty"`
+	Services []Service `toml:"service" json:"services,omitempty"`
+	Secrets  []Secret  `toml:"secret" json:"secrets,omitempty"`
+}
+
+// Normalized returns a copy with every list sorted, so that equal contents have
+// equal digests.
+func (c Content) Normalized() Content {
+	c.Routes = sortedBy(c.Routes, routeName)
+	c.Services = sortedBy(c.Services, serviceName)
+	c.Secrets = sortedBy(c.Secrets, secretName)
+	for i := range c.Routes {
+		c.Routes[i].Sources = slices.Sorted(slices.Values(c.Routes[i].Sources))
+	}
+	for i := range c.Services {
+		c.Services[i].Endpoints = sortedBy(c.Services[i].Endpoints, endpointID)
+	}
+	return c
+}
+
+// Service returns the named service.
+func (c Content) Service(name string) (Service, bool) {
+	return findByName(c.Services, name, serviceName)
+}
+
+// Secret returns the named secret.
+func (c Content) Secret(name string) (Secret, bool) {
+	return findByName(c.Secrets, name, secretName)
+}
+
+// TargetService returns the service that takes the route's calls.
+func (c Content) TargetService(r Route) string {
+	if c.HandBack && r.HandBackService != "" {
+		return r.HandBackService
+	}
+	return r.Service
+}
+
+// Groups returns the node groups that the routes name, sorted. Nodes of any other
+// group share the scope of the empty name.
+func (c Content) Groups() []string {
+	seen := map[string]bool{"": true}
+	for _, route := range c.Routes {
+		for _, group := range route.Sources {
+			seen[group] = true
+		}
+	}
+	groups := make([]string, 0, len(seen))
+	for group := range seen {
+		groups = append(groups, group)
+	}
+	slices.Sort(groups)
+	return groups
+}
+
+// ScopeName returns the name of the scope that serves a node group: the group
+// itself if a route names it, the empty name otherwise.
+func (c Content) ScopeName(group string) string {
+	if group == ScopeAll {
+		return ScopeAll
+	}
+	for _, route := range c.Routes {
+		if slices.Contains(route.Sources, group) {
+			return group
+		}
+	}
+	return ""
+}
+
+// Scope returns what nodes of a group need: their routes, and just the services and
+// secrets these use. The content must be normalized.
+func (c Content) Scope(group string) Content {
+	if group == ScopeAll {
+		return c
+	}
+	scoped := Content{HandBack: c.HandBack}
+	services := map[string]bool{}
+	secrets := map[string]bool{}
+	for _, route := range c.Routes {
+		if len(route.Sources) > 0 && !slices.Contains(route.Sources, group) {
+			continue
+		}
+		scoped.Routes = append(scoped.Routes, route)
+		services[route.Service] = true
+		services[route.HandBackService] = true
+		secrets[route.Secret] = true
+	}
+	scoped.Services = filterByName(c.Services, services, serviceName)
+	scoped.Secrets = filterByName(c.Secrets, secrets, secretName)
+	return scoped
+}
+
+func routeName(r Route) string     { return r.Name }
+func serviceName(s Service) string { return s.Name }
+func secretName(s Secret) string   { return s.Name }
+func endpointID(e Endpoint) string { return e.ID }
+func nonEmpty(s string) bool       { return strings.TrimSpace(s) != "" }
+func hasControlByte(s string) bool { return strings.IndexFunc(s, isControl) >= 0 }
+func isControl(r rune) bool        { return r < ' ' || r == 0x7f }
+func validName(s string) bool      { return nonEmpty(s) && len(s) <= maxNameLength && !hasControlByte(s) }
+
+func sortedBy[T any](items []T, name func(T) string) []T {
+	sorted := slices.Clone(items)
+	slices.SortStableFunc(sorted, func(a, b T) int { return strings.Compare(name(a), name(b)) })
+	return sorted
+}
+
+func findByName[T any](sorted []T, wanted string, name func(T) string) (T, bool) {
+	index, found := slices.BinarySearchFunc(sorted, wanted, func(item T, target string) int {
+		return strings.Compare(name(item), target)
+	})
+	if !found {
+		var none T
+		return none, false
+	}
+	return sorted[index], true
+}
+
+func filterByName[T any](items []T, wanted map[string]bool, name func(T) string) []T {
+	var kept []T
+	for _, item := range items {
+		if wanted[name(item)] {
+			kept = append(kept, item)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/pkg/bundle/digest.go
@@ -0,0 +1,158 @@
+package bundle
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Digest is a SHA-256 sum.
+type Digest [sha256.Size]byte
+
+// shortDigestBytes is how much of a digest is shown to people.
+const shortDigestBytes = 6
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Short returns the first digits, enough for people to compare.
+func (d Digest) Short() string { return hex.EncodeToString(d[:shortDigestBytes]) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	if err != nil || len(decoded) != len(d) {
+		return fmt.Errorf("digest must be %d hexadecimal bytes", len(d))
+	}
+	copy(d[:], decoded)
+	return nil
+}
+
+// ShortDigest identifies a secret's value without telling it.
+func (s Secret) ShortDigest() string {
+	return Digest(sha256.Sum256([]byte("secret\x00" + s.Name + "\x00" + s.Value))).Short()
+}
+
+// ErrDigest: a content is not the one that its digest or approval names.
+var ErrDigest = errors.New("content does not match the approved digest")
+
+// Prefixes that keep leaves and inner nodes of the Merkle tree apart.
+const (
+	leafPrefix = 0
+	nodePrefix = 1
+)
+
+// Step is one level of a proof: the sibling's digest and its side.
+type Step struct {
+	Sibling Digest
+	Left    bool
+}
+
+// Proof leads from the leaf of one scope to the digest of the whole bundle.
+type Proof []Step
+
+// Tree is the Merkle tree over the scopes of a content.
+type Tree struct {
+	scopes []string
+	// levels holds the leaves first, the root last.
+	levels [][]Digest
+}
+
+// NewTree builds the tree of a normalized content.
+func NewTree(c Content) (*Tree, error) {
+	scopes := append(c.Groups(), ScopeAll)
+	slices.Sort(scopes)
+	leaves := make([]Digest, len(scopes))
+	for i, scope := range scopes {
+		leaf, err := leafDigest(scope, c.Scope(scope))
+		if err != nil {
+			return nil, err
+		}
+		leaves[i] = leaf
+	}
+	t := &Tree{scopes: scopes, levels: [][]Digest{leaves}}
+	for level := leaves; len(level) > 1; {
+		level = parentLevel(level)
+		t.levels = append(t.levels, level)
+	}
+	return t, nil
+}
+
+// Root returns the digest of the whole bundle.
+func (t *Tree) Root() Digest { return t.levels[len(t.levels)-1][0] }
+
+// Proof returns the proof for a scope, and false if the tree has no such scope.
+func (t *Tree) Proof(scope string) (Proof, bool) {
+	index, found := slices.BinarySearch(t.scopes, scope)
+	if !found {
+		return nil, false
+	}
+	var proof Proof
+	for _, level := range t.levels[:len(t.levels)-1] {
+		sibling := index ^ 1
+		if sibling < len(level) {
+			proof = append(proof, Step{Sibling: level[sibling], Left: sibling < index})
+		}
+		index /= 2
+	}
+	return proof, true
+}
+
+// Check verifies that the content of a scope belongs to the bundle with the given
+// digest.
+func (p Proof) Check(scope string, scoped Content, root Digest) error {
+	current, err := leafDigest(scope, scoped)
+	if err != nil {
+		return err
+	}
+	for _, step := range p {
+		if step.Left {
+			current = nodeDigest(step.Sibling, current)
+		} else {
+			current = nodeDigest(current, step.Sibling)
+		}
+	}
+	if current != root {
+		return fmt.Errorf("scope %q: %w", scope, ErrDigest)
+	}
+	return nil
+}
+
+func parentLevel(level []Digest) []Digest {
+	parents := make([]Digest, 0, (len(level)+1)/2)
+	for i := 0; i < len(level); i += 2 {
+		if i+1 == len(level) {
+			parents = append(parents, level[i])
+			continue
+		}
+		parents = append(parents, nodeDigest(level[i], level[i+1]))
+	}
+	return parents
+}
+
+func nodeDigest(left, right Digest) Digest {
+	data := append([]byte{nodePrefix}, left[:]...)
+	return sha256.Sum256(append(data, right[:]...))
+}
+
+// leafDigest sums a scope's name and content. JSON with fixed field order serves as
+// the canonical form: the content is normalized, and the field order is the order
+// of declaration.
+func leafDigest(scope string, scoped Content) (Digest, error) {
+	content, err := json.Marshal(scoped)
+	if err != nil {
+		return Digest{}, fmt.Errorf("digest of scope %q: %w", scope, err)
+	}
+	name, err := json.Marshal(scope)
+	if err != nil {
+		return Digest{}, fmt.Errorf("digest of scope %q: %w", scope, err)
+	}
+	data := append([]byte{leafPrefix}, name...)
+	return sha256.Sum256(append(data, content...)), nil
+}
--- /dev/null
+++ b/pkg/bundle/validate.go
@@ -0,0 +1,172 @@
+package bundle
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Bounds on a bundle.
+const (
+	maxNameLength   = 200
+	maxRoutes       = 20000
+	maxServices     = 5000
+	maxSecrets      = 5000
+	maxEndpoints    = 20000
+	maxSecretLength = 16 << 10
+	maxTimeout      = 10 * time.Minute
+)
+
+// Problem is one reason why a content cannot be distributed.
+type Problem struct {
+	// Resource is the kind and name of the faulty resource, like `route "orders"`.
+	Resource string `json:"resource"`
+	Detail   string `json:"detail"`
+}
+
+// String returns the problem in one line.
+func (p Problem) String() string { return p.Resource + ": " + p.Detail }
+
+// ValidationError lists every problem of a content.
+type ValidationError struct {
+	Problems []Problem
+}
+
+// Error lists the problems.
+func (e *ValidationError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, problem := range e.Problems {
+		lines[i] = problem.String()
+	}
+	return "invalid bundle: " + strings.Join(lines, "; ")
+}
+
+// validator collects problems.
+type validator struct {
+	problems []Problem
+}
+
+func (v *validator) add(kind, name, format string, values ...any) {
+	v.problems = append(v.problems, Problem{
+		Resource: fmt.Sprintf("%s %q", kind, name),
+		Detail:   fmt.Sprintf(format, values...),
+	})
+}
+
+// Validate checks a normalized content whole: names, bounds, and that every route
+// resolves to a service and a secret in it. The error is a *ValidationError.
+func (c Content) Validate() error {
+	v := &validator{}
+	v.checkCounts(c)
+	v.checkServices(c)
+	v.checkSecrets(c)
+	v.checkRoutes(c)
+	if len(v.problems) > 0 {
+		return &ValidationError{Problems: v.problems}
+	}
+	return nil
+}
+
+// Consistent reports the first dangling reference. It is the last check before a
+// node puts a content in force.
+func (c Content) Consistent() error {
+	v := &validator{}
+	for _, route := range c.Routes {
+		v.checkReferences(c, route)
+	}
+	if len(v.problems) > 0 {
+		return &ValidationError{Problems: v.problems}
+	}
+	return nil
+}
+
+func (v *validator) checkCounts(c Content) {
+	v.checkCount("routes", len(c.Routes), maxRoutes)
+	v.checkCount("services", len(c.Services), maxServices)
+	v.checkCount("secrets", len(c.Secrets), maxSecrets)
+	endpoints := 0
+	for _, service := range c.Services {
+		endpoints += len(service.Endpoints)
+	}
+	v.checkCount("endpoints", endpoints, maxEndpoints)
+	if len(c.Routes) == 0 {
+		v.add("bundle", "routes", "no route")
+	}
+}
+
+func (v *validator) checkCount(what string, count, limit int) {
+	if count > limit {
+		v.add("bundle", what, "%d of them, at most %d are allowed", count, limit)
+	}
+}
+
+func (v *validator) checkName(kind, name, previous string, first bool) {
+	if !validName(name) || name == ScopeAll {
+		v.add(kind, name, "not a usable name")
+	}
+	if !first && name == previous {
+		v.add(kind, name, "named twice")
+	}
+}
+
+func (v *validator) checkServices(c Content) {
+	for i, service := range c.Services {
+		v.checkName("service", service.Name, previousName(c.Services, i, serviceName), i == 0)
+		if service.MaxConcurrency < 0 || service.MaxConnections < 0 {
+			v.add("service", service.Name, "limits must not be negative")
+		}
+		for j, endpoint := range service.Endpoints {
+			v.checkName("endpoint", endpoint.ID, previousName(service.Endpoints, j, endpointID), j == 0)
+			if _, err := netip.ParseAddrPort(endpoint.Address); err != nil {
+				v.add("endpoint", endpoint.ID, "address %q is not IP:port", endpoint.Address)
+			}
+		}
+	}
+}
+
+func (v *validator) checkSecrets(c Content) {
+	for i, secret := range c.Secrets {
+		v.checkName("secret", secret.Name, previousName(c.Secrets, i, secretName), i == 0)
+		if secret.Value == "" || len(secret.Value) > maxSecretLength || hasControlByte(secret.Value) {
+			v.add("secret", secret.Name, "value must be 1 to %d bytes without control characters", maxSecretLength)
+		}
+	}
+}
+
+func (v *validator) checkRoutes(c Content) {
+	for i, route := range c.Routes {
+		v.checkName("route", route.Name, previousName(c.Routes, i, routeName), i == 0)
+		if !strings.HasPrefix(route.PathPrefix, "/") {
+			v.add("route", route.Name, "path_prefix %q must start with /", route.PathPrefix)
+		}
+		if route.Timeout < 0 || time.Duration(route.Timeout) > maxTimeout {
+			v.add("route", route.Name, "timeout must be from 0 to %s", maxTimeout)
+		}
+		for _, group := range route.Sources {
+			if !validName(group) || group == ScopeAll {
+				v.add("route", route.Name, "source %q is not a usable node group", group)
+			}
+		}
+		v.checkReferences(c, route)
+	}
+}
+
+func (v *validator) checkReferences(c Content, route Route) {
+	if _, found := c.Service(route.Service); !found {
+		v.add("route", route.Name, "service %q is not in the bundle", route.Service)
+	}
+	if _, found := c.Service(route.HandBackService); !found && route.HandBackService != "" {
+		v.add("route", route.Name, "hand_back_service %q is not in the bundle", route.HandBackService)
+	}
+	if _, found := c.Secret(route.Secret); !found && route.Secret != "" {
+		v.add("route", route.Name, "secret %q is not in the bundle", route.Secret)
+	}
+}
+
+func previousName[T any](items []T, index int, name func(T) string) string {
+	if index == 0 {
+		return ""
+	}
+	return name(items[index-1])
+}
--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,287 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/distribution"
+)
+
+const (
+	// RememberedOperations is how many operations back a resend is recognised.
+	RememberedOperations = 4096
+	// keptContents is how many of the newest versions keep their content.
+	keptContents = 64
+	// keptVersions is how many of the newest versions are listed at all.
+	keptVersions = 4096
+)
+
+// Status is how far a version has come.
+type Status string
+
+const (
+	// StatusCreated versions wait for approval.
+	StatusCreated Status = "created"
+	// StatusApproved versions may be rolled.
+	StatusApproved Status = "approved"
+	// StatusActive is the version in force.
+	StatusActive Status = "active"
+	// StatusSuperseded versions were in force, or were passed over.
+	StatusSuperseded Status = "superseded"
+)
+
+// Version is one version as the catalog keeps it.
+type Version struct {
+	Manifest bundle.Manifest `json:"manifest"`
+	Status   Status          `json:"status"`
+	Approval bundle.Approval `json:"approval"`
+	// Content is nil once the version is too old.
+	Content *bundle.Content `json:"content,omitempty"`
+	// CreatedMillis, ApprovedMillis and RolledMillis are Unix milliseconds.
+	CreatedMillis  int64 `json:"created_millis"`
+	ApprovedMillis int64 `json:"approved_millis,omitempty"`
+	RolledMillis   int64 `json:"rolled_millis,omitempty"`
+}
+
+// operation is a remembered answer.
+type operation struct {
+	Request string `json:"request"`
+	Result  Result `json:"result"`
+}
+
+// contents is everything a snapshot holds.
+type contents struct {
+	Head         uint64               `json:"head"`
+	Versions     map[uint64]*Version  `json:"versions"`
+	Operations   map[string]operation `json:"operations"`
+	Order        []string             `json:"order"`
+	Distribution *distribution.State  `json:"distribution"`
+}
+
+// Catalog is the state machine. It is not safe for concurrent use.
+type Catalog struct {
+	contents
+}
+
+// New returns an empty catalog.
+func New() *Catalog {
+	return &Catalog{contents: contents{
+		Versions:     map[uint64]*Version{},
+		Operations:   map[string]operation{},
+		Distribution: &distribution.State{},
+	}}
+}
+
+// Restore returns the catalog of a snapshot; empty data gives an empty catalog.
+func Restore(data []byte) (*Catalog, error) {
+	c := New()
+	if len(data) == 0 {
+		return c, nil
+	}
+	if err := json.Unmarshal(data, &c.contents); err != nil {
+		return nil, fmt.Errorf("restore catalog: %w", err)
+	}
+	return c, nil
+}
+
+// Snapshot returns the whole catalog as data for Restore.
+func (c *Catalog) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(c.contents)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot catalog: %w", err)
+	}
+	return data, nil
+}
+
+// State returns the distributed state.
+func (c *Catalog) State() *distribution.State { return c.Distribution }
+
+// HeadVersion returns the newest version, zero if there is none.
+func (c *Catalog) HeadVersion() uint64 { return c.Head }
+
+// Lookup returns a version.
+func (c *Catalog) Lookup(version uint64) (Version, bool) {
+	found, ok := c.Versions[version]
+	if !ok {
+		return Version{}, false
+	}
+	return *found, true
+}
+
+// Apply executes one command.
+func (c *Catalog) Apply(command Command) Result {
+	if command.OperationID == "" {
+		return c.execute(command)
+	}
+	request := requestDigest(command)
+	if earlier, found := c.Operations[command.OperationID]; found {
+		if earlier.Request != request {
+			return c.refuse(CodeOperationReused, "operation ID %s was used for another request", command.OperationID)
+		}
+		return earlier.Result
+	}
+	result := c.execute(command)
+	c.rememberOperation(command.OperationID, operation{Request: request, Result: result})
+	return result
+}
+
+func (c *Catalog) execute(command Command) Result {
+	switch {
+	case command.Create != nil:
+		return c.create(*command.Create, command.AtMillis)
+	case command.Approve != nil:
+		return c.approve(*command.Approve, command.AtMillis)
+	case command.Roll != nil:
+		return c.roll(*command.Roll, command.AtMillis)
+	case command.Endpoints != nil:
+		c.Distribution = c.Distribution.ChangeEndpoints(command.Endpoints.Changes)
+		return Result{Revision: c.Distribution.Revision}
+	default:
+		return c.refuse(CodeInvalidRequest, "empty command")
+	}
+}
+
+func (c *Catalog) create(request Create, atMillis int64) Result {
+	if request.ExpectedHead != c.Head {
+		result := c.refuse(CodeConflict, "expected head %d, but version %d was created meanwhile", request.ExpectedHead, c.Head)
+		if head, found := c.Versions[c.Head]; found {
+			winner := head.Manifest
+			result.Error.Winner = &winner
+		}
+		return result
+	}
+	if err := request.Content.Validate(); err != nil {
+		return c.refuseInvalid(err)
+	}
+	manifest := bundle.Manifest{Version: c.Head + 1, Parent: c.Head, Digest: request.Digest}
+	content := request.Content
+	c.Versions[manifest.Version] = &Version{
+		Manifest: manifest, Status: StatusCreated, Content: &content, CreatedMillis: atMillis,
+	}
+	c.Head = manifest.Version
+	c.forgetOldVersions()
+	return c.answer(c.Versions[manifest.Version])
+}
+
+func (c *Catalog) approve(request Approve, atMillis int64) Result {
+	version, refusal := c.usable(request.Version)
+	if refusal != nil {
+		return *refusal
+	}
+	if version.Status == StatusCreated {
+		version.Status = StatusApproved
+		version.Approval = request.Approval
+		version.ApprovedMillis = atMillis
+		c.stage(version)
+	}
+	return c.answer(version)
+}
+
+// stage lets holders fetch an approved version ahead, unless a later one is staged.
+func (c *Catalog) stage(version *Version) {
+	staged := c.Distribution.Staged
+	if staged != nil && staged.Manifest.Version > version.Manifest.Version {
+		return
+	}
+	c.Distribution = c.Distribution.Stage(version.signed())
+}
+
+func (c *Catalog) roll(request Roll, atMillis int64) Result {
+	version, refusal := c.usable(request.Version)
+	if refusal != nil {
+		return *refusal
+	}
+	switch version.Status {
+	case StatusActive:
+		return c.answer(version)
+	case StatusCreated:
+		return c.refuse(CodeNotApproved, "version %d is not approved", request.Version)
+	}
+	c.Distribution = c.Distribution.Activate(version.signed())
+	version.RolledMillis = atMillis
+	for _, other := range c.Versions {
+		if other.Manifest.Version < version.Manifest.Version {
+			other.Status = StatusSuperseded
+		}
+	}
+	version.Status = StatusActive
+	return c.answer(version)
+}
+
+// usable returns a version that is not behind the active one.
+func (c *Catalog) usable(number uint64) (*Version, *Result) {
+	version, found := c.Versions[number]
+	if !found {
+		result := c.refuse(CodeUnknownVersion, "version %d does not exist (head is %d)", number, c.Head)
+		return nil, &result
+	}
+	if version.Status == StatusSuperseded || version.Content == nil {
+		result := c.refuse(CodeSuperseded, "version %d is behind the one in force; to go back, create a new version with the old content", number)
+		return nil, &result
+	}
+	return version, nil
+}
+
+func (c *Catalog) answer(version *Version) Result {
+	return Result{Version: version.Manifest, Status: version.Status, Revision: c.Distribution.Revision}
+}
+
+func (c *Catalog) refuse(code Code, format string, values ...any) Result {
+	return Result{
+		Revision: c.Distribution.Revision,
+		Error:    &OperationError{Code: code, Message: fmt.Sprintf(format, values...)},
+	}
+}
+
+func (c *Catalog) refuseInvalid(err error) Result {
+	result := c.refuse(CodeInvalidBundle, "%v", err)
+	var invalid *bundle.ValidationError
+	if errors.As(err, &invalid) {
+		result.Error.Problems = invalid.Problems
+	}
+	return result
+}
+
+func (c *Catalog) rememberOperation(id string, done operation) {
+	c.Operations[id] = done
+	c.Order = append(c.Order, id)
+	if len(c.Order) > RememberedOperations {
+		delete(c.Operations, c.Order[0])
+		c.Order = c.Order[1:]
+	}
+}
+
+// forgetOldVersions drops contents, and later whole records, of superseded versions.
+func (c *Catalog) forgetOldVersions() {
+	if c.Head > keptContents {
+		old, found := c.Versions[c.Head-keptContents]
+		if found && old.Status == StatusSuperseded {
+			old.Content = nil
+		}
+	}
+	if c.Head > keptVersions {
+		old, found := c.Versions[c.Head-keptVersions]
+		if found && old.Status == StatusSuperseded {
+			delete(c.Versions, c.Head-keptVersions)
+		}
+	}
+}
+
+func (v *Version) signed() *bundle.Signed {
+	return &bundle.Signed{Manifest: v.Manifest, Approval: v.Approval, Content: *v.Content}
+}
+
+// requestDigest identifies what a command asks for, without when.
+func requestDigest(command Command) string {
+	command.AtMillis = 0
+	data, err := json.Marshal(command)
+	if err != nil {
+		return err.Error()
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/pkg/control/nodes.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bramblelift/pkg/operator"
+	"bramblelift/pkg/protocol"
+)
+
+// forgetNodesAfter is how long a node that is gone is still listed.
+const forgetNodesAfter = 10 * time.Minute
+
+// nodeRegistry keeps what this replica last heard of each node. It is an opinion, not
+// replicated state: operators' clients ask all replicas and take the newest.
+type nodeRegistry struct {
+	mutex sync.Mutex
+	nodes map[string]operator.Node
+}
+
+func newNodeRegistry() *nodeRegistry {
+	return &nodeRegistry{nodes: map[string]operator.Node{}}
+}
+
+func (r *nodeRegistry) take(report protocol.NodeReport, at time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.nodes[report.Node] = operator.Node{
+		Name: report.Node, Group: report.Group, Zone: report.Zone,
+		Active: report.Position.Active, Staged: report.Position.Staged, Revision: report.Position.Revision,
+		Connected: report.Connected, HeardMillis: at.UnixMilli(),
+	}
+}
+
+func (r *nodeRegistry) list(now time.Time) []operator.Node {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var nodes []operator.Node
+	for name, node := range r.nodes {
+		if !node.Connected && now.UnixMilli()-node.HeardMillis > forgetNodesAfter.Milliseconds() {
+			delete(r.nodes, name)
+			continue
+		}
+		nodes = append(nodes, node)
+	}
+	slices.SortFunc(nodes, func(a, b operator.Node) int { return strings.Compare(a.Name, b.Name) })
+	return nodes
+}
--- /dev/null
+++ b/pkg/control/status.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bramblelift/pkg/operator"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// inspectTimeout bounds how long a status page waits for the driver.
+const inspectTimeout = 2 * time.Second
+
+// LocalStatus is what /status shows: this replica's own view, which may be behind.
+type LocalStatus struct {
+	Name        string          `json:"name"`
+	Role        string          `json:"role"`
+	Confirmed   bool            `json:"confirmed"`
+	StaleMillis int64           `json:"stale_millis"`
+	Subscribers int             `json:"subscribers"`
+	View        operator.Status `json:"view"`
+}
+
+func (s *Server) localStatus() any {
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	status := LocalStatus{Name: s.settings.Name, Subscribers: s.hub.Subscribers()}
+	err := s.inspect(ctx, func(now time.Duration) {
+		status.Role = s.replica.Node().Role().String()
+		status.View = s.status(now)
+	})
+	if err != nil {
+		status.Role = "unresponsive"
+	}
+	if at, confirmed := s.confirmed(); confirmed {
+		status.Confirmed = true
+		status.StaleMillis = (s.clock.Now() - at).Milliseconds()
+	}
+	return status
+}
+
+// status runs in the driver's goroutine.
+func (s *Server) status(now time.Duration) operator.Status {
+	node := s.replica.Node()
+	membership := node.Membership()
+	position := s.replica.State().Position()
+	status := operator.Status{
+		Cluster: s.settings.Cluster, Term: node.Term(), Commit: node.Commit(),
+		DurableCopies: node.DurableCopies(), Voters: len(membership.Voters()),
+		Head: s.replica.Catalog().HeadVersion(), Active: position.Active, Staged: position.Staged,
+		Revision: position.Revision, LogBytes: s.replica.LogBytes(),
+	}
+	if leader, known := membership.Find(node.Leader()); known {
+		status.Leader = leader.Name
+	}
+	for _, member := range membership.Members {
+		role := "voter"
+		if member.Learner {
+			role = "learner"
+		}
+		status.Replicas = append(status.Replicas, operator.ReplicaStatus{
+			Name: member.Name, ID: uint64(member.ID), Address: member.Address, Zone: member.Zone,
+			Role: role, Match: node.Match(member.ID), Alive: node.Alive(now, member.ID),
+		})
+	}
+	if text := s.platformError.Load(); text != nil {
+		status.PlatformError = *text
+	}
+	return status
+}
+
+// readyStaleLimit is how stale a replica may be and still call itself ready.
+const readyStaleLimit = 3 * time.Second
+
+func (s *Server) ready() error {
+	at, confirmed := s.confirmed()
+	if !confirmed {
+		return errors.New("no leader has confirmed this replica's state yet")
+	}
+	if s.clock.Now()-at > readyStaleLimit {
+		return errors.New("cut off from the leader")
+	}
+	return nil
+}
+
+func (s *Server) registerMetrics() {
+	s.admin.Registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramblelift_subscribers", Help: "Open subscriptions of relays.",
+		}, func() float64 { return float64(s.hub.Subscribers()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramblelift_revision", Help: "Revision of the distributed state.",
+		}, func() float64 { return float64(s.hub.Revision()) }),
+	)
+}
--- /dev/null
+++ b/pkg/ctl/ctl.go
@@ -0,0 +1,212 @@
+// Package ctl is the operators' command line.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/operator"
+	"bramblelift/pkg/version"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	// ExitOK: done.
+	ExitOK = 0
+	// ExitRefused: the system declined, and nothing changed.
+	ExitRefused = 1
+	// ExitUsage: the command line is wrong.
+	ExitUsage = 2
+	// ExitConflict: another operator was first.
+	ExitConflict = 3
+	// ExitUnavailable: no leader answered in time; the outcome may be open. Repeat
+	// with the same --operation to learn it.
+	ExitUnavailable = 4
+	// ExitInvalid: the bundle or the approval is invalid.
+	ExitInvalid = 5
+)
+
+// globalOptions apply to every command.
+type globalOptions struct {
+	Control []string      `long:"control" env:"BRAMBLELIFT_CONTROL" env-delim:"," value-name:"IP:PORT" description:"operators' address of a control replica; repeat for each"`
+	JSON    bool          `long:"json" description:"print JSON instead of a table"`
+	Timeout time.Duration `long:"timeout" default:"15s" description:"how long to look for a leader"`
+}
+
+// session is what a command runs with.
+type session struct {
+	globals *globalOptions
+	client  *operator.Client
+	stdout  io.Writer
+	stderr  io.Writer
+	context context.Context
+}
+
+// command is one subcommand.
+type command interface {
+	run(s *session) error
+}
+
+type options struct {
+	globalOptions
+	Bundle struct {
+		Create   createCommand   `command:"create" description:"create a version from a file, the source or an earlier version"`
+		Approve  approveCommand  `command:"approve" description:"sign a version off"`
+		Roll     rollCommand     `command:"roll" description:"put a version in force everywhere"`
+		HandBack handBackCommand `command:"hand-back" description:"create, approve and roll a version that hands traffic back"`
+		List     listCommand     `command:"list" description:"list versions"`
+		Check    checkCommand    `command:"check" description:"check a bundle file without sending it"`
+	} `command:"bundle" description:"work with versions of the bundle"`
+	Key struct {
+		Generate generateCommand `command:"generate" description:"make an approval key"`
+	} `command:"key" description:"work with approval keys"`
+	Status     statusCommand     `command:"status" description:"show the control plane"`
+	Proxies    proxiesCommand    `command:"proxies" description:"show which node holds which version"`
+	Diff       diffCommand       `command:"diff" description:"show what changed between two versions"`
+	Watch      watchCommand      `command:"watch" description:"follow a version until every connected node has it in force"`
+	Completion completionCommand `command:"completion" description:"print a completion script for bash"`
+	Version    versionCommand    `command:"version" description:"print the version"`
+}
+
+// Main runs the program and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	var parsed options
+	parser := flags.NewParser(&parsed, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "bramblectl"
+	var chosen command
+	parser.CommandHandler = func(active flags.Commander, _ []string) error {
+		chosen, _ = active.(command)
+		return nil
+	}
+	if _, err := parser.ParseArgs(arguments); err != nil {
+		return reportParse(err, stdout, stderr)
+	}
+	if chosen == nil {
+		fmt.Fprintln(stderr, "bramblectl: name a command; --help lists them")
+		return ExitUsage
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), parsed.Timeout)
+	defer cancel()
+	s := &session{globals: &parsed.globalOptions, client: operator.NewClient(parsed.Control), stdout: stdout, stderr: stderr, context: ctx}
+	if err := chosen.run(s); err != nil {
+		return report(err, stderr)
+	}
+	return ExitOK
+}
+
+func reportParse(err error, stdout, stderr io.Writer) int {
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, flagsError.Message)
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, "bramblectl:", err)
+	return ExitUsage
+}
+
+// errUsage marks a command line that cannot be carried out.
+var errUsage = errors.New("usage")
+
+func report(err error, stderr io.Writer) int {
+	fmt.Fprintln(stderr, "bramblectl:", err)
+	var refused *catalog.OperationError
+	if errors.As(err, &refused) {
+		return reportRefusal(refused, stderr)
+	}
+	if errors.Is(err, errUsage) {
+		return ExitUsage
+	}
+	return ExitUnavailable
+}
+
+func reportRefusal(refused *catalog.OperationError, stderr io.Writer) int {
+	for _, problem := range refused.Problems {
+		fmt.Fprintln(stderr, "  ", problem)
+	}
+	if refused.Winner != nil {
+		fmt.Fprintf(stderr, "   version %d (digest %s) stands there\n", refused.Winner.Version, refused.Winner.Digest.Short())
+	}
+	switch refused.Code {
+	case catalog.CodeConflict, catalog.CodeOperationReused:
+		return ExitConflict
+	case catalog.CodeInvalidBundle, catalog.CodeInvalidApproval:
+		return ExitInvalid
+	case catalog.CodeUnavailable, catalog.CodeUnknownOutcome:
+		return ExitUnavailable
+	default:
+		return ExitRefused
+	}
+}
+
+// needControl checks that a control replica is named.
+func (s *session) needControl() error {
+	if len(s.globals.Control) == 0 {
+		return fmt.Errorf("%w: name a control replica with --control or BRAMBLELIFT_CONTROL", errUsage)
+	}
+	return nil
+}
+
+// call sends a request to the leader.
+func (s *session) call(method, path string, request, answer any) error {
+	if err := s.needControl(); err != nil {
+		return err
+	}
+	return s.client.Do(s.context, method, path, request, answer)
+}
+
+// print writes JSON if asked for, else what human writes.
+func (s *session) print(value any, human func()) error {
+	if !s.globals.JSON {
+		human()
+		return nil
+	}
+	encoder := json.NewEncoder(s.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+type versionCommand struct{}
+
+func (c *versionCommand) run(s *session) error {
+	fmt.Fprintln(s.stdout, "bramblectl", version.String())
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error { return nil }
+
+type completionCommand struct{}
+
+func (c *completionCommand) run(s *session) error {
+	fmt.Fprint(s.stdout, completionScript)
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *completionCommand) Execute([]string) error { return nil }
+
+// completionScript asks the program itself, which go-flags answers.
+var completionScript = strings.TrimLeft(`
+_bramblectl() {
+    local IFS=$'\n'
+    COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
+}
+complete -F _bramblectl bramblectl
+`, "\n")
+
+func readFile(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return string(text), nil
+}
--- /dev/null
+++ b/pkg/ctl/status.go
@@ -0,0 +1,170 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"bramblelift/pkg/operator"
+)
+
+type statusCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error { return nil }
+
+func (c *statusCommand) run(s *session) error {
+	var status operator.Status
+	if err := s.call(http.MethodGet, operator.PathStatus, nil, &status); err != nil {
+		return err
+	}
+	return s.print(status, func() { printStatus(s, status) })
+}
+
+func printStatus(s *session, status operator.Status) {
+	fmt.Fprintf(s.stdout, "cluster %s  leader %s  term %d  commit %d\n", status.Cluster, status.Leader, status.Term, status.Commit)
+	fmt.Fprintf(s.stdout, "active version %d  staged %d  head %d  revision %d  log %d bytes\n",
+		status.Active, status.Staged, status.Head, status.Revision, status.LogBytes)
+	fmt.Fprintf(s.stdout, "durable copies of all that is committed: %d of %d voters\n", status.DurableCopies, status.Voters)
+	if status.PlatformError != "" {
+		fmt.Fprintf(s.stdout, "platform list unreadable: %s\n", status.PlatformError)
+	}
+	table := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "REPLICA\tZONE\tROLE\tALIVE\tMATCH\tADDRESS")
+	for _, r := range status.Replicas {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%t\t%d\t%s\n", r.Name, r.Zone, r.Role, r.Alive, r.Match, r.Address)
+	}
+	table.Flush()
+}
+
+type proxiesCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *proxiesCommand) Execute([]string) error { return nil }
+
+func (c *proxiesCommand) run(s *session) error {
+	nodes, err := s.nodes()
+	if err != nil {
+		return err
+	}
+	return s.print(nodes, func() {
+		table := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(table, "NODE\tGROUP\tZONE\tACTIVE\tSTAGED\tREVISION\tCONNECTED\tHEARD")
+		for _, n := range nodes {
+			fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%t\t%s\n", n.Name, orDash(n.Group), n.Zone, n.Active, n.Staged, n.Revision, n.Connected, timeText(n.HeardMillis))
+		}
+		table.Flush()
+	})
+}
+
+// nodes asks every replica and keeps the newest word on each node.
+func (s *session) nodes() ([]operator.Node, error) {
+	if err := s.needControl(); err != nil {
+		return nil, err
+	}
+	newest := map[string]operator.Node{}
+	_, err := s.client.Each(s.context, operator.PathNodes, func(answer []byte) error {
+		var nodes []operator.Node
+		if err := json.Unmarshal(answer, &nodes); err != nil {
+			return fmt.Errorf("decode nodes: %w", err)
+		}
+		for _, node := range nodes {
+			held, found := newest[node.Name]
+			if !found || node.HeardMillis > held.HeardMillis {
+				newest[node.Name] = node
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	nodes := make([]operator.Node, 0, len(newest))
+	for _, name := range slices.Sorted(maps.Keys(newest)) {
+		nodes = append(nodes, newest[name])
+	}
+	return nodes, nil
+}
+
+type diffCommand struct {
+	Positional struct {
+		From uint64 `positional-arg-name:"FROM" required:"yes"`
+		To   uint64 `positional-arg-name:"TO" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *diffCommand) Execute([]string) error { return nil }
+
+func (c *diffCommand) run(s *session) error {
+	var changes []operator.Change
+	path := fmt.Sprintf("%s?from=%d&to=%d", operator.PathDiff, c.Positional.From, c.Positional.To)
+	if err := s.call(http.MethodGet, path, nil, &changes); err != nil {
+		return err
+	}
+	return s.print(changes, func() {
+		for _, change := range changes {
+			fmt.Fprintf(s.stdout, "%s %s %q\n", change.Action, change.Kind, change.Name)
+			if change.Before != "" {
+				fmt.Fprintln(s.stdout, "  -", change.Before)
+			}
+			if change.After != "" {
+				fmt.Fprintln(s.stdout, "  +", change.After)
+			}
+		}
+	})
+}
+
+type watchCommand struct {
+	versionArgument
+}
+
+// Execute implements flags.Commander.
+func (c *watchCommand) Execute([]string) error { return nil }
+
+func (c *watchCommand) run(s *session) error { return s.watch(c.Positional.Version) }
+
+const watchInterval = 200 * time.Millisecond
+
+// watch prints progress until every connected node has a version, or a later one, in
+// force.
+func (s *session) watch(number uint64) error {
+	last := ""
+	for {
+		nodes, err := s.nodes()
+		if err != nil {
+			return err
+		}
+		line, done := progress(nodes, number)
+		if line != last {
+			fmt.Fprintln(s.stdout, line)
+			last = line
+		}
+		if done {
+			return nil
+		}
+		select {
+		case <-s.context.Done():
+			return fmt.Errorf("version %d is not in force on every connected node yet: %s", number, line)
+		case <-time.After(watchInterval):
+		}
+	}
+}
+
+func progress(nodes []operator.Node, number uint64) (string, bool) {
+	connected, ready := 0, 0
+	for _, node := range nodes {
+		if !node.Connected {
+			continue
+		}
+		connected++
+		if node.Active >= number {
+			ready++
+		}
+	}
+	return fmt.Sprintf("version %d in force on %d of %d connected nodes", number, ready, connected), connected > 0 && ready == connected
+}
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,191 @@
+// Package daemon is the command line of the bramblelift program: it reads settings,
+// lets flags override them, checks them, and runs one role until it is told to stop.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bramblelift/pkg/control"
+	"bramblelift/pkg/logging"
+	"bramblelift/pkg/proxy"
+	"bramblelift/pkg/relay"
+	"bramblelift/pkg/settings"
+	"bramblelift/pkg/version"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Exit codes.
+const (
+	// ExitOK: the process did its job and was told to stop.
+	ExitOK = 0
+	// ExitFailure: the process could not go on.
+	ExitFailure = 1
+	// ExitUsage: flags or settings are wrong; nothing was started.
+	ExitUsage = 2
+)
+
+// commonFlags are the flags of every role. A flag that is set overrides the file.
+type commonFlags struct {
+	Settings    string `long:"settings" value-name:"FILE" description:"settings file in TOML"`
+	Check       bool   `long:"check" description:"check the settings, print what would be in force, and exit"`
+	Name        string `long:"name" description:"name of this process"`
+	Zone        string `long:"zone" description:"zone of this process"`
+	Listen      string `long:"listen" value-name:"IP:PORT" description:"address to serve on"`
+	AdminListen string `long:"admin-listen" value-name:"IP:PORT" description:"address for status, metrics and operators"`
+}
+
+func override(target *string, flag string) {
+	if flag != "" {
+		*target = flag
+	}
+}
+
+func (f commonFlags) applyTo(common *settings.Common, listen *string) {
+	override(&common.Name, f.Name)
+	override(&common.Zone, f.Zone)
+	override(&common.AdminListen, f.AdminListen)
+	override(listen, f.Listen)
+}
+
+type controlCommand struct {
+	commonFlags
+	Data string `long:"data" value-name:"FOLDER" description:"folder for the replica's state"`
+	Init bool   `long:"init" description:"make the data folder of a first replica of a new cluster, and exit; do this once in a cluster's life"`
+}
+
+type relayCommand struct {
+	commonFlags
+}
+
+type proxyCommand struct {
+	commonFlags
+	Data  string `long:"data" value-name:"FOLDER" description:"folder for the last configuration"`
+	Group string `long:"group" description:"node group whose routes are served"`
+}
+
+type options struct {
+	Control controlCommand `command:"control" description:"run a control replica"`
+	Relay   relayCommand   `command:"relay" description:"run a relay"`
+	Proxy   proxyCommand   `command:"proxy" description:"run a node"`
+	Version struct{}       `command:"version" description:"print the version"`
+}
+
+// errUsage marks errors that end with ExitUsage.
+var errUsage = errors.New("settings")
+
+// Main runs the program and returns its exit code.
+func Main(arguments []string, stdout, stderr io.Writer) int {
+	var parsed options
+	parser := flags.NewParser(&parsed, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "bramblelift"
+	if _, err := parser.ParseArgs(arguments); err != nil {
+		return reportParse(err, stdout, stderr)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	var err error
+	switch parser.Active.Name {
+	case "control":
+		err = parsed.Control.run(ctx, stdout, stderr)
+	case "relay":
+		err = parsed.Relay.run(ctx, stdout, stderr)
+	case "proxy":
+		err = parsed.Proxy.run(ctx, stdout, stderr)
+	case "version":
+		fmt.Fprintln(stdout, "bramblelift", version.String())
+	}
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, "bramblelift:", err)
+	if errors.Is(err, errUsage) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
+func reportParse(err error, stdout, stderr io.Writer) int {
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, flagsError.Message)
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, "bramblelift:", err)
+	return ExitUsage
+}
+
+// checked wraps what Load and Check found; with check set it prints the settings that
+// would be in force.
+func checked(file string, loadErr, checkErr error, check bool, value any, stdout io.Writer) (done bool, err error) {
+	if loadErr != nil {
+		return true, fmt.Errorf("%w: %w", errUsage, loadErr)
+	}
+	if checkErr != nil {
+		return true, fmt.Errorf("%w: %s: %w", errUsage, file, checkErr)
+	}
+	if !check {
+		return false, nil
+	}
+	text, err := toml.Marshal(value)
+	if err != nil {
+		return true, fmt.Errorf("print settings: %w", err)
+	}
+	_, err = stdout.Write(text)
+	return true, err
+}
+
+func (c *controlCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
+	var config settings.Control
+	loadErr := settings.Load(c.Settings, &config)
+	c.applyTo(&config.Common, &config.Listen)
+	override(&config.Data, c.Data)
+	if done, err := checked(c.Settings, loadErr, config.Check(), c.Check, config, stdout); done {
+		return err
+	}
+	if c.Init {
+		return control.Init(config)
+	}
+	server, err := control.New(config, logging.New(stderr, "control", config.Name))
+	if err != nil {
+		return err
+	}
+	return server.Run(ctx)
+}
+
+func (c *relayCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
+	var config settings.Relay
+	loadErr := settings.Load(c.Settings, &config)
+	c.applyTo(&config.Common, &config.Listen)
+	if done, err := checked(c.Settings, loadErr, config.Check(), c.Check, config, stdout); done {
+		return err
+	}
+	server, err := relay.New(config, logging.New(stderr, "relay", config.Name))
+	if err != nil {
+		return err
+	}
+	return server.Run(ctx)
+}
+
+func (c *proxyCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
+	var config settings.Proxy
+	loadErr := settings.Load(c.Settings, &config)
+	c.applyTo(&config.Common, &config.Listen)
+	override(&config.Data, c.Data)
+	override(&config.Group, c.Group)
+	if done, err := checked(c.Settings, loadErr, config.Check(), c.Check, config, stdout); done {
+		return err
+	}
+	server, err := proxy.New(config, logging.New(stderr, "proxy", config.Name))
+	if err != nil {
+		return err
+	}
+	return server.Run(ctx)
+}
--- /dev/null
+++ b/pkg/forward/attempt.go
@@ -0,0 +1,162 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bramblelift/pkg/balancer"
+)
+
+// attemptFailure tells how one attempt at a back end failed.
+type attemptFailure struct {
+	outcome Outcome
+	peer    string
+	step    string
+	err     error
+	status  int
+	// retryAfter is the back end's wish, zero for none.
+	retryAfter time.Duration
+}
+
+func (f *attemptFailure) refusal() *Refusal {
+	retryAfter := f.retryAfter
+	if retryAfter == 0 {
+		retryAfter = unavailableRetry
+	}
+	return &Refusal{Outcome: f.outcome, Step: f.step, Peer: f.peer, Reason: f.err.Error(), Status: f.status, RetryAfter: retryAfter}
+}
+
+var errDeclined = errors.New("the back end declined the call")
+
+// attempt sends the call to one back end. It returns nil once an answer has begun to
+// reach the caller; from then on an error can only abort the connection.
+func (c *call) attempt(ctx context.Context, ticket *balancer.Ticket) *attemptFailure {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request := c.outgoing(httptrace.WithClientTrace(ctx, trace), ticket)
+	response, err := c.service.transport.RoundTrip(request)
+	if err != nil {
+		return c.failed(ctx, ticket, connected.Load(), err)
+	}
+	load, draining := readReport(response.Header)
+	ticket.Report(load, draining)
+	if isDecline(response) {
+		ticket.Done(c.handler.config.Now(), balancer.Refused)
+		response.Body.Close()
+		return &attemptFailure{
+			outcome: NotRun, peer: ticket.Address, step: "back end's answer", err: errDeclined,
+			status: http.StatusServiceUnavailable, retryAfter: readRetryAfter(response.Header),
+		}
+	}
+	c.pass(ctx, ticket, response)
+	return nil
+}
+
+// outgoing builds the request for a back end.
+func (c *call) outgoing(ctx context.Context, ticket *balancer.Ticket) *http.Request {
+	incoming := c.request
+	request := &http.Request{
+		Method: incoming.Method, Host: incoming.Host,
+		URL: &url.URL{
+			Scheme: "http", Host: ticket.Address, Path: incoming.URL.Path,
+			RawPath: incoming.URL.RawPath, RawQuery: incoming.URL.RawQuery,
+		},
+		Header: make(http.Header, len(incoming.Header)+2),
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	copyHeader(request.Header, incoming.Header)
+	removeHopHeaders(request.Header)
+	if _, set := request.Header["User-Agent"]; !set {
+		// An explicit nil keeps the transport from adding its own.
+		request.Header["User-Agent"] = nil
+	}
+	remaining := max(1, (c.deadline - c.handler.config.Now()).Milliseconds())
+	request.Header.Set(HeaderTimeout, strconv.FormatInt(remaining, 10))
+	if c.attempts > 1 {
+		request.Header.Set(HeaderRetry, "1")
+	}
+	if c.route.Credential != "" {
+		request.Header.Set("Authorization", "Bearer "+c.route.Credential)
+	}
+	if c.body.length != 0 || !c.safe {
+		request.Body = c.body.reader()
+		request.ContentLength = c.body.length
+	}
+	return request.WithContext(ctx)
+}
+
+// failed classifies an error of the transport. Only if no connection was ever had is
+// it certain that the back end has seen nothing.
+func (c *call) failed(ctx context.Context, ticket *balancer.Ticket, connected bool, err error) *attemptFailure {
+	failure := &attemptFailure{outcome: Unknown, peer: ticket.Address, step: "exchange with back end", err: err, status: http.StatusBadGateway}
+	if !connected {
+		failure.outcome = NotRun
+		failure.step = "connect to back end"
+		failure.status = http.StatusServiceUnavailable
+	}
+	outcome := balancer.Failed
+	if ctx.Err() != nil {
+		failure.status = http.StatusGatewayTimeout
+		failure.err = fmt.Errorf("deadline: %w", err)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			outcome = balancer.Canceled
+		}
+	}
+	ticket.Done(c.handler.config.Now(), outcome)
+	return failure
+}
+
+// pass copies the answer to the caller.
+func (c *call) pass(ctx context.Context, ticket *balancer.Ticket, response *http.Response) {
+	defer response.Body.Close()
+	c.status = response.StatusCode
+	removeHopHeaders(response.Header)
+	copyHeader(c.writer.Header(), response.Header)
+	for name := range response.Trailer {
+		c.writer.Header().Add("Trailer", name)
+	}
+	c.writer.WriteHeader(response.StatusCode)
+	err := c.finishCopy(response)
+	if err != nil {
+		outcome := balancer.Failed
+		if c.request.Context().Err() != nil || ctx.Err() != nil {
+			outcome = balancer.Canceled
+		}
+		ticket.Done(c.handler.config.Now(), outcome)
+		c.handler.tell(c, nil)
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range response.Trailer {
+		c.writer.Header()[name] = values
+	}
+	ticket.Done(c.handler.config.Now(), balancer.Answered)
+}
+
+// isDecline recognises a back end's word that it has not begun the call.
+func isDecline(response *http.Response) bool {
+	declining := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+	return declining && response.Header.Get(HeaderOutcome) == string(NotRun)
+}
+
+func readReport(header http.Header) (load float64, draining bool) {
+	load, err := strconv.ParseFloat(header.Get(HeaderLoad), 64)
+	if err != nil || load < 0 {
+		load = -1
+	}
+	return load, header.Get(HeaderDraining) != ""
+}
+
+func readRetryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/pkg/forward/handler.go
@@ -0,0 +1,325 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramblelift/pkg/balancer"
+	"bramblelift/pkg/retry"
+	"bramblelift/pkg/routing"
+)
+
+// Bounds of forwarding.
+const (
+	maxAttempts = 3
+	// maxPatience bounds how long a call waits for a free back end; it must stay
+	// small against any deadline.
+	maxPatience      = 100 * time.Millisecond
+	patienceShare    = 8
+	copyBufferSize   = 32 << 10
+	dialTimeout      = time.Second
+	idleTimeout      = 30 * time.Second
+	saturatedRetry   = time.Second
+	unavailableRetry = 2 * time.Second
+)
+
+// Config sets up a Handler.
+type Config struct {
+	Node string
+	Zone string
+	// Now reads the process's monotonic clock.
+	Now   func() time.Duration
+	Retry retry.Config
+	// OnCall, if set, is told how each call ended.
+	OnCall func(Call)
+}
+
+// Call describes a finished call, for metrics.
+type Call struct {
+	Route    string
+	Status   int
+	Attempts int
+	Refused  bool
+	Outcome  Outcome
+	Duration time.Duration
+}
+
+// service is a pool with its connections.
+type service struct {
+	pool      *balancer.Pool
+	transport *http.Transport
+	budget    *retry.Budget
+}
+
+// view is what calls see: one table with its services, swapped whole.
+type view struct {
+	table    *routing.Table
+	services map[string]*service
+}
+
+// Handler forwards calls by the newest table. It is an http.Handler.
+type Handler struct {
+	config  Config
+	view    atomic.Pointer[view]
+	mutex   sync.Mutex
+	buffers sync.Pool
+}
+
+// New returns a handler that refuses every call until SetTable.
+func New(config Config) *Handler {
+	h := &Handler{config: config}
+	h.buffers.New = func() any {
+		buffer := make([]byte, copyBufferSize)
+		return &buffer
+	}
+	return h
+}
+
+// SetTable swaps the table. Calls under way finish on what they started with.
+func (h *Handler) SetTable(table *routing.Table) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	old := h.view.Load()
+	next := &view{table: table, services: make(map[string]*service, len(table.Services))}
+	for _, definition := range table.Services {
+		held := old.service(definition.Name)
+		if held == nil {
+			held = h.newService(definition)
+		}
+		held.pool.Update(h.config.Now(), definition)
+		next.services[definition.Name] = held
+	}
+	h.view.Store(next)
+	h.closeUnused(old, next)
+}
+
+func (v *view) service(name string) *service {
+	if v == nil {
+		return nil
+	}
+	return v.services[name]
+}
+
+func (h *Handler) closeUnused(old, next *view) {
+	if old == nil {
+		return
+	}
+	for name, held := range old.services {
+		if next.services[name] == nil {
+			held.transport.CloseIdleConnections()
+		}
+	}
+}
+
+func (h *Handler) newService(definition routing.Service) *service {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	connections := definition.MaxConnections
+	if connections == 0 {
+		connections = max(definition.MaxConcurrency, balancer.DefaultConcurrency)
+	}
+	return &service{
+		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, Random: rand.IntN}),
+		budget: retry.NewBudget(h.config.Retry),
+		transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// Version returns the version in force, zero for none.
+func (h *Handler) Version() uint64 {
+	if current := h.view.Load(); current != nil {
+		return current.table.Version
+	}
+	return 0
+}
+
+// Pools describes the back ends of each service.
+func (h *Handler) Pools() map[string][]balancer.Status {
+	current := h.view.Load()
+	if current == nil {
+		return nil
+	}
+	pools := map[string][]balancer.Status{}
+	for name, held := range current.services {
+		pools[name] = held.pool.Status(h.config.Now())
+	}
+	return pools
+}
+
+// call is one call on its way.
+type call struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	route    routing.Route
+	service  *service
+	body     *replayBody
+	deadline time.Duration
+	// safe calls may be repeated whatever became of the first attempt.
+	safe     bool
+	attempts int
+	tried    []string
+	started  time.Duration
+	status   int
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{handler: h, writer: w, request: r, started: h.config.Now()}
+	refusal := c.serve()
+	if refusal != nil {
+		refusal.write(w)
+		c.status = refusal.Status
+	}
+	h.tell(c, refusal)
+}
+
+func (h *Handler) tell(c *call, refusal *Refusal) {
+	if h.config.OnCall == nil {
+		return
+	}
+	told := Call{
+		Route: c.route.Name, Status: c.status, Attempts: c.attempts,
+		Duration: h.config.Now() - c.started,
+	}
+	if refusal != nil {
+		told.Refused = true
+		told.Outcome = refusal.Outcome
+	}
+	h.config.OnCall(told)
+}
+
+// serve answers the call, or returns how it must be refused.
+func (c *call) serve() *Refusal {
+	current := c.handler.view.Load()
+	if current == nil {
+		return &Refusal{Outcome: NotRun, Step: "configuration", Reason: "the node holds no configuration yet",
+			Status: http.StatusServiceUnavailable, RetryAfter: unavailableRetry}
+	}
+	route, found := current.table.Match(c.request.URL.Path)
+	if !found {
+		return &Refusal{Outcome: NotRun, Step: "route", Reason: "no route takes this path", Status: http.StatusNotFound}
+	}
+	c.route = route
+	c.service = current.services[route.Service]
+	c.safe = isSafe(c.request.Method) && !route.Once
+	timeout := c.timeout()
+	if timeout <= 0 {
+		return &Refusal{Outcome: NotRun, Step: "deadline", Reason: "the deadline has passed", Status: http.StatusGatewayTimeout}
+	}
+	c.deadline = c.started + timeout
+	body, err := newReplayBody(c.request)
+	if err != nil {
+		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: http.StatusBadRequest}
+	}
+	c.body = body
+	ctx, cancel := context.WithTimeout(c.request.Context(), timeout)
+	defer cancel()
+	c.service.budget.Attempt(c.started)
+	return c.attemptUntilDone(ctx)
+}
+
+// timeout returns the smaller of the caller's patience and the route's timeout.
+func (c *call) timeout() time.Duration {
+	timeout := c.route.Timeout
+	millis, err := strconv.ParseInt(c.request.Header.Get(HeaderTimeout), 10, 64)
+	if err == nil && time.Duration(millis)*time.Millisecond < timeout {
+		timeout = time.Duration(millis) * time.Millisecond
+	}
+	return timeout
+}
+
+func (c *call) attemptUntilDone(ctx context.Context) *Refusal {
+	for {
+		ticket, refusal := c.acquire(ctx)
+		if refusal != nil {
+			return refusal
+		}
+		c.attempts++
+		failure := c.attempt(ctx, ticket)
+		if failure == nil {
+			return nil
+		}
+		if !c.mayRetry(ctx, failure) {
+			return failure.refusal()
+		}
+		c.tried = append(c.tried, ticket.ID)
+	}
+}
+
+// acquire gets a back end for the next attempt.
+func (c *call) acquire(ctx context.Context) (*balancer.Ticket, *Refusal) {
+	patience := min(maxPatience, (c.deadline-c.handler.config.Now())/patienceShare)
+	ticket, err := c.service.pool.Acquire(ctx.Done(), c.handler.config.Now, patience, c.tried)
+	if err == nil {
+		return ticket, nil
+	}
+	refusal := &Refusal{Outcome: NotRun, Step: "choose back end", Reason: fmt.Sprintf("service %s: %v", c.route.Service, err),
+		Status: http.StatusServiceUnavailable, RetryAfter: unavailableRetry}
+	if errors.Is(err, balancer.ErrSaturated) {
+		refusal.RetryAfter = saturatedRetry
+	}
+	if c.attempts > 0 && c.safe {
+		// An earlier attempt of a safe call may have run.
+		refusal.Outcome = Unknown
+	}
+	return nil, refusal
+}
+
+// mayRetry decides on another attempt: the call must not have run or be safe, its body
+// must still be whole, no earlier hop may be retrying, and the budget must allow it.
+func (c *call) mayRetry(ctx context.Context, failure *attemptFailure) bool {
+	if ctx.Err() != nil || c.attempts >= maxAttempts {
+		return false
+	}
+	if failure.outcome != NotRun && !c.safe {
+		return false
+	}
+	if !c.body.repeatable() || c.request.Header.Get(HeaderRetry) != "" {
+		return false
+	}
+	return c.service.budget.Withdraw(c.handler.config.Now())
+}
+
+// finishCopy copies the answer's body. A body that breaks off must reach the caller as
+// an error: the connection is aborted.
+func (c *call) finishCopy(response *http.Response) error {
+	buffer := c.handler.buffers.Get().(*[]byte)
+	defer c.handler.buffers.Put(buffer)
+	target := io.Writer(c.writer)
+	if response.ContentLength < 0 {
+		target = flushWriter{c.writer}
+	}
+	_, err := io.CopyBuffer(onlyWriter{target}, onlyReader{response.Body}, *buffer)
+	return err
+}
+
+// onlyWriter and onlyReader hide other methods, so that the copy uses the buffer.
+type onlyWriter struct{ io.Writer }
+type onlyReader struct{ io.Reader }
+
+// flushWriter passes each piece of a streamed answer on at once.
+type flushWriter struct{ http.ResponseWriter }
+
+// Write implements io.Writer.
+func (f flushWriter) Write(data []byte) (int, error) {
+	written, err := f.ResponseWriter.Write(data)
+	if err == nil {
+		err = http.NewResponseController(f.ResponseWriter).Flush()
+	}
+	return written, err
+}
--- /dev/null
+++ b/pkg/operator/api.go
@@ -0,0 +1,112 @@
+// Package operator defines the calls that operators make of the control plane, and a
+// client that finds the leader and resends safely.
+package operator
+
+import (
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/catalog"
+)
+
+// Paths of the calls. A version number replaces {version}.
+const (
+	PathVersions = "/v1/versions"
+	PathStatus   = "/v1/status"
+	PathNodes    = "/v1/nodes"
+	PathDiff     = "/v1/diff"
+)
+
+// CreateRequest makes a version. Just one of TOML, Source and FromVersion is set.
+type CreateRequest struct {
+	OperationID  string  `json:"operation_id"`
+	ExpectedHead *uint64 `json:"expected_head,omitempty"`
+	// TOML is the text of a bundle file, FileName its name for error messages.
+	TOML     string `json:"toml,omitempty"`
+	FileName string `json:"file_name,omitempty"`
+	// Source names a bundle at the configuration source.
+	Source string `json:"source,omitempty"`
+	// FromVersion copies an earlier version's content.
+	FromVersion uint64 `json:"from_version,omitempty"`
+	// HandBack, if set, replaces the content's own.
+	HandBack *bool `json:"hand_back,omitempty"`
+}
+
+// ApproveRequest signs a version off.
+type ApproveRequest struct {
+	OperationID string          `json:"operation_id"`
+	Approval    bundle.Approval `json:"approval"`
+}
+
+// RollRequest puts a version into force.
+type RollRequest struct {
+	OperationID string `json:"operation_id"`
+}
+
+// VersionSummary is one line of the list of versions.
+type VersionSummary struct {
+	Manifest       bundle.Manifest `json:"manifest"`
+	Status         catalog.Status  `json:"status"`
+	KeyID          string          `json:"key_id,omitempty"`
+	HandBack       bool            `json:"hand_back,omitempty"`
+	CreatedMillis  int64           `json:"created_millis"`
+	ApprovedMillis int64           `json:"approved_millis,omitempty"`
+	RolledMillis   int64           `json:"rolled_millis,omitempty"`
+}
+
+// VersionList answers a list call; newest first.
+type VersionList struct {
+	Head     uint64           `json:"head"`
+	Active   uint64           `json:"active"`
+	Versions []VersionSummary `json:"versions"`
+}
+
+// ReplicaStatus describes one control replica as the leader sees it.
+type ReplicaStatus struct {
+	Name    string `json:"name"`
+	ID      uint64 `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Role    string `json:"role"`
+	Match   uint64 `json:"match"`
+	Alive   bool   `json:"alive"`
+}
+
+// Status describes the control plane as its leader knows it.
+type Status struct {
+	Cluster string `json:"cluster"`
+	Leader  string `json:"leader"`
+	Term    uint64 `json:"term"`
+	Commit  uint64 `json:"commit"`
+	// DurableCopies counts the voters that hold all that is committed, of Voters.
+	DurableCopies int             `json:"durable_copies"`
+	Voters        int             `json:"voters"`
+	Head          uint64          `json:"head"`
+	Active        uint64          `json:"active"`
+	Staged        uint64          `json:"staged"`
+	Revision      uint64          `json:"revision"`
+	LogBytes      int64           `json:"log_bytes"`
+	Replicas      []ReplicaStatus `json:"replicas"`
+	// PlatformError tells why the platform's list could not be read, if so.
+	PlatformError string `json:"platform_error,omitempty"`
+}
+
+// Node describes one node as a control replica last heard of it.
+type Node struct {
+	Name      string `json:"name"`
+	Group     string `json:"group"`
+	Zone      string `json:"zone"`
+	Active    uint64 `json:"active"`
+	Staged    uint64 `json:"staged"`
+	Revision  uint64 `json:"revision"`
+	Connected bool   `json:"connected"`
+	// HeardMillis is when, in Unix milliseconds.
+	HeardMillis int64 `json:"heard_millis"`
+}
+
+// Change is one line of a diff. Secrets show as digests.
+type Change struct {
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	Action string `json:"action"`
+	Before string `json:"before,omitempty"`
+	After  string `json:"after,omitempty"`
+}
--- /dev/null
+++ b/pkg/protocol/protocol.go
@@ -0,0 +1,228 @@
+// Package protocol defines the messages between the system's own processes and the
+// handshake that opens every connection.
+//
+// The first frame of the connecting side is a Hello; the other side answers with a
+// Welcome or a Refusal. The handshake is where transport security can be put under the
+// protocol later: everything above it only sees a wire.Conn.
+package protocol
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/raft"
+	"bramblelift/pkg/wire"
+)
+
+// Version is the version of this protocol; peers of another one are refused.
+const Version = 1
+
+// Kinds of frames.
+const (
+	KindHello wire.Kind = iota + 1
+	KindWelcome
+	KindRefusal
+	KindUpdate
+	KindPing
+	KindPong
+	KindAck
+	KindRaft
+	KindJoin
+)
+
+// KindName returns the name of a kind as metrics show it.
+func KindName(kind wire.Kind) string {
+	names := map[wire.Kind]string{
+		KindHello: "hello", KindWelcome: "welcome", KindRefusal: "refusal",
+		KindUpdate: "update", KindPing: "ping", KindPong: "pong", KindAck: "ack",
+		KindRaft: "raft", KindJoin: "join",
+	}
+	if name, found := names[kind]; found {
+		return name
+	}
+	return "unknown"
+}
+
+// Role says what a process is.
+type Role uint8
+
+const (
+	// RoleReplica is a control replica that exchanges consensus messages.
+	RoleReplica Role = iota + 1
+	// RoleRelay subscribes to everything and serves nodes.
+	RoleRelay
+	// RoleNode subscribes for one node group.
+	RoleNode
+)
+
+// Hello opens a connection.
+type Hello struct {
+	ClusterID string
+	Protocol  int
+	Role      Role
+	Name      string
+	Zone      string
+	// Group is the node's group; relays subscribe to bundle.ScopeAll.
+	Group string
+	// Position is what a subscriber holds.
+	Position distribution.Position
+}
+
+// Welcome accepts a connection.
+type Welcome struct {
+	Name string
+}
+
+// RefusalReason classifies a refusal.
+type RefusalReason uint8
+
+const (
+	// ReasonCluster: the peer belongs to another cluster.
+	ReasonCluster RefusalReason = iota + 1
+	// ReasonProtocol: the peer speaks another version of the protocol.
+	ReasonProtocol
+	// ReasonRole: this process does not serve peers of that role.
+	ReasonRole
+	// ReasonBusy: too many subscribers at once; come back after RetryAfter.
+	ReasonBusy
+	// ReasonStopping: the process is shutting down.
+	ReasonStopping
+)
+
+// Refusal declines or ends a connection.
+type Refusal struct {
+	Reason     RefusalReason
+	Message    string
+	RetryAfter time.Duration
+}
+
+// RefusedError is a Refusal as the refused side reports it.
+type RefusedError struct {
+	Peer    string
+	Refusal Refusal
+}
+
+// Error names the peer and the reason.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused by %s: %s", e.Peer, e.Refusal.Message)
+}
+
+// Ping asks for a Pong and tells what the sender holds.
+type Ping struct {
+	Sequence uint64
+	Position distribution.Position
+	// Reports are news of the nodes below a relay.
+	Reports []NodeReport
+}
+
+// Pong answers a Ping.
+type Pong struct {
+	Sequence uint64
+	// Revision is current for the subscriber: all it needs up to it was sent.
+	Revision uint64
+	// Confirmed says that Stale is known.
+	Confirmed bool
+	// Stale is how long before this answer the sender's state was confirmed to
+	// include everything accepted.
+	Stale time.Duration
+}
+
+// Ack tells what a subscriber holds, without asking for anything.
+type Ack struct {
+	Position distribution.Position
+}
+
+// NodeReport is what a relay tells the control plane of one node.
+type NodeReport struct {
+	Node      string
+	Group     string
+	Zone      string
+	Position  distribution.Position
+	Connected bool
+}
+
+// RaftMessage carries one consensus message.
+type RaftMessage struct {
+	Message raft.Message
+}
+
+// Join asks to replace the machine of the same name.
+type Join struct {
+	Member raft.Member
+}
+
+// ErrUnexpected: the peer sent a frame that does not fit here.
+var ErrUnexpected = errors.New("unexpected frame")
+
+// Open performs the connecting side of the handshake.
+func Open(conn *wire.Conn, hello Hello, timeout time.Duration) (Welcome, error) {
+	hello.Protocol = Version
+	if err := conn.Send(KindHello, hello); err != nil {
+		return Welcome{}, fmt.Errorf("handshake: %w", err)
+	}
+	kind, err := conn.Receive(timeout)
+	if err != nil {
+		return Welcome{}, fmt.Errorf("handshake: %w", err)
+	}
+	switch kind {
+	case KindWelcome:
+		var welcome Welcome
+		if err := conn.Decode(&welcome); err != nil {
+			return Welcome{}, fmt.Errorf("handshake: %w", err)
+		}
+		return welcome, nil
+	case KindRefusal:
+		return Welcome{}, receiveRefusal(conn)
+	default:
+		return Welcome{}, fmt.Errorf("handshake with %s: kind %s: %w", conn.Peer(), KindName(kind), ErrUnexpected)
+	}
+}
+
+// receiveRefusal decodes a Refusal into an error.
+func receiveRefusal(conn *wire.Conn) error {
+	var refusal Refusal
+	if err := conn.Decode(&refusal); err != nil {
+		return fmt.Errorf("refusal: %w", err)
+	}
+	return &RefusedError{Peer: conn.Peer(), Refusal: refusal}
+}
+
+// ReceiveRefusal decodes a Refusal that ends an open connection.
+func ReceiveRefusal(conn *wire.Conn) error { return receiveRefusal(conn) }
+
+// Accept reads the Hello of the connecting side and checks cluster and protocol. On a
+// mismatch it has refused the peer and returns an error.
+func Accept(conn *wire.Conn, clusterID string, timeout time.Duration) (Hello, error) {
+	kind, err := conn.Receive(timeout)
+	if err != nil {
+		return Hello{}, fmt.Errorf("handshake: %w", err)
+	}
+	if kind != KindHello {
+		return Hello{}, fmt.Errorf("handshake with %s: kind %s: %w", conn.Peer(), KindName(kind), ErrUnexpected)
+	}
+	var hello Hello
+	if err := conn.Decode(&hello); err != nil {
+		return Hello{}, fmt.Errorf("handshake: %w", err)
+	}
+	if hello.Protocol != Version {
+		return hello, Refuse(conn, Refusal{Reason: ReasonProtocol, Message: fmt.Sprintf("protocol %d, here it is %d", hello.Protocol, Version)})
+	}
+	if hello.ClusterID != clusterID {
+		return hello, Refuse(conn, Refusal{Reason: ReasonCluster, Message: fmt.Sprintf("cluster %q, here it is %q", hello.ClusterID, clusterID)})
+	}
+	if hello.Group == bundle.ScopeAll && hello.Role == RoleNode {
+		return hello, Refuse(conn, Refusal{Reason: ReasonRole, Message: "a node may not subscribe to everything"})
+	}
+	return hello, nil
+}
+
+// Refuse sends a refusal and returns it as an error.
+func Refuse(conn *wire.Conn, refusal Refusal) error {
+	if err := conn.Send(KindRefusal, refusal); err != nil {
+		return fmt.Errorf("refuse: %w", err)
+	}
+	return fmt.Errorf("refused %s: %s", conn.Peer(), refusal.Message)
+}
--- /dev/null
+++ b/pkg/raft/election.go
@@ -0,0 +1,126 @@
+package raft
+
+import "time"
+
+func (n *Node) resetElectionDeadline(now time.Duration) {
+	jitter := time.Duration(n.config.Random(int64(n.config.ElectionTimeout)))
+	n.electionDeadline = now + n.config.ElectionTimeout + jitter
+}
+
+func (n *Node) becomeFollower(now time.Duration, term uint64, leader ReplicaID) {
+	if term > n.term {
+		n.term = term
+		n.vote = 0
+	}
+	if n.role == Leader {
+		// The deadline is stale: a leader does not keep it.
+		n.resetElectionDeadline(now)
+	}
+	n.role = Follower
+	n.leader = leader
+	n.votes = nil
+	n.progress = nil
+}
+
+// startPreVote asks the others whether an election could be won. Nothing durable
+// changes, so a replica that was cut off does not disturb a working leader.
+func (n *Node) startPreVote(now time.Duration) {
+	n.resetElectionDeadline(now)
+	n.role = PreCandidate
+	n.leader = 0
+	n.votes = map[ReplicaID]bool{n.config.ID: true}
+	n.requestVotes(now, MessagePreVote, n.term+1)
+	n.countVotes(now)
+}
+
+func (n *Node) startElection(now time.Duration) {
+	n.resetElectionDeadline(now)
+	n.role = Candidate
+	n.term++
+	n.vote = n.config.ID
+	n.votes = map[ReplicaID]bool{n.config.ID: true}
+	n.requestVotes(now, MessageVote, n.term)
+	n.countVotes(now)
+}
+
+func (n *Node) requestVotes(now time.Duration, kind MessageKind, term uint64) {
+	for _, id := range n.Membership().Voters() {
+		if id == n.config.ID {
+			continue
+		}
+		n.send(now, Message{
+			Kind: kind, To: id, Term: term,
+			Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(),
+		})
+	}
+}
+
+func (n *Node) countVotes(now time.Duration) {
+	granted := 0
+	for _, id := range n.Membership().Voters() {
+		if n.votes[id] {
+			granted++
+		}
+	}
+	if granted < n.Membership().Quorum() {
+		return
+	}
+	if n.role == PreCandidate {
+		n.startElection(now)
+		return
+	}
+	n.becomeLeader(now)
+}
+
+func (n *Node) becomeLeader(now time.Duration) {
+	n.role = Leader
+	n.leader = n.config.ID
+	n.votes = nil
+	n.becameLeaderAt = now
+	n.heartbeatDue = now
+	n.progress = map[ReplicaID]*progress{}
+	n.ensureProgress()
+	// An empty entry of the new term lets everything before it be committed.
+	n.termStart = n.log.lastIndex() + 1
+	n.log.append(Entry{Term: n.term, Index: n.termStart, Kind: EntryCommand})
+	n.unsent = true
+}
+
+// mayVote reports whether the vote barrier has passed: no leader can hold a lease
+// that counts on this replica's silence.
+func (n *Node) mayVote(now time.Duration) bool {
+	return n.role != Leader && now >= n.voteBarrier
+}
+
+func (n *Node) handlePreVote(now time.Duration, m Message) {
+	if !n.mayVote(now) {
+		return
+	}
+	granted := m.Term > n.term && n.log.upToDate(m.Index, m.LogTerm)
+	response := Message{Kind: MessagePreVoteResponse, To: m.From, Term: m.Term, Reject: !granted}
+	if !granted {
+		response.Term = n.term
+	}
+	n.send(now, response)
+}
+
+func (n *Node) handleVote(now time.Duration, m Message) {
+	free := n.vote == 0 || n.vote == m.From
+	granted := free && n.mayVote(now) && n.log.upToDate(m.Index, m.LogTerm)
+	if granted {
+		n.vote = m.From
+		n.resetElectionDeadline(now)
+	}
+	n.send(now, Message{Kind: MessageVoteResponse, To: m.From, Reject: !granted})
+}
+
+func (n *Node) handleVoteResponse(now time.Duration, m Message, role Role) {
+	if n.role != role {
+		return
+	}
+	if role == PreCandidate && m.Term != n.term+1 {
+		return
+	}
+	n.votes[m.From] = !m.Reject
+	n.countVotes(now)
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,227 @@
+// Package relay is the relay as a daemon: one subscription to the control plane, which
+// it serves to many nodes. It keeps nothing on disk; after a restart it fetches the
+// state again, and serves it with the age of its last confirmation.
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"bramblelift/pkg/admin"
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/clock"
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/metrics"
+	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/settings"
+	"bramblelift/pkg/stream"
+	"bramblelift/pkg/wire"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Bounds of the daemon.
+const (
+	handshakeTimeout = 3 * time.Second
+	writeTimeout     = 3 * time.Second
+	dialTimeout      = time.Second
+	// nodeSilence ends the subscription of a node that sends no pings.
+	nodeSilence = 10 * time.Second
+	// Admission: a relay takes its share of a zone back within a second or two.
+	admissionPerSecond = 400
+	admissionBurst     = 200
+)
+
+// Server is one relay.
+type Server struct {
+	settings settings.Relay
+	logger   log.Logger
+	clock    *clock.Monotonic
+	hub      *stream.Hub
+	client   *stream.Client
+	admin    *admin.Service
+	listener net.Listener
+	traffic  *metrics.Traffic
+	reports  *reportQueue
+
+	mutex  sync.Mutex
+	holder *distribution.Holder
+}
+
+// New opens the relay's sockets.
+func New(config settings.Relay, logger log.Logger) (*Server, error) {
+	verifier, err := bundle.NewVerifier(config.Cluster, config.ApprovalKeys)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		settings: config, logger: logger, clock: clock.NewMonotonic(),
+		holder:  distribution.NewHolder(bundle.ScopeAll, verifier, nil),
+		reports: newReportQueue(),
+	}
+	s.hub = stream.NewHub(stream.HubConfig{
+		Name: config.Name, SilenceTimeout: nodeSilence,
+		Admission:   stream.AdmissionConfig{PerSecond: admissionPerSecond, Burst: admissionBurst},
+		Now:         s.clock.Now,
+		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() },
+		OnReport:    s.reports.add,
+	}, s.holder.State())
+	if s.listener, err = net.Listen("tcp", config.Listen); err != nil {
+		return nil, fmt.Errorf("listen for nodes: %w", err)
+	}
+	s.admin, err = admin.Listen(config.AdminListen, admin.Options{Status: s.status, Ready: s.ready})
+	if err != nil {
+		return nil, err
+	}
+	s.traffic = metrics.NewTraffic(s.admin.Registry)
+	s.admin.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bramblelift_subscribers", Help: "Open subscriptions of nodes.",
+	}, func() float64 { return float64(s.hub.Subscribers()) }))
+	return s, s.newClient()
+}
+
+func (s *Server) newClient() error {
+	link := &metrics.Link{}
+	link.Set(metrics.LinkControl)
+	var candidates []stream.Candidate
+	for _, peer := range s.settings.Controls {
+		candidates = append(candidates, stream.Candidate{Address: peer.Address, Near: peer.Zone == s.settings.Zone})
+	}
+	var err error
+	s.client, err = stream.NewClient(stream.ClientConfig{
+		Hello: protocol.Hello{
+			ClusterID: s.settings.Cluster, Role: protocol.RoleRelay,
+			Name: s.settings.Name, Zone: s.settings.Zone, Group: bundle.ScopeAll,
+		},
+		Selector:       stream.DefaultSelectorConfig(),
+		PingInterval:   time.Duration(s.settings.PingInterval),
+		SilenceTimeout: time.Duration(s.settings.SilenceTimeout),
+		DialTimeout:    dialTimeout,
+		Observe:        s.traffic.Observe(link),
+		Logger:         s.logger,
+		Now:            s.clock.Now,
+		TakeReports:    s.takeReports,
+	}, s, candidates)
+	return err
+}
+
+// Position implements stream.Target.
+func (s *Server) Position() distribution.Position {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.holder.State().Position()
+}
+
+// Apply implements stream.Target: the checked state goes to the nodes.
+func (s *Server) Apply(update *distribution.Update) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.holder.Apply(update); err != nil {
+		return err
+	}
+	s.hub.SetState(s.holder.State())
+	return nil
+}
+
+// Current implements stream.Target.
+func (s *Server) Current(revision uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if revision > s.holder.State().Revision {
+		s.holder.Current(revision)
+		s.hub.SetState(s.holder.State())
+	}
+}
+
+// takeReports returns the news for the next ping; the first one on a new subscription
+// would otherwise lack what an earlier server was told.
+func (s *Server) takeReports() []protocol.NodeReport {
+	server := s.client.Server()
+	if s.reports.changedServer(server) {
+		s.reports.drop()
+		return s.hub.Reports()
+	}
+	return s.reports.take()
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	s.logger.Log("event", "started", "listen", s.listener.Addr(), "admin", s.admin.Address())
+	var group sync.WaitGroup
+	defer group.Wait()
+	stop := context.AfterFunc(ctx, func() {
+		s.hub.Stop()
+		s.listener.Close()
+	})
+	defer stop()
+	group.Go(func() { s.client.Run(ctx) })
+	group.Go(func() { s.accept(ctx, &group) })
+	err := s.admin.Serve(ctx)
+	s.logger.Log("event", "stopped", "error", err)
+	return err
+}
+
+func (s *Server) accept(ctx context.Context, group *sync.WaitGroup) {
+	for {
+		raw, err := s.listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				s.logger.Log("event", "accept_failed", "error", err)
+			}
+			return
+		}
+		group.Go(func() { s.serve(ctx, raw) })
+	}
+}
+
+func (s *Server) serve(ctx context.Context, raw net.Conn) {
+	link := &metrics.Link{}
+	link.Set(metrics.LinkNode)
+	conn := wire.NewConn(raw, wire.DefaultMaxFrame, writeTimeout, s.traffic.Observe(link))
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	hello, err := protocol.Accept(conn, s.settings.Cluster, handshakeTimeout)
+	if err == nil && hello.Role != protocol.RoleNode {
+		err = protocol.Refuse(conn, protocol.Refusal{Reason: protocol.ReasonRole, Message: "a relay serves nodes only"})
+	}
+	if err == nil {
+		err = s.hub.Serve(ctx, conn, hello)
+	}
+	s.logger.Log("event", "node_left", "node", hello.Name, "peer", conn.Peer(), "error", err)
+}
+
+// Status is what /status shows.
+type Status struct {
+	Name        string                `json:"name"`
+	Zone        string                `json:"zone"`
+	Server      string                `json:"server"`
+	Position    distribution.Position `json:"position"`
+	Confirmed   bool                  `json:"confirmed"`
+	StaleMillis int64                 `json:"stale_millis"`
+	Subscribers int                   `json:"subscribers"`
+}
+
+func (s *Server) status() any {
+	status := Status{
+		Name: s.settings.Name, Zone: s.settings.Zone, Server: s.client.Server(),
+		Position: s.Position(), Subscribers: s.hub.Subscribers(),
+	}
+	if at, confirmed := s.client.ConfirmedAt(); confirmed {
+		status.Confirmed = true
+		status.StaleMillis = (s.clock.Now() - at).Milliseconds()
+	}
+	return status
+}
+
+func (s *Server) ready() error {
+	if _, confirmed := s.client.ConfirmedAt(); !confirmed {
+		return errors.New("no control replica has confirmed a state yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/replica/replica.go
@@ -0,0 +1,233 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/raft"
+	"bramblelift/pkg/storage"
+)
+
+// Errors of proposals.
+var (
+	// ErrNotLeader: another replica must be asked.
+	ErrNotLeader = raft.ErrNotLeader
+	// ErrUnknownOutcome: leadership was lost before the command was committed; it
+	// may or may not still be.
+	ErrUnknownOutcome = errors.New("leadership was lost before the outcome was known")
+)
+
+// Config sets up a replica.
+type Config struct {
+	Raft raft.Config
+	// CompactAfter is how many applied entries make a new snapshot due.
+	CompactAfter uint64
+}
+
+// ProposalID is the caller's name for a command under way.
+type ProposalID uint64
+
+// Completion ends a proposal.
+type Completion struct {
+	Proposal ProposalID
+	Result   catalog.Result
+	Err      error
+}
+
+// Output is what a Flush leaves for the caller.
+type Output struct {
+	Messages    []raft.Message
+	Completions []Completion
+	// StateChanged is set when the distributed state moved on.
+	StateChanged bool
+}
+
+type waitingProposal struct {
+	id   ProposalID
+	term uint64
+}
+
+// Replica is one control replica. It is not safe for concurrent use.
+type Replica struct {
+	config  Config
+	node    *raft.Node
+	storage *storage.Storage
+	catalog *catalog.Catalog
+	applied uint64
+	// waiting holds the proposals under way by log index.
+	waiting map[uint64]waitingProposal
+	joins   map[string]joinRequest
+}
+
+// Open starts a replica from its durable state.
+func Open(now time.Duration, config Config, files storage.FileSystem) (*Replica, error) {
+	opened, state, err := storage.Open(files)
+	if err != nil {
+		return nil, fmt.Errorf("open replica: %w", err)
+	}
+	config.Raft.ID = opened.Identity().ReplicaID
+	node, err := raft.New(now, config.Raft, state)
+	if err != nil {
+		return nil, fmt.Errorf("open replica: %w", err)
+	}
+	restored, err := catalog.Restore(state.Snapshot.Data)
+	if err != nil {
+		return nil, fmt.Errorf("open replica: %w", err)
+	}
+	return &Replica{
+		config: config, node: node, storage: opened, catalog: restored,
+		applied: state.Snapshot.Index,
+		waiting: map[uint64]waitingProposal{},
+		joins:   map[string]joinRequest{},
+	}, nil
+}
+
+// Node returns the consensus core, for reading.
+func (r *Replica) Node() *raft.Node { return r.node }
+
+// Catalog returns the state machine, for reading.
+func (r *Replica) Catalog() *catalog.Catalog { return r.catalog }
+
+// State returns the distributed state.
+func (r *Replica) State() *distribution.State { return r.catalog.State() }
+
+// Identity returns whose replica this is.
+func (r *Replica) Identity() storage.Identity { return r.storage.Identity() }
+
+// Applied returns the index of the last applied entry.
+func (r *Replica) Applied() uint64 { return r.applied }
+
+// LogBytes returns the size of the durable log.
+func (r *Replica) LogBytes() int64 { return r.storage.Size() }
+
+// Tick lets time-driven work happen.
+func (r *Replica) Tick(now time.Duration) {
+	r.node.Tick(now)
+	r.reconcileMembership(now)
+}
+
+// Step takes in a message from another replica.
+func (r *Replica) Step(now time.Duration, m raft.Message) {
+	r.node.Step(now, m)
+}
+
+// Propose starts a command. Its end is told by a Completion.
+func (r *Replica) Propose(id ProposalID, command catalog.Command) error {
+	data, err := command.Encode()
+	if err != nil {
+		return err
+	}
+	index, term, err := r.node.Propose(data)
+	if err != nil {
+		return err
+	}
+	r.waiting[index] = waitingProposal{id: id, term: term}
+	return nil
+}
+
+// Flush makes everything pending durable and applies what is committed.
+func (r *Replica) Flush(now time.Duration) (Output, error) {
+	var output Output
+	before := r.catalog.State().Revision
+	for {
+		effects := r.node.Effects(now)
+		if effects.Empty() {
+			break
+		}
+		if err := r.storage.Save(effects); err != nil {
+			return Output{}, fmt.Errorf("make effects durable: %w", err)
+		}
+		r.node.Persisted(effects)
+		output.Messages = append(output.Messages, effects.Messages...)
+		if err := r.apply(effects, &output); err != nil {
+			return Output{}, err
+		}
+	}
+	if r.node.Role() != raft.Leader {
+		r.abandonWaiting(&output)
+	}
+	if err := r.compactIfDue(); err != nil {
+		return Output{}, err
+	}
+	output.StateChanged = r.catalog.State().Revision != before
+	return output, nil
+}
+
+func (r *Replica) apply(effects raft.Effects, output *Output) error {
+	if effects.Snapshot != nil {
+		restored, err := catalog.Restore(effects.Snapshot.Data)
+		if err != nil {
+			return fmt.Errorf("install snapshot at %d: %w", effects.Snapshot.Index, err)
+		}
+		r.catalog = restored
+		r.applied = effects.Snapshot.Index
+	}
+	for _, entry := range effects.Committed {
+		if err := r.applyEntry(entry, output); err != nil {
+			return fmt.Errorf("apply entry %d: %w", entry.Index, err)
+		}
+	}
+	r.node.Applied(r.applied)
+	return nil
+}
+
+func (r *Replica) applyEntry(entry raft.Entry, output *Output) error {
+	r.applied = entry.Index
+	var result catalog.Result
+	if entry.Kind == raft.EntryCommand && len(entry.Data) > 0 {
+		command, err := catalog.DecodeCommand(entry.Data)
+		if err != nil {
+			return err
+		}
+		result = r.catalog.Apply(command)
+	}
+	proposal, found := r.waiting[entry.Index]
+	if !found {
+		return nil
+	}
+	delete(r.waiting, entry.Index)
+	done := Completion{Proposal: proposal.id, Result: result}
+	if proposal.term != entry.Term {
+		done = Completion{Proposal: proposal.id, Err: ErrUnknownOutcome}
+	}
+	output.Completions = append(output.Completions, done)
+	return nil
+}
+
+func (r *Replica) abandonWaiting(output *Output) {
+	for _, index := range slices.Sorted(maps.Keys(r.waiting)) {
+		lost := Completion{Proposal: r.waiting[index].id, Err: ErrUnknownOutcome}
+		output.Completions = append(output.Completions, lost)
+	}
+	clear(r.waiting)
+}
+
+func (r *Replica) compactIfDue() error {
+	if r.applied < r.node.SnapshotIndex()+r.config.CompactAfter {
+		return nil
+	}
+	data, err := r.catalog.Snapshot()
+	if err != nil {
+		return fmt.Errorf("compact: %w", err)
+	}
+	snapshot, err := r.node.SnapshotAt(r.applied, data)
+	if err != nil {
+		return fmt.Errorf("compact: %w", err)
+	}
+	if err := r.node.Compact(snapshot); err != nil {
+		return fmt.Errorf("compact: %w", err)
+	}
+	kept, hard, entries := r.node.Retained()
+	if err := r.storage.Checkpoint(kept, hard, entries); err != nil {
+		return fmt.Errorf("compact: %w", err)
+	}
+	return nil
+}
+
+// Close closes the durable state.
+func (r *Replica) Close() error { return r.storage.Close() }
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,62 @@
+// Package retry bounds how much traffic retries may add.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Config sets up a Budget.
+type Config struct {
+	// Ratio is how many retries each first attempt pays for.
+	Ratio float64
+	// PerSecond is a small allowance for when there is little traffic.
+	PerSecond float64
+	// Max bounds what can be saved up.
+	Max float64
+}
+
+// DefaultConfig lets retries add a tenth to the traffic.
+func DefaultConfig() Config {
+	return Config{Ratio: 0.1, PerSecond: 1, Max: 20}
+}
+
+// Budget is an account that first attempts pay into and retries draw from. It is safe
+// for concurrent use.
+type Budget struct {
+	config Config
+
+	mutex     sync.Mutex
+	balance   float64
+	updatedAt time.Duration
+}
+
+// NewBudget returns a budget that starts with half of what it can hold.
+func NewBudget(config Config) *Budget {
+	return &Budget{config: config, balance: config.Max / 2}
+}
+
+// Attempt notes a first attempt.
+func (b *Budget) Attempt(now time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.earn(now, b.config.Ratio)
+}
+
+// Withdraw reports whether a retry may be made, and pays for it.
+func (b *Budget) Withdraw(now time.Duration) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.earn(now, 0)
+	if b.balance < 1 {
+		return false
+	}
+	b.balance--
+	return true
+}
+
+func (b *Budget) earn(now time.Duration, amount float64) {
+	elapsed := max(0, now-b.updatedAt)
+	b.updatedAt = now
+	b.balance = min(b.config.Max, b.balance+amount+elapsed.Seconds()*b.config.PerSecond)
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,238 @@
+// Package settings reads and checks what a process is told when it starts: its name,
+// zone, addresses and folders. What is distributed while it runs is in package bundle.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"bramblelift/pkg/bundle"
+)
+
+// Common is told to every daemon.
+type Common struct {
+	// Cluster is the ID that all processes of one system share.
+	Cluster string `toml:"cluster"`
+	Name    string `toml:"name"`
+	Zone    string `toml:"zone"`
+	// AdminListen serves status, metrics and the live and ready checks; on a
+	// control replica also the operators' calls.
+	AdminListen string `toml:"admin_listen"`
+	// ApprovalKeys are the accepted public keys in base64.
+	ApprovalKeys []string `toml:"approval_keys"`
+}
+
+// Peer is another process of the system.
+type Peer struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+	Zone    string `toml:"zone"`
+	// Operator is where a control replica answers operators.
+	Operator string `toml:"operator"`
+}
+
+// Control are the settings of a control replica.
+type Control struct {
+	Common
+	// Data is the folder that holds the replica's state.
+	Data string `toml:"data"`
+	// Listen is where other replicas and relays connect.
+	Listen string `toml:"listen"`
+	// Replicas are all control replicas, this one included.
+	Replicas []Peer `toml:"replica"`
+	// PlatformURL serves the platform's list of machines; empty for none.
+	PlatformURL      string          `toml:"platform_url"`
+	PlatformInterval bundle.Duration `toml:"platform_interval"`
+	// SourceURL serves the bundles that operators create by name; empty for none.
+	SourceURL         string          `toml:"source_url"`
+	ElectionTimeout   bundle.Duration `toml:"election_timeout"`
+	HeartbeatInterval bundle.Duration `toml:"heartbeat_interval"`
+}
+
+// Relay are the settings of a relay.
+type Relay struct {
+	Common
+	// Listen is where nodes connect.
+	Listen   string `toml:"listen"`
+	Controls []Peer `toml:"control"`
+	Timing
+}
+
+// Proxy are the settings of a node.
+type Proxy struct {
+	Common
+	// Group is the node group whose routes this node serves.
+	Group string `toml:"group"`
+	// Listen is where callers connect.
+	Listen string `toml:"listen"`
+	// Data is a folder for the last configuration; empty for none. A node without
+	// one starts only on a configuration confirmed as current.
+	Data   string `toml:"data"`
+	Relays []Peer `toml:"relay"`
+	Timing
+}
+
+// Timing bounds a subscription.
+type Timing struct {
+	PingInterval   bundle.Duration `toml:"ping_interval"`
+	SilenceTimeout bundle.Duration `toml:"silence_timeout"`
+}
+
+// Defaults.
+const (
+	defaultPlatformInterval  = 500 * time.Millisecond
+	defaultElectionTimeout   = time.Second
+	defaultHeartbeatInterval = 200 * time.Millisecond
+	defaultRelayPing         = time.Second
+	defaultProxyPing         = 2 * time.Second
+	defaultRelaySilence      = 3 * time.Second
+	defaultProxySilence      = 5 * time.Second
+	minReplicas              = 1
+	minElectionToHeartbeat   = 3
+)
+
+// Load reads a settings file into target; an empty path leaves it as it is.
+func Load(path string, target any) error {
+	if path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	return bundle.DecodeTOML(path, text, target)
+}
+
+// problems collects what is wrong with settings.
+type problems []error
+
+func (p *problems) add(key, format string, values ...any) {
+	*p = append(*p, fmt.Errorf("key %q: %s", key, fmt.Sprintf(format, values...)))
+}
+
+func (p *problems) checkAddress(key, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		p.add(key, "%q is not IP:port", address)
+	}
+}
+
+func (p *problems) checkDistinct(addresses map[string]string) {
+	for key, address := range addresses {
+		for otherKey, other := range addresses {
+			if key < otherKey && address == other && !strings.HasSuffix(address, ":0") {
+				p.add(otherKey, "%s is also the address of %q", address, key)
+			}
+		}
+	}
+}
+
+func (p *problems) checkPeers(key string, peers []Peer) {
+	if len(peers) == 0 {
+		p.add(key, "none is named")
+	}
+	for _, peer := range peers {
+		p.checkAddress(key+".address", peer.Address)
+	}
+}
+
+func (p *problems) checkCommon(c Common) {
+	if c.Cluster == "" {
+		p.add("cluster", "must be set")
+	}
+	if c.Name == "" {
+		p.add("name", "must be set")
+	}
+	p.checkAddress("admin_listen", c.AdminListen)
+	if len(c.ApprovalKeys) == 0 {
+		p.add("approval_keys", "at least one accepted key must be set")
+	}
+	if _, err := bundle.NewVerifier(c.Cluster, c.ApprovalKeys); err != nil {
+		p.add("approval_keys", "%v", err)
+	}
+}
+
+func (p *problems) checkPositive(key string, d bundle.Duration) {
+	if d <= 0 {
+		p.add(key, "must be more than zero")
+	}
+}
+
+func (p *problems) checkTiming(t Timing) {
+	p.checkPositive("ping_interval", t.PingInterval)
+	if t.SilenceTimeout < 2*t.PingInterval {
+		p.add("silence_timeout", "must be at least twice ping_interval")
+	}
+}
+
+// sorted gives the errors in a fixed order.
+func (p problems) joined() error {
+	slices.SortFunc(p, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
+	return errors.Join(p...)
+}
+
+func setDefault(d *bundle.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = bundle.Duration(value)
+	}
+}
+
+// Check fills in defaults and reports everything that is wrong.
+func (c *Control) Check() error {
+	setDefault(&c.PlatformInterval, defaultPlatformInterval)
+	setDefault(&c.ElectionTimeout, defaultElectionTimeout)
+	setDefault(&c.HeartbeatInterval, defaultHeartbeatInterval)
+	var p problems
+	p.checkCommon(c.Common)
+	p.checkAddress("listen", c.Listen)
+	p.checkDistinct(map[string]string{"listen": c.Listen, "admin_listen": c.AdminListen})
+	if c.Data == "" {
+		p.add("data", "must be set")
+	}
+	p.checkPeers("replica", c.Replicas)
+	if len(c.Replicas)%2 == 0 || len(c.Replicas) < minReplicas {
+		p.add("replica", "their number must be odd, it is %d", len(c.Replicas))
+	}
+	if !slices.ContainsFunc(c.Replicas, func(peer Peer) bool { return peer.Name == c.Name }) {
+		p.add("replica", "%q itself is not among them", c.Name)
+	}
+	p.checkPositive("platform_interval", c.PlatformInterval)
+	p.checkPositive("heartbeat_interval", c.HeartbeatInterval)
+	if c.ElectionTimeout < minElectionToHeartbeat*c.HeartbeatInterval {
+		p.add("election_timeout", "must be at least %d times heartbeat_interval", minElectionToHeartbeat)
+	}
+	return p.joined()
+}
+
+// Check fills in defaults and reports everything that is wrong.
+func (r *Relay) Check() error {
+	setDefault(&r.PingInterval, defaultRelayPing)
+	setDefault(&r.SilenceTimeout, defaultRelaySilence)
+	var p problems
+	p.checkCommon(r.Common)
+	p.checkAddress("listen", r.Listen)
+	p.checkDistinct(map[string]string{"listen": r.Listen, "admin_listen": r.AdminListen})
+	p.checkPeers("control", r.Controls)
+	p.checkTiming(r.Timing)
+	return p.joined()
+}
+
+// Check fills in defaults and reports everything that is wrong.
+func (x *Proxy) Check() error {
+	setDefault(&x.PingInterval, defaultProxyPing)
+	setDefault(&x.SilenceTimeout, defaultProxySilence)
+	var p problems
+	p.checkCommon(x.Common)
+	p.checkAddress("listen", x.Listen)
+	p.checkDistinct(map[string]string{"listen": x.Listen, "admin_listen": x.AdminListen})
+	p.checkPeers("relay", x.Relays)
+	p.checkTiming(x.Timing)
+	if x.Group == bundle.ScopeAll {
+		p.add("group", "%q is reserved", x.Group)
+	}
+	return p.joined()
+}
--- /dev/null
+++ b/pkg/stream/client.go
@@ -0,0 +1,285 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/wire"
+
+	"github.com/go-kit/log"
+)
+
+// Target takes what a subscription brings.
+type Target interface {
+	// Position returns what is held.
+	Position() distribution.Position
+	// Apply takes an update whole or leaves everything as it was.
+	Apply(update *distribution.Update) error
+	// Current takes in that nothing changed up to a revision.
+	Current(revision uint64)
+}
+
+// ClientConfig sets up a Client.
+type ClientConfig struct {
+	// Hello introduces the client; the position is filled in.
+	Hello    protocol.Hello
+	Selector SelectorConfig
+	// PingInterval is the pause between pings, SilenceTimeout how long a server
+	// may say nothing.
+	PingInterval   time.Duration
+	SilenceTimeout time.Duration
+	DialTimeout    time.Duration
+	Observe        wire.Observer
+	Logger         log.Logger
+	// Now reads the process's monotonic clock.
+	Now func() time.Duration
+	// OnConfirmed, if set, is told each later moment up to which the target is
+	// known to be current.
+	OnConfirmed func(at time.Duration)
+	// TakeReports, if set, returns the reports to send with the next ping.
+	TakeReports func() []protocol.NodeReport
+}
+
+// Pings come faster until the first confirmation, which a starting node waits for.
+const firstPingInterval = 150 * time.Millisecond
+
+// Client keeps one subscription alive.
+type Client struct {
+	config   ClientConfig
+	target   Target
+	selector *Selector
+
+	confirmedAt atomic.Int64
+	// resync asks the next server for everything, after an update that did not fit.
+	resync bool
+	server atomic.Pointer[string]
+}
+
+// NewClient returns a client for the given servers.
+func NewClient(config ClientConfig, target Target, candidates []Candidate) (*Client, error) {
+	if len(candidates) == 0 {
+		return nil, errors.New("subscribe: no server is named")
+	}
+	c := &Client{config: config, target: target, selector: NewSelector(config.Selector, candidates)}
+	c.confirmedAt.Store(unconfirmed)
+	return c, nil
+}
+
+// unconfirmed marks that no confirmation came yet.
+const unconfirmed = -1
+
+// ConfirmedAt returns the newest moment up to which the target is known to include
+// everything accepted, and false if there is none yet.
+func (c *Client) ConfirmedAt() (time.Duration, bool) {
+	at := c.confirmedAt.Load()
+	return time.Duration(at), at != unconfirmed
+}
+
+// Server returns the address of the server subscribed to, empty if there is none.
+func (c *Client) Server() string {
+	if server := c.server.Load(); server != nil {
+		return *server
+	}
+	return ""
+}
+
+// Run keeps subscribing until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		candidate, wait := c.selector.Next(c.config.Now())
+		if !sleep(ctx, wait) {
+			return
+		}
+		err := c.subscribe(ctx, candidate.Address)
+		c.server.Store(nil)
+		if ctx.Err() != nil {
+			return
+		}
+		c.selector.Failed(c.config.Now(), retryAfter(err))
+		c.config.Logger.Log("event", "subscription_ended", "server", candidate.Address, "error", err)
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func retryAfter(err error) time.Duration {
+	var refused *protocol.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Refusal.RetryAfter
+	}
+	return 0
+}
+
+// session is one open subscription of a client.
+type session struct {
+	client *Client
+	conn   *wire.Conn
+
+	mutex sync.Mutex
+	// sentAt holds when each unanswered ping was sent.
+	sentAt   map[uint64]time.Duration
+	sequence uint64
+}
+
+func (c *Client) subscribe(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: c.config.DialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("dial %s: %w", address, err)
+	}
+	conn := wire.NewConn(raw, wire.DefaultMaxFrame, c.config.SilenceTimeout, c.config.Observe)
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+
+	hello := c.config.Hello
+	hello.Position = c.target.Position()
+	if c.resync {
+		hello.Position = distribution.Position{}
+	}
+	if _, err := protocol.Open(conn, hello, c.config.SilenceTimeout); err != nil {
+		return err
+	}
+	c.resync = false
+	c.selector.Connected(c.config.Now())
+	c.server.Store(&address)
+	c.config.Logger.Log("event", "subscribed", "server", address, "revision", hello.Position.Revision)
+
+	s := &session{client: c, conn: conn, sentAt: map[uint64]time.Duration{}}
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() {
+		defer conn.Close()
+		s.ping(ctx)
+	})
+	return s.read()
+}
+
+// ping keeps both sides sure that the other lives. Intervals are jittered so that
+// clients that started together drift apart.
+func (s *session) ping(ctx context.Context) {
+	for {
+		if err := s.sendPing(); err != nil {
+			return
+		}
+		interval := s.client.config.PingInterval
+		if _, confirmed := s.client.ConfirmedAt(); !confirmed {
+			interval = min(interval, firstPingInterval)
+		}
+		spread := time.Duration((0.75 + rand.Float64()/2) * float64(interval))
+		if !sleep(ctx, spread) {
+			return
+		}
+	}
+}
+
+func (s *session) sendPing() error {
+	ping := protocol.Ping{Position: s.client.target.Position()}
+	if s.client.config.TakeReports != nil {
+		ping.Reports = s.client.config.TakeReports()
+	}
+	s.mutex.Lock()
+	s.sequence++
+	ping.Sequence = s.sequence
+	s.sentAt[s.sequence] = s.client.config.Now()
+	s.mutex.Unlock()
+	return s.conn.Send(protocol.KindPing, ping)
+}
+
+func (s *session) read() error {
+	for {
+		kind, err := s.conn.Receive(s.client.config.SilenceTimeout)
+		if err != nil {
+			return err
+		}
+		switch kind {
+		case protocol.KindUpdate:
+			err = s.takeUpdate()
+		case protocol.KindPong:
+			err = s.takePong()
+		case protocol.KindRefusal:
+			err = protocol.ReceiveRefusal(s.conn)
+		default:
+			err = fmt.Errorf("from %s: kind %s: %w", s.conn.Peer(), protocol.KindName(kind), protocol.ErrUnexpected)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (s *session) takeUpdate() error {
+	var update distribution.Update
+	if err := s.conn.Decode(&update); err != nil {
+		return err
+	}
+	target := s.client.target
+	before := target.Position()
+	if err := target.Apply(&update); err != nil {
+		s.client.resync = true
+		return fmt.Errorf("apply update from %s: %w", s.conn.Peer(), err)
+	}
+	after := target.Position()
+	if after.Active != before.Active || after.Staged != before.Staged {
+		return s.conn.Send(protocol.KindAck, protocol.Ack{Position: after})
+	}
+	return nil
+}
+
+func (s *session) takePong() error {
+	var pong protocol.Pong
+	if err := s.conn.Decode(&pong); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	sentAt, known := s.sentAt[pong.Sequence]
+	for sequence := range s.sentAt {
+		if sequence <= pong.Sequence {
+			delete(s.sentAt, sequence)
+		}
+	}
+	s.mutex.Unlock()
+	if !known {
+		return fmt.Errorf("pong %d from %s was not asked for: %w", pong.Sequence, s.conn.Peer(), protocol.ErrUnexpected)
+	}
+	c := s.client
+	c.target.Current(pong.Revision)
+	// A server that is behind this client confirms nothing about what it holds.
+	fresh := pong.Confirmed && pong.Revision >= c.target.Position().Revision
+	if fresh {
+		c.confirm(sentAt - pong.Stale)
+	}
+	if c.selector.Heard(c.config.Now(), fresh, pong.Stale) {
+		return fmt.Errorf("server %s is stale (confirmed=%t stale=%s)", s.conn.Peer(), pong.Confirmed, pong.Stale)
+	}
+	return nil
+}
+
+func (c *Client) confirm(at time.Duration) {
+	if at <= time.Duration(c.confirmedAt.Load()) {
+		return
+	}
+	c.confirmedAt.Store(int64(at))
+	if c.config.OnConfirmed != nil {
+		c.config.OnConfirmed(at)
+	}
+}
--- /dev/null
+++ b/pkg/stream/hub.go
@@ -0,0 +1,301 @@
+package stream
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/wire"
+)
+
+// HubConfig sets up a Hub.
+type HubConfig struct {
+	Name string
+	// SilenceTimeout ends a subscription whose subscriber sends nothing.
+	SilenceTimeout time.Duration
+	Admission      AdmissionConfig
+	// Now reads the process's monotonic clock.
+	Now func() time.Duration
+	// ConfirmedAt returns when the state was last confirmed to include everything
+	// accepted, on the clock of Now.
+	ConfirmedAt func() (time.Duration, bool)
+	// OnReport, if set, is told what subscribers report.
+	OnReport func(protocol.NodeReport)
+}
+
+// Hub serves one state to many subscribers.
+type Hub struct {
+	config HubConfig
+
+	mutex       sync.Mutex
+	planner     *distribution.Planner
+	admission   *admission
+	subscribers map[*subscriber]bool
+	stopping    bool
+}
+
+// NewHub returns a hub that serves the given state until SetState.
+func NewHub(config HubConfig, state *distribution.State) *Hub {
+	return &Hub{
+		config:      config,
+		planner:     distribution.NewPlanner(state),
+		admission:   newAdmission(config.Admission),
+		subscribers: map[*subscriber]bool{},
+	}
+}
+
+// SetState moves to a newer state and wakes all subscribers.
+func (h *Hub) SetState(state *distribution.State) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.planner.SetState(state)
+	for s := range h.subscribers {
+		s.wake()
+	}
+}
+
+// Revision returns the revision served.
+func (h *Hub) Revision() uint64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.planner.State().Revision
+}
+
+// Subscribers returns how many subscriptions are open.
+func (h *Hub) Subscribers() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return len(h.subscribers)
+}
+
+// Reports returns what the open subscriptions hold.
+func (h *Hub) Reports() []protocol.NodeReport {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	reports := make([]protocol.NodeReport, 0, len(h.subscribers))
+	for s := range h.subscribers {
+		reports = append(reports, s.report(true))
+	}
+	return reports
+}
+
+// Stop refuses new subscribers and ends the open ones; they go elsewhere.
+func (h *Hub) Stop() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.stopping = true
+	for s := range h.subscribers {
+		s.cancel()
+	}
+}
+
+// subscriber is one open subscription.
+type subscriber struct {
+	hello  protocol.Hello
+	conn   *wire.Conn
+	cancel context.CancelFunc
+	// wakeup holds at most one token: there is something to do.
+	wakeup chan struct{}
+
+	// Guarded by the hub's mutex:
+	// told is what the subscriber holds once it has read all that was sent.
+	told distribution.Position
+	// held is what it last said to hold.
+	held distribution.Position
+	// pong is the sequence to answer, if owed.
+	pong uint64
+	owed bool
+}
+
+func (s *subscriber) wake() {
+	select {
+	case s.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+func (s *subscriber) report(connected bool) protocol.NodeReport {
+	return protocol.NodeReport{
+		Node: s.hello.Name, Group: s.hello.Group, Zone: s.hello.Zone,
+		Position: s.held, Connected: connected,
+	}
+}
+
+// Serve runs one subscription until the connection ends. The Hello was read already.
+func (h *Hub) Serve(ctx context.Context, conn *wire.Conn, hello protocol.Hello) error {
+	if refusal, refused := h.refuse(); refused {
+		return protocol.Refuse(conn, refusal)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &subscriber{
+		hello: hello, conn: conn, cancel: cancel,
+		wakeup: make(chan struct{}, 1), told: hello.Position, held: hello.Position,
+	}
+	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: h.config.Name}); err != nil {
+		return fmt.Errorf("welcome: %w", err)
+	}
+	h.add(s)
+	defer h.remove(s)
+	s.wake()
+
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		defer conn.Close()
+		h.write(ctx, s)
+	})
+	err := h.read(s)
+	cancel()
+	return err
+}
+
+func (h *Hub) refuse() (protocol.Refusal, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.stopping {
+		return protocol.Refusal{Reason: protocol.ReasonStopping, Message: "shutting down"}, true
+	}
+	admitted, retryAfter := h.admission.admit(h.config.Now())
+	if !admitted {
+		return protocol.Refusal{Reason: protocol.ReasonBusy, Message: "too many subscribers at once", RetryAfter: retryAfter}, true
+	}
+	return protocol.Refusal{}, false
+}
+
+func (h *Hub) add(s *subscriber) {
+	h.mutex.Lock()
+	h.subscribers[s] = true
+	h.mutex.Unlock()
+	h.tellReport(s, true)
+}
+
+func (h *Hub) remove(s *subscriber) {
+	h.mutex.Lock()
+	delete(h.subscribers, s)
+	h.mutex.Unlock()
+	h.tellReport(s, false)
+}
+
+func (h *Hub) tellReport(s *subscriber, connected bool) {
+	if h.config.OnReport != nil {
+		h.mutex.Lock()
+		report := s.report(connected)
+		h.mutex.Unlock()
+		h.config.OnReport(report)
+	}
+}
+
+// read takes in pings and acknowledgements.
+func (h *Hub) read(s *subscriber) error {
+	for {
+		kind, err := s.conn.Receive(h.config.SilenceTimeout)
+		if err != nil {
+			return err
+		}
+		switch kind {
+		case protocol.KindPing:
+			var ping protocol.Ping
+			if err := s.conn.Decode(&ping); err != nil {
+				return err
+			}
+			h.takePing(s, ping)
+		case protocol.KindAck:
+			var ack protocol.Ack
+			if err := s.conn.Decode(&ack); err != nil {
+				return err
+			}
+			h.takeHeld(s, ack.Position)
+		default:
+			return fmt.Errorf("from %s: kind %s: %w", s.conn.Peer(), protocol.KindName(kind), protocol.ErrUnexpected)
+		}
+	}
+}
+
+func (h *Hub) takePing(s *subscriber, ping protocol.Ping) {
+	h.mutex.Lock()
+	s.pong = ping.Sequence
+	s.owed = true
+	h.mutex.Unlock()
+	s.wake()
+	h.takeHeld(s, ping.Position)
+	if h.config.OnReport == nil {
+		return
+	}
+	for _, report := range ping.Reports {
+		h.config.OnReport(report)
+	}
+}
+
+// takeHeld notes what a subscriber holds and passes on a change of versions.
+func (h *Hub) takeHeld(s *subscriber, held distribution.Position) {
+	h.mutex.Lock()
+	changed := s.held.Active != held.Active || s.held.Staged != held.Staged
+	s.held = held
+	h.mutex.Unlock()
+	if changed {
+		h.tellReport(s, true)
+	}
+}
+
+// write sends whatever is due whenever it is woken, until the subscription ends.
+func (h *Hub) write(ctx context.Context, s *subscriber) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wakeup:
+		}
+		if err := h.sendDue(s); err != nil {
+			return
+		}
+	}
+}
+
+// sendDue sends the update that is due, then the pong that is owed: a pong's revision
+// must not run ahead of the updates.
+func (h *Hub) sendDue(s *subscriber) error {
+	h.mutex.Lock()
+	update, err := h.planner.Plan(s.hello.Group, s.told)
+	if err != nil {
+		h.mutex.Unlock()
+		return err
+	}
+	if update != nil && !update.Changes(s.told) {
+		update = nil
+	}
+	if update != nil {
+		s.told = distribution.Position{Revision: update.To, Active: update.Active, Staged: update.Staged}
+	}
+	pong, owed := h.takePong(s)
+	h.mutex.Unlock()
+
+	if update != nil {
+		if err := s.conn.Send(protocol.KindUpdate, update); err != nil {
+			return err
+		}
+	}
+	if !owed {
+		return nil
+	}
+	return s.conn.Send(protocol.KindPong, pong)
+}
+
+// takePong makes the owed pong; the mutex is held.
+func (h *Hub) takePong(s *subscriber) (protocol.Pong, bool) {
+	if !s.owed {
+		return protocol.Pong{}, false
+	}
+	s.owed = false
+	revision := h.planner.State().Revision
+	s.told.Revision = max(s.told.Revision, revision)
+	pong := protocol.Pong{Sequence: s.pong, Revision: revision}
+	if confirmedAt, confirmed := h.config.ConfirmedAt(); confirmed {
+		pong.Confirmed = true
+		pong.Stale = max(0, h.config.Now()-confirmedAt)
+	}
+	return pong, true
+}
--- /dev/null
+++ b/pkg/wire/conn.go
@@ -0,0 +1,162 @@
+// Package wire carries typed messages between the system's own processes: gob values
+// in frames of bounded size over one TCP connection.
+//
+// A frame is a length (unsigned varint), a kind (one byte) and a piece of the
+// connection's gob stream. One long-lived encoder a connection sends each type's
+// description once. The length is checked before anything is decoded; a bad frame
+// ends its connection and nothing else.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// DefaultMaxFrame bounds a frame in bytes; the largest ones carry snapshots.
+const DefaultMaxFrame = 64 << 20
+
+// ErrFrameTooLarge: the peer announced a frame beyond the bound.
+var ErrFrameTooLarge = errors.New("frame exceeds the bound")
+
+// Kind tells the type of a frame's value.
+type Kind uint8
+
+// Direction tells whether a frame was sent or received.
+type Direction string
+
+const (
+	// Sent frames left this process.
+	Sent Direction = "sent"
+	// Received frames came in.
+	Received Direction = "received"
+)
+
+// Observer is told of each frame with its full size in bytes.
+type Observer func(kind Kind, direction Direction, size int)
+
+// Conn is one connection. Send may be called by several goroutines, Receive and
+// Decode by one.
+type Conn struct {
+	conn     net.Conn
+	reader   *bufio.Reader
+	maxFrame int
+	observe  Observer
+
+	received bytes.Buffer
+	decoder  *gob.Decoder
+
+	sendMutex    sync.Mutex
+	encoded      bytes.Buffer
+	encoder      *gob.Encoder
+	writeTimeout time.Duration
+}
+
+// NewConn wraps a connection. observe may be nil.
+func NewConn(conn net.Conn, maxFrame int, writeTimeout time.Duration, observe Observer) *Conn {
+	c := &Conn{
+		conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize),
+		maxFrame: maxFrame, writeTimeout: writeTimeout, observe: observe,
+	}
+	c.decoder = gob.NewDecoder(&c.received)
+	c.encoder = gob.NewEncoder(&c.encoded)
+	return c
+}
+
+// readBufferSize is small: a relay holds thousands of connections.
+const readBufferSize = 1024
+
+// Peer returns the remote address.
+func (c *Conn) Peer() string { return c.conn.RemoteAddr().String() }
+
+// Close ends the connection; pending calls fail.
+func (c *Conn) Close() error { return c.conn.Close() }
+
+// Send writes one value within the write timeout.
+func (c *Conn) Send(kind Kind, value any) error {
+	c.sendMutex.Lock()
+	defer c.sendMutex.Unlock()
+	c.encoded.Reset()
+	if err := c.encoder.Encode(value); err != nil {
+		return fmt.Errorf("encode frame to %s: %w", c.Peer(), err)
+	}
+	frame := binary.AppendUvarint(nil, uint64(c.encoded.Len()))
+	frame = append(frame, byte(kind))
+	frame = append(frame, c.encoded.Bytes()...)
+	if c.encoded.Cap() > readBufferSize*16 {
+		c.shrink()
+	}
+	if err := c.conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return fmt.Errorf("set write deadline to %s: %w", c.Peer(), err)
+	}
+	if _, err := c.conn.Write(frame); err != nil {
+		return fmt.Errorf("write frame to %s: %w", c.Peer(), err)
+	}
+	c.tell(kind, Sent, len(frame))
+	return nil
+}
+
+// shrink lets go of a buffer that one large frame has grown.
+func (c *Conn) shrink() {
+	c.encoded = bytes.Buffer{}
+}
+
+// Receive reads one frame, waiting at most timeout (zero means for ever). Decode must
+// follow.
+func (c *Conn) Receive(timeout time.Duration) (Kind, error) {
+	deadline := time.Time{}
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	if err := c.conn.SetReadDeadline(deadline); err != nil {
+		return 0, fmt.Errorf("set read deadline for %s: %w", c.Peer(), err)
+	}
+	length, err := binary.ReadUvarint(c.reader)
+	if err != nil {
+		return 0, fmt.Errorf("read frame from %s: %w", c.Peer(), err)
+	}
+	if length == 0 || length > uint64(c.maxFrame) {
+		return 0, fmt.Errorf("frame of %d bytes from %s, at most %d: %w", length, c.Peer(), c.maxFrame, ErrFrameTooLarge)
+	}
+	kind, err := c.reader.ReadByte()
+	if err != nil {
+		return 0, fmt.Errorf("read frame kind from %s: %w", c.Peer(), err)
+	}
+	c.received.Reset()
+	if c.received.Cap() > readBufferSize*16 {
+		c.received = bytes.Buffer{}
+	}
+	if _, err := io.CopyN(&c.received, c.reader, int64(length)); err != nil {
+		return 0, fmt.Errorf("read frame body from %s: %w", c.Peer(), err)
+	}
+	c.tell(Kind(kind), Received, int(length)+1+uvarintSize(length))
+	return Kind(kind), nil
+}
+
+// Decode decodes the value of the frame just received.
+func (c *Conn) Decode(value any) error {
+	if err := c.decoder.Decode(value); err != nil {
+		return fmt.Errorf("decode frame from %s: %w", c.Peer(), err)
+	}
+	if c.received.Len() > 0 {
+		return fmt.Errorf("decode frame from %s: %d bytes left over", c.Peer(), c.received.Len())
+	}
+	return nil
+}
+
+func (c *Conn) tell(kind Kind, direction Direction, size int) {
+	if c.observe != nil {
+		c.observe(kind, direction, size)
+	}
+}
+
+func uvarintSize(value uint64) int {
+	return len(binary.AppendUvarint(nil, value))
+}
--- /dev/null
+++ b/test/integration/wait_test.go
@@ -0,0 +1,42 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/bench/fleet"
+	"bramblelift/pkg/proxy"
+)
+
+// eventually polls until check returns nil or the limit passes.
+func eventually(limit time.Duration, check func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// convergenceLimit is the bound within which an accepted version must be in force.
+const convergenceLimit = 8 * time.Second
+
+// awaitVersion waits until the given nodes have a version, or a later one, in force.
+func (s *system) awaitVersion(t *testing.T, nodes []*fleet.Node, version uint64) error {
+	t.Helper()
+	return eventually(convergenceLimit, func() error {
+		for _, node := range nodes {
+			var status proxy.Status
+			if err := node.Status(&status); err != nil {
+				return err
+			}
+			if status.Version < version {
+				return fmt.Errorf("%s has version %d in force, not %d", node.Name, status.Version, version)
+			}
+		}
+		return nil
+	})
+}
