--- a/pkg/bench/cli/cli.go
+++ b/pkg/bench/cli/cli.go
@@ -23,6 +23,7 @@
 
 type options struct {
 	Demo demo.Options `command:"demo" description:"run the whole system for a short while and judge it"`
+	Sim  simOptions   `command:"sim" description:"run the decision cores in virtual time under faults, seed by seed"`
 }
 
 // Main runs the bench and returns its exit code.
@@ -43,6 +44,8 @@
 	switch parser.Active.Name {
 	case "demo":
 		err = demo.Run(parsed.Demo, stdout)
+	case "sim":
+		err = parsed.Sim.run(stdout)
 	}
 	if err != nil {
 		fmt.Fprintln(stderr, "bramblebench:", err)
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -280,19 +280,14 @@
 	return nil, refusal
 }
 
-// mayRetry decides on another attempt: the call must not have run or be safe, its body
-// must still be whole, no earlier hop may be retrying, and the budget must allow it.
+// mayRetry decides on another attempt, and pays for it.
 func (c *call) mayRetry(ctx context.Context, failure *attemptFailure) bool {
-	if ctx.Err() != nil || c.attempts >= maxAttempts {
-		return false
-	}
-	if failure.outcome != NotRun && !c.safe {
-		return false
-	}
-	if !c.body.repeatable() || c.request.Header.Get(HeaderRetry) != "" {
-		return false
-	}
-	return c.service.budget.Withdraw(c.handler.config.Now())
+	permitted := MayRetry(Situation{
+		Outcome: failure.outcome, Safe: c.safe, BodyWhole: c.body.repeatable(),
+		RetriedBefore: c.request.Header.Get(HeaderRetry) != "",
+		Attempts:      c.attempts, OutOfTime: ctx.Err() != nil,
+	})
+	return permitted && c.service.budget.Withdraw(c.handler.config.Now())
 }
 
 // finishCopy copies the answer's body. A body that breaks off must reach the caller as
--- a/pkg/proxy/keeper.go
+++ b/pkg/proxy/keeper.go
@@ -9,20 +9,29 @@
 	"time"
 
 	"bramblelift/pkg/distribution"
-	"bramblelift/pkg/routing"
 	"bramblelift/pkg/storage"
 )
 
 const stateFile = "configuration.json"
 
-// keeper holds the configuration: it makes each new one durable, then puts it in force
-// through inForce. It implements stream.Target.
-type keeper struct {
-	files   storage.FileSystem
-	inForce func(*routing.Table)
-	// onFailure is called when durability is lost; the process must end, or it
+// KeeperConfig sets up a Keeper.
+type KeeperConfig struct {
+	// Files is where the configuration is made durable; nil for nowhere.
+	Files storage.FileSystem
+	Group string
+	// Verifier checks approvals.
+	Verifier distribution.ApprovalVerifier
+	// InForce takes each state that calls are to be answered by.
+	InForce func(*distribution.State)
+	// OnFailure is called when durability is lost; the process must end, or it
 	// could start again on an older version than it has served.
-	onFailure func(error)
+	OnFailure func(error)
+}
+
+// Keeper holds the configuration: it makes each new one durable, then puts it in force
+// through InForce. It implements stream.Target.
+type Keeper struct {
+	config KeeperConfig
 
 	mutex  sync.Mutex
 	holder *distribution.Holder
@@ -30,23 +39,23 @@
 	open bool
 }
 
-// newKeeper reads the last configuration, if there is a folder and one is in it.
-func newKeeper(files storage.FileSystem, group string, verifier distribution.ApprovalVerifier) (*keeper, error) {
-	k := &keeper{files: files}
+// NewKeeper reads the last configuration, if there is a folder and one is in it.
+func NewKeeper(config KeeperConfig) (*Keeper, error) {
+	k := &Keeper{config: config}
 	state, err := k.load()
 	if err != nil {
 		return nil, err
 	}
 	k.open = state != nil && state.Active != nil
-	k.holder = distribution.NewHolder(group, verifier, state)
+	k.holder = distribution.NewHolder(config.Group, config.Verifier, state)
 	return k, nil
 }
 
-func (k *keeper) load() (*distribution.State, error) {
-	if k.files == nil {
+func (k *Keeper) load() (*distribution.State, error) {
+	if k.config.Files == nil {
 		return nil, nil
 	}
-	content, err := k.files.ReadFile(stateFile)
+	content, err := k.config.Files.ReadFile(stateFile)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -60,22 +69,22 @@
 	return &state, nil
 }
 
-// start puts a configuration from disk in force.
-func (k *keeper) start() {
+// Start puts a configuration from disk in force.
+func (k *Keeper) Start() {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.publish()
 }
 
 // Position implements stream.Target.
-func (k *keeper) Position() distribution.Position {
+func (k *Keeper) Position() distribution.Position {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.holder.State().Position()
 }
 
 // Apply implements stream.Target.
-func (k *keeper) Apply(update *distribution.Update) error {
+func (k *Keeper) Apply(update *distribution.Update) error {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	before := k.holder.State()
@@ -86,7 +95,7 @@
 		return nil
 	}
 	if err := k.save(); err != nil {
-		k.onFailure(err)
+		k.config.OnFailure(err)
 		return err
 	}
 	k.publish()
@@ -95,15 +104,15 @@
 
 // Current implements stream.Target. A higher revision alone changes nothing that is
 // in force and need not be durable: a lower one is only a longer resume.
-func (k *keeper) Current(revision uint64) {
+func (k *Keeper) Current(revision uint64) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.holder.Current(revision)
 }
 
-// confirmed takes in that the state was current at a moment on the process's clock,
+// Confirmed takes in that the state was current at a moment on the process's clock,
 // which starts with the process: whatever an earlier life held is included.
-func (k *keeper) confirmed(time.Duration) {
+func (k *Keeper) Confirmed(time.Duration) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if k.open {
@@ -113,32 +122,32 @@
 	k.publish()
 }
 
-// serving reports whether a configuration is in force.
-func (k *keeper) serving() bool {
+// Serving reports whether a configuration is in force.
+func (k *Keeper) Serving() bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	return k.open && k.holder.State().Active != nil
 }
 
-func (k *keeper) save() error {
-	if k.files == nil {
+func (k *Keeper) save() error {
+	if k.config.Files == nil {
 		return nil
 	}
 	content, err := json.Marshal(k.holder.State())
 	if err != nil {
 		return fmt.Errorf("save configuration: %w", err)
 	}
-	if err := storage.WriteFileAtomic(k.files, stateFile, content); err != nil {
+	if err := storage.WriteFileAtomic(k.config.Files, stateFile, content); err != nil {
 		return fmt.Errorf("save configuration: %w", err)
 	}
 	return nil
 }
 
 // publish puts the held state in force if it may be served; the mutex is held.
-func (k *keeper) publish() {
+func (k *Keeper) publish() {
 	state := k.holder.State()
 	if !k.open || state.Active == nil {
 		return
 	}
-	k.inForce(routing.New(state))
+	k.config.InForce(state)
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -46,7 +46,7 @@
 	settings settings.Proxy
 	logger   log.Logger
 	clock    *clock.Monotonic
-	keeper   *keeper
+	keeper   *Keeper
 	client   *stream.Client
 	handler  *forward.Handler
 	http     *http.Server
@@ -92,17 +92,16 @@
 			return err
 		}
 	}
-	if s.keeper, err = newKeeper(files, s.settings.Group, verifier); err != nil {
-		return err
-	}
-	s.keeper.inForce = s.putInForce
-	s.keeper.onFailure = func(err error) {
-		select {
-		case s.failure <- err:
-		default:
-		}
-	}
-	return nil
+	s.keeper, err = NewKeeper(KeeperConfig{
+		Files: files, Group: s.settings.Group, Verifier: verifier, InForce: s.putInForce,
+		OnFailure: func(err error) {
+			select {
+			case s.failure <- err:
+			default:
+			}
+		},
+	})
+	return err
 }
 
 func (s *Server) newClient() error {
@@ -125,7 +124,7 @@
 		Observe:        metrics.NewTraffic(s.admin.Registry).Observe(link),
 		Logger:         s.logger,
 		Now:            s.clock.Now,
-		OnConfirmed:    s.keeper.confirmed,
+		OnConfirmed:    s.keeper.Confirmed,
 	}, s.keeper, candidates)
 	return err
 }
@@ -133,7 +132,7 @@
 // Run serves until the context ends, then finishes the calls under way.
 func (s *Server) Run(ctx context.Context) error {
 	s.logger.Log("event", "started", "listen", s.listener.Addr(), "admin", s.admin.Address(), "group", s.settings.Group)
-	s.keeper.start()
+	s.keeper.Start()
 	background, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -197,7 +196,7 @@
 func (s *Server) status() any {
 	status := Status{
 		Name: s.settings.Name, Group: s.settings.Group, Zone: s.settings.Zone,
-		Server: s.client.Server(), Serving: s.keeper.serving(), Stopping: s.stopping.Load(),
+		Server: s.client.Server(), Serving: s.keeper.Serving(), Stopping: s.stopping.Load(),
 		Version: s.handler.Version(), Position: s.keeper.Position(), Pools: s.handler.Pools(),
 	}
 	if at, confirmed := s.client.ConfirmedAt(); confirmed {
@@ -211,7 +210,7 @@
 	if s.stopping.Load() {
 		return errors.New("stopping")
 	}
-	if !s.keeper.serving() {
+	if !s.keeper.Serving() {
 		return errors.New("no configuration is in force yet")
 	}
 	return nil
@@ -242,7 +241,8 @@
 }
 
 // putInForce swaps the table that calls are answered by.
-func (s *Server) putInForce(table *routing.Table) {
+func (s *Server) putInForce(state *distribution.State) {
+	table := routing.New(state)
 	before := s.handler.Version()
 	s.handler.SetTable(table)
 	if table.Version != before {
--- /dev/null
+++ b/pkg/sim/network.go
@@ -0,0 +1,186 @@
+package sim
+
+import (
+	"time"
+)
+
+// Times of the simulated network.
+const (
+	sameZoneLatency  = 100 * time.Microsecond
+	latencyJitter    = 2 * time.Millisecond
+	retransmitPause  = 200 * time.Millisecond
+	retransmitLimit  = 20 * time.Second
+	dialTimeout      = time.Second
+	chaosExtraDelay  = 400 * time.Millisecond
+	chaosLoss        = 0.08
+	chaosDuplication = 0.08
+)
+
+// network decides what gets through, and when.
+type network struct {
+	world       *world
+	zoneLatency time.Duration
+	// cut holds the directions between zones that are cut.
+	cut map[[2]string]bool
+	// isolated processes reach nobody and are reached by nobody, in silence.
+	isolated map[string]bool
+	// chaos makes datagrams get lost, doubled and late.
+	chaos bool
+}
+
+func newNetwork(w *world, zoneLatency time.Duration) *network {
+	return &network{world: w, zoneLatency: zoneLatency, cut: map[[2]string]bool{}, isolated: map[string]bool{}}
+}
+
+func (n *network) reaches(from, to *process) bool {
+	if from.name == to.name {
+		return true
+	}
+	if n.isolated[from.name] || n.isolated[to.name] {
+		return false
+	}
+	return !n.cut[[2]string{from.zone, to.zone}]
+}
+
+func (n *network) delay(from, to *process) time.Duration {
+	base := n.zoneLatency
+	if from.zone == to.zone {
+		base = sameZoneLatency
+	}
+	delay := base + n.world.between(0, latencyJitter)
+	if n.chaos && n.world.chance(0.2) {
+		delay += n.world.between(0, chaosExtraDelay)
+	}
+	return delay
+}
+
+// datagram carries a message that may be lost, doubled and overtaken.
+func (n *network) datagram(from, to *process, deliver func()) {
+	if !n.reaches(from, to) || !to.alive {
+		return
+	}
+	if n.chaos && n.world.chance(chaosLoss) {
+		return
+	}
+	n.world.after(n.delay(from, to), to.guarded(deliver))
+	if n.chaos && n.world.chance(chaosDuplication) {
+		n.world.after(n.delay(from, to), to.guarded(deliver))
+	}
+}
+
+// connection is an ordered, reliable channel between two lives of two processes, as
+// TCP gives it: what cannot get through is sent again for a while, so a message may
+// come very late, but never after a later one.
+type connection struct {
+	network *network
+	client  *process
+	server  *process
+	// clientLife and serverLife are the generations that are connected.
+	clientLife, serverLife int
+	closed                 bool
+	lastArrival            [2]time.Duration
+	// onClientClose and onServerClose tell a side that the other is gone.
+	onClientClose, onServerClose func()
+}
+
+const (
+	toServer = 0
+	toClient = 1
+)
+
+// dial opens a connection if the server can be reached in both directions.
+func (n *network) dial(client, server *process, opened func(*connection), failed func()) {
+	roundTrip := n.delay(client, server) + n.delay(server, client)
+	if !n.reaches(client, server) || !n.reaches(server, client) || server.frozen {
+		client.later(dialTimeout, failed)
+		return
+	}
+	n.world.after(roundTrip, client.guarded(func() {
+		if !server.alive {
+			failed()
+			return
+		}
+		opened(&connection{network: n, client: client, server: server, clientLife: client.generation, serverLife: server.generation})
+	}))
+}
+
+// send delivers in order. What is sent to an earlier life of a process comes back as a
+// reset.
+func (c *connection) send(direction int, deliver func()) {
+	c.transmit(direction, deliver, c.network.world.now)
+}
+
+func (c *connection) ends(direction int) (from, to *process, life int) {
+	if direction == toServer {
+		return c.client, c.server, c.serverLife
+	}
+	return c.server, c.client, c.clientLife
+}
+
+func (c *connection) transmit(direction int, deliver func(), firstTry time.Duration) {
+	if c.closed {
+		return
+	}
+	w := c.network.world
+	from, to, life := c.ends(direction)
+	if !c.network.reaches(from, to) {
+		if w.now-firstTry < retransmitLimit {
+			c.hold(direction, deliver, firstTry)
+		}
+		return
+	}
+	arrival := max(w.now+c.network.delay(from, to), c.lastArrival[direction])
+	c.lastArrival[direction] = arrival
+	w.after(arrival-w.now, func() { c.arrive(direction, to, life, deliver) })
+}
+
+// hold tries again later; what is sent meanwhile must not overtake.
+func (c *connection) hold(direction int, deliver func(), firstTry time.Duration) {
+	w := c.network.world
+	at := max(w.now+retransmitPause, c.lastArrival[direction])
+	c.lastArrival[direction] = at
+	w.after(at-w.now, func() { c.transmit(direction, deliver, firstTry) })
+}
+
+func (c *connection) arrive(direction int, to *process, life int, deliver func()) {
+	if c.closed {
+		return
+	}
+	if !to.alive || to.generation != life {
+		c.reset(direction)
+		return
+	}
+	to.guarded(func() {
+		if !c.closed {
+			deliver()
+		}
+	})()
+}
+
+// reset tells the sender that the other side does not know the connection any more.
+func (c *connection) reset(direction int) {
+	from, _, _ := c.ends(direction)
+	notify := c.onClientClose
+	if direction == toClient {
+		notify = c.onServerClose
+	}
+	c.closed = true
+	if notify != nil && from.alive {
+		c.network.world.after(c.network.zoneLatency, from.guarded(notify))
+	}
+}
+
+// closeBy ends the connection; the other side hears of it if it can be reached.
+func (c *connection) closeBy(closer *process) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	other, notify := c.server, c.onServerClose
+	if closer == c.server {
+		other, notify = c.client, c.onClientClose
+	}
+	if notify != nil && other.alive && c.network.reaches(closer, other) {
+		c.network.world.after(c.network.delay(closer, other), other.guarded(notify))
+	}
+}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -132,10 +132,8 @@
 	client *Client
 	conn   *wire.Conn
 
-	mutex sync.Mutex
-	// sentAt holds when each unanswered ping was sent.
-	sentAt   map[uint64]time.Duration
-	sequence uint64
+	mutex        sync.Mutex
+	subscription *Subscription
 }
 
 func (c *Client) subscribe(ctx context.Context, address string) error {
@@ -162,7 +160,7 @@
 	c.server.Store(&address)
 	c.config.Logger.Log("event", "subscribed", "server", address, "revision", hello.Position.Revision)
 
-	s := &session{client: c, conn: conn, sentAt: map[uint64]time.Duration{}}
+	s := &session{client: c, conn: conn, subscription: NewSubscription()}
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -193,15 +191,12 @@
 }
 
 func (s *session) sendPing() error {
-	ping := protocol.Ping{Position: s.client.target.Position()}
+	s.mutex.Lock()
+	ping := s.subscription.Ping(s.client.config.Now(), s.client.target.Position())
+	s.mutex.Unlock()
 	if s.client.config.TakeReports != nil {
 		ping.Reports = s.client.config.TakeReports()
 	}
-	s.mutex.Lock()
-	s.sequence++
-	ping.Sequence = s.sequence
-	s.sentAt[s.sequence] = s.client.config.Now()
-	s.mutex.Unlock()
 	return s.conn.Send(protocol.KindPing, ping)
 }
 
@@ -250,26 +245,18 @@
 	if err := s.conn.Decode(&pong); err != nil {
 		return err
 	}
+	c := s.client
 	s.mutex.Lock()
-	sentAt, known := s.sentAt[pong.Sequence]
-	for sequence := range s.sentAt {
-		if sequence <= pong.Sequence {
-			delete(s.sentAt, sequence)
-		}
-	}
+	at, confirmed, err := s.subscription.TakePong(pong, c.target)
 	s.mutex.Unlock()
-	if !known {
-		return fmt.Errorf("pong %d from %s was not asked for: %w", pong.Sequence, s.conn.Peer(), protocol.ErrUnexpected)
+	if err != nil {
+		return fmt.Errorf("from %s: %w", s.conn.Peer(), err)
 	}
-	c := s.client
-	c.target.Current(pong.Revision)
-	// A server that is behind this client confirms nothing about what it holds.
-	fresh := pong.Confirmed && pong.Revision >= c.target.Position().Revision
-	if fresh {
-		c.confirm(sentAt - pong.Stale)
+	if confirmed {
+		c.confirm(at)
 	}
-	if c.selector.Heard(c.config.Now(), fresh, pong.Stale) {
-		return fmt.Errorf("server %s is stale (confirmed=%t stale=%s)", s.conn.Peer(), pong.Confirmed, pong.Stale)
+	if c.selector.Heard(c.config.Now(), confirmed, pong.Stale) {
+		return fmt.Errorf("server %s is stale (confirmed=%t stale=%s)", s.conn.Peer(), confirmed, pong.Stale)
 	}
 	return nil
 }
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -100,14 +100,8 @@
 	// wakeup holds at most one token: there is something to do.
 	wakeup chan struct{}
 
-	// Guarded by the hub's mutex:
-	// told is what the subscriber holds once it has read all that was sent.
-	told distribution.Position
-	// held is what it last said to hold.
-	held distribution.Position
-	// pong is the sequence to answer, if owed.
-	pong uint64
-	owed bool
+	// session is guarded by the hub's mutex.
+	session *Session
 }
 
 func (s *subscriber) wake() {
@@ -120,7 +114,7 @@
 func (s *subscriber) report(connected bool) protocol.NodeReport {
 	return protocol.NodeReport{
 		Node: s.hello.Name, Group: s.hello.Group, Zone: s.hello.Zone,
-		Position: s.held, Connected: connected,
+		Position: s.session.Held(), Connected: connected,
 	}
 }
 
@@ -133,7 +127,7 @@
 	defer cancel()
 	s := &subscriber{
 		hello: hello, conn: conn, cancel: cancel,
-		wakeup: make(chan struct{}, 1), told: hello.Position, held: hello.Position,
+		wakeup: make(chan struct{}, 1), session: NewSession(hello.Group, hello.Position),
 	}
 	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: h.config.Name}); err != nil {
 		return fmt.Errorf("welcome: %w", err)
@@ -217,11 +211,12 @@
 
 func (h *Hub) takePing(s *subscriber, ping protocol.Ping) {
 	h.mutex.Lock()
-	s.pong = ping.Sequence
-	s.owed = true
+	changed := s.session.TakePing(ping)
 	h.mutex.Unlock()
 	s.wake()
-	h.takeHeld(s, ping.Position)
+	if changed {
+		h.tellReport(s, true)
+	}
 	if h.config.OnReport == nil {
 		return
 	}
@@ -233,8 +228,7 @@
 // takeHeld notes what a subscriber holds and passes on a change of versions.
 func (h *Hub) takeHeld(s *subscriber, held distribution.Position) {
 	h.mutex.Lock()
-	changed := s.held.Active != held.Active || s.held.Staged != held.Staged
-	s.held = held
+	changed := s.session.TakeHeld(held)
 	h.mutex.Unlock()
 	if changed {
 		h.tellReport(s, true)
@@ -255,47 +249,26 @@
 	}
 }
 
-// sendDue sends the update that is due, then the pong that is owed: a pong's revision
-// must not run ahead of the updates.
+// sendDue sends the update that is due, then the pong that is owed.
 func (h *Hub) sendDue(s *subscriber) error {
 	h.mutex.Lock()
-	update, err := h.planner.Plan(s.hello.Group, s.told)
+	update, pong, err := s.session.Due(h.planner, h.freshness())
+	h.mutex.Unlock()
 	if err != nil {
-		h.mutex.Unlock()
 		return err
 	}
-	if update != nil && !update.Changes(s.told) {
-		update = nil
-	}
-	if update != nil {
-		s.told = distribution.Position{Revision: update.To, Active: update.Active, Staged: update.Staged}
-	}
-	pong, owed := h.takePong(s)
-	h.mutex.Unlock()
-
 	if update != nil {
 		if err := s.conn.Send(protocol.KindUpdate, update); err != nil {
 			return err
 		}
 	}
-	if !owed {
+	if pong == nil {
 		return nil
 	}
 	return s.conn.Send(protocol.KindPong, pong)
 }
 
-// takePong makes the owed pong; the mutex is held.
-func (h *Hub) takePong(s *subscriber) (protocol.Pong, bool) {
-	if !s.owed {
-		return protocol.Pong{}, false
-	}
-	s.owed = false
-	revision := h.planner.State().Revision
-	s.told.Revision = max(s.told.Revision, revision)
-	pong := protocol.Pong{Sequence: s.pong, Revision: revision}
-	if confirmedAt, confirmed := h.config.ConfirmedAt(); confirmed {
-		pong.Confirmed = true
-		pong.Stale = max(0, h.config.Now()-confirmedAt)
-	}
-	return pong, true
+func (h *Hub) freshness() Freshness {
+	confirmedAt, confirmed := h.config.ConfirmedAt()
+	return Freshness{Confirmed: confirmed, Stale: h.config.Now() - confirmedAt}
 }
