Selector: leave stale servers by what is known of the others; honest count of copies

A client kept a stale server for 2 s of patience, then walked the list with a backoff of up to 7.5 s, often into another stale one. Now each candidate is remembered as bad for about 4 s; a stale server is left at the first pong that says so if another is not known to be bad; backoff is capped at 2 s. Only voters that answer now count. Ruled out: a shorter patience alone (moves the walk, not its length).

--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -164,6 +164,8 @@
 	endpoint *endpoint
 	Address  string
 	ID       string
+	// Incarnation is the one that the node knows.
+	Incarnation uint64
 }
 
 // Acquire picks a back end, leaving out the tried ones. If all are at their limits it
@@ -223,7 +225,10 @@
 		chosen = other
 	}
 	chosen.inFlight++
-	return &Ticket{pool: p, endpoint: chosen, Address: chosen.target.Address, ID: chosen.target.ID}, nil
+	return &Ticket{
+		pool: p, endpoint: chosen, Address: chosen.target.Address,
+		ID: chosen.target.ID, Incarnation: chosen.target.Incarnation,
+	}, nil
 }
 
 // candidates returns the back ends that may take a call. Ejections are ignored when
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -48,7 +48,7 @@
 	position := s.replica.State().Position()
 	status := operator.Status{
 		Cluster: s.settings.Cluster, Term: node.Term(), Commit: node.Commit(),
-		DurableCopies: node.DurableCopies(), Voters: len(membership.Voters()),
+		DurableCopies: node.DurableCopies(now), Voters: len(membership.Voters()),
 		Head: s.replica.Catalog().HeadVersion(), Active: position.Active, Staged: position.Staged,
 		Revision: position.Revision, LogBytes: s.replica.LogBytes(),
 	}
--- a/pkg/raft/lease.go
+++ b/pkg/raft/lease.go
@@ -84,12 +84,15 @@
 // Alive reports whether the leader heard from a replica within the election timeout.
 // A new leader gives every replica that long to speak first.
 func (n *Node) Alive(now time.Duration, id ReplicaID) bool {
+	return now-n.becameLeaderAt < n.config.ElectionTimeout || n.answersNow(now, id)
+}
+
+// answersNow reports whether a replica has answered this leader within the election
+// timeout.
+func (n *Node) answersNow(now time.Duration, id ReplicaID) bool {
 	if id == n.config.ID {
 		return true
 	}
-	if now-n.becameLeaderAt < n.config.ElectionTimeout {
-		return true
-	}
 	p, found := n.progress[id]
 	return found && p.ackedAt > 0 && now-p.ackedAt < n.config.ElectionTimeout
 }
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -153,11 +153,12 @@
 }
 
 // DurableCopies counts the voters known to hold everything that is committed. A
-// repair is complete only when every voter does.
-func (n *Node) DurableCopies() int {
+// repair is complete only when every voter does. A voter that has not answered this
+// leader lately does not count, whatever it once held: its disk may be gone.
+func (n *Node) DurableCopies(now time.Duration) int {
 	copies := 0
 	for _, id := range n.Membership().Voters() {
-		if n.Match(id) >= n.log.commit {
+		if n.answersNow(now, id) && n.Match(id) >= n.log.commit {
 			copies++
 		}
 	}
--- a/pkg/sim/backend.go
+++ b/pkg/sim/backend.go
@@ -50,7 +50,7 @@
 func (s *backendSet) call(c *simCall, ticket *balancer.Ticket) {
 	n := c.node
 	b := s.named(ticket.ID)
-	s.cluster.observeAttempt(n, b)
+	s.cluster.observeAttempt(n, ticket)
 	if !s.cluster.network.reaches(&n.process, &b.process) {
 		n.later(dialTimeout, func() { c.failed(ticket, balancer.Failed, forward.NotRun) })
 		return
@@ -113,7 +113,7 @@
 	}
 	ticket.Report(load, leaving)
 	if leaving {
-		n.toldLeaving[incarnationKey(b.name, b.incarnation)] = true
+		n.toldLeaving[incarnationKey(ticket.ID, ticket.Incarnation)] = true
 	}
 }
 
--- a/pkg/sim/control.go
+++ b/pkg/sim/control.go
@@ -62,6 +62,10 @@
 		c.world.log("%s has an empty disk and joins as %d", c.name, id)
 	}
 	opened, err := replica.Open(c.clock(), c.config(), c.disk)
+	if errors.Is(err, errDisk) {
+		c.fail(err)
+		return
+	}
 	if err != nil {
 		c.world.violate(invariantRecovery, "%s cannot open its state: %v", c.name, err)
 		c.end()
--- a/pkg/sim/observe.go
+++ b/pkg/sim/observe.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/distribution"
 )
@@ -193,9 +194,9 @@
 }
 
 // observeAttempt is called when a node sends a call to a back end.
-func (c *cluster) observeAttempt(n *node, b *backend) {
-	if n.toldLeaving[incarnationKey(b.name, b.incarnation)] {
-		c.world.violate(invariantLeaving, "%s sends a call to %s, of which it knows that it leaves", n.name, b.name)
+func (c *cluster) observeAttempt(n *node, ticket *balancer.Ticket) {
+	if n.toldLeaving[incarnationKey(ticket.ID, ticket.Incarnation)] {
+		c.world.violate(invariantLeaving, "%s sends a call to %s, of which it knows that it leaves", n.name, ticket.ID)
 	}
 }
 
--- a/pkg/sim/subscribe.go
+++ b/pkg/sim/subscribe.go
@@ -106,6 +106,7 @@
 }
 
 func (s *subscriber) failed() {
+	s.process.world.log("%s has no subscription", s.process.name)
 	s.conn = nil
 	s.selector.Failed(s.process.clock(), 0)
 	s.tryNext()
@@ -115,7 +116,7 @@
 	s.conn = conn
 	s.open = nil
 	s.subscription = stream.NewSubscription()
-	s.selector.Connected(s.process.clock())
+	s.process.world.log("%s subscribes to %s", s.process.name, conn.server.name)
 	s.lastHeard = s.process.clock()
 	conn.onClientClose = func() { s.lost(conn) }
 	hello := s.hello
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -156,7 +156,6 @@
 		return err
 	}
 	c.resync = false
-	c.selector.Connected(c.config.Now())
 	c.server.Store(&address)
 	c.config.Logger.Log("event", "subscribed", "server", address, "revision", hello.Position.Revision)
 
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -14,42 +14,49 @@
 
 // SelectorConfig sets up a Selector.
 type SelectorConfig struct {
-	// FirstBackoff and MaxBackoff bound the pause after failures, which doubles.
+	// FirstBackoff and MaxBackoff bound the pause after failures, which doubles
+	// while no candidate is left that is not known to be bad.
 	FirstBackoff time.Duration
 	MaxBackoff   time.Duration
 	// StaleLimit is how stale a server may be before another is tried.
 	StaleLimit time.Duration
-	// StalePatience is how long a server that answers is kept for being stale
-	// before the next one is tried; a total outage must not make everyone wander.
-	StalePatience time.Duration
+	// BadMemory is how long a server that failed or was stale is passed over. In a
+	// total outage it keeps clients from wandering faster than that.
+	BadMemory time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
 
-// DefaultSelectorConfig suits networks with round trips up to some 100 ms.
+// DefaultSelectorConfig suits networks with round trips up to some 100 ms. The times
+// are such that a client whose server went silent or stale is current at another one
+// within the 8 s in which an accepted version must be in force.
 func DefaultSelectorConfig() SelectorConfig {
 	return SelectorConfig{
-		FirstBackoff:  100 * time.Millisecond,
-		MaxBackoff:    5 * time.Second,
-		StaleLimit:    3 * time.Second,
-		StalePatience: 2 * time.Second,
-		Random:        rand.Float64,
+		FirstBackoff: 100 * time.Millisecond,
+		MaxBackoff:   2 * time.Second,
+		StaleLimit:   2500 * time.Millisecond,
+		BadMemory:    4 * time.Second,
+		Random:       rand.Float64,
 	}
 }
 
+// candidate is a server and what the selector thinks of it.
+type candidate struct {
+	Candidate
+	// badUntil is until when the server is passed over.
+	badUntil time.Duration
+}
+
 // Selector decides which server a client tries and when. It does no I/O and is not
 // safe for concurrent use.
 type Selector struct {
 	config     SelectorConfig
-	candidates []Candidate
-	next       int
+	candidates []candidate
+	current    int
 	failures   int
 	notBefore  time.Duration
-
-	connectedAt time.Duration
-	connected   bool
-	staleSince  time.Duration
-	stale       bool
+	// sameAgain is set when the current server asked to be tried again.
+	sameAgain bool
 }
 
 // NewSelector orders the candidates: near ones first, each kind shuffled so that
@@ -57,10 +64,10 @@
 func NewSelector(config SelectorConfig, candidates []Candidate) *Selector {
 	s := &Selector{config: config}
 	for _, near := range []bool{true, false} {
-		var kind []Candidate
-		for _, candidate := range candidates {
-			if candidate.Near == near {
-				kind = append(kind, candidate)
+		var kind []candidate
+		for _, c := range candidates {
+			if c.Near == near {
+				kind = append(kind, candidate{Candidate: c, badUntil: -1})
 			}
 		}
 		s.shuffle(kind)
@@ -69,68 +76,82 @@
 	return s
 }
 
-func (s *Selector) shuffle(candidates []Candidate) {
+func (s *Selector) shuffle(candidates []candidate) {
 	for i := len(candidates) - 1; i > 0; i-- {
 		j := int(s.config.Random() * float64(i+1))
 		candidates[i], candidates[j] = candidates[j], candidates[i]
 	}
 }
 
-// Next returns the server to try and how long to wait before.
+// Next returns the server to try and how long to wait before: the first one that is
+// not known to be bad, or the one that has been bad for longest.
 func (s *Selector) Next(now time.Duration) (Candidate, time.Duration) {
-	candidate := s.candidates[s.next%len(s.candidates)]
-	return candidate, max(0, s.notBefore-now)
+	if !s.sameAgain {
+		s.current = s.best(now)
+	}
+	s.sameAgain = false
+	return s.candidates[s.current].Candidate, max(0, s.notBefore-now)
 }
 
-// Connected notes that a subscription is open.
-func (s *Selector) Connected(now time.Duration) {
-	s.connected = true
-	s.connectedAt = now
-	s.stale = false
+func (s *Selector) best(now time.Duration) int {
+	best := 0
+	for i, c := range s.candidates {
+		if c.badUntil <= now {
+			return i
+		}
+		if c.badUntil < s.candidates[best].badUntil {
+			best = i
+		}
+	}
+	return best
 }
 
-// Failed notes that an attempt or a subscription ended. retryAfter is the server's
-// wish, zero if it gave none; the same server is tried again then.
+// Failed notes that an attempt or a subscription at the current server ended.
+// retryAfter is the server's wish, zero if it gave none; the same server is tried
+// again then.
 func (s *Selector) Failed(now, retryAfter time.Duration) {
-	lasted := s.connected && now-s.connectedAt > s.config.MaxBackoff
-	s.connected = false
-	if lasted {
-		s.failures = 0
-	}
 	if retryAfter > 0 {
+		s.sameAgain = true
 		s.notBefore = now + s.jitter(retryAfter)
 		return
 	}
-	s.next++
-	s.failures++
-	if s.failures < len(s.candidates) && !lasted {
-		// The others may well be alive: try each once without a long pause.
-		s.notBefore = now + s.jitter(s.config.FirstBackoff)
-		return
+	s.markBad(now)
+	pause := s.config.FirstBackoff
+	if !s.otherUsable(now) {
+		pause = min(s.config.MaxBackoff, s.config.FirstBackoff<<min(s.failures, maxDoublings))
+		s.failures++
 	}
-	doublings := min(s.failures, maxDoublings)
-	pause := min(s.config.MaxBackoff, s.config.FirstBackoff<<doublings)
 	s.notBefore = now + s.jitter(pause)
 }
 
 const maxDoublings = 16
 
+func (s *Selector) markBad(now time.Duration) {
+	s.candidates[s.current].badUntil = now + s.jitter(s.config.BadMemory)
+}
+
+func (s *Selector) otherUsable(now time.Duration) bool {
+	for i, c := range s.candidates {
+		if i != s.current && c.badUntil <= now {
+			return true
+		}
+	}
+	return false
+}
+
 // jitter spreads a pause over half to one and a half times its length.
 func (s *Selector) jitter(pause time.Duration) time.Duration {
 	return time.Duration((0.5 + s.config.Random()) * float64(pause))
 }
 
-// Heard notes a Pong. It reports whether to leave the server because it has been
-// stale for too long.
+// Heard notes a Pong. It reports whether to leave the server: it is stale, and another
+// is not known to be.
 func (s *Selector) Heard(now time.Duration, confirmed bool, stale time.Duration) (leave bool) {
 	if confirmed && stale <= s.config.StaleLimit {
-		s.stale = false
 		s.failures = 0
+		s.candidates[s.current].badUntil = -1
 		return false
 	}
-	if !s.stale {
-		s.stale = true
-		s.staleSince = now
-	}
-	return len(s.candidates) > 1 && now-s.staleSince > s.config.StalePatience
+	s.markBad(now)
+	return s.otherUsable(now)
 }
