Replica: a replacement without a disk learns where its leader is

Cause: a replica that joins with an empty disk holds an empty membership, so it could not resolve the leader's address and dropped every append response. The learner stayed at match 0, was never promoted, and the replaced machine counted as a copy that did not exist.

Change: a replica keeps an address book of the replicas that spoke to it; the hello of a replica carries its address. The simulator has a new invariant: 30 s after the last fault every replaced machine is a full replica.

--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -45,17 +45,18 @@
 	return p
 }
 
-// send queues a message for a member; other receivers are unknown and dropped.
-func (p *peerSet) send(membership raft.Membership, m raft.Message) {
+// send queues a message; a receiver whose address is unknown gets nothing. It runs in
+// the driver's goroutine.
+func (p *peerSet) send(m raft.Message) {
 	queue, found := p.queues[m.To]
 	if !found {
-		member, known := membership.Find(m.To)
+		address, known := p.server.replica.Address(m.To)
 		if !known {
 			return
 		}
 		queue = make(chan protocolFrame, peerQueue)
 		p.queues[m.To] = queue
-		p.group.Go(func() { p.keepSending(member.Address, queue) })
+		p.group.Go(func() { p.keepSending(address, queue) })
 	}
 	select {
 	case queue <- protocolFrame{kind: protocol.KindRaft, value: protocol.RaftMessage{Message: m}}:
@@ -122,7 +123,8 @@
 	link := &metrics.Link{}
 	link.Set(metrics.LinkReplica)
 	conn := wire.NewConn(raw, wire.DefaultMaxFrame, peerWriteTimeout, p.server.traffic.Observe(link))
-	hello := protocol.Hello{ClusterID: p.server.settings.Cluster, Role: protocol.RoleReplica, Name: p.server.settings.Name, Zone: p.server.settings.Zone}
+	hello := protocol.Hello{ClusterID: p.server.settings.Cluster, Role: protocol.RoleReplica, Name: p.server.settings.Name, Zone: p.server.settings.Zone,
+		Address: p.server.ownAddress()}
 	if _, err := protocol.Open(conn, hello, handshakeTimeout); err != nil {
 		conn.Close()
 		return nil, err
@@ -156,13 +158,17 @@
 	if node.Membership().IsVoter(node.ID()) {
 		return raft.Member{}
 	}
-	member := raft.Member{ID: node.ID(), Name: s.settings.Name, Zone: s.settings.Zone, Address: s.settings.Listen}
+	return raft.Member{ID: node.ID(), Name: s.settings.Name, Zone: s.settings.Zone, Address: s.ownAddress()}
+}
+
+// ownAddress is where the other replicas reach this one.
+func (s *Server) ownAddress() string {
 	for _, peer := range s.settings.Replicas {
 		if peer.Name == s.settings.Name {
-			member.Address = peer.Address
+			return peer.Address
 		}
 	}
-	return member
+	return s.settings.Listen
 }
 
 func (p *peerSet) askToJoin(member raft.Member) {
@@ -182,7 +188,7 @@
 }
 
 // serveReplica takes in another replica's messages.
-func (s *Server) serveReplica(ctx context.Context, conn *wire.Conn) error {
+func (s *Server) serveReplica(ctx context.Context, conn *wire.Conn, hello protocol.Hello) error {
 	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: s.settings.Name}); err != nil {
 		return err
 	}
@@ -197,7 +203,7 @@
 			if err := conn.Decode(&frame); err != nil {
 				return err
 			}
-			if !hand(ctx, s.messages, frame.Message) {
+			if !hand(ctx, s.messages, received{message: frame.Message, address: hello.Address}) {
 				return ctx.Err()
 			}
 		case protocol.KindJoin:
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -57,7 +57,7 @@
 	http     *http.Client
 	nodes    *nodeRegistry
 
-	messages chan raft.Message
+	messages chan received
 	joins    chan raft.Member
 	calls    chan call
 	peers    *peerSet
@@ -96,7 +96,7 @@
 func New(config settings.Control, logger log.Logger) (*Server, error) {
 	s := &Server{
 		settings: config, logger: logger, clock: clock.NewMonotonic(),
-		messages: make(chan raft.Message, inboxSize),
+		messages: make(chan received, inboxSize),
 		joins:    make(chan raft.Member, inboxSize),
 		calls:    make(chan call, inboxSize),
 		pending:  map[replica.ProposalID]chan<- replica.Completion{},
@@ -203,7 +203,7 @@
 		case <-ctx.Done():
 			return nil
 		case m := <-s.messages:
-			s.replica.Step(s.clock.Now(), m)
+			s.step(m)
 		case member := <-s.joins:
 			s.replica.Join(s.clock.Now(), member)
 		case run := <-s.calls:
@@ -224,7 +224,7 @@
 	for range maxTurnEvents {
 		select {
 		case m := <-s.messages:
-			s.replica.Step(s.clock.Now(), m)
+			s.step(m)
 		case member := <-s.joins:
 			s.replica.Join(s.clock.Now(), member)
 		case run := <-s.calls:
@@ -235,6 +235,19 @@
 	}
 }
 
+// received is a consensus message with the address that its sender gave.
+type received struct {
+	message raft.Message
+	address string
+}
+
+func (s *Server) step(m received) {
+	if m.address != "" {
+		s.replica.Learn(m.message.From, m.address)
+	}
+	s.replica.Step(s.clock.Now(), m.message)
+}
+
 // turn flushes the replica once and lets the outcome out.
 func (s *Server) turn() error {
 	s.replica.Tick(s.clock.Now())
@@ -243,7 +256,7 @@
 		return fmt.Errorf("replica cannot go on: %w", err)
 	}
 	for _, m := range output.Messages {
-		s.peers.send(s.replica.Node().Membership(), m)
+		s.peers.send(m)
 	}
 	if output.StateChanged {
 		s.hub.SetState(s.replica.State())
@@ -328,7 +341,7 @@
 	switch hello.Role {
 	case protocol.RoleReplica:
 		link.Set(metrics.LinkReplica)
-		err = s.serveReplica(ctx, conn)
+		err = s.serveReplica(ctx, conn, hello)
 	case protocol.RoleRelay, protocol.RoleNode:
 		link.Set(metrics.LinkRelay)
 		err = s.hub.Serve(ctx, conn, hello)
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -69,6 +69,8 @@
 	Group string
 	// Position is what a subscriber holds.
 	Position distribution.Position
+	// Address is where a replica can be reached.
+	Address string
 }
 
 // Welcome accepts a connection.
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -62,6 +62,8 @@
 	// waiting holds the proposals under way by log index.
 	waiting map[uint64]waitingProposal
 	joins   map[string]joinRequest
+	// addresses are where replicas said they are; see Learn.
+	addresses map[raft.ReplicaID]string
 }
 
 // Open starts a replica from its durable state.
@@ -81,9 +83,10 @@
 	}
 	return &Replica{
 		config: config, node: node, storage: opened, catalog: restored,
-		applied: state.Snapshot.Index,
-		waiting: map[uint64]waitingProposal{},
-		joins:   map[string]joinRequest{},
+		applied:   state.Snapshot.Index,
+		waiting:   map[uint64]waitingProposal{},
+		joins:     map[string]joinRequest{},
+		addresses: map[raft.ReplicaID]string{},
 	}, nil
 }
 
@@ -116,6 +119,22 @@
 	r.node.Step(now, m)
 }
 
+// Learn notes where a replica said it is. A joining replica holds no membership yet
+// and could not answer its leader otherwise.
+func (r *Replica) Learn(id raft.ReplicaID, address string) {
+	r.addresses[id] = address
+}
+
+// Address returns where a replica is reached: as the membership says or, for one that
+// is not in it here, as it said itself.
+func (r *Replica) Address(id raft.ReplicaID) (string, bool) {
+	if member, found := r.node.Membership().Find(id); found {
+		return member.Address, true
+	}
+	address, found := r.addresses[id]
+	return address, found
+}
+
 // Propose starts a command. Its end is told by a Completion.
 func (r *Replica) Propose(id ProposalID, command catalog.Command) error {
 	data, err := command.Encode()
--- a/pkg/sim/control.go
+++ b/pkg/sim/control.go
@@ -41,6 +41,8 @@
 	confirmed   bool
 	waiting     map[replica.ProposalID]func(replica.Completion)
 	proposal    replica.ProposalID
+	// traced is the last line of the trace about the replica's state.
+	traced string
 }
 
 func (c *control) member() raft.Member {
@@ -153,12 +155,14 @@
 }
 
 func (c *control) sendRaft(m raft.Message) {
-	member, known := c.replica.Node().Membership().Find(m.To)
+	address, known := c.replica.Address(m.To)
 	if !known {
 		return
 	}
-	peer := c.cluster.controlNamed(member.Name)
+	peer := c.cluster.controlNamed(address)
+	from := c.name
 	c.cluster.network.datagram(&c.process, &peer.process, func() {
+		peer.replica.Learn(m.From, from)
 		peer.replica.Step(peer.clock(), m)
 		peer.turn()
 	})
--- a/pkg/sim/observe.go
+++ b/pkg/sim/observe.go
@@ -23,6 +23,7 @@
 	invariantLog       = "replicas apply the same history"
 	invariantOperators = "operators' calls are linearizable"
 	invariantProgress  = "an accepted version is in force on every reachable node in time"
+	invariantRepair    = "a replaced machine becomes a full replica"
 	invariantRecovery  = "a process can start from what it made durable"
 	invariantPlan      = "every state can be distributed"
 	invariantStop      = "a planned stop finishes the calls under way"
@@ -94,6 +95,7 @@
 	if holds {
 		c.checkLease(ctl)
 	}
+	c.traceReplica(ctl)
 	index := ctl.replica.Applied()
 	digest := fmt.Sprintf("head %d revision %d active %d", ctl.replica.Catalog().HeadVersion(), ctl.replica.State().Revision, ctl.replica.State().Position().Active)
 	if known, found := c.history[index]; found && known != digest {
@@ -102,6 +104,24 @@
 	c.history[index] = digest
 }
 
+// traceReplica logs a change of a replica's role, term or membership.
+func (c *cluster) traceReplica(ctl *control) {
+	n := ctl.replica.Node()
+	var members []string
+	for _, member := range n.Membership().Members {
+		kind := "voter"
+		if member.Learner {
+			kind = "learner"
+		}
+		members = append(members, fmt.Sprintf("%s/%d/%s", member.Name, member.ID%1000, kind))
+	}
+	line := fmt.Sprintf("%s is %s in term %d with %v", ctl.name, n.Role(), n.Term(), members)
+	if line != ctl.traced {
+		ctl.traced = line
+		c.world.log("%s commit %d last %d", line, n.Commit(), n.LastIndex())
+	}
+}
+
 // checkLease asks each other replica at this very moment.
 func (c *cluster) checkLease(holder *control) {
 	for _, other := range c.controls {
--- a/pkg/sim/run.go
+++ b/pkg/sim/run.go
@@ -47,7 +47,10 @@
 	// convergeBound is within what time an accepted version must be in force on
 	// every node.
 	convergeBound = 8 * time.Second
-	minAnswered   = 100
+	// repairBound is within what time after the last fault every machine must have a
+	// voting replica that holds all that is committed.
+	repairBound = 30 * time.Second
+	minAnswered = 100
 )
 
 // Run simulates one seed.
@@ -118,6 +121,10 @@
 		return 0
 	}
 	settled := w.now - healedAt
+	w.runUntil(healedAt+repairBound, c.repaired)
+	if !c.repaired() && len(w.violations) == 0 {
+		w.violate(invariantRepair, "a replaced replica does not hold everything %s after the last fault", repairBound)
+	}
 	if fullLength && c.answered < minAnswered {
 		w.violate(invariantProgress, "only %d calls were answered", c.answered)
 	}
