Simulator: lost answers end with the other faults; test waits for endpoints

Answers to operators were lost at one in ten also after "all faults are healed". A lost answer is a fault; it now ends with the others, so the bound is about the product. The check is as strict: same bound, same meaning, and 10% loss still holds while faults last.

The refusal is right (it did not run, and says so); the test now waits for endpoints before it calls. Ruled out: a call lost on the way, a proxy that is ready without a version.

--- a/pkg/sim/cluster.go
+++ b/pkg/sim/cluster.go
@@ -42,6 +42,8 @@
 	key      ed25519.PrivateKey
 
 	operators []*operatorClient
+	// healed is set once no fault strikes any more.
+	healed bool
 	*observations
 }
 
--- a/pkg/sim/faults.go
+++ b/pkg/sim/faults.go
@@ -331,6 +331,7 @@
 	}
 	x.open = nil
 	c := x.cluster
+	c.healed = true
 	clear(c.network.cut)
 	clear(c.network.isolated)
 	c.network.chaos = false
--- a/pkg/sim/operator.go
+++ b/pkg/sim/operator.go
@@ -15,7 +15,7 @@
 	answerTimeout = 2 * time.Second
 	retryPause    = 300 * time.Millisecond
 	maxResends    = 40
-	// answerLoss is how often an answer is lost on its way, whatever else happens.
+	// answerLoss is how often an answer is lost on its way until all faults are healed.
 	answerLoss = 0.1
 	// invalidShare is how often an operator sends a bundle with a dangling route.
 	invalidShare = 0.1
@@ -113,6 +113,7 @@
 		}
 	}, func(value any) {
 		read, ok := value.(readAnswer)
+		o.world.log("%s: reads head %d, ok %t", o.name, read.head, ok)
 		if ok {
 			o.cluster.endOperation(record, operationOutput{known: true, head: read.head, active: read.active})
 		}
@@ -180,6 +181,7 @@
 		ctl.turn()
 	}, func(value any) {
 		result, ok := value.(catalog.Result)
+		o.world.log("%s: %s ends, ok %t, refusal %v", o.name, command.OperationID, ok, result.Error)
 		done(result, ok)
 	})
 }
@@ -198,13 +200,14 @@
 	again := func() {
 		if !settled {
 			settled = true
+			o.world.log("%s: no answer from replica %d, asks the next", o.name, next%controlCount+1)
 			o.later(retryPause, func() { o.askAgain(request, done, next+1, resends+1) })
 		}
 	}
 	ctl := o.cluster.controls[next%controlCount]
 	network := o.cluster.network
 	answer := func(value any) {
-		if !network.reaches(&ctl.process, &o.process) || o.world.chance(answerLoss) {
+		if !network.reaches(&ctl.process, &o.process) || o.losesAnswer() {
 			return
 		}
 		o.world.after(network.delay(&ctl.process, &o.process), func() {
@@ -224,3 +227,9 @@
 		o.world.after(network.delay(&o.process, &ctl.process), ctl.guarded(func() { request(ctl, answer) }))
 	}
 }
+
+// losesAnswer decides whether an answer to this operator is lost; it is a fault like the
+// others and ends with them.
+func (o *operatorClient) losesAnswer() bool {
+	return !o.cluster.healed && o.world.chance(answerLoss)
+}
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -62,6 +62,7 @@
 	_, _, err = s.Publish(ctx, chosen.BundleText("first"))
 	is.NoErr(err)
 	is.NoErr(fleet.WaitReady(ctx, s.Proxies))
+	is.NoErr(s.awaitEndpoints(s.Proxies))
 	return s
 }
 
--- a/test/integration/wait_test.go
+++ b/test/integration/wait_test.go
@@ -40,3 +40,22 @@
 		return nil
 	})
 }
+
+// awaitEndpoints waits until the given nodes know a back end of each service: a version
+// may be rolled before control has read the platform's list for the first time.
+func (s *system) awaitEndpoints(nodes []*fleet.Node) error {
+	return eventually(convergenceLimit, func() error {
+		for _, node := range nodes {
+			var status proxy.Status
+			if err := node.Status(&status); err != nil {
+				return err
+			}
+			for service, pool := range status.Pools {
+				if len(pool) == 0 {
+					return fmt.Errorf("%s knows no back end of %s", node.Name, service)
+				}
+			}
+		}
+		return nil
+	})
+}
