Bench: convergence time and control bytes beside two baselines, and scale

Cause: the two measures had only the demo's figure, which polls status pages and cannot be compared with anything.

Change: `bramblebench converge` times changes (a back end's restart, a bundle, a secret) at hollow nodes, which are the keeper and the subscription of a real node over real connections and share the bench's process; control replicas and relays are real processes, and two real nodes show an idle node's cost. Bytes are counted on the sockets, by link and by kind of frame. The linker tells the build its commit, so that a report names it. A bench that is killed takes its processes with it.

Ruled out: fixed pauses between changes.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 # build: the three programs in bin/. demo: the main job. test: all that CI runs.
 .PHONY: build demo test check
 
+REVISION := $(shell git rev-parse --short HEAD 2>/dev/null || echo unknown)$(shell git diff --quiet HEAD 2>/dev/null || echo +)
+
 build:
-	go build -o bin/ ./cmd/...
+	go build -ldflags "-X bramblelift/pkg/version.revision=$(REVISION)" -o bin/ ./cmd/...
 
 demo: build
 	./bin/bramblebench demo
--- a/pkg/bench/cli/cli.go
+++ b/pkg/bench/cli/cli.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"bramblelift/pkg/bench/demo"
+	"bramblelift/pkg/bench/experiment"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -22,8 +23,10 @@
 )
 
 type options struct {
-	Demo demo.Options `command:"demo" description:"run the whole system for a short while and judge it"`
-	Sim  simOptions   `command:"sim" description:"run the decision cores in virtual time under faults, seed by seed"`
+	Demo     demo.Options               `command:"demo" description:"run the whole system for a short while and judge it"`
+	Sim      simOptions                 `command:"sim" description:"run the decision cores in virtual time under faults, seed by seed"`
+	Converge experiment.ConvergeOptions `command:"converge" description:"measure convergence time and control bytes beside two baselines"`
+	Scale    experiment.ScaleOptions    `command:"scale" description:"run hollow nodes at size and count what each role costs"`
 }
 
 // Main runs the bench and returns its exit code.
@@ -46,6 +49,10 @@
 		err = demo.Run(parsed.Demo, stdout)
 	case "sim":
 		err = parsed.Sim.run(stdout)
+	case "scale":
+		err = experiment.Scale(parsed.Scale, stdout)
+	case "converge":
+		err = experiment.Converge(parsed.Converge, stdout)
 	}
 	if err != nil {
 		fmt.Fprintln(stderr, "bramblebench:", err)
--- a/pkg/bench/demo/demo.go
+++ b/pkg/bench/demo/demo.go
@@ -112,7 +112,7 @@
 	d.say("%d back ends of %d services run in %d zones", len(d.backends.All), len(d.profile.Services), len(d.profile.Zones))
 	d.fleet, err = fleet.New(fleet.Config{
 		Folder: filepath.Join(folder, "fleet"), Cluster: d.profile.Name, Zones: d.profile.Zones,
-		Replicas: replicas, RelaysPer: 1, Proxies: d.options.Proxies, ProxyData: true,
+		Replicas: replicas, Relays: len(d.profile.Zones), Proxies: d.options.Proxies, ProxyData: true,
 		PlatformURL: d.platform.ListURL(), SourceURL: d.platform.SourceURL(),
 	})
 	if err != nil {
--- /dev/null
+++ b/pkg/bench/experiment/system.go
@@ -0,0 +1,243 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"bramblelift/pkg/bench/convergence"
+	"bramblelift/pkg/bench/fleet"
+	"bramblelift/pkg/bench/hollow"
+	"bramblelift/pkg/bench/standin"
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/settings"
+)
+
+const (
+	cluster    = "experiment"
+	replicas   = 3
+	setupLimit = time.Minute
+	// convergeLimit ends an experiment whose change does not arrive.
+	convergeLimit = 30 * time.Second
+	// nodePing and nodeSilence are a real node's defaults.
+	nodePing    = 2 * time.Second
+	nodeSilence = 5 * time.Second
+)
+
+// system is the product under measurement: real control replicas and relays, a few real
+// nodes for their cost, and many hollow ones for the timing.
+type system struct {
+	folder   string
+	platform *standin.Platform
+	fleet    *fleet.Fleet
+	swarm    *hollow.Swarm
+	recorder *convergence.Recorder
+	groupOf  map[string]string
+	work     *workload
+	// startTook is how long all hollow nodes took to be current.
+	startTook time.Duration
+}
+
+type systemSize struct {
+	nodes     int
+	realNodes int
+	relays    int
+}
+
+func startSystem(work *workload, size systemSize) (*system, error) {
+	folder, err := os.MkdirTemp("", "bramblelift-experiment-")
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	s := &system{folder: folder, work: work, groupOf: map[string]string{}}
+	if err := s.start(size); err != nil {
+		s.stop()
+		return nil, fmt.Errorf("experiment: set up: %w", err)
+	}
+	return s, nil
+}
+
+func (s *system) start(size systemSize) error {
+	var err error
+	if s.platform, err = standin.StartPlatform(0); err != nil {
+		return err
+	}
+	s.platform.SetMachines(s.work.machines)
+	s.fleet, err = fleet.New(fleet.Config{
+		Folder: filepath.Join(s.folder, "fleet"), Cluster: cluster, Zones: s.work.zones,
+		Replicas: replicas, Relays: size.relays, Proxies: size.realNodes, Groups: s.work.groups,
+		PlatformURL: s.platform.ListURL(),
+	})
+	if err != nil {
+		return err
+	}
+	if err := s.fleet.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), setupLimit)
+	defer cancel()
+	if err := fleet.WaitReady(ctx, append(s.fleet.Controls, s.fleet.Relays...)); err != nil {
+		return err
+	}
+	if err := s.layOutSwarm(size.nodes); err != nil {
+		return err
+	}
+	if _, _, err := s.fleet.Publish(ctx, s.work.text(s.work.timeout, s.work.secret)); err != nil {
+		return err
+	}
+	started := time.Now()
+	if err := s.swarm.Start(); err != nil {
+		return err
+	}
+	if err := s.swarm.AwaitCurrent(started, setupLimit); err != nil {
+		return err
+	}
+	s.startTook = time.Since(started)
+	return fleet.WaitReady(ctx, s.fleet.Proxies)
+}
+
+func (s *system) layOutSwarm(count int) error {
+	verifier, err := bundle.NewVerifier(cluster, []string{s.fleet.PublicKey()})
+	if err != nil {
+		return err
+	}
+	identities := s.work.identities(count)
+	var names []string
+	for _, identity := range identities {
+		names = append(names, identity.Name)
+		s.groupOf[identity.Name] = identity.Group
+	}
+	s.recorder = convergence.NewRecorder(names)
+	var relays []settings.Peer
+	for _, relay := range s.fleet.Relays {
+		relays = append(relays, settings.Peer{Name: relay.Name, Address: relay.Address, Zone: relay.Zone})
+	}
+	s.swarm = hollow.NewSwarm(hollow.Config{
+		Cluster: cluster, Verifier: verifier, Relays: relays,
+		Timing:  settings.Timing{PingInterval: bundle.Duration(nodePing), SilenceTimeout: bundle.Duration(nodeSilence)},
+		InForce: func(node string, state *distribution.State) { s.recorder.InForce(node, state) },
+	}, identities)
+	return nil
+}
+
+func (s *system) stop() {
+	if s.swarm != nil {
+		s.swarm.Stop()
+	}
+	if s.fleet != nil {
+		s.fleet.Kill()
+	}
+	if s.platform != nil {
+		s.platform.Stop()
+	}
+	os.RemoveAll(s.folder)
+}
+
+// change makes one change and starts to time it.
+func (s *system) change(kind string) error {
+	if kind == changeEndpoint {
+		change := s.work.restartMachine(s.groupOf)
+		change.At = time.Now()
+		s.recorder.Begin(change)
+		s.platform.SetMachines(s.work.machines)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), setupLimit)
+	defer cancel()
+	number, err := s.fleet.Prepare(ctx, s.work.nextBundle(kind))
+	if err != nil {
+		return err
+	}
+	// The roll itself is part of the time: it ends with the acceptance.
+	s.recorder.Begin(versionChange(number, time.Now()))
+	_, err = s.fleet.Roll(ctx, number)
+	return err
+}
+
+// usage is what a process has cost since its start.
+type usage struct {
+	cpuSeconds float64
+	memory     float64
+	links      map[string]float64
+}
+
+func readUsage(node *fleet.Node) (usage, error) {
+	read := usage{links: map[string]float64{}}
+	cpu, err := fleet.Metric(node, "process_cpu_seconds_total")
+	if err != nil {
+		return read, err
+	}
+	memory, err := fleet.Metric(node, "process_resident_memory_bytes")
+	if err != nil {
+		return read, err
+	}
+	bytes, err := fleet.Metric(node, "bramblelift_control_bytes_total")
+	if err != nil {
+		return read, err
+	}
+	read.cpuSeconds = cpu[""]
+	read.memory = memory[""]
+	for labels, value := range bytes {
+		read.links[linkOf(labels)] += value
+	}
+	return read, nil
+}
+
+// linkOf takes the link out of a metric's labels.
+func linkOf(labels string) string {
+	_, rest, _ := strings.Cut(labels, `link="`)
+	link, _, _ := strings.Cut(rest, `"`)
+	return link
+}
+
+// roleUsage sums up the processes of one role.
+type roleUsage struct {
+	count      int
+	cpuSeconds float64
+	// memory is that of the largest process.
+	memory float64
+	links  map[string]float64
+}
+
+func readRole(nodes []*fleet.Node) (roleUsage, error) {
+	sum := roleUsage{count: len(nodes), links: map[string]float64{}}
+	for _, node := range nodes {
+		read, err := readUsage(node)
+		if err != nil {
+			return sum, err
+		}
+		sum.cpuSeconds += read.cpuSeconds
+		sum.memory = max(sum.memory, read.memory)
+		for link, bytes := range read.links {
+			sum.links[link] += bytes
+		}
+	}
+	return sum, nil
+}
+
+// reading is a moment's sum of costs.
+type reading struct {
+	at       time.Time
+	control  roleUsage
+	relay    roleUsage
+	node     roleUsage
+	swarm    map[string]int64
+	platform int64
+}
+
+func (s *system) read() (reading, error) {
+	r := reading{at: time.Now(), swarm: s.swarm.Tally.Read(), platform: s.platform.Bytes()}
+	var err error
+	if r.control, err = readRole(s.fleet.Controls); err != nil {
+		return r, err
+	}
+	if r.relay, err = readRole(s.fleet.Relays); err != nil {
+		return r, err
+	}
+	r.node, err = readRole(s.fleet.Proxies)
+	return r, err
+}
--- a/pkg/bench/fleet/fleet.go
+++ b/pkg/bench/fleet/fleet.go
@@ -22,12 +22,13 @@
 // Config describes a fleet.
 type Config struct {
 	// Folder takes settings, data and logs; it is created.
-	Folder    string
-	Cluster   string
-	Zones     []string
-	Replicas  int
-	RelaysPer int
-	Proxies   int
+	Folder   string
+	Cluster  string
+	Zones    []string
+	Replicas int
+	// Relays are spread over the zones.
+	Relays  int
+	Proxies int
 	// Groups are given to the proxies in turn; empty gives every proxy none.
 	Groups []string
 	// ProxyData gives each proxy a data folder.
@@ -86,8 +87,7 @@
 			return err
 		}
 	}
-	relays := f.Config.RelaysPer * len(f.Config.Zones)
-	for i := range relays {
+	for i := range f.Config.Relays {
 		if err := f.addNode(&f.Relays, fmt.Sprintf("relay-%d", i+1), i); err != nil {
 			return err
 		}
@@ -241,6 +241,9 @@
 	}
 }
 
+// PublicKey returns the key that approvals are checked by.
+func (f *Fleet) PublicKey() string { return f.public }
+
 // Operators returns the operators' addresses of the control replicas.
 func (f *Fleet) Operators() []string {
 	var addresses []string
--- a/pkg/bench/fleet/process.go
+++ b/pkg/bench/fleet/process.go
@@ -39,6 +39,8 @@
 	command := exec.Command(p.binary, p.args...)
 	command.Stdout = log
 	command.Stderr = log
+	// A bench that is killed leaves no process behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
--- a/pkg/bench/standin/platform.go
+++ b/pkg/bench/standin/platform.go
@@ -31,6 +31,7 @@
 	bundles  map[string]string
 	down     bool
 	reads    int
+	bytes    int64
 }
 
 type timedList struct {
@@ -87,6 +88,13 @@
 	return p.reads
 }
 
+// Bytes returns how many bytes of lists were served.
+func (p *Platform) Bytes() int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.bytes
+}
+
 // Stop ends the stand-in.
 func (p *Platform) Stop() { _ = p.server.Close() }
 
@@ -105,7 +113,15 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"machines": machines})
+	text, err := json.Marshal(map[string]any{"machines": machines})
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	p.mutex.Lock()
+	p.bytes += int64(len(text))
+	p.mutex.Unlock()
+	_, _ = w.Write(text)
 }
 
 func (p *Platform) serveBundle(w http.ResponseWriter, r *http.Request) {
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -48,7 +48,7 @@
 	s.platform.SetMachines(s.backends.Machines())
 	config := fleet.Config{
 		Folder: filepath.Join(t.TempDir(), "fleet"), Cluster: "test", Zones: chosen.Zones[:2],
-		Replicas: 3, RelaysPer: 1, Proxies: 2, ProxyData: true,
+		Replicas: 3, Relays: 2, Proxies: 2, ProxyData: true,
 		PlatformURL: s.platform.ListURL(), SourceURL: s.platform.SourceURL(),
 	}
 	if change != nil {
