Balancer: a retry does not fall back on ejected back ends

Cause: the panic threshold counted the healthy back ends among the ones not yet tried. With three back ends, one ejected and one tried, one healthy of three was left, under the half, and the retry could go to the ejected one although a healthy one was free.

Ruled out: a lower threshold (it would leave too few in a real outage).

Change: the threshold counts all back ends; ejections are also ignored if every other one was tried. TestFailingBackEndsAreEjectedButNeverMost was seen red with the old code.

--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -231,26 +231,30 @@
 	}, nil
 }
 
-// candidates returns the back ends that may take a call. Ejections are ignored when
-// they would leave too few; leaving back ends never come back.
+// candidates returns the back ends that may take a call and were not tried yet.
+// Ejections are ignored when they would leave too few, or none that was not tried;
+// leaving back ends never come back.
 func (p *Pool) candidates(now time.Duration, tried []string) []*endpoint {
-	var staying, healthy []*endpoint
-	total := 0
+	var untried, healthy []*endpoint
+	total, usable := 0, 0
 	for _, e := range p.endpoints {
 		if e.leaving {
 			continue
 		}
 		total++
+		if e.usable(now) {
+			usable++
+		}
 		if slices.Contains(tried, e.target.ID) {
 			continue
 		}
-		staying = append(staying, e)
+		untried = append(untried, e)
 		if e.usable(now) {
 			healthy = append(healthy, e)
 		}
 	}
-	if float64(len(healthy)) < panicThreshold*float64(total) {
-		return staying
+	if len(healthy) == 0 || float64(usable) < panicThreshold*float64(total) {
+		return untried
 	}
 	return healthy
 }
