Balancer test: random choices that cannot hide the fault

Cause: the test's stub for random numbers counted up, each choice draws twice, so with two candidates it always took the same one and the fault could not show.

Change: a seeded generator. Seen now: red with the old pool.go ("e0 != e2, a retry does not go to the ejected one either"), green with the new one.

Ruled out: weakening the rule to fit; the fault is real.

--- a/pkg/balancer/pool_test.go
+++ b/pkg/balancer/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -20,8 +21,7 @@
 }
 
 func testPool(service routing.Service) *Pool {
-	next := 0
-	p := NewPool(Config{Node: "n", Random: func(n int) int { next++; return next % n }})
+	p := NewPool(Config{Node: "n", Random: rand.New(rand.NewPCG(1, 2)).IntN})
 	p.Update(0, service)
 	return p
 }
