--- /dev/null
+++ b/pkg/bench/check/check_test.go
@@ -0,0 +1,71 @@
+package check
+
+import (
+	"testing"
+	"time"
+
+	"bramblelift/pkg/bench/history"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// goodRecords break nothing.
+func goodRecords() history.Records {
+	return history.Records{
+		Calls: []history.Call{
+			{ID: "a", Status: 200, Whole: true, Start: at(1), End: at(2)},
+			{ID: "b", Once: true, Status: 200, Whole: true, Start: at(1), End: at(2)},
+			{ID: "c", Status: 503, Outcome: "not-run", Start: at(1), End: at(2)},
+			{ID: "d", Once: true, Status: 502, Outcome: "unknown", Start: at(1), End: at(2)},
+			{ID: "e", Status: 200, Error: "unexpected EOF", Start: at(8), End: at(9)},
+		},
+		Executions: []history.Execution{
+			{CallID: "a", Backend: "one", Begun: at(1)}, {CallID: "a", Backend: "two", Begun: at(1.1)},
+			{CallID: "b", Backend: "one", Begun: at(1)}, {CallID: "d", Backend: "one", Begun: at(6)},
+		},
+		Departures: []history.Departure{{Backend: "one", At: at(4)}},
+		Sightings:  []history.Sighting{{Node: "n", Version: 1, At: at(1)}, {Node: "n", Version: 2, At: at(2)}, {Node: "m", Version: 1, At: at(3)}},
+	}
+}
+
+func TestGoodHistoryPasses(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(All(goodRecords(), 3*time.Second)), 0)
+	is.Equal(len(PlannedStop(goodRecords(), at(1), at(5))), 0)
+}
+
+// TestEveryCheckerTrips spoils a good history in one way at a time.
+func TestEveryCheckerTrips(t *testing.T) {
+	for name, test := range map[string]struct {
+		spoil func(*history.Records)
+		want  string
+	}{
+		"another call's answer":   {func(r *history.Records) { r.Calls[0].Foreign = true }, WholeAnswer},
+		"cut answer as if whole":  {func(r *history.Records) { r.Calls[0].Whole = false }, WholeAnswer},
+		"refused but ran":         {func(r *history.Records) { r.Executions[0].CallID = "c" }, NotRunIsTrue},
+		"ran twice":               {func(r *history.Records) { r.Executions = append(r.Executions, r.Executions[2]) }, AtMostOnce},
+		"unknown call ran twice":  {func(r *history.Records) { r.Executions = append(r.Executions, r.Executions[3]) }, AtMostOnce},
+		"work after leaving":      {func(r *history.Records) { r.Executions[3].Begun = at(7.5) }, LeavingIsLeft},
+		"version falls":           {func(r *history.Records) { r.Sightings[1].At = at(0.5) }, VersionsGrow},
+		"version falls to none":   {func(r *history.Records) { r.Sightings[2] = history.Sighting{Node: "n", At: at(9)} }, VersionsGrow},
+		"stop cuts a connection":  {func(r *history.Records) { r.Calls[1].Status = 0 }, StopCutsNothing},
+		"stop cuts off an answer": {func(r *history.Records) { r.Calls[1].Whole = false }, StopCutsNothing},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			records := goodRecords()
+			test.spoil(&records)
+			found := append(All(records, 3*time.Second), PlannedStop(records, at(1), at(5))...)
+			is.True(len(found) > 0)
+			tripped := false
+			for _, violation := range found {
+				tripped = tripped || violation.Invariant == test.want
+			}
+			is.True(tripped) // the checker of that invariant speaks
+		})
+	}
+}
--- /dev/null
+++ b/pkg/catalog/catalog_test.go
@@ -0,0 +1,136 @@
+package catalog
+
+import (
+	"testing"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/distribution"
+
+	"github.com/matryer/is"
+)
+
+func content(secret string) bundle.Content {
+	return bundle.Content{
+		Routes:   []bundle.Route{{Name: "a", PathPrefix: "/a", Service: "a", Secret: "s"}},
+		Services: []bundle.Service{{Name: "a"}},
+		Secrets:  []bundle.Secret{{Name: "s", Value: secret}},
+	}
+}
+
+func create(t *testing.T, id string, head uint64, secret string) Command {
+	t.Helper()
+	tree, err := bundle.NewTree(content(secret))
+	is.New(t).NoErr(err)
+	return Command{OperationID: id, Create: &Create{ExpectedHead: head, Content: content(secret), Digest: tree.Root()}}
+}
+
+func approve(id string, version uint64) Command {
+	return Command{OperationID: id, Approve: &Approve{Version: version, Approval: bundle.Approval{KeyID: "k"}}}
+}
+
+func roll(id string, version uint64) Command {
+	return Command{OperationID: id, Roll: &Roll{Version: version}}
+}
+
+func code(result Result) Code {
+	if result.Error == nil {
+		return ""
+	}
+	return result.Error.Code
+}
+
+func TestResendGetsTheSameAnswer(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	first := c.Apply(create(t, "op-1", 0, "x"))
+	is.Equal(first.Version.Version, uint64(1))
+	c.Apply(create(t, "op-2", 1, "y"))
+	again := create(t, "op-1", 0, "x")
+	again.AtMillis = 99 // a resend comes later
+	is.Equal(c.Apply(again), first)
+	is.Equal(c.HeadVersion(), uint64(2)) // and made nothing new
+	is.Equal(code(c.Apply(create(t, "op-1", 2, "z"))), CodeOperationReused)
+}
+
+func TestRacingOperatorsSeeTheWinner(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	winner := c.Apply(create(t, "one", 0, "x"))
+	loser := c.Apply(create(t, "two", 0, "y"))
+	is.Equal(code(loser), CodeConflict)
+	is.Equal(*loser.Error.Winner, winner.Version)
+	is.Equal(c.HeadVersion(), uint64(1))
+}
+
+func TestVersionsGoOnlyForward(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	for version := range uint64(3) {
+		c.Apply(create(t, "", version, "x"))
+	}
+	is.Equal(code(c.Apply(roll("", 2))), CodeNotApproved)
+	is.Equal(code(c.Apply(roll("", 9))), CodeUnknownVersion)
+	is.Equal(code(c.Apply(approve("", 9))), CodeUnknownVersion)
+	c.Apply(approve("", 1))
+	c.Apply(approve("", 3))
+	is.Equal(code(c.Apply(roll("", 3))), Code(""))
+	is.Equal(code(c.Apply(roll("", 3))), Code("")) // rolling twice changes nothing
+	is.Equal(code(c.Apply(roll("", 1))), CodeSuperseded)
+	is.Equal(code(c.Apply(approve("", 2))), CodeSuperseded)
+	is.Equal(c.State().Position().Active, uint64(3))
+	is.Equal(c.State().Position().Staged, uint64(0))
+}
+
+func TestInvalidBundleChangesNothing(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	bad := create(t, "op", 0, "x")
+	bad.Create.Content.Secrets = nil
+	result := c.Apply(bad)
+	is.Equal(code(result), CodeInvalidBundle)
+	is.Equal(len(result.Error.Problems), 1)
+	is.Equal(c.HeadVersion(), uint64(0))
+	is.Equal(code(c.Apply(Command{})), CodeInvalidRequest)
+}
+
+func TestSnapshotKeepsAnswersAndState(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	first := c.Apply(create(t, "op-1", 0, "x"))
+	c.Apply(approve("op-2", 1))
+	rolled := c.Apply(roll("op-3", 1))
+	c.Apply(Command{Endpoints: &Endpoints{Changes: []distribution.Endpoint{{Service: "a", ID: "a-1", Incarnation: 1, Address: "10.0.0.1:80"}}}})
+	data, err := c.Snapshot()
+	is.NoErr(err)
+	restored, err := Restore(data)
+	is.NoErr(err)
+	is.Equal(restored.Apply(create(t, "op-1", 0, "x")), first)
+	is.Equal(restored.Apply(roll("op-3", 1)), rolled)
+	is.Equal(restored.State().Position(), c.State().Position())
+	is.Equal(restored.State().Endpoints, c.State().Endpoints)
+	_, err = Restore([]byte("{"))
+	is.True(err != nil)
+}
+
+func TestOldestOperationsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	first := create(t, "first", 0, "x")
+	c.Apply(first)
+	for i := range RememberedOperations {
+		c.Apply(Command{OperationID: string(rune('a'+i%26)) + string(rune(i)), Roll: &Roll{Version: 1}})
+	}
+	is.Equal(code(c.Apply(first)), CodeConflict) // told as a conflict, never done twice
+}
+
+func TestCommandsReadBack(t *testing.T) {
+	is := is.New(t)
+	want := create(t, "op", 4, "x")
+	data, err := want.Encode()
+	is.NoErr(err)
+	got, err := DecodeCommand(data)
+	is.NoErr(err)
+	is.Equal(got, want)
+	_, err = DecodeCommand([]byte("nonsense"))
+	is.True(err != nil)
+}
--- /dev/null
+++ b/pkg/distribution/distribution_test.go
@@ -0,0 +1,237 @@
+package distribution
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"bramblelift/pkg/bundle"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// anyApproval accepts every approval; approvals have tests of their own.
+type anyApproval struct{}
+
+func (anyApproval) Verify(bundle.Manifest, bundle.Approval) error { return nil }
+
+type noApproval struct{}
+
+func (noApproval) Verify(bundle.Manifest, bundle.Approval) error { return bundle.ErrApproval }
+
+var testGroups = []string{"shop", "store", "none", bundle.ScopeAll}
+
+// signed makes a bundle whose first route's timeout and whose set of routes vary.
+func signed(version uint64, variant int) *bundle.Signed {
+	content := bundle.Content{
+		Services: []bundle.Service{{Name: "orders"}, {Name: "prices", MaxConcurrency: variant}},
+		Secrets:  []bundle.Secret{{Name: "token", Value: fmt.Sprintf("t%d", variant%3)}},
+		Routes: []bundle.Route{
+			{Name: "orders", PathPrefix: "/orders", Service: "orders", Sources: []string{"shop"}, Secret: "token"},
+			{Name: "prices", PathPrefix: "/prices", Service: "prices", Sources: []string{"shop", "store"}},
+		},
+	}
+	if variant%4 == 0 {
+		content.Routes = content.Routes[:1]
+	}
+	if variant%5 == 0 {
+		content.Routes[0].Sources = nil
+	}
+	content = content.Normalized()
+	tree, err := bundle.NewTree(content)
+	if err != nil {
+		panic(err)
+	}
+	return &bundle.Signed{Manifest: bundle.Manifest{Version: version, Digest: tree.Root()}, Content: content}
+}
+
+func endpoint(service string, number int, incarnation uint64, state EndpointState) Endpoint {
+	return Endpoint{
+		Service: service, ID: fmt.Sprintf("%s-%d", service, number), Incarnation: incarnation,
+		Address: fmt.Sprintf("10.0.0.%d:80", number), State: state,
+	}
+}
+
+// TestHoldersReachTheState: from whatever earlier state a holder starts, however many
+// changes pass it by, one update brings it to just what its group needs.
+func TestHoldersReachTheState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := &State{}
+		version := uint64(0)
+		planner := NewPlanner(state)
+		holders := map[string]*Holder{}
+		for _, group := range testGroups {
+			holders[group] = NewHolder(group, anyApproval{}, nil)
+		}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			state, version = changeState(t, state, version)
+			planner.SetState(state)
+			for _, group := range testGroups {
+				if rapid.IntRange(0, 2).Draw(t, "catches up") == 0 {
+					catchUp(t, planner, holders[group], group)
+				}
+			}
+		}
+		for _, group := range testGroups {
+			catchUp(t, planner, holders[group], group)
+			checkHolder(t, state, holders[group], group)
+		}
+	})
+}
+
+func changeState(t *rapid.T, state *State, version uint64) (*State, uint64) {
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	case 0:
+		version++
+		return state.Stage(signed(version, rapid.IntRange(0, 9).Draw(t, "variant"))), version
+	case 1:
+		if state.Staged != nil {
+			return state.Activate(state.Staged), version
+		}
+		return state, version
+	default:
+		change := endpoint(rapid.SampledFrom([]string{"orders", "prices", "other"}).Draw(t, "service"),
+			rapid.IntRange(1, 4).Draw(t, "number"), uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")),
+			EndpointState(rapid.IntRange(0, 2).Draw(t, "state")))
+		return state.ChangeEndpoints([]Endpoint{change}), version
+	}
+}
+
+func catchUp(t *rapid.T, planner *Planner, holder *Holder, group string) {
+	update, err := planner.Plan(group, holder.State().Position())
+	if err != nil {
+		t.Fatalf("plan for %s: %v", group, err)
+	}
+	if update == nil {
+		return
+	}
+	if err := holder.Apply(update); err != nil {
+		t.Fatalf("%s cannot apply: %v", group, err)
+	}
+}
+
+func checkHolder(t *rapid.T, state *State, holder *Holder, group string) {
+	held := holder.State()
+	if held.Position() != state.Position() {
+		t.Fatalf("%s holds %+v, not %+v", group, held.Position(), state.Position())
+	}
+	if held.Active != nil && held.Active.Content.Consistent() != nil {
+		t.Fatalf("%s holds a dangling route", group)
+	}
+	needed := neededServices(contentOf(held.Active), contentOf(held.Staged))
+	if group == bundle.ScopeAll {
+		needed = nil
+	}
+	if held.Endpoints.digest(nil) != state.Endpoints.digest(needed) {
+		t.Fatalf("%s holds other endpoints than it needs", group)
+	}
+}
+
+// activeHolder returns a planner and a holder of the shop that has version 1.
+func activeHolder(t *testing.T) (*State, *Planner, *Holder) {
+	t.Helper()
+	state := (&State{}).Activate(signed(1, 1)).ChangeEndpoints([]Endpoint{endpoint("orders", 1, 1, Live)})
+	planner := NewPlanner(state)
+	holder := NewHolder("shop", anyApproval{}, nil)
+	update, err := planner.Plan("shop", Position{})
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(holder.Apply(update))
+	return state, planner, holder
+}
+
+func TestBadUpdatesLeaveTheStateWhole(t *testing.T) {
+	for name, test := range map[string]struct {
+		spoil func(*Update)
+		want  error
+	}{
+		"gap":             {func(u *Update) { u.From += 10; u.To += 10 }, ErrGap},
+		"older version":   {func(u *Update) { u.Active = 0 }, ErrOlder},
+		"missing bundle":  {func(u *Update) { u.Bundles = nil }, ErrIncomplete},
+		"unknown base":    {func(u *Update) { u.Bundles[0].Base = 77 }, ErrIncomplete},
+		"changed content": {func(u *Update) { u.Bundles[0].Delta.HandBack = true }, bundle.ErrDigest},
+		"missing secret": {func(u *Update) {
+			u.Bundles[0].Delta.Secrets, u.Bundles[0].Delta.RemovedSecrets = nil, []string{"token"}
+		}, bundle.ErrDigest},
+		"other scope":      {func(u *Update) { u.Bundles[0].Scope = "store" }, ErrScope},
+		"missing endpoint": {func(u *Update) { u.Endpoints = nil }, ErrEndpointDigest},
+		"other endpoint":   {func(u *Update) { u.Endpoints[0].Address = "10.9.9.9:80" }, ErrEndpointDigest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			state, planner, holder := activeHolder(t)
+			before := holder.State()
+			planner.SetState(state.Activate(signed(2, 2)).ChangeEndpoints([]Endpoint{endpoint("orders", 2, 1, Live)}))
+			update, err := planner.Plan("shop", before.Position())
+			is.NoErr(err)
+			test.spoil(update)
+			is.True(errors.Is(holder.Apply(update), test.want))
+			is.Equal(holder.State(), before) // nothing was applied in part
+		})
+	}
+}
+
+func TestUnapprovedBundleIsRefused(t *testing.T) {
+	is := is.New(t)
+	planner := NewPlanner((&State{}).Activate(signed(1, 1)))
+	update, err := planner.Plan("shop", Position{})
+	is.NoErr(err)
+	holder := NewHolder("shop", noApproval{}, nil)
+	is.True(errors.Is(holder.Apply(update), bundle.ErrApproval))
+	is.Equal(holder.State().Position(), Position{})
+}
+
+func TestLateUpdatesChangeNothing(t *testing.T) {
+	is := is.New(t)
+	state, planner, holder := activeHolder(t)
+	first, err := planner.Plan("shop", Position{})
+	is.NoErr(err)
+	planner.SetState(state.Activate(signed(2, 2)))
+	second, err := planner.Plan("shop", holder.State().Position())
+	is.NoErr(err)
+	is.NoErr(holder.Apply(second))
+	is.NoErr(holder.Apply(first)) // crossed on the way
+	is.NoErr(holder.Apply(second))
+	is.Equal(holder.State().Position().Active, uint64(2))
+}
+
+func TestNodesAreNotToldOfWhatTheyDoNotNeed(t *testing.T) {
+	is := is.New(t)
+	state, planner, holder := activeHolder(t)
+	position := holder.State().Position()
+	planner.SetState(state.ChangeEndpoints([]Endpoint{endpoint("other", 1, 1, Live)}))
+	update, err := planner.Plan("shop", position)
+	is.NoErr(err)
+	is.True(!update.Changes(position)) // nothing goes over the wire
+}
+
+func TestEndpointsComeBackOnlyInANewLife(t *testing.T) {
+	is := is.New(t)
+	state := (&State{}).ChangeEndpoints([]Endpoint{endpoint("a", 1, 3, Live)})
+	state = state.ChangeEndpoints([]Endpoint{endpoint("a", 1, 3, Leaving)})
+	for _, late := range []Endpoint{endpoint("a", 1, 3, Live), endpoint("a", 1, 2, Live), endpoint("a", 1, 3, Leaving)} {
+		is.Equal(state.ChangeEndpoints([]Endpoint{late}), state) // a list that lags changes nothing
+	}
+	back := state.ChangeEndpoints([]Endpoint{endpoint("a", 1, 4, Live)})
+	is.Equal(back.Endpoints["a"]["a-1"].State, Live)
+}
+
+func TestForgottenTombstonesForceAReset(t *testing.T) {
+	is := is.New(t)
+	state := &State{}
+	var added, removed []Endpoint
+	for number := range maxTombstones + 2 {
+		added = append(added, endpoint("a", number, 1, Live))
+		removed = append(removed, endpoint("a", number, 1, Removed))
+	}
+	state = state.ChangeEndpoints(added)
+	early := state.Position()
+	for batch := range slices.Chunk(removed, maxTombstones/4) {
+		state = state.ChangeEndpoints(batch)
+	}
+	is.True(state.Horizon > early.Revision)
+	update, err := NewPlanner(state).Plan("shop", early)
+	is.NoErr(err)
+	is.True(update.Reset)
+}
--- /dev/null
+++ b/pkg/forward/handler_test.go
@@ -0,0 +1,307 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/retry"
+	"bramblelift/pkg/routing"
+
+	"github.com/matryer/is"
+)
+
+// node serves one service over the given back ends, with a plain and a once route.
+func node(t *testing.T, addresses ...string) *httptest.Server {
+	t.Helper()
+	started := time.Now()
+	handler := New(Config{Node: "n", Now: func() time.Duration { return time.Since(started) }, Retry: retry.DefaultConfig()})
+	handler.SetTable(table(addresses...))
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server
+}
+
+func table(addresses ...string) *routing.Table {
+	endpoints := distribution.EndpointTable{"s": {}}
+	for i, address := range addresses {
+		id := fmt.Sprintf("e%d", i)
+		endpoints["s"][id] = distribution.Endpoint{Service: "s", ID: id, Incarnation: 1, Address: address}
+	}
+	return routing.New(&distribution.State{
+		Active: &bundle.Signed{Manifest: bundle.Manifest{Version: 1}, Content: bundle.Content{
+			Services: []bundle.Service{{Name: "s"}},
+			Secrets:  []bundle.Secret{{Name: "token", Value: "credential"}},
+			Routes: []bundle.Route{
+				{Name: "plain", PathPrefix: "/", Service: "s", Secret: "token", Timeout: bundle.Duration(3 * time.Second)},
+				{Name: "once", PathPrefix: "/once", Service: "s", Once: true, Timeout: bundle.Duration(3 * time.Second)},
+			},
+		}},
+		Endpoints: endpoints,
+	})
+}
+
+// rawBackend answers each connection by a script, byte by byte if it likes.
+func rawBackend(t *testing.T, serve func(conn net.Conn, request *http.Request, number int64) (keep bool)) (address string, requests *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	requests = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(conn, requests, serve)
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+func serveRaw(conn net.Conn, requests *atomic.Int64, serve func(net.Conn, *http.Request, int64) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if !serve(conn, request, requests.Add(1)) {
+			return
+		}
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func send(t *testing.T, server *httptest.Server, method, path string, header http.Header, body string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	is.New(t).NoErr(err)
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := server.Client().Do(request)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+func outcome(response *http.Response) string { return response.Header.Get(HeaderOutcome) }
+
+// A back end that answers one call on a kept connection and dies in the next: the
+// standard transport repeats such a call by itself if it counts as replayable, and an
+// Idempotency-Key makes a POST count so.
+func TestTransportNeverRepeatsAnUnsafeCall(t *testing.T) {
+	for name, header := range map[string]http.Header{
+		"plain": {}, "idempotency key": {"Idempotency-Key": {"k"}}, "x idempotency key": {"X-Idempotency-Key": {"k"}},
+	} {
+		for _, path := range []string{"/once/order", "/order"} {
+			for _, body := range []string{"", "two wardrobes"} {
+				t.Run(fmt.Sprintf("%s %s %q", name, path, body), func(t *testing.T) {
+					is := is.New(t)
+					address, requests := rawBackend(t, func(conn net.Conn, _ *http.Request, number int64) bool {
+						if number > 1 {
+							return false
+						}
+						_, _ = io.WriteString(conn, okAnswer)
+						return true
+					})
+					server := node(t, address)
+					is.Equal(send(t, server, http.MethodPost, path, header, body).StatusCode, http.StatusOK)
+					second := send(t, server, http.MethodPost, path, header, body)
+					is.Equal(outcome(second), string(Unknown)) // it may have run: say so
+					is.Equal(requests.Load(), int64(2))        // and nobody sent it again
+				})
+			}
+		}
+	}
+}
+
+// A GET of a once route must not be repeated either, whatever its method says.
+func TestOnceRouteIsNeverRepeated(t *testing.T) {
+	is := is.New(t)
+	die := func(net.Conn, *http.Request, int64) bool { return false }
+	first, firstRequests := rawBackend(t, die)
+	second, secondRequests := rawBackend(t, die)
+	response := send(t, node(t, first, second), http.MethodGet, "/once/x", nil, "")
+	is.Equal(outcome(response), string(Unknown))
+	is.Equal(firstRequests.Load()+secondRequests.Load(), int64(1))
+}
+
+func TestSafeCallIsRepeatedElsewhere(t *testing.T) {
+	is := is.New(t)
+	dying, _ := rawBackend(t, func(net.Conn, *http.Request, int64) bool { return false })
+	good, _ := rawBackend(t, func(conn net.Conn, request *http.Request, _ int64) bool {
+		_, _ = io.WriteString(conn, okAnswer)
+		return true
+	})
+	server := node(t, dying, good)
+	for range 10 {
+		is.Equal(send(t, server, http.MethodGet, "/x", nil, "").StatusCode, http.StatusOK)
+	}
+}
+
+func TestRetryIsMarkedAndNotMultiplied(t *testing.T) {
+	is := is.New(t)
+	marks := make(chan string, 10)
+	decline := func(conn net.Conn, request *http.Request, _ int64) bool {
+		marks <- request.Header.Get(HeaderRetry)
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nRequest-Outcome: not-run\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	first, _ := rawBackend(t, decline)
+	second, _ := rawBackend(t, decline)
+	server := node(t, first, second)
+	response := send(t, server, http.MethodPost, "/once/x", nil, "body")
+	is.Equal(outcome(response), string(NotRun)) // declined everywhere: it has not run
+	is.Equal(response.Header.Get("Retry-After"), "2")
+	is.Equal(<-marks, "")
+	is.Equal(<-marks, "1") // the second try says that it is one
+	response = send(t, server, http.MethodPost, "/x", http.Header{HeaderRetry: {"1"}}, "body")
+	is.Equal(outcome(response), string(NotRun))
+	is.Equal(response.Header.Get("Retry-After"), "7") // the back end's own wish is passed on
+	is.Equal(len(marks), 1)                           // a call that an earlier hop repeats is not repeated here
+}
+
+func TestCutAnswerReachesTheCallerAsAnError(t *testing.T) {
+	for name, answer := range map[string]string{
+		"with length": "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly a part",
+		"chunked":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := rawBackend(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+				_, _ = io.WriteString(conn, answer)
+				return false
+			})
+			request, err := http.NewRequest(http.MethodGet, node(t, address).URL+"/x", nil)
+			is.NoErr(err)
+			response, err := http.DefaultClient.Do(request)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				response.Body.Close()
+			}
+			is.True(err != nil) // never a clean end
+		})
+	}
+}
+
+// A call that its caller gave up on answers late; the next caller must get its own
+// answer.
+func TestLateAnswerNeverMeetsTheNextCall(t *testing.T) {
+	is := is.New(t)
+	address, _ := rawBackend(t, func(conn net.Conn, request *http.Request, _ int64) bool {
+		if request.URL.Path == "/slow" {
+			time.Sleep(150 * time.Millisecond)
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+		return true
+	})
+	server := node(t, address)
+	for round := range 5 {
+		ctx, cancel := context.WithTimeout(context.Background(), 40*time.Millisecond)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/slow", nil)
+		is.NoErr(err)
+		_, err = server.Client().Do(request)
+		is.True(err != nil)
+		cancel()
+		path := fmt.Sprintf("/own/%d", round)
+		body, err := io.ReadAll(send(t, server, http.MethodGet, path, nil, "").Body)
+		is.NoErr(err)
+		is.Equal(string(body), path)
+	}
+}
+
+func TestDeadlinesShrinkAndEnd(t *testing.T) {
+	is := is.New(t)
+	timeouts := make(chan string, 1)
+	address, _ := rawBackend(t, func(conn net.Conn, request *http.Request, _ int64) bool {
+		timeouts <- request.Header.Get(HeaderTimeout)
+		time.Sleep(time.Second)
+		return false
+	})
+	server := node(t, address)
+	started := time.Now()
+	response := send(t, server, http.MethodPost, "/x", http.Header{HeaderTimeout: {"80"}}, "x")
+	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+	is.Equal(outcome(response), string(Unknown))
+	is.True(time.Since(started) < 700*time.Millisecond)
+	var passed int
+	_, err := fmt.Sscan(<-timeouts, &passed)
+	is.NoErr(err)
+	is.True(passed > 0 && passed <= 80)
+	response = send(t, server, http.MethodPost, "/x", http.Header{HeaderTimeout: {"0"}}, "x")
+	is.Equal(outcome(response), string(NotRun)) // too late to begin
+}
+
+func TestRefusalsComeAtOnceAndSayWhen(t *testing.T) {
+	nobody, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	closed := nobody.Addr().String()
+	nobody.Close()
+	for name, server := range map[string]*httptest.Server{
+		"no back end": node(t), "connection refused": node(t, closed),
+		"no configuration": httptest.NewServer(New(Config{Now: func() time.Duration { return 0 }, Retry: retry.DefaultConfig()})),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			started := time.Now()
+			response := send(t, server, http.MethodPost, "/once/x", nil, "body")
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(outcome(response), string(NotRun))
+			is.True(response.Header.Get("Retry-After") != "")
+			is.True(time.Since(started) < time.Second)
+		})
+	}
+}
+
+func TestCallerHeadersAndCredential(t *testing.T) {
+	is := is.New(t)
+	seen := make(chan http.Header, 1)
+	address, _ := rawBackend(t, func(conn net.Conn, request *http.Request, _ int64) bool {
+		seen <- request.Header
+		_, _ = io.WriteString(conn, okAnswer)
+		return true
+	})
+	send(t, node(t, address), http.MethodGet, "/x", http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-Kept": {"2"}, "Authorization": {"stolen"}}, "")
+	header := <-seen
+	is.Equal(header.Get("X-Hop"), "") // belongs to the caller's connection
+	is.Equal(header.Get("X-Kept"), "2")
+	is.Equal(header.Get("Authorization"), "Bearer credential") // the bundle's, not the caller's
+}
+
+func TestMayRetry(t *testing.T) {
+	base := Situation{Outcome: NotRun, BodyWhole: true, Attempts: 1}
+	for name, test := range map[string]struct {
+		change func(*Situation)
+		want   bool
+	}{
+		"not run":           {func(*Situation) {}, true},
+		"unknown":           {func(s *Situation) { s.Outcome = Unknown }, false},
+		"unknown but safe":  {func(s *Situation) { s.Outcome = Unknown; s.Safe = true }, true},
+		"body gone":         {func(s *Situation) { s.BodyWhole = false }, false},
+		"earlier hop":       {func(s *Situation) { s.RetriedBefore = true }, false},
+		"out of time":       {func(s *Situation) { s.OutOfTime = true }, false},
+		"too many attempts": {func(s *Situation) { s.Attempts = maxAttempts }, false},
+	} {
+		situation := base
+		test.change(&situation)
+		if got := MayRetry(situation); got != test.want {
+			t.Errorf("%s: %t, expected %t", name, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/platform/platform_test.go
@@ -0,0 +1,87 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"bramblelift/pkg/distribution"
+
+	"github.com/matryer/is"
+)
+
+func machine(id string, incarnation uint64, leaving bool) Machine {
+	return Machine{Service: "s", ID: id, Incarnation: incarnation, Address: "10.0.0.1:80", Leaving: leaving}
+}
+
+func held(endpoints ...distribution.Endpoint) distribution.EndpointTable {
+	table := distribution.EndpointTable{"s": {}}
+	for _, endpoint := range endpoints {
+		table["s"][endpoint.ID] = endpoint
+	}
+	return table
+}
+
+func live(id string) distribution.Endpoint {
+	return distribution.Endpoint{Service: "s", ID: id, Incarnation: 1, Address: "10.0.0.1:80"}
+}
+
+func TestChangesAreOnlyNews(t *testing.T) {
+	is := is.New(t)
+	table := held(live("a"), live("b"))
+	list := List{Machines: []Machine{machine("a", 1, false), machine("b", 1, true), machine("c", 1, false), {Service: "s", ID: "bad", Address: "host:1"}}}
+	changes := (&Tracker{}).Changes(table, list)
+	is.Equal(len(changes), 2)
+	is.Equal(changes[0].State, distribution.Leaving)
+	is.Equal(changes[1].ID, "c")
+}
+
+func TestLaggingListBringsNobodyBack(t *testing.T) {
+	is := is.New(t)
+	gone := live("a")
+	gone.State = distribution.Leaving
+	is.Equal(len((&Tracker{}).Changes(held(gone), List{Machines: []Machine{machine("a", 1, false)}})), 0)
+	is.Equal(len((&Tracker{}).Changes(held(gone), List{Machines: []Machine{machine("a", 2, false)}})), 1)
+}
+
+func TestMissingMachineIsRemovedOnlyAfterSeveralLists(t *testing.T) {
+	is := is.New(t)
+	tracker := &Tracker{}
+	table := held(live("a"), live("b"))
+	short := List{Machines: []Machine{machine("a", 1, false)}}
+	for range missesToRemove - 1 {
+		is.Equal(len(tracker.Changes(table, short)), 0)
+	}
+	full := List{Machines: []Machine{machine("a", 1, false), machine("b", 1, false)}}
+	is.Equal(len(tracker.Changes(table, full)), 0) // it is back: count anew
+	for range missesToRemove - 1 {
+		is.Equal(len(tracker.Changes(table, short)), 0)
+	}
+	changes := tracker.Changes(table, short)
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].State, distribution.Removed)
+}
+
+func TestEmptyListEmptiesNoPool(t *testing.T) {
+	is := is.New(t)
+	tracker := &Tracker{}
+	for range 3 * missesToRemove {
+		is.Equal(len(tracker.Changes(held(live("a"), live("b")), List{})), 0)
+	}
+}
+
+func TestFetchRefusesWhatIsNoList(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"outage":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"nonsense": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) },
+		"cut":      func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"machines":[{"id":"a"`)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(answer)
+			defer server.Close()
+			_, err := Fetch(context.Background(), server.Client(), server.URL)
+			is.New(t).True(err != nil)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/raft/raft_test.go
@@ -0,0 +1,161 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestCommittedEntriesReachEveryReplica(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	n.elect()
+	n.propose("a")
+	n.propose("b")
+	n.run(time.Second)
+	for id := range n.nodes {
+		is.Equal(n.applied[id], []string{"a", "b"})
+	}
+	follower := n.nodes[n.leader().ID()%3+1]
+	_, _, err := follower.Propose([]byte("x"))
+	is.True(errors.Is(err, ErrNotLeader))
+}
+
+func TestPreVoteKeepsAReturningReplicaFromDisturbing(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	leader := n.elect()
+	term := leader.Term()
+	away := leader.ID()%3 + 1
+	n.cut[away] = true
+	n.run(20 * testElection)
+	is.Equal(n.nodes[away].Term(), term) // it asked, but opened no term
+	delete(n.cut, away)
+	n.run(3 * testElection)
+	is.Equal(n.leader().ID(), leader.ID())
+	is.Equal(n.leader().Term(), term)
+}
+
+func TestCutLeaderLosesItsLeaseBeforeAnotherLeads(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	old := n.elect()
+	is.True(old.LeaseValid(n.now))
+	n.cut[old.ID()] = true
+	for range 400 {
+		n.run(testStep)
+		other := n.leader()
+		if other != nil && other.ID() != old.ID() {
+			is.True(!old.LeaseValid(n.now)) // no two at the same moment
+		}
+	}
+	is.True(n.leader() != nil && n.leader().ID() != old.ID())
+	is.True(old.Role() != Leader) // check-quorum made it step down
+}
+
+func TestLogOfACutLeaderIsRepaired(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	old := n.elect()
+	n.propose("kept")
+	n.run(time.Second)
+	n.cut[old.ID()] = true
+	_, _, err := old.Propose([]byte("lost"))
+	is.NoErr(err)
+	n.run(5 * testElection)
+	n.propose("later")
+	n.run(time.Second)
+	delete(n.cut, old.ID())
+	n.run(3 * testElection)
+	for id := range n.nodes {
+		is.Equal(n.applied[id], []string{"kept", "later"})
+	}
+}
+
+func TestLearnerCatchesUpBySnapshotAndDoesNotVote(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	leader := n.elect()
+	for i := range 20 {
+		n.propose(fmt.Sprint(i))
+	}
+	n.run(time.Second)
+	snapshot, err := leader.SnapshotAt(leader.Commit(), []byte("state"))
+	is.NoErr(err)
+	is.NoErr(leader.Compact(snapshot))
+	n.start(4, State{})
+	is.NoErr(leader.ProposeMembership(leader.Membership().WithLearner(Member{ID: 4})))
+	n.run(2 * time.Second)
+	is.Equal(leader.Match(4), leader.LastIndex())
+	is.True(!leader.Membership().IsVoter(4))
+	is.Equal(leader.Membership().Quorum(), 2) // a learner counts for nothing
+	is.NoErr(leader.ProposeMembership(leader.Membership().WithPromoted(4)))
+	n.run(time.Second)
+	is.Equal(leader.Membership().Quorum(), 3)
+	is.Equal(leader.DurableCopies(n.now), 4)
+}
+
+func TestMembershipChangesOneVoterAtATime(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	leader := n.elect()
+	two := leader.Membership().Without(1).Without(2)
+	is.True(errors.Is(leader.ProposeMembership(two), ErrMembershipStep))
+	is.NoErr(leader.ProposeMembership(leader.Membership().WithLearner(Member{ID: 9})))
+	is.True(errors.Is(leader.ProposeMembership(leader.Membership()), ErrMembershipPending))
+}
+
+func TestDurableCopiesCountOnlyReplicasThatAnswer(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	leader := n.elect()
+	n.propose("a")
+	n.run(time.Second)
+	is.Equal(leader.DurableCopies(n.now), 3)
+	n.cut[leader.ID()%3+1] = true
+	n.run(2 * testElection)
+	is.Equal(leader.DurableCopies(n.now), 2) // what a lost disk once held counts no more
+}
+
+func TestAVoteOutlivesARestart(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	n.run(2 * testElection)
+	voter := n.start(1, State{HardState: HardState{Term: 9, Vote: 2}, Snapshot: n.nodes[1].log.snapshot})
+	n.now += 10 * testElection
+	voter.Step(n.now, Message{Kind: MessageVote, From: 3, To: 1, Term: 9, Index: 100, LogTerm: 9})
+	answer := voter.Effects(n.now).Messages
+	is.Equal(len(answer), 1)
+	is.True(answer[0].Reject) // one vote a term, also over a restart
+}
+
+func TestARestartedReplicaVotesForNobodyAtFirst(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	fresh := n.start(1, State{Snapshot: n.nodes[1].log.snapshot})
+	fresh.Step(n.now+testElection/2, Message{Kind: MessageVote, From: 3, To: 1, Term: 5, Index: 100, LogTerm: 5})
+	for _, m := range fresh.Effects(n.now + testElection/2).Messages {
+		is.True(m.Reject) // a leader may still hold a lease on its earlier word
+	}
+	is.Equal(fresh.Term(), uint64(0))
+}
+
+func TestCompactKeepsTheTailAndRefusesTheFuture(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 1)
+	leader := n.elect()
+	for i := range 10 {
+		n.propose(fmt.Sprint(i))
+	}
+	n.run(time.Second)
+	is.True(leader.Compact(Snapshot{Index: leader.Commit() + 1}) != nil)
+	snapshot, err := leader.SnapshotAt(leader.Commit(), nil)
+	is.NoErr(err)
+	is.NoErr(leader.Compact(snapshot))
+	_, _, kept := leader.Retained()
+	is.Equal(len(kept), 0) // a new durable log needs only what follows the snapshot
+	is.True(leader.Compact(snapshot) != nil)
+}
--- /dev/null
+++ b/pkg/retry/budget_test.go
@@ -0,0 +1,38 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRetriesAreAShareOfTraffic(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(Config{Ratio: 0.1, Max: 20})
+	for b.Withdraw(0) {
+	}
+	granted := 0
+	const calls = 1000
+	for range calls {
+		b.Attempt(0)
+		if b.Withdraw(0) {
+			granted++
+		}
+	}
+	is.True(granted >= 95 && granted <= 101) // a tenth, though every call wants one
+}
+
+func TestBudgetSavesOnlySoMuch(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(DefaultConfig())
+	for range 10000 {
+		b.Attempt(time.Second)
+	}
+	granted := 0
+	for b.Withdraw(time.Second) {
+		granted++
+	}
+	is.Equal(granted, int(DefaultConfig().Max))
+	is.True(b.Withdraw(3 * time.Second)) // the allowance for little traffic
+}
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"encoding/base64"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func goodCommon() Common {
+	key := base64.StdEncoding.EncodeToString(make([]byte, 32))
+	return Common{Cluster: "c", Name: "one", Zone: "z", AdminListen: "127.0.0.1:9001", ApprovalKeys: []string{key}}
+}
+
+func goodControl() Control {
+	return Control{
+		Common: goodCommon(), Data: "/tmp/x", Listen: "127.0.0.1:9000",
+		Replicas: []Peer{{Name: "one", Address: "127.0.0.1:9000"}},
+	}
+}
+
+func TestControlSettingsNameEveryFault(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*Control)
+		want   string
+	}{
+		"good":            {func(*Control) {}, ""},
+		"no cluster":      {func(c *Control) { c.Cluster = "" }, `key "cluster"`},
+		"host name":       {func(c *Control) { c.Listen = "localhost:80" }, `key "listen"`},
+		"same address":    {func(c *Control) { c.AdminListen = c.Listen }, "is also the address of"},
+		"no data":         {func(c *Control) { c.Data = "" }, `key "data"`},
+		"even replicas":   {func(c *Control) { c.Replicas = append(c.Replicas, Peer{Name: "two", Address: "127.0.0.1:1"}) }, "must be odd"},
+		"not a replica":   {func(c *Control) { c.Replicas[0].Name = "two" }, "itself is not among them"},
+		"no replica":      {func(c *Control) { c.Replicas = nil }, `key "replica": none is named`},
+		"bad key":         {func(c *Control) { c.ApprovalKeys = []string{"x"} }, `key "approval_keys"`},
+		"no key":          {func(c *Control) { c.ApprovalKeys = nil }, `key "approval_keys"`},
+		"fast election":   {func(c *Control) { c.ElectionTimeout = 1 }, `key "election_timeout"`},
+		"negative period": {func(c *Control) { c.PlatformInterval = -1 }, `key "platform_interval"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			config := goodControl()
+			test.change(&config)
+			err := config.Check()
+			if test.want == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil && strings.Contains(err.Error(), test.want))
+		})
+	}
+}
+
+func TestRelayAndProxySettings(t *testing.T) {
+	is := is.New(t)
+	relay := Relay{Common: goodCommon(), Listen: "127.0.0.1:9000", Controls: []Peer{{Name: "c", Address: "127.0.0.1:9"}}}
+	is.NoErr(relay.Check())
+	is.True(relay.PingInterval > 0) // defaults are filled in
+	relay.SilenceTimeout = relay.PingInterval
+	is.True(strings.Contains(relay.Check().Error(), `key "silence_timeout"`))
+	proxy := Proxy{Common: goodCommon(), Listen: "127.0.0.1:9000", Relays: []Peer{{Name: "r", Address: "127.0.0.1:9"}}}
+	is.NoErr(proxy.Check())
+	proxy.Group = "*"
+	is.True(strings.Contains(proxy.Check().Error(), `key "group"`))
+}
+
+func TestSettingsFileErrorsNameFileAndLine(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "control.toml")
+	is.NoErr(os.WriteFile(path, []byte("cluster = \"c\"\ncolor = \"red\"\n"), 0o600))
+	err := Load(path, &Control{})
+	is.True(err != nil && strings.Contains(err.Error(), path+`:2: unknown key "color"`))
+	is.NoErr(os.WriteFile(path, []byte("heartbeat_interval = \"often\"\n"), 0o600))
+	err = Load(path, &Control{})
+	is.True(err != nil && strings.Contains(err.Error(), path+":1"))
+	is.True(Load(path+".missing", &Control{}) != nil)
+	is.NoErr(Load("", &Control{}))
+}
