--- a/pkg/bundle/delta.go
+++ b/pkg/bundle/delta.go
@@ -6,13 +6,13 @@
 
 // Delta turns one content into another.
 type Delta struct {
-	HandBack        bool
-	Routes          []Route
-	RemovedRoutes   []string
-	Services        []Service
-	RemovedServices []string
-	Secrets         []Secret
-	RemovedSecrets  []string
+	HandBack        bool      `json:"hand_back,omitempty"`
+	Routes          []Route   `json:"routes,omitempty"`
+	RemovedRoutes   []string  `json:"removed_routes,omitempty"`
+	Services        []Service `json:"services,omitempty"`
+	RemovedServices []string  `json:"removed_services,omitempty"`
+	Secrets         []Secret  `json:"secrets,omitempty"`
+	RemovedSecrets  []string  `json:"removed_secrets,omitempty"`
 }
 
 // Diff returns the delta from old to next; both must be normalized.
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -53,48 +53,22 @@
 	Result  Result `json:"result"`
 }
 
-// contents is everything a snapshot holds.
-type contents struct {
-	Head         uint64               `json:"head"`
-	Versions     map[uint64]*Version  `json:"versions"`
-	Operations   map[string]operation `json:"operations"`
-	Order        []string             `json:"order"`
-	Distribution *distribution.State  `json:"distribution"`
-}
-
 // Catalog is the state machine. It is not safe for concurrent use.
 type Catalog struct {
-	contents
+	Head         uint64
+	Versions     map[uint64]*Version
+	Operations   map[string]operation
+	Order        []string
+	Distribution *distribution.State
 }
 
 // New returns an empty catalog.
 func New() *Catalog {
-	return &Catalog{contents: contents{
+	return &Catalog{
 		Versions:     map[uint64]*Version{},
 		Operations:   map[string]operation{},
 		Distribution: &distribution.State{},
-	}}
-}
-
-// Restore returns the catalog of a snapshot; empty data gives an empty catalog.
-func Restore(data []byte) (*Catalog, error) {
-	c := New()
-	if len(data) == 0 {
-		return c, nil
-	}
-	if err := json.Unmarshal(data, &c.contents); err != nil {
-		return nil, fmt.Errorf("restore catalog: %w", err)
 	}
-	return c, nil
-}
-
-// Snapshot returns the whole catalog as data for Restore.
-func (c *Catalog) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(c.contents)
-	if err != nil {
-		return nil, fmt.Errorf("snapshot catalog: %w", err)
-	}
-	return data, nil
 }
 
 // State returns the distributed state.
@@ -154,11 +128,11 @@
 		}
 		return result
 	}
-	if err := request.Content.Validate(); err != nil {
-		return c.refuseInvalid(err)
+	content, refusal := c.contentOf(request)
+	if refusal != nil {
+		return *refusal
 	}
 	manifest := bundle.Manifest{Version: c.Head + 1, Parent: c.Head, Digest: request.Digest}
-	content := request.Content
 	c.Versions[manifest.Version] = &Version{
 		Manifest: manifest, Status: StatusCreated, Content: &content, CreatedMillis: atMillis,
 	}
@@ -167,6 +141,45 @@
 	return c.answer(c.Versions[manifest.Version])
 }
 
+// NewCreate returns the request for a version on top of a head: as a delta, if the head's
+// content is known here. Two bundles in a row are nearly equal, and the log goes to
+// every replica and disk.
+func (c *Catalog) NewCreate(expectedHead uint64, content bundle.Content, digest bundle.Digest) *Create {
+	request := &Create{ExpectedHead: expectedHead, Digest: digest}
+	base := bundle.Content{}
+	if parent, found := c.Versions[expectedHead]; found && parent.Content != nil {
+		request.Base = expectedHead
+		base = *parent.Content
+	}
+	request.Delta = bundle.Diff(base, content)
+	return request
+}
+
+// contentOf rebuilds the content of a request whose expected head is the head, and
+// checks it whole.
+func (c *Catalog) contentOf(request Create) (bundle.Content, *Result) {
+	base := bundle.Content{}
+	if request.Base != 0 {
+		parent, found := c.Versions[request.Base]
+		if !found || parent.Content == nil {
+			refusal := c.refuse(CodeUnknownVersion, "the content of version %d, on which the new one builds, is not kept", request.Base)
+			return base, &refusal
+		}
+		base = *parent.Content
+	}
+	content := base.Apply(request.Delta)
+	if err := content.Validate(); err != nil {
+		refusal := c.refuseInvalid(err)
+		return base, &refusal
+	}
+	tree, err := bundle.NewTree(content)
+	if err != nil || tree.Root() != request.Digest {
+		refusal := c.refuse(CodeInvalidBundle, "the content does not match its digest %s", request.Digest.Short())
+		return base, &refusal
+	}
+	return content, nil
+}
+
 func (c *Catalog) approve(request Approve, atMillis int64) Result {
 	version, refusal := c.usable(request.Version)
 	if refusal != nil {
@@ -275,9 +288,13 @@
 	return &bundle.Signed{Manifest: v.Manifest, Approval: v.Approval, Content: *v.Content}
 }
 
-// requestDigest identifies what a command asks for, without when.
+// requestDigest identifies what a command asks for, without when. A bundle's digest
+// stands for its content: a resend may be a delta to another base.
 func requestDigest(command Command) string {
 	command.AtMillis = 0
+	if command.Create != nil {
+		command.Create = &Create{ExpectedHead: command.Create.ExpectedHead, Digest: command.Create.Digest}
+	}
 	data, err := json.Marshal(command)
 	if err != nil {
 		return err.Error()
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"testing"
 
 	"bramblelift/pkg/bundle"
@@ -21,7 +22,7 @@
 	t.Helper()
 	tree, err := bundle.NewTree(content(secret))
 	is.New(t).NoErr(err)
-	return Command{OperationID: id, Create: &Create{ExpectedHead: head, Content: content(secret), Digest: tree.Root()}}
+	return Command{OperationID: id, Create: New().NewCreate(head, content(secret), tree.Root())}
 }
 
 func approve(id string, version uint64) Command {
@@ -85,7 +86,7 @@
 	is := is.New(t)
 	c := New()
 	bad := create(t, "op", 0, "x")
-	bad.Create.Content.Secrets = nil
+	bad.Create.Delta.Secrets = nil
 	result := c.Apply(bad)
 	is.Equal(code(result), CodeInvalidBundle)
 	is.Equal(len(result.Error.Problems), 1)
@@ -106,12 +107,68 @@
 	is.NoErr(err)
 	is.Equal(restored.Apply(create(t, "op-1", 0, "x")), first)
 	is.Equal(restored.Apply(roll("op-3", 1)), rolled)
-	is.Equal(restored.State().Position(), c.State().Position())
-	is.Equal(restored.State().Endpoints, c.State().Endpoints)
+	is.Equal(restored, c)
 	_, err = Restore([]byte("{"))
 	is.True(err != nil)
 }
 
+// meshContent is a bundle of many routes; variant changes one of them.
+func meshContent(routes, variant int) bundle.Content {
+	var made bundle.Content
+	for i := range routes {
+		name := fmt.Sprintf("route-%04d", i)
+		made.Services = append(made.Services, bundle.Service{Name: name})
+		made.Routes = append(made.Routes, bundle.Route{Name: name, PathPrefix: "/" + name, Service: name})
+	}
+	made.Routes[variant%routes].Timeout = bundle.Duration(variant + 1)
+	return made.Normalized()
+}
+
+// The log and the snapshot go to every replica and disk; at 410 services a whole bundle
+// is 220 KB, and the snapshot held each kept version whole.
+func TestNearlyEqualBundlesCostNearlyNothing(t *testing.T) {
+	is := is.New(t)
+	const routes, versions = 400, 30
+	c := New()
+	var first, later int
+	for variant := range versions {
+		content := meshContent(routes, variant)
+		tree, err := bundle.NewTree(content)
+		is.NoErr(err)
+		request := c.NewCreate(uint64(variant), content, tree.Root())
+		data, err := Command{Create: request}.Encode()
+		is.NoErr(err)
+		if variant == 0 {
+			first = len(data)
+		}
+		later = len(data)
+		result := c.Apply(Command{Create: request})
+		is.Equal(code(result), Code(""))
+		is.Equal(*c.Versions[result.Version.Version].Content, content)
+		c.Apply(approve("", result.Version.Version))
+		c.Apply(roll("", result.Version.Version))
+	}
+	is.True(later < first/50)
+	data, err := c.Snapshot()
+	is.NoErr(err)
+	is.True(len(data) < 2*first) // one whole content and the deltas
+	restored, err := Restore(data)
+	is.NoErr(err)
+	is.Equal(restored, c)
+}
+
+func TestDeltaMustMatchItsDigest(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	wrong := create(t, "op", 0, "x")
+	wrong.Create.Digest[0] ^= 1
+	is.Equal(code(c.Apply(wrong)), CodeInvalidBundle)
+	orphan := create(t, "op-2", 0, "x")
+	orphan.Create.Base = 9
+	is.Equal(code(c.Apply(orphan)), CodeUnknownVersion)
+	is.Equal(c.HeadVersion(), uint64(0))
+}
+
 func TestOldestOperationsAreForgotten(t *testing.T) {
 	is := is.New(t)
 	c := New()
--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -27,9 +27,11 @@
 
 // Create makes a version, if the head still is what the operator saw.
 type Create struct {
-	ExpectedHead uint64         `json:"expected_head"`
-	Content      bundle.Content `json:"content"`
-	Digest       bundle.Digest  `json:"digest"`
+	ExpectedHead uint64 `json:"expected_head"`
+	// Base is the version that Delta starts from, zero for the empty bundle.
+	Base   uint64        `json:"base,omitempty"`
+	Delta  bundle.Delta  `json:"delta"`
+	Digest bundle.Digest `json:"digest"`
 }
 
 // Approve signs a version off.
--- /dev/null
+++ b/pkg/catalog/snapshot.go
@@ -0,0 +1,189 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/distribution"
+)
+
+// savedCatalog is the form of a catalog in a snapshot. Consecutive bundles are nearly
+// equal, so each content is saved once and as a delta to the one before it; everything
+// else refers to contents by version.
+type savedCatalog struct {
+	Head       uint64               `json:"head"`
+	Contents   []savedContent       `json:"contents"`
+	Versions   []savedVersion       `json:"versions"`
+	Operations map[string]operation `json:"operations"`
+	Order      []string             `json:"order"`
+	State      savedState           `json:"state"`
+}
+
+type savedContent struct {
+	Version uint64       `json:"version"`
+	Delta   bundle.Delta `json:"delta"`
+}
+
+type savedVersion struct {
+	Version
+	HasContent bool `json:"has_content,omitempty"`
+}
+
+// savedBundle is a bundle whose content stands elsewhere.
+type savedBundle struct {
+	Manifest bundle.Manifest `json:"manifest"`
+	Approval bundle.Approval `json:"approval"`
+}
+
+type savedState struct {
+	Revision  uint64                     `json:"revision"`
+	Active    *savedBundle               `json:"active,omitempty"`
+	Staged    *savedBundle               `json:"staged,omitempty"`
+	Recent    []savedBundle              `json:"recent,omitempty"`
+	Endpoints distribution.EndpointTable `json:"endpoints,omitempty"`
+	Horizon   uint64                     `json:"horizon,omitempty"`
+}
+
+// Snapshot returns the whole catalog as data for Restore.
+func (c *Catalog) Snapshot() ([]byte, error) {
+	saved := savedCatalog{Head: c.Head, Operations: c.Operations, Order: c.Order, State: saveState(c.Distribution)}
+	for _, number := range slices.Sorted(maps.Keys(c.Versions)) {
+		version := savedVersion{Version: *c.Versions[number]}
+		version.HasContent = version.Content != nil
+		version.Content = nil
+		saved.Versions = append(saved.Versions, version)
+	}
+	saved.Contents = saveContents(c.allContents())
+	data, err := json.Marshal(saved)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot catalog: %w", err)
+	}
+	return data, nil
+}
+
+// allContents returns every content held anywhere, by version.
+func (c *Catalog) allContents() map[uint64]*bundle.Content {
+	all := map[uint64]*bundle.Content{}
+	for number, version := range c.Versions {
+		if version.Content != nil {
+			all[number] = version.Content
+		}
+	}
+	for _, signed := range bundlesOf(c.Distribution) {
+		all[signed.Manifest.Version] = &signed.Content
+	}
+	return all
+}
+
+func bundlesOf(state *distribution.State) []*bundle.Signed {
+	var all []*bundle.Signed
+	for _, signed := range append([]*bundle.Signed{state.Active, state.Staged}, state.Recent...) {
+		if signed != nil {
+			all = append(all, signed)
+		}
+	}
+	return all
+}
+
+func saveContents(all map[uint64]*bundle.Content) []savedContent {
+	var saved []savedContent
+	before := &bundle.Content{}
+	for _, number := range slices.Sorted(maps.Keys(all)) {
+		saved = append(saved, savedContent{Version: number, Delta: bundle.Diff(*before, *all[number])})
+		before = all[number]
+	}
+	return saved
+}
+
+func saveState(state *distribution.State) savedState {
+	saved := savedState{
+		Revision: state.Revision, Active: saveBundle(state.Active), Staged: saveBundle(state.Staged),
+		Endpoints: state.Endpoints, Horizon: state.Horizon,
+	}
+	for _, signed := range state.Recent {
+		saved.Recent = append(saved.Recent, *saveBundle(signed))
+	}
+	return saved
+}
+
+func saveBundle(signed *bundle.Signed) *savedBundle {
+	if signed == nil {
+		return nil
+	}
+	return &savedBundle{Manifest: signed.Manifest, Approval: signed.Approval}
+}
+
+// Restore returns the catalog of a snapshot; empty data gives an empty catalog.
+func Restore(data []byte) (*Catalog, error) {
+	c := New()
+	if len(data) == 0 {
+		return c, nil
+	}
+	var saved savedCatalog
+	if err := json.Unmarshal(data, &saved); err != nil {
+		return nil, fmt.Errorf("restore catalog: %w", err)
+	}
+	if err := c.load(saved); err != nil {
+		return nil, fmt.Errorf("restore catalog: %w", err)
+	}
+	return c, nil
+}
+
+func (c *Catalog) load(saved savedCatalog) error {
+	contents := map[uint64]*bundle.Content{}
+	before := bundle.Content{}
+	for _, next := range saved.Contents {
+		before = before.Apply(next.Delta)
+		content := before
+		contents[next.Version] = &content
+	}
+	c.Head, c.Order = saved.Head, saved.Order
+	if saved.Operations != nil {
+		c.Operations = saved.Operations
+	}
+	for _, next := range saved.Versions {
+		version := next.Version
+		if next.HasContent {
+			version.Content = contents[version.Manifest.Version]
+			if version.Content == nil {
+				return fmt.Errorf("content of version %d is missing", version.Manifest.Version)
+			}
+		}
+		c.Versions[version.Manifest.Version] = &version
+	}
+	return c.loadState(saved.State, contents)
+}
+
+func (c *Catalog) loadState(saved savedState, contents map[uint64]*bundle.Content) error {
+	state := &distribution.State{Revision: saved.Revision, Endpoints: saved.Endpoints, Horizon: saved.Horizon}
+	var err error
+	if state.Active, err = loadBundle(saved.Active, contents); err != nil {
+		return err
+	}
+	if state.Staged, err = loadBundle(saved.Staged, contents); err != nil {
+		return err
+	}
+	for _, next := range saved.Recent {
+		signed, err := loadBundle(&next, contents)
+		if err != nil {
+			return err
+		}
+		state.Recent = append(state.Recent, signed)
+	}
+	c.Distribution = state
+	return nil
+}
+
+func loadBundle(saved *savedBundle, contents map[uint64]*bundle.Content) (*bundle.Signed, error) {
+	if saved == nil {
+		return nil, nil
+	}
+	content := contents[saved.Manifest.Version]
+	if content == nil {
+		return nil, fmt.Errorf("content of distributed version %d is missing", saved.Manifest.Version)
+	}
+	return &bundle.Signed{Manifest: saved.Manifest, Approval: saved.Approval, Content: *content}, nil
+}
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -87,12 +87,19 @@
 
 // propose hands a command to the driver and waits for its outcome.
 func (s *Server) propose(ctx context.Context, command catalog.Command) (catalog.Result, error) {
+	return s.proposeBuilt(ctx, func() catalog.Command { return command })
+}
+
+// proposeBuilt is propose for a command that is built in the driver's goroutine, from
+// the replica's state.
+func (s *Server) proposeBuilt(ctx context.Context, build func() catalog.Command) (catalog.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 	defer cancel()
-	command.AtMillis = time.Now().UnixMilli()
 	done := make(chan replica.Completion, 1)
 	var proposeErr error
 	err := s.inspect(ctx, func(time.Duration) {
+		command := build()
+		command.AtMillis = time.Now().UnixMilli()
 		s.nextProposal++
 		proposeErr = s.replica.Propose(s.nextProposal, command)
 		if proposeErr == nil {
@@ -176,9 +183,11 @@
 	if err != nil {
 		return catalog.Result{}, fmt.Errorf("digest of bundle: %w", err)
 	}
-	return s.propose(ctx.Request().Context(), catalog.Command{
-		OperationID: request.OperationID,
-		Create:      &catalog.Create{ExpectedHead: *request.ExpectedHead, Content: content, Digest: tree.Root()},
+	return s.proposeBuilt(ctx.Request().Context(), func() catalog.Command {
+		return catalog.Command{
+			OperationID: request.OperationID,
+			Create:      s.replica.Catalog().NewCreate(*request.ExpectedHead, content, tree.Root()),
+		}
 	})
 }
 
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -31,6 +31,7 @@
 	maxAppendBytes     = 1 << 20
 	keepEntries        = 1000
 	compactAfter       = 4000
+	compactBytes       = 16 << 20
 	maxClockDrift      = 0.05
 	inboxSize          = 1024
 	maxTurnEvents      = 256
@@ -159,6 +160,7 @@
 			Random:            rand.Int64N,
 		},
 		CompactAfter: compactAfter,
+		CompactBytes: compactBytes,
 	}, files)
 	return err
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -27,6 +27,8 @@
 	Raft raft.Config
 	// CompactAfter is how many applied entries make a new snapshot due.
 	CompactAfter uint64
+	// CompactBytes is how many bytes of log do, zero for no bound.
+	CompactBytes int64
 }
 
 // ProposalID is the caller's name for a command under way.
@@ -62,6 +64,8 @@
 	// waiting holds the proposals under way by log index.
 	waiting map[uint64]waitingProposal
 	joins   map[string]joinRequest
+	// compactedSize is the size of the log right after the last compaction.
+	compactedSize int64
 	// addresses are where replicas said they are; see Learn.
 	addresses map[raft.ReplicaID]string
 }
@@ -83,10 +87,12 @@
 	}
 	return &Replica{
 		config: config, node: node, storage: opened, catalog: restored,
-		applied:   state.Snapshot.Index,
-		waiting:   map[uint64]waitingProposal{},
-		joins:     map[string]joinRequest{},
-		addresses: map[raft.ReplicaID]string{},
+		applied: state.Snapshot.Index,
+		waiting: map[uint64]waitingProposal{},
+
+		compactedSize: opened.Size(),
+		joins:         map[string]joinRequest{},
+		addresses:     map[raft.ReplicaID]string{},
 	}, nil
 }
 
@@ -226,8 +232,19 @@
 	clear(r.waiting)
 }
 
+// compactionDue reports whether the log holds enough entries or bytes after its
+// snapshot.
+func (r *Replica) compactionDue() bool {
+	if r.applied <= r.node.SnapshotIndex() {
+		return false
+	}
+	entries := r.applied - r.node.SnapshotIndex()
+	grown := r.storage.Size() - r.compactedSize
+	return entries >= r.config.CompactAfter || (r.config.CompactBytes > 0 && grown >= r.config.CompactBytes)
+}
+
 func (r *Replica) compactIfDue() error {
-	if r.applied < r.node.SnapshotIndex()+r.config.CompactAfter {
+	if !r.compactionDue() {
 		return nil
 	}
 	data, err := r.catalog.Snapshot()
@@ -245,6 +262,7 @@
 	if err := r.storage.Checkpoint(kept, hard, entries); err != nil {
 		return fmt.Errorf("compact: %w", err)
 	}
+	r.compactedSize = r.storage.Size()
 	return nil
 }
 
--- a/pkg/sim/control.go
+++ b/pkg/sim/control.go
@@ -21,6 +21,7 @@
 	platformInterval  = 500 * time.Millisecond
 	joinInterval      = time.Second
 	compactAfter      = 25
+	compactBytes      = 32 << 10
 	keepEntries       = 10
 	maxAppendBytes    = 1 << 16
 	assumedDrift      = 0.05
@@ -92,6 +93,7 @@
 			Random: c.world.random.Int64N,
 		},
 		CompactAfter: compactAfter,
+		CompactBytes: compactBytes,
 	}
 }
 
--- a/pkg/sim/operator.go
+++ b/pkg/sim/operator.go
@@ -131,7 +131,10 @@
 		o.world.violate(invariantPlan, "cannot build digest: %v", err)
 		return
 	}
-	command := catalog.Command{OperationID: o.operationID(), Create: &catalog.Create{ExpectedHead: head, Content: content, Digest: tree.Root()}}
+	id := o.operationID()
+	command := func(ctl *control) catalog.Command {
+		return catalog.Command{OperationID: id, Create: ctl.replica.Catalog().NewCreate(head, content, tree.Root())}
+	}
 	record := o.cluster.beginOperation(o.number, operationInput{kind: createOperation, expected: head, valid: valid})
 	o.command(command, func(result catalog.Result, ok bool) {
 		if !ok {
@@ -148,12 +151,12 @@
 
 func (o *operatorClient) approve(manifest bundle.Manifest, done func(approved bool)) {
 	approval := bundle.Sign(o.cluster.key, clusterID, manifest)
-	command := catalog.Command{OperationID: o.operationID(), Approve: &catalog.Approve{Version: manifest.Version, Approval: approval}}
+	command := fixed(catalog.Command{OperationID: o.operationID(), Approve: &catalog.Approve{Version: manifest.Version, Approval: approval}})
 	o.command(command, func(result catalog.Result, ok bool) { done(ok && result.Error == nil) })
 }
 
 func (o *operatorClient) roll(version uint64, done func()) {
-	command := catalog.Command{OperationID: o.operationID(), Roll: &catalog.Roll{Version: version}}
+	command := fixed(catalog.Command{OperationID: o.operationID(), Roll: &catalog.Roll{Version: version}})
 	record := o.cluster.beginOperation(o.number, operationInput{kind: rollOperation, expected: version})
 	o.command(command, func(result catalog.Result, ok bool) {
 		if ok {
@@ -168,10 +171,19 @@
 	})
 }
 
+// commandFor is the command as a replica proposes it: a bundle goes into the log as a
+// delta to what that replica holds.
+type commandFor func(ctl *control) catalog.Command
+
+// fixed commands are the same at every replica.
+func fixed(command catalog.Command) commandFor {
+	return func(*control) catalog.Command { return command }
+}
+
 // command sends a command under its operation ID until an answer comes.
-func (o *operatorClient) command(command catalog.Command, done func(catalog.Result, bool)) {
+func (o *operatorClient) command(command commandFor, done func(catalog.Result, bool)) {
 	o.ask(func(ctl *control, answer func(any)) {
-		ctl.propose(command, func(completion replica.Completion) {
+		ctl.propose(command(ctl), func(completion replica.Completion) {
 			if completion.Err != nil {
 				answer(nil)
 				return
@@ -181,7 +193,7 @@
 		ctl.turn()
 	}, func(value any) {
 		result, ok := value.(catalog.Result)
-		o.world.log("%s: %s ends, ok %t, refusal %v", o.name, command.OperationID, ok, result.Error)
+		o.world.log("%s: command ends, ok %t, version %d, refusal %v", o.name, ok, result.Version.Version, result.Error)
 		done(result, ok)
 	})
 }
