Bench: reconnect storms and the data plane

Cause: the herd's return, chains of calls, retry amplification and overload had no measurement.

`bramblebench calls` times one hop beside a direct call and beside the standard library's reverse proxy in a process of its own, in turn in the same run; chains to 27 deep; how often a leaf that declines everything is asked; and goodput from half to three times the back ends' slots.

--- a/pkg/bench/cli/cli.go
+++ b/pkg/bench/cli/cli.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 
+	"bramblelift/pkg/bench/baseline"
 	"bramblelift/pkg/bench/demo"
 	"bramblelift/pkg/bench/experiment"
 
@@ -27,6 +28,9 @@
 	Sim      simOptions                 `command:"sim" description:"run the decision cores in virtual time under faults, seed by seed"`
 	Converge experiment.ConvergeOptions `command:"converge" description:"measure convergence time and control bytes beside two baselines"`
 	Scale    experiment.ScaleOptions    `command:"scale" description:"run hollow nodes at size and count what each role costs"`
+	Storm    experiment.StormOptions    `command:"storm" description:"bring most nodes back at once and time their recovery"`
+	Calls    experiment.CallsOptions    `command:"calls" description:"measure the data plane: time added, chains, retries, overload"`
+	Bare     baseline.ReverseOptions    `command:"bare-proxy" description:"run the bare reverse proxy that calls compares with" hidden:"yes"`
 }
 
 // Main runs the bench and returns its exit code.
@@ -51,6 +55,12 @@
 		err = parsed.Sim.run(stdout)
 	case "scale":
 		err = experiment.Scale(parsed.Scale, stdout)
+	case "storm":
+		err = experiment.Storm(parsed.Storm, stdout)
+	case "calls":
+		err = experiment.Calls(parsed.Calls, stdout)
+	case "bare-proxy":
+		err = baseline.ServeReverse(parsed.Bare)
 	case "converge":
 		err = experiment.Converge(parsed.Converge, stdout)
 	}
--- a/pkg/bench/demo/demo.go
+++ b/pkg/bench/demo/demo.go
@@ -254,16 +254,14 @@
 }
 
 func (d *demo) leaderDies() error {
-	for _, node := range d.fleet.Controls {
-		if len(node.LogLines("event=role role_now=leader")) == 0 {
-			continue
-		}
-		node.Kill()
-		d.say("the leader, %s, is killed", node.Name)
-		time.Sleep(100 * time.Millisecond)
-		return node.Start()
+	leader, err := d.fleet.Leader()
+	if err != nil {
+		return err
 	}
-	return errors.New("no control replica says that it leads")
+	leader.Kill()
+	d.say("the leader, %s, is killed", leader.Name)
+	time.Sleep(100 * time.Millisecond)
+	return leader.Start()
 }
 
 func (d *demo) nodeRestarts() error {
--- /dev/null
+++ b/pkg/bench/experiment/calls.go
@@ -0,0 +1,290 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"bramblelift/pkg/bench/chain"
+	"bramblelift/pkg/bench/fleet"
+	"bramblelift/pkg/bench/load"
+	"bramblelift/pkg/bench/standin"
+)
+
+// CallsOptions are the flags of the data-plane experiment.
+type CallsOptions struct {
+	Proxies  int           `long:"proxies" default:"4" description:"how many nodes"`
+	Depth    int           `long:"depth" default:"27" description:"deepest chain of calls"`
+	Rate     float64       `long:"rate" default:"300" description:"calls a second for the time added"`
+	Rounds   int           `long:"rounds" default:"4" description:"how often each way is measured, in turn"`
+	Duration time.Duration `long:"duration" default:"4s" description:"how long each measurement takes"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the calls"`
+	JSON     string        `long:"json" value-name:"FILE" description:"write the report as JSON, - for the output"`
+}
+
+// Added is the time of calls over one way.
+type Added struct {
+	Way   string  `json:"way"`
+	Calls int     `json:"calls"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+}
+
+// Chain is the time of chains of one depth.
+type Chain struct {
+	Depth     int     `json:"depth"`
+	DirectP50 float64 `json:"direct_p50_ms"`
+	DirectP99 float64 `json:"direct_p99_ms"`
+	NodeP50   float64 `json:"node_p50_ms"`
+	NodeP99   float64 `json:"node_p99_ms"`
+}
+
+// Amplification is what a leaf that declines every call gets.
+type Amplification struct {
+	Depth        int     `json:"depth"`
+	Roots        int     `json:"root_calls"`
+	LeafAttempts int64   `json:"leaf_attempts"`
+	PerRoot      float64 `json:"leaf_attempts_per_root_call"`
+}
+
+// Goodput is how calls end at a load relative to what the back ends can carry.
+type Goodput struct {
+	Load     float64 `json:"load"`
+	Offered  float64 `json:"offered_per_second"`
+	Answered float64 `json:"answered_per_second"`
+	Refused  float64 `json:"refused_per_second"`
+	Failed   int     `json:"failed"`
+	P99      float64 `json:"answered_p99_ms"`
+	RefuseMs float64 `json:"refused_p99_ms"`
+}
+
+// CallsReport is what the experiment found.
+type CallsReport struct {
+	Run           Run           `json:"run"`
+	Ways          []Added       `json:"ways"`
+	Chains        []Chain       `json:"chains"`
+	Amplification Amplification `json:"amplification"`
+	Goodput       []Goodput     `json:"goodput"`
+	NodeMemory    float64       `json:"node_memory_bytes"`
+}
+
+const (
+	callLimit = 15 * time.Second
+	// goodputSlots, goodputBackends and goodputWork make what the back ends carry.
+	goodputSlots    = 6
+	goodputBackends = 4
+	goodputWork     = 40 * time.Millisecond
+	chainBackends   = 4
+	amplifiedDepth  = 5
+	serviceChain    = "chain"
+	serviceDecline  = "decline"
+	serviceLoaded   = "loaded"
+)
+
+var errBadCalls = errors.New("proxies, depth, rate and rounds must be more than zero")
+
+// callsBench is the experiment's set-up.
+type callsBench struct {
+	options  CallsOptions
+	folder   string
+	platform *standin.Platform
+	fleet    *fleet.Fleet
+	chains   []*chain.Service
+	declines []*chain.Service
+	loaded   []*standin.Backend
+	bare     *fleet.Process
+	bareAddr string
+}
+
+// Calls measures the data plane: the time a node adds, chains, retries, and goodput
+// under overload.
+func Calls(options CallsOptions, out io.Writer) error {
+	if options.Proxies < 1 || options.Depth < 1 || options.Rate <= 0 || options.Rounds < 1 {
+		return errBadCalls
+	}
+	b := &callsBench{options: options}
+	defer b.stop()
+	if err := b.start(); err != nil {
+		return fmt.Errorf("calls: set up: %w", err)
+	}
+	report := &CallsReport{Run: currentRun("calls", options.Seed, options.Proxies)}
+	report.Ways = b.measureAdded()
+	report.Chains = b.measureChains()
+	report.Amplification = b.measureAmplification()
+	report.Goodput = b.measureGoodput()
+	usage, err := readRole(b.fleet.Proxies)
+	if err != nil {
+		return err
+	}
+	report.NodeMemory = usage.memory
+	return report.show(options, out)
+}
+
+func (b *callsBench) start() error {
+	var err error
+	if b.folder, err = os.MkdirTemp("", "bramblelift-calls-"); err != nil {
+		return err
+	}
+	if b.platform, err = standin.StartPlatform(0); err != nil {
+		return err
+	}
+	if err := b.startServices(); err != nil {
+		return err
+	}
+	b.platform.SetMachines(b.machines())
+	b.fleet, err = fleet.New(fleet.Config{
+		Folder: filepath.Join(b.folder, "fleet"), Cluster: cluster, Zones: []string{"a", "b"},
+		Replicas: replicas, Relays: 2, Proxies: b.options.Proxies, PlatformURL: b.platform.ListURL(),
+	})
+	if err != nil {
+		return err
+	}
+	if err := b.fleet.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), setupLimit)
+	defer cancel()
+	if _, _, err := b.fleet.Publish(ctx, callsBundle); err != nil {
+		return err
+	}
+	if err := fleet.WaitReady(ctx, b.fleet.Proxies); err != nil {
+		return err
+	}
+	// The platform's list must have reached the nodes.
+	time.Sleep(2 * time.Second)
+	return b.startBare()
+}
+
+const callsBundle = `
+[[service]]
+name = "chain"
+max_concurrency = 256
+max_connections = 256
+[[service]]
+name = "decline"
+max_concurrency = 256
+[[service]]
+name = "loaded"
+max_concurrency = 6
+max_connections = 32
+[[route]]
+name = "chain"
+path_prefix = "/chain"
+service = "chain"
+timeout = "10s"
+[[route]]
+name = "decline"
+path_prefix = "/decline"
+service = "decline"
+timeout = "10s"
+[[route]]
+name = "loaded"
+path_prefix = "/loaded"
+service = "loaded"
+timeout = "2s"
+`
+
+func (b *callsBench) startServices() error {
+	for range chainBackends {
+		for _, list := range []*[]*chain.Service{&b.chains, &b.declines} {
+			service, err := chain.Start()
+			if err != nil {
+				return err
+			}
+			*list = append(*list, service)
+		}
+	}
+	for i := range goodputBackends {
+		backend, err := standin.StartBackend(standin.BackendConfig{
+			Name: fmt.Sprintf("loaded-%d", i+1), Service: serviceLoaded, Zone: "a", Slots: goodputSlots, Work: goodputWork,
+			LoadLag: platformInterval, ConnectCost: time.Millisecond,
+		}, nil)
+		if err != nil {
+			return err
+		}
+		b.loaded = append(b.loaded, backend)
+	}
+	return nil
+}
+
+func (b *callsBench) machines() []standin.Machine {
+	var all []standin.Machine
+	add := func(service, address string) {
+		all = append(all, standin.Machine{Service: service, ID: fmt.Sprintf("%s-%d", service, len(all)), Incarnation: 1, Address: address, Zone: "a"})
+	}
+	for _, service := range b.chains {
+		add(serviceChain, service.Address())
+	}
+	for _, service := range b.declines {
+		add(serviceDecline, service.Address())
+	}
+	for _, backend := range b.loaded {
+		add(serviceLoaded, backend.Address())
+	}
+	return all
+}
+
+// startBare runs the bare reverse proxy in a process of its own, as the nodes are.
+func (b *callsBench) startBare() error {
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("start bare proxy: %w", err)
+	}
+	if b.bareAddr, err = b.fleet.FreeAddress(); err != nil {
+		return err
+	}
+	b.bare = fleet.NewProcess("bare", filepath.Join(b.folder, "bare.log"), self,
+		"bare-proxy", "--listen", b.bareAddr, "--target", b.chains[0].Address())
+	if err := b.bare.Start(); err != nil {
+		return err
+	}
+	return awaitListening(b.bareAddr)
+}
+
+func (b *callsBench) stop() {
+	if b.bare != nil {
+		b.bare.Kill()
+	}
+	if b.fleet != nil {
+		b.fleet.Kill()
+	}
+	for _, service := range append(b.chains, b.declines...) {
+		service.Stop()
+	}
+	for _, backend := range b.loaded {
+		backend.Stop()
+	}
+	if b.platform != nil {
+		b.platform.Stop()
+	}
+	os.RemoveAll(b.folder)
+}
+
+// nodes returns the addresses that callers use.
+func (b *callsBench) nodes() []string {
+	var all []string
+	for _, node := range b.fleet.Proxies {
+		all = append(all, node.Address)
+	}
+	return all
+}
+
+func urls(addresses []string, path string) []string {
+	var all []string
+	for _, address := range addresses {
+		all = append(all, "http://"+address+path)
+	}
+	return all
+}
+
+func (b *callsBench) run(addresses []string, path string, rate float64) load.OpenResult {
+	return load.RunOpen(context.Background(), load.OpenConfig{
+		URLs: urls(addresses, path), Method: http.MethodGet, Rate: rate, Duration: b.options.Duration,
+		Timeout: callLimit, Seed: b.options.Seed,
+	})
+}
--- /dev/null
+++ b/pkg/bench/experiment/calls_measure.go
@@ -0,0 +1,151 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"text/tabwriter"
+	"time"
+
+	"bramblelift/pkg/bench/chain"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+func millis(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtQuantile(percentile)) / 1000
+}
+
+func awaitListening(address string) error {
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			return conn.Close()
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("bare proxy: %w", err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// measureAdded times calls straight to a back end, through the bare proxy and through a
+// node, in turn, so that a noisy moment meets all three.
+func (b *callsBench) measureAdded() []Added {
+	for _, service := range b.chains {
+		service.Configure(chain.Config{})
+	}
+	ways := []struct {
+		name    string
+		address string
+	}{
+		{"direct", b.chains[0].Address()}, {"bare reverse proxy", b.bareAddr}, {"bramblelift", b.nodes()[0]},
+	}
+	histograms := map[string]*hdrhistogram.Histogram{}
+	for range b.options.Rounds {
+		for _, way := range ways {
+			result := b.run([]string{way.address}, "/chain/0", b.options.Rate)
+			if histograms[way.name] == nil {
+				histograms[way.name] = result.Latency
+			} else {
+				histograms[way.name].Merge(result.Latency)
+			}
+		}
+	}
+	var added []Added
+	for _, way := range ways {
+		h := histograms[way.name]
+		added = append(added, Added{Way: way.name, Calls: int(h.TotalCount()), P50: millis(h, 50), P99: millis(h, 99)})
+	}
+	return added
+}
+
+// measureChains times chains through the nodes and the same chains without them.
+func (b *callsBench) measureChains() []Chain {
+	var backends []string
+	for _, service := range b.chains {
+		backends = append(backends, service.Address())
+	}
+	var found []Chain
+	for _, depth := range []int{1, 3, 9, b.options.Depth} {
+		// As many calls a second in all, whatever the depth.
+		rate := max(5, b.options.Rate/float64(depth))
+		path := fmt.Sprintf("/chain/%d", depth-1)
+		b.configureChains(backends)
+		direct := b.run(backends, path, rate)
+		b.configureChains(b.nodes())
+		through := b.run(b.nodes(), path, rate)
+		found = append(found, Chain{
+			Depth: depth, DirectP50: millis(direct.Latency, 50), DirectP99: millis(direct.Latency, 99),
+			NodeP50: millis(through.Latency, 50), NodeP99: millis(through.Latency, 99),
+		})
+	}
+	return found
+}
+
+func (b *callsBench) configureChains(next []string) {
+	for _, service := range b.chains {
+		service.Configure(chain.Config{Next: next, Prefix: "/chain"})
+	}
+}
+
+// measureAmplification lets the leaf of a chain decline everything and counts how many
+// calls reach it.
+func (b *callsBench) measureAmplification() Amplification {
+	for _, service := range b.declines {
+		service.Configure(chain.Config{Next: b.nodes(), Prefix: "/decline", LeafDeclines: true})
+	}
+	result := b.run(b.nodes(), fmt.Sprintf("/decline/%d", amplifiedDepth-1), b.options.Rate/amplifiedDepth)
+	found := Amplification{Depth: amplifiedDepth, Roots: result.Calls}
+	for _, service := range b.declines {
+		found.LeafAttempts += service.Leaves()
+	}
+	found.PerRoot = float64(found.LeafAttempts) / float64(max(1, found.Roots))
+	return found
+}
+
+// measureGoodput offers from half to three times what the back ends can carry.
+func (b *callsBench) measureGoodput() []Goodput {
+	capacity := goodputBackends * goodputSlots / goodputWork.Seconds()
+	var found []Goodput
+	for _, share := range []float64{0.5, 0.8, 1, 1.5, 2, 3} {
+		result := b.run(b.nodes(), "/loaded/x", capacity*share)
+		seconds := b.options.Duration.Seconds()
+		found = append(found, Goodput{
+			Load: share, Offered: float64(result.Calls) / seconds, Answered: float64(result.Answered) / seconds,
+			Refused: float64(result.Refused) / seconds, Failed: result.Failed,
+			P99: millis(result.Latency, 99), RefuseMs: millis(result.RefusalLatency, 99),
+		})
+	}
+	return found
+}
+
+func (r *CallsReport) show(options CallsOptions, out io.Writer) error {
+	if options.JSON == "-" {
+		return writeJSON(out, options.JSON, r)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "way\tcalls\tp50 ms\tp99 ms\t")
+	for _, way := range r.Ways {
+		fmt.Fprintf(table, "%s\t%d\t%.3f\t%.3f\t\n", way.Way, way.Calls, way.P50, way.P99)
+	}
+	fmt.Fprintln(table, "\t\t\t\t\ndepth\tdirect p50\tdirect p99\tnodes p50\tnodes p99\tadded a hop p50\t")
+	for _, c := range r.Chains {
+		fmt.Fprintf(table, "%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t\n", c.Depth, c.DirectP50, c.DirectP99, c.NodeP50, c.NodeP99, (c.NodeP50-c.DirectP50)/float64(c.Depth))
+	}
+	fmt.Fprintln(table, "\t\t\t\t\nload\toffered/s\tanswered/s\trefused/s\tfailed\tanswered p99 ms\trefused p99 ms\t")
+	for _, g := range r.Goodput {
+		fmt.Fprintf(table, "%.1f\t%.0f\t%.0f\t%.0f\t%d\t%.1f\t%.1f\t\n", g.Load, g.Offered, g.Answered, g.Refused, g.Failed, g.P99, g.RefuseMs)
+	}
+	table.Flush()
+	direct, bare, node := r.Ways[0], r.Ways[1], r.Ways[2]
+	last := r.Goodput[len(r.Goodput)-1]
+	fmt.Fprintf(out, "result commit=%s seed=%d direct_p99_ms=%.3f bare_p99_ms=%.3f node_p99_ms=%.3f added_p50_ms=%.3f added_p99_ms=%.3f leaf_attempts_per_root=%.2f goodput_at_3=%.0f node_memory_mb=%.1f\n",
+		r.Run.Commit, r.Run.Seed, direct.P99, bare.P99, node.P99, node.P50-direct.P50, node.P99-direct.P99,
+		r.Amplification.PerRoot, last.Answered, r.NodeMemory/(1<<20))
+	if options.JSON != "" {
+		return writeJSON(out, options.JSON, r)
+	}
+	return nil
+}
--- a/pkg/bench/experiment/system.go
+++ b/pkg/bench/experiment/system.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"bramblelift/pkg/bench/convergence"
@@ -38,6 +39,8 @@
 	recorder *convergence.Recorder
 	groupOf  map[string]string
 	work     *workload
+	// watcher times the same changes at some of the nodes only.
+	watcher atomic.Pointer[convergence.Recorder]
 	// startTook is how long all hollow nodes took to be current.
 	startTook time.Duration
 }
@@ -119,11 +122,22 @@
 	s.swarm = hollow.NewSwarm(hollow.Config{
 		Cluster: cluster, Verifier: verifier, Relays: relays,
 		Timing:  settings.Timing{PingInterval: bundle.Duration(nodePing), SilenceTimeout: bundle.Duration(nodeSilence)},
-		InForce: func(node string, state *distribution.State) { s.recorder.InForce(node, state) },
+		InForce: s.inForce,
 	}, identities)
 	return nil
 }
 
+// inForce is told what each hollow node puts in force.
+func (s *system) inForce(node string, state *distribution.State) {
+	s.recorder.InForce(node, state)
+	if watcher := s.watcher.Load(); watcher != nil {
+		watcher.InForce(node, state)
+	}
+}
+
+// watch lets a second recorder time the changes from now on.
+func (s *system) watch(recorder *convergence.Recorder) { s.watcher.Store(recorder) }
+
 func (s *system) stop() {
 	if s.swarm != nil {
 		s.swarm.Stop()
@@ -153,7 +167,11 @@
 		return err
 	}
 	// The roll itself is part of the time: it ends with the acceptance.
-	s.recorder.Begin(versionChange(number, time.Now()))
+	at := time.Now()
+	s.recorder.Begin(versionChange(number, at))
+	if watcher := s.watcher.Load(); watcher != nil {
+		watcher.Begin(versionChange(number, at))
+	}
 	_, err = s.fleet.Roll(ctx, number)
 	return err
 }
--- a/pkg/bench/fleet/fleet.go
+++ b/pkg/bench/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -241,6 +242,9 @@
 	}
 }
 
+// FreeAddress returns an address that nothing listens on.
+func (f *Fleet) FreeAddress() (string, error) { return f.ports.address() }
+
 // PublicKey returns the key that approvals are checked by.
 func (f *Fleet) PublicKey() string { return f.public }
 
@@ -303,6 +307,19 @@
 	return time.Now(), nil
 }
 
+// Leader returns the control replica that leads.
+func (f *Fleet) Leader() (*Node, error) {
+	for _, node := range f.Controls {
+		var status struct {
+			Role string `json:"role"`
+		}
+		if node.Running() && node.Status(&status) == nil && status.Role == "leader" {
+			return node, nil
+		}
+	}
+	return nil, errors.New("no control replica leads")
+}
+
 // Get reads a path of a process's administration service.
 func (n *Node) Get(path string) (status int, body []byte, err error) {
 	client := &http.Client{Timeout: 2 * time.Second}
--- a/pkg/bench/fleet/process.go
+++ b/pkg/bench/fleet/process.go
@@ -27,6 +27,11 @@
 	err     error
 }
 
+// NewProcess describes a process that is not running yet.
+func NewProcess(name, log, binary string, args ...string) *Process {
+	return &Process{Name: name, Log: log, binary: binary, args: args}
+}
+
 // Start runs the process; its log is appended to.
 func (p *Process) Start() error {
 	p.mutex.Lock()
--- a/pkg/bench/history/history.go
+++ b/pkg/bench/history/history.go
@@ -49,7 +49,8 @@
 	At      time.Time
 }
 
-// History is everything that was recorded. It is safe for concurrent use.
+// History is everything that was recorded. It is safe for concurrent use; a nil one
+// records nothing.
 type History struct {
 	mutex      sync.Mutex
 	calls      []Call
@@ -60,6 +61,9 @@
 
 // AddCall records a finished call.
 func (h *History) AddCall(c Call) {
+	if h == nil {
+		return
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.calls = append(h.calls, c)
@@ -67,6 +71,9 @@
 
 // AddExecution records that a back end began a call.
 func (h *History) AddExecution(e Execution) {
+	if h == nil {
+		return
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.executions = append(h.executions, e)
@@ -74,6 +81,9 @@
 
 // AddDeparture records that a back end began to leave.
 func (h *History) AddDeparture(d Departure) {
+	if h == nil {
+		return
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.departures = append(h.departures, d)
@@ -81,6 +91,9 @@
 
 // AddSighting records a version in force at a node.
 func (h *History) AddSighting(s Sighting) {
+	if h == nil {
+		return
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.sightings = append(h.sightings, s)
