Forwarding: retries of declined calls have a budget of their own

Ruled out: waiting longer for a free slot (the refusals did not wait at all: the node believed in free slots); a larger common budget (it would multiply retries after failures along a chain).

Change: a decline is the back end's own word that it has not begun, and costs it next to nothing; such retries draw on a second budget that may double the attempts. At most three attempts a call and no retry of a call that an earlier hop repeats, as before.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -23,6 +23,8 @@
 	status  int
 	// retryAfter is the back end's wish, zero for none.
 	retryAfter time.Duration
+	// declined: the back end itself said that it has not begun the call.
+	declined bool
 }
 
 func (f *attemptFailure) refusal() *Refusal {
@@ -52,7 +54,7 @@
 		response.Body.Close()
 		return &attemptFailure{
 			outcome: NotRun, peer: ticket.Address, step: "back end's answer", err: errDeclined,
-			status: http.StatusServiceUnavailable, retryAfter: readRetryAfter(response.Header),
+			status: http.StatusServiceUnavailable, retryAfter: readRetryAfter(response.Header), declined: true,
 		}
 	}
 	c.pass(ctx, ticket, response)
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -39,6 +39,8 @@
 	// Now reads the process's monotonic clock.
 	Now   func() time.Duration
 	Retry retry.Config
+	// Declines bounds retries of calls that a back end declined.
+	Declines retry.Config
 	// OnCall, if set, is told how each call ended.
 	OnCall func(Call)
 }
@@ -57,7 +59,10 @@
 type service struct {
 	pool      *balancer.Pool
 	transport *http.Transport
-	budget    *retry.Budget
+	// budget pays for retries after failures, declines for those after a back end's
+	// word that it has not begun the call, which cost it next to nothing.
+	budget   *retry.Budget
+	declines *retry.Budget
 }
 
 // view is what calls see: one table with its services, swapped whole.
@@ -128,7 +133,7 @@
 	}
 	return &service{
 		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, Random: rand.IntN}),
-		budget: retry.NewBudget(h.config.Retry),
+		budget: retry.NewBudget(h.config.Retry), declines: retry.NewBudget(h.config.Declines),
 		transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxConnsPerHost:     connections,
@@ -230,6 +235,7 @@
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout)
 	defer cancel()
 	c.service.budget.Attempt(c.started)
+	c.service.declines.Attempt(c.started)
 	return c.attemptUntilDone(ctx)
 }
 
@@ -287,7 +293,13 @@
 		RetriedBefore: c.request.Header.Get(HeaderRetry) != "",
 		Attempts:      c.attempts, OutOfTime: ctx.Err() != nil,
 	})
-	return permitted && c.service.budget.Withdraw(c.handler.config.Now())
+	if !permitted {
+		return false
+	}
+	if failure.declined {
+		return c.service.declines.Withdraw(c.handler.config.Now())
+	}
+	return c.service.budget.Withdraw(c.handler.config.Now())
 }
 
 // finishCopy copies the answer's body. A body that breaks off must reach the caller as
--- a/pkg/forward/handler_test.go
+++ b/pkg/forward/handler_test.go
@@ -25,7 +25,7 @@
 func node(t *testing.T, addresses ...string) *httptest.Server {
 	t.Helper()
 	started := time.Now()
-	handler := New(Config{Node: "n", Now: func() time.Duration { return time.Since(started) }, Retry: retry.DefaultConfig()})
+	handler := New(Config{Node: "n", Now: func() time.Duration { return time.Since(started) }, Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig()})
 	handler.SetTable(table(addresses...))
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -255,7 +255,7 @@
 	nobody.Close()
 	for name, server := range map[string]*httptest.Server{
 		"no back end": node(t), "connection refused": node(t, closed),
-		"no configuration": httptest.NewServer(New(Config{Now: func() time.Duration { return 0 }, Retry: retry.DefaultConfig()})),
+		"no configuration": httptest.NewServer(New(Config{Now: func() time.Duration { return 0 }, Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig()})),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -72,7 +72,7 @@
 	}
 	s.handler = forward.New(forward.Config{
 		Node: config.Name, Zone: config.Zone, Now: s.clock.Now,
-		Retry: retry.DefaultConfig(), OnCall: callCounter(s.admin.Registry),
+		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: callCounter(s.admin.Registry),
 	})
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveCall), ReadHeaderTimeout: headerTimeout,
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -21,6 +21,12 @@
 	return Config{Ratio: 0.1, PerSecond: 1, Max: 20}
 }
 
+// DeclineConfig lets retries of declined calls double the number of attempts: a decline
+// is cheap, and the next back end may well be free.
+func DeclineConfig() Config {
+	return Config{Ratio: 1, PerSecond: 1, Max: 50}
+}
+
 // Budget is an account that first attempts pay into and retries draw from. It is safe
 // for concurrent use.
 type Budget struct {
