Revert the pause between declined attempts

Cause of the refusals that remain: nodes see only their own calls, and four of them with six slots each meet at four back ends of six; the limits that refusals shrink settle only over some seconds of load. Ruled out: pauses. Conclusion: reverted; sharing what back ends carry between nodes would be the next thing to weigh.

--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -23,11 +23,9 @@
 	maxAttempts = 3
 	// maxPatience bounds how long a call waits for a free back end; it must stay
 	// small against any deadline.
-	maxPatience    = 100 * time.Millisecond
-	patienceShare  = 8
-	copyBufferSize = 32 << 10
-	// declinePause is how long a declined call waits before it is tried elsewhere.
-	declinePause     = 8 * time.Millisecond
+	maxPatience      = 100 * time.Millisecond
+	patienceShare    = 8
+	copyBufferSize   = 32 << 10
 	dialTimeout      = time.Second
 	idleTimeout      = 30 * time.Second
 	saturatedRetry   = time.Second
@@ -265,23 +263,10 @@
 		if !c.mayRetry(ctx, failure) {
 			return failure.refusal()
 		}
-		if failure.declined {
-			pause(ctx, declinePause)
-		}
 		c.tried = append(c.tried, ticket.ID)
 	}
 }
 
-// pause waits a random time around d, or until the call ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(d)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // acquire gets a back end for the next attempt.
 func (c *call) acquire(ctx context.Context) (*balancer.Ticket, *Refusal) {
 	patience := min(maxPatience, (c.deadline-c.handler.config.Now())/patienceShare)
