--- a/pkg/bench/experiment/storm.go
+++ b/pkg/bench/experiment/storm.go
@@ -25,11 +25,14 @@
 
 // StormReport is what the experiment found.
 type StormReport struct {
-	Run      Run     `json:"run"`
-	Services int     `json:"services"`
-	Relays   int     `json:"relays"`
-	Returned int     `json:"returned_nodes"`
-	Lose     string  `json:"lose"`
+	Run      Run    `json:"run"`
+	Services int    `json:"services"`
+	Relays   int    `json:"relays"`
+	Returned int    `json:"returned_nodes"`
+	Lose     string `json:"lose"`
+	// Serving is when all nodes had a configuration in force again, Recovery when all
+	// were known to be current as of their return.
+	Serving  float64 `json:"serving_seconds"`
 	Recovery float64 `json:"recovery_seconds"`
 	// NodeBytes are the bytes of all nodes until all were current, PerNode the mean of
 	// those that came back.
@@ -113,14 +116,19 @@
 	if err := s.change(changeBundle); err != nil {
 		return err
 	}
-	time.Sleep(lossTime)
-	if err := restart(); err != nil {
+	restarted := make(chan error, 1)
+	time.AfterFunc(lossTime, func() { restarted <- restart() })
+	if err := herd.AwaitServing(convergeLimit); err != nil {
 		return err
 	}
+	r.Serving = time.Since(back).Seconds()
 	if err := s.swarm.AwaitCurrent(back, convergeLimit); err != nil {
 		return err
 	}
 	r.Recovery = time.Since(back).Seconds()
+	if err := <-restarted; err != nil {
+		return err
+	}
 	if err := errors.Join(s.recorder.Await(convergeLimit), bystanders.Await(convergeLimit)); err != nil {
 		return err
 	}
@@ -187,8 +195,8 @@
 	}
 	fmt.Fprintf(out, "%d of %d nodes came back at once; lost under them: %s\n", r.Returned, r.Run.Nodes, r.Lose)
 	fmt.Fprintf(out, "bytes by kind of frame:%s\n", listBytes(r.NodeBytes))
-	fmt.Fprintf(out, "result commit=%s seed=%d nodes=%d services=%d relays=%d lose=%s returned=%d recovery_s=%.2f bytes_per_returned_node=%.0f control_cpu_s=%.2f relay_cpu_s=%.2f change_everybody_worst_ms=%.0f change_bystanders_worst_ms=%.0f\n",
-		r.Run.Commit, r.Run.Seed, r.Run.Nodes, r.Services, r.Relays, r.Lose, r.Returned, r.Recovery, r.PerNode,
+	fmt.Fprintf(out, "result commit=%s seed=%d nodes=%d services=%d relays=%d lose=%s returned=%d serving_s=%.2f recovery_s=%.2f bytes_per_returned_node=%.0f control_cpu_s=%.2f relay_cpu_s=%.2f change_everybody_worst_ms=%.0f change_bystanders_worst_ms=%.0f\n",
+		r.Run.Commit, r.Run.Seed, r.Run.Nodes, r.Services, r.Relays, r.Lose, r.Returned, r.Serving, r.Recovery, r.PerNode,
 		r.ControlCPU, r.RelayCPU, r.Everybody.Worst, r.Bystanders.Worst)
 	if options.JSON != "" {
 		return writeJSON(out, options.JSON, r)
--- a/pkg/bench/hollow/node.go
+++ b/pkg/bench/hollow/node.go
@@ -46,23 +46,25 @@
 	Identity
 	config Config
 	tally  *tally.Tally
-	clock  *clock.Monotonic
 
-	mutex  sync.Mutex
-	client *stream.Client
-	cancel context.CancelFunc
-	done   chan struct{}
+	mutex sync.Mutex
+	// clock starts with each life, as a process's does.
+	clock   *clock.Monotonic
+	client  *stream.Client
+	cancel  context.CancelFunc
+	done    chan struct{}
+	serving bool
 }
 
 func newNode(config Config, identity Identity, count *tally.Tally) *Node {
-	return &Node{Identity: identity, config: config, tally: count, clock: clock.NewMonotonic()}
+	return &Node{Identity: identity, config: config, tally: count}
 }
 
 // Start begins a life of the node.
 func (n *Node) Start() error {
+	started := clock.NewMonotonic()
 	keeper, err := proxy.NewKeeper(proxy.KeeperConfig{
-		Group: n.Group, Verifier: n.config.Verifier,
-		InForce:   func(state *distribution.State) { n.config.InForce(n.Name, state) },
+		Group: n.Group, Verifier: n.config.Verifier, InForce: n.inForce,
 		OnFailure: func(error) {},
 	})
 	if err != nil {
@@ -78,7 +80,7 @@
 		DialTimeout:    dialTimeout,
 		Observe:        n.tally.Observe,
 		Logger:         log.NewNopLogger(),
-		Now:            n.clock.Now,
+		Now:            started.Now,
 		OnConfirmed:    keeper.Confirmed,
 	}, keeper, n.candidates())
 	if err != nil {
@@ -87,7 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	n.mutex.Lock()
-	n.client, n.cancel, n.done = client, cancel, done
+	n.clock, n.client, n.cancel, n.done, n.serving = started, client, cancel, done, false
 	n.mutex.Unlock()
 	go func() {
 		defer close(done)
@@ -96,6 +98,20 @@
 	return nil
 }
 
+func (n *Node) inForce(state *distribution.State) {
+	n.mutex.Lock()
+	n.serving = true
+	n.mutex.Unlock()
+	n.config.InForce(n.Name, state)
+}
+
+// Serving reports whether the node has a configuration in force in this life.
+func (n *Node) Serving() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.serving
+}
+
 func (n *Node) candidates() []stream.Candidate {
 	var all []stream.Candidate
 	for _, peer := range n.config.Relays {
@@ -116,8 +132,8 @@
 // ConfirmedAfter reports whether the node is known to be current as of a moment.
 func (n *Node) ConfirmedAfter(moment time.Time) bool {
 	n.mutex.Lock()
-	client := n.client
+	client, started := n.client, n.clock
 	n.mutex.Unlock()
 	at, confirmed := client.ConfirmedAt()
-	return confirmed && time.Now().Add(at-n.clock.Now()).After(moment)
+	return confirmed && time.Now().Add(at-started.Now()).After(moment)
 }
--- a/pkg/bench/hollow/swarm.go
+++ b/pkg/bench/hollow/swarm.go
@@ -45,12 +45,21 @@
 
 // AwaitCurrent waits until every node is known to be current as of a moment.
 func (s *Swarm) AwaitCurrent(moment time.Time, limit time.Duration) error {
+	return s.await("current", limit, func(node *Node) bool { return node.ConfirmedAfter(moment) })
+}
+
+// AwaitServing waits until every node has a configuration in force.
+func (s *Swarm) AwaitServing(limit time.Duration) error {
+	return s.await("serving", limit, (*Node).Serving)
+}
+
+func (s *Swarm) await(what string, limit time.Duration, reached func(*Node) bool) error {
 	deadline := time.Now().Add(limit)
 	waiting := s.Nodes
 	for {
 		var still []*Node
 		for _, node := range waiting {
-			if !node.ConfirmedAfter(moment) {
+			if !reached(node) {
 				still = append(still, node)
 			}
 		}
@@ -58,7 +67,7 @@
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("%d nodes, among them %s, are not current after %s", len(still), still[0].Name, limit)
+			return fmt.Errorf("%d nodes, among them %s, are not %s after %s", len(still), still[0].Name, what, limit)
 		}
 		waiting = still
 		time.Sleep(5 * time.Millisecond)
--- a/test/integration/wait_test.go
+++ b/test/integration/wait_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	"bramblelift/pkg/bench/fleet"
@@ -21,12 +20,8 @@
 	}
 }
 
-// convergenceLimit is the bound within which an accepted version must be in force.
-const convergenceLimit = 8 * time.Second
-
 // awaitVersion waits until the given nodes have a version, or a later one, in force.
-func (s *system) awaitVersion(t *testing.T, nodes []*fleet.Node, version uint64) error {
-	t.Helper()
+func (s *system) awaitVersion(nodes []*fleet.Node, version uint64) error {
 	return eventually(convergenceLimit, func() error {
 		for _, node := range nodes {
 			var status proxy.Status
