--- a/pkg/bench/cli/cli.go
+++ b/pkg/bench/cli/cli.go
@@ -30,6 +30,7 @@
 	Scale    experiment.ScaleOptions    `command:"scale" description:"run hollow nodes at size and count what each role costs"`
 	Storm    experiment.StormOptions    `command:"storm" description:"bring most nodes back at once and time their recovery"`
 	Calls    experiment.CallsOptions    `command:"calls" description:"measure the data plane: time added, chains, retries, overload"`
+	Backend  backendOptions             `command:"backend" description:"run one stand-in for a back end, for trying things out by hand"`
 	Bare     baseline.ReverseOptions    `command:"bare-proxy" description:"run the bare reverse proxy that calls compares with" hidden:"yes"`
 }
 
@@ -59,6 +60,8 @@
 		err = experiment.Storm(parsed.Storm, stdout)
 	case "calls":
 		err = experiment.Calls(parsed.Calls, stdout)
+	case "backend":
+		err = parsed.Backend.run(stdout)
 	case "bare-proxy":
 		err = baseline.ServeReverse(parsed.Bare)
 	case "converge":
--- a/pkg/bench/standin/backend.go
+++ b/pkg/bench/standin/backend.go
@@ -28,6 +28,8 @@
 
 // BackendConfig describes a back end.
 type BackendConfig struct {
+	// Listen is where it listens; empty for a free port of 127.0.0.1.
+	Listen  string
 	Name    string
 	Service string
 	Zone    string
@@ -80,9 +82,12 @@
 	InAnswer
 )
 
-// StartBackend starts a back end on a free port of 127.0.0.1.
+// StartBackend starts a back end.
 func StartBackend(config BackendConfig, record *history.History) (*Backend, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if config.Listen == "" {
+		config.Listen = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", config.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("start back end %s: %w", config.Name, err)
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -25,6 +26,31 @@
 	AdminListen string `toml:"admin_listen"`
 	// ApprovalKeys are the accepted public keys in base64.
 	ApprovalKeys []string `toml:"approval_keys"`
+	// ApprovalKeyFiles hold further ones, one a file; relative to the settings file.
+	ApprovalKeyFiles []string `toml:"approval_key_files,omitempty"`
+}
+
+// Settings are those of one daemon.
+type Settings interface {
+	common() *Common
+}
+
+func (c *Common) common() *Common { return c }
+
+// readKeyFiles adds the keys of the key files.
+func (c *Common) readKeyFiles(folder string) error {
+	for _, name := range c.ApprovalKeyFiles {
+		path := name
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(folder, name)
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return fmt.Errorf("key \"approval_key_files\": %w", err)
+		}
+		c.ApprovalKeys = append(c.ApprovalKeys, strings.TrimSpace(string(text)))
+	}
+	return nil
 }
 
 // Peer is another process of the system.
@@ -96,8 +122,9 @@
 	minElectionToHeartbeat   = 3
 )
 
-// Load reads a settings file into target; an empty path leaves it as it is.
-func Load(path string, target any) error {
+// Load reads a settings file, and the key files it names, into target; an empty path
+// leaves it as it is.
+func Load(path string, target Settings) error {
 	if path == "" {
 		return nil
 	}
@@ -105,7 +132,13 @@
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
 	}
-	return bundle.DecodeTOML(path, text, target)
+	if err := bundle.DecodeTOML(path, text, target); err != nil {
+		return err
+	}
+	if err := target.common().readKeyFiles(filepath.Dir(path)); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
 }
 
 // problems collects what is wrong with settings.
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -79,3 +79,35 @@
 	is.True(Load(path+".missing", &Control{}) != nil)
 	is.NoErr(Load("", &Control{}))
 }
+
+func TestKeyFilesAreReadBesideTheSettings(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	path := filepath.Join(folder, "relay.toml")
+	key := goodCommon().ApprovalKeys[0]
+	is.NoErr(os.WriteFile(path, []byte("approval_key_files = [\"approval.key.pub\"]\n"), 0o600))
+	err := Load(path, &Relay{})
+	is.True(err != nil && strings.Contains(err.Error(), "approval_key_files"))
+	is.NoErr(os.WriteFile(filepath.Join(folder, "approval.key.pub"), []byte(key+"\n"), 0o600))
+	relay := Relay{}
+	is.NoErr(Load(path, &relay))
+	is.Equal(relay.ApprovalKeys, []string{key})
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join("..", "..", "examples", "by-hand")
+	for name, target := range map[string]interface {
+		Settings
+		Check() error
+	}{"control-1.toml": &Control{}, "control-2.toml": &Control{}, "control-3.toml": &Control{}, "relay-1.toml": &Relay{}, "proxy-1.toml": &Proxy{}} {
+		text, err := os.ReadFile(filepath.Join(folder, name))
+		is.NoErr(err)
+		// The reader makes the key; here any will do.
+		path := filepath.Join(t.TempDir(), name)
+		is.NoErr(os.WriteFile(path, text, 0o600))
+		is.NoErr(os.WriteFile(filepath.Join(filepath.Dir(path), "approval.key.pub"), []byte(goodCommon().ApprovalKeys[0]), 0o600))
+		is.NoErr(Load(path, target))
+		is.NoErr(target.Check())
+	}
+}
