--- a/pkg/bench/baseline/baseline.go
+++ b/pkg/bench/baseline/baseline.go
@@ -122,9 +122,10 @@
 
 func (s *Server) readPlatform(ctx context.Context, url string, interval time.Duration) {
 	tracker := &platform.Tracker{}
+	reader := platform.NewReader(http.DefaultClient, url)
 	state := &distribution.State{}
 	for ctx.Err() == nil {
-		list, err := platform.Fetch(ctx, http.DefaultClient, url)
+		list, err := reader.Read(ctx)
 		if err == nil {
 			next := state.ChangeEndpoints(tracker.Changes(state.Endpoints, list))
 			if next != state {
--- a/pkg/bench/experiment/calls.go
+++ b/pkg/bench/experiment/calls.go
@@ -71,6 +71,8 @@
 	Amplification Amplification `json:"amplification"`
 	Goodput       []Goodput     `json:"goodput"`
 	NodeMemory    float64       `json:"node_memory_bytes"`
+	// NodeCPU is the processor time of a node for a call, in microseconds.
+	NodeCPU float64 `json:"node_cpu_micros_per_call"`
 }
 
 const (
@@ -113,7 +115,16 @@
 		return fmt.Errorf("calls: set up: %w", err)
 	}
 	report := &CallsReport{Run: currentRun("calls", options.Seed, options.Proxies)}
+	cpuBefore, err := readUsage(b.fleet.Proxies[0])
+	if err != nil {
+		return err
+	}
 	report.Ways = b.measureAdded()
+	cpuAfter, err := readUsage(b.fleet.Proxies[0])
+	if err != nil {
+		return err
+	}
+	report.NodeCPU = (cpuAfter.cpuSeconds - cpuBefore.cpuSeconds) * 1e6 / float64(report.Ways[2].Calls)
 	report.Chains = b.measureChains()
 	report.Amplification = b.measureAmplification()
 	report.Goodput = b.measureGoodput()
--- a/pkg/bench/experiment/calls_measure.go
+++ b/pkg/bench/experiment/calls_measure.go
@@ -141,9 +141,9 @@
 	table.Flush()
 	direct, bare, node := r.Ways[0], r.Ways[1], r.Ways[2]
 	last := r.Goodput[len(r.Goodput)-1]
-	fmt.Fprintf(out, "result commit=%s seed=%d direct_p99_ms=%.3f bare_p99_ms=%.3f node_p99_ms=%.3f added_p50_ms=%.3f added_p99_ms=%.3f leaf_attempts_per_root=%.2f goodput_at_3=%.0f node_memory_mb=%.1f\n",
+	fmt.Fprintf(out, "result commit=%s seed=%d direct_p99_ms=%.3f bare_p99_ms=%.3f node_p99_ms=%.3f added_p50_ms=%.3f added_p99_ms=%.3f leaf_attempts_per_root=%.2f goodput_at_3=%.0f node_memory_mb=%.1f node_cpu_us_per_call=%.0f\n",
 		r.Run.Commit, r.Run.Seed, direct.P99, bare.P99, node.P99, node.P50-direct.P50, node.P99-direct.P99,
-		r.Amplification.PerRoot, last.Answered, r.NodeMemory/(1<<20))
+		r.Amplification.PerRoot, last.Answered, r.NodeMemory/(1<<20), r.NodeCPU)
 	if options.JSON != "" {
 		return writeJSON(out, options.JSON, r)
 	}
--- a/pkg/bench/standin/platform.go
+++ b/pkg/bench/standin/platform.go
@@ -98,14 +98,14 @@
 // Stop ends the stand-in.
 func (p *Platform) Stop() { _ = p.server.Close() }
 
-func (p *Platform) serveMachines(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) serveMachines(w http.ResponseWriter, r *http.Request) {
 	p.mutex.Lock()
 	p.reads++
 	down := p.down
-	machines := []Machine{}
-	for _, version := range p.versions {
+	machines, number := []Machine{}, 0
+	for i, version := range p.versions {
 		if time.Since(version.at) >= p.lag {
-			machines = version.machines
+			machines, number = version.machines, i+1
 		}
 	}
 	p.mutex.Unlock()
@@ -113,6 +113,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	tag := fmt.Sprintf("%q", fmt.Sprint("list-", number))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	text, err := json.Marshal(map[string]any{"machines": machines})
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/pkg/control/platform.go
+++ b/pkg/control/platform.go
@@ -16,6 +16,7 @@
 		return
 	}
 	tracker := &platform.Tracker{}
+	reader := platform.NewReader(s.http, s.settings.PlatformURL)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -27,7 +28,7 @@
 			tracker = &platform.Tracker{}
 			continue
 		}
-		list, err := platform.Fetch(ctx, s.http, s.settings.PlatformURL)
+		list, err := reader.Read(ctx)
 		s.notePlatformError(err)
 		if err != nil {
 			continue
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -39,26 +39,49 @@
 	missesToRemove = 3
 )
 
-// Fetch reads the list.
-func Fetch(ctx context.Context, client *http.Client, url string) (List, error) {
+// Reader reads the list. It remembers the last one and asks for a newer one only, as
+// HTTP allows (RFC 9110, 13.1.2): a list of thousands is long and mostly unchanged. It is
+// not safe for concurrent use.
+type Reader struct {
+	client *http.Client
+	url    string
+	// tag is the server's name for last, empty if it gave none.
+	tag  string
+	last List
+}
+
+// NewReader returns a reader of the list at a URL.
+func NewReader(client *http.Client, url string) *Reader {
+	return &Reader{client: client, url: url}
+}
+
+// Read returns the list as the platform has it now.
+func (r *Reader) Read(ctx context.Context) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url, nil)
 	if err != nil {
-		return List{}, fmt.Errorf("platform list %s: %w", url, err)
+		return List{}, fmt.Errorf("platform list %s: %w", r.url, err)
+	}
+	if r.tag != "" {
+		request.Header.Set("If-None-Match", r.tag)
 	}
-	response, err := client.Do(request)
+	response, err := r.client.Do(request)
 	if err != nil {
 		return List{}, fmt.Errorf("platform list: %w", err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified && r.tag != "" {
+		return r.last, nil
+	}
 	if response.StatusCode != http.StatusOK {
-		return List{}, fmt.Errorf("platform list %s: status %s", url, response.Status)
+		return List{}, fmt.Errorf("platform list %s: status %s", r.url, response.Status)
 	}
 	var list List
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
-		return List{}, fmt.Errorf("platform list %s: %w", url, err)
+		return List{}, fmt.Errorf("platform list %s: %w", r.url, err)
 	}
+	r.tag, r.last = response.Header.Get("ETag"), list
 	return list, nil
 }
 
--- a/pkg/platform/platform_test.go
+++ b/pkg/platform/platform_test.go
@@ -80,8 +80,34 @@
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(answer)
 			defer server.Close()
-			_, err := Fetch(context.Background(), server.Client(), server.URL)
+			_, err := NewReader(server.Client(), server.URL).Read(context.Background())
 			is.New(t).True(err != nil)
 		})
 	}
 }
+
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	tag, sent := `"one"`, 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		sent++
+		_, _ = w.Write([]byte(`{"machines":[{"service":"s","id":"a","address":"10.0.0.1:80"}]}`))
+	}))
+	defer server.Close()
+	reader := NewReader(server.Client(), server.URL)
+	for range 3 {
+		list, err := reader.Read(context.Background())
+		is.NoErr(err)
+		is.Equal(len(list.Machines), 1) // the same list counts as read again
+	}
+	is.Equal(sent, 1)
+	tag = `"two"`
+	_, err := reader.Read(context.Background())
+	is.NoErr(err)
+	is.Equal(sent, 2)
+}
