Relay: a returned node does not wait for the relay's next ping

Cause: a node without a disk serves once a configuration is confirmed as current after its start.

Ruled out: pinging each 100 ms always (ten times the idle traffic to control); opening on a confirmation from before the start (that is the floor's whole point).

Change: a subscriber whose subscription began after the relay's last confirmation makes the relay ping control within 50 ms. Not more often than that, whatever the herd's size.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -69,6 +69,7 @@
 		Admission:   stream.AdmissionConfig{PerSecond: admissionPerSecond, Burst: admissionBurst},
 		Now:         s.clock.Now,
 		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() },
+		WantFresh:   func() { s.client.PingSoon() },
 		OnReport:    s.reports.add,
 	}, s.holder.State())
 	if s.listener, err = net.Listen("tcp", config.Listen); err != nil {
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -48,8 +48,13 @@
 	TakeReports func() []protocol.NodeReport
 }
 
-// Pings come faster until the first confirmation, which a starting node waits for.
-const firstPingInterval = 150 * time.Millisecond
+const (
+	// firstPingInterval: pings come faster until the first confirmation, which a
+	// starting node waits for.
+	firstPingInterval = 150 * time.Millisecond
+	// minPingGap is between a ping and an early one.
+	minPingGap = 50 * time.Millisecond
+)
 
 // Client keeps one subscription alive.
 type Client struct {
@@ -58,6 +63,8 @@
 	selector *Selector
 
 	confirmedAt atomic.Int64
+	// soon holds at most one wish for an early ping.
+	soon chan struct{}
 	// resync asks the next server for everything, after an update that did not fit.
 	resync bool
 	server atomic.Pointer[string]
@@ -68,7 +75,7 @@
 	if len(candidates) == 0 {
 		return nil, errors.New("subscribe: no server is named")
 	}
-	c := &Client{config: config, target: target, selector: NewSelector(config.Selector, candidates)}
+	c := &Client{config: config, target: target, selector: NewSelector(config.Selector, candidates), soon: make(chan struct{}, 1)}
 	c.confirmedAt.Store(unconfirmed)
 	return c, nil
 }
@@ -91,6 +98,15 @@
 	return ""
 }
 
+// PingSoon makes the next ping come early, within minPingGap: somebody waits for a newer
+// confirmation.
+func (c *Client) PingSoon() {
+	select {
+	case c.soon <- struct{}{}:
+	default:
+	}
+}
+
 // Run keeps subscribing until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -183,12 +199,27 @@
 			interval = min(interval, firstPingInterval)
 		}
 		spread := time.Duration((0.75 + rand.Float64()/2) * float64(interval))
-		if !sleep(ctx, spread) {
+		if !s.untilNextPing(ctx, spread) {
 			return
 		}
 	}
 }
 
+// untilNextPing waits for the next ping's time, or less if it is wanted soon; it reports
+// whether to go on.
+func (s *session) untilNextPing(ctx context.Context, interval time.Duration) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-s.client.soon:
+		return sleep(ctx, min(interval, minPingGap))
+	}
+}
+
 func (s *session) sendPing() error {
 	s.mutex.Lock()
 	ping := s.subscription.Ping(s.client.config.Now(), s.client.target.Position())
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -22,6 +22,9 @@
 	// ConfirmedAt returns when the state was last confirmed to include everything
 	// accepted, on the clock of Now.
 	ConfirmedAt func() (time.Duration, bool)
+	// WantFresh, if set, is called when a subscriber waits for a confirmation that is
+	// newer than its subscription, and the state has none yet.
+	WantFresh func()
 	// OnReport, if set, is told what subscribers report.
 	OnReport func(protocol.NodeReport)
 }
@@ -97,6 +100,8 @@
 	hello  protocol.Hello
 	conn   *wire.Conn
 	cancel context.CancelFunc
+	// openedAt is when the subscription began, on the hub's clock.
+	openedAt time.Duration
 	// wakeup holds at most one token: there is something to do.
 	wakeup chan struct{}
 
@@ -126,7 +131,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &subscriber{
-		hello: hello, conn: conn, cancel: cancel,
+		hello: hello, conn: conn, cancel: cancel, openedAt: h.config.Now(),
 		wakeup: make(chan struct{}, 1), session: NewSession(hello.Group, hello.Position),
 	}
 	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: h.config.Name}); err != nil {
@@ -214,6 +219,9 @@
 	changed := s.session.TakePing(ping)
 	h.mutex.Unlock()
 	s.wake()
+	if confirmedAt, confirmed := h.config.ConfirmedAt(); h.config.WantFresh != nil && (!confirmed || confirmedAt < s.openedAt) {
+		h.config.WantFresh()
+	}
 	if changed {
 		h.tellReport(s, true)
 	}
