--- a/pkg/bench/demo/demo.go
+++ b/pkg/bench/demo/demo.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bramblelift/pkg/bench/check"
+	"bramblelift/pkg/bench/faultnet"
 	"bramblelift/pkg/bench/fleet"
 	"bramblelift/pkg/bench/history"
 	"bramblelift/pkg/bench/load"
@@ -51,6 +52,7 @@
 	options  Options
 	out      io.Writer
 	profile  profile.Profile
+	network  *faultnet.Network
 	fleet    *fleet.Fleet
 	platform *standin.Platform
 	backends *profile.Backends
@@ -69,7 +71,7 @@
 		return err
 	}
 	d := &demo{
-		options: options, out: out, profile: chosen, history: &history.History{},
+		options: options, out: out, profile: chosen, history: &history.History{}, network: faultnet.New(),
 		convergence: hdrhistogram.New(1, maxMillis, 3), started: time.Now(),
 	}
 	folder, err := os.MkdirTemp("", "bramblelift-demo-")
@@ -111,13 +113,16 @@
 	d.platform.SetMachines(d.backends.Machines())
 	d.say("%d back ends of %d services run in %d zones", len(d.backends.All), len(d.profile.Services), len(d.profile.Zones))
 	d.fleet, err = fleet.New(fleet.Config{
-		Folder: filepath.Join(folder, "fleet"), Cluster: d.profile.Name, Zones: d.profile.Zones,
+		Folder: filepath.Join(folder, "fleet"), Cluster: d.profile.Name, Zones: d.profile.Zones, Through: d.network.Through,
 		Replicas: replicas, Relays: len(d.profile.Zones), Proxies: d.options.Proxies, ProxyData: true,
 		PlatformURL: d.platform.ListURL(), SourceURL: d.platform.SourceURL(),
 	})
 	if err != nil {
 		return err
 	}
+	if err := d.network.Delay(d.betweenZones, d.profile.ZoneLatency); err != nil {
+		return err
+	}
 	if err := d.fleet.Start(); err != nil {
 		return err
 	}
@@ -130,10 +135,20 @@
 	return nil
 }
 
+// betweenZones matches the links between processes in different zones.
+func (d *demo) betweenZones(link faultnet.Link) bool {
+	zones := map[string]string{}
+	for _, node := range d.fleet.All() {
+		zones[node.Name] = node.Zone
+	}
+	return zones[link.Client] != zones[link.Server]
+}
+
 func (d *demo) tearDown() {
 	if d.fleet != nil {
 		d.fleet.Kill()
 	}
+	d.network.Stop()
 	if d.backends != nil {
 		d.backends.Stop()
 	}
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 	"time"
 
+	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/operator"
 )
 
@@ -158,7 +159,8 @@
 func progress(nodes []operator.Node, number uint64) (string, bool) {
 	connected, ready := 0, 0
 	for _, node := range nodes {
-		if !node.Connected {
+		// Relays report what they hold, but nothing is in force on them.
+		if !node.Connected || node.Group == bundle.ScopeAll {
 			continue
 		}
 		connected++
