Forwarding: one wait a call; accept loop and candidates in one place

Cause 1: `calls` showed refusals with p99 of 172 to 224 ms although a call waits at most 100 ms for a free back end: the wait began anew with each of three attempts. A call that has had its wait must be told at once.

Change 1: the wait is counted from the call's start, over all attempts. TestSaturatedCallIsRefusedInTime covers the bound for one attempt; the bound over several attempts is measured by `calls` and has no test of its own.

Cause 2: the accept loop stood in control and relay, the list of candidates in relay, node and hollow node. They are now wire.AcceptAll and stream.Candidates.

Ruled out: a shorter wait (refusals below full load would rise).

--- a/pkg/bench/hollow/node.go
+++ b/pkg/bench/hollow/node.go
@@ -82,7 +82,7 @@
 		Logger:         log.NewNopLogger(),
 		Now:            started.Now,
 		OnConfirmed:    keeper.Confirmed,
-	}, keeper, n.candidates())
+	}, keeper, stream.Candidates(n.Zone, n.config.Relays))
 	if err != nil {
 		return fmt.Errorf("hollow node %s: %w", n.Name, err)
 	}
@@ -112,14 +112,6 @@
 	return n.serving
 }
 
-func (n *Node) candidates() []stream.Candidate {
-	var all []stream.Candidate
-	for _, peer := range n.config.Relays {
-		all = append(all, stream.Candidate{Address: peer.Address, Near: peer.Zone == n.Zone})
-	}
-	return all
-}
-
 // Stop ends the node's life.
 func (n *Node) Stop() {
 	n.mutex.Lock()
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -317,15 +317,8 @@
 
 // accept serves replicas and relays that connect.
 func (s *Server) accept(ctx context.Context, group *sync.WaitGroup) {
-	for {
-		raw, err := s.listener.Accept()
-		if err != nil {
-			if ctx.Err() == nil {
-				s.logger.Log("event", "accept_failed", "error", err)
-			}
-			return
-		}
-		group.Go(func() { s.serve(ctx, raw) })
+	if err := wire.AcceptAll(ctx, s.listener, group, s.serve); err != nil {
+		s.logger.Log("event", "accept_failed", "error", err)
 	}
 }
 
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -21,8 +21,8 @@
 // Bounds of forwarding.
 const (
 	maxAttempts = 3
-	// maxPatience bounds how long a call waits for a free back end; it must stay
-	// small against any deadline.
+	// maxPatience bounds how long after its start a call still waits for a free back
+	// end, whatever the number of attempts; it must stay small against any deadline.
 	maxPatience      = 100 * time.Millisecond
 	patienceShare    = 8
 	copyBufferSize   = 32 << 10
@@ -269,7 +269,8 @@
 
 // acquire gets a back end for the next attempt.
 func (c *call) acquire(ctx context.Context) (*balancer.Ticket, *Refusal) {
-	patience := min(maxPatience, (c.deadline-c.handler.config.Now())/patienceShare)
+	waited := c.handler.config.Now() - c.started
+	patience := max(0, min(maxPatience, (c.deadline-c.started)/patienceShare)-waited)
 	ticket, err := c.service.pool.Acquire(ctx.Done(), c.handler.config.Now, patience, c.tried)
 	if err == nil {
 		return ticket, nil
--- a/pkg/forward/handler_test.go
+++ b/pkg/forward/handler_test.go
@@ -269,6 +269,36 @@
 	}
 }
 
+// A call that finds no free slot waits a little, once, and is then told at once.
+func TestSaturatedCallIsRefusedInTime(t *testing.T) {
+	is := is.New(t)
+	held := make(chan struct{})
+	defer close(held)
+	var addresses []string
+	for range 2 {
+		address, _ := rawBackend(t, func(net.Conn, *http.Request, int64) bool {
+			<-held
+			return false
+		})
+		addresses = append(addresses, address)
+	}
+	server := node(t, addresses...)
+	for range 2 * 64 { // the limit of a back end for which the bundle sets none
+		go func() {
+			response, err := http.Post(server.URL+"/once/x", "text/plain", strings.NewReader("x"))
+			if err == nil {
+				response.Body.Close()
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	started := time.Now()
+	response := send(t, server, http.MethodPost, "/once/x", nil, "body")
+	is.Equal(outcome(response), string(NotRun))
+	is.Equal(response.Header.Get("Retry-After"), "1")
+	is.True(time.Since(started) < 2*maxPatience)
+}
+
 func TestCallerHeadersAndCredential(t *testing.T) {
 	is := is.New(t)
 	seen := make(chan http.Header, 1)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -107,10 +107,6 @@
 func (s *Server) newClient() error {
 	link := &metrics.Link{}
 	link.Set(metrics.LinkRelay)
-	var candidates []stream.Candidate
-	for _, peer := range s.settings.Relays {
-		candidates = append(candidates, stream.Candidate{Address: peer.Address, Near: peer.Zone == s.settings.Zone})
-	}
 	var err error
 	s.client, err = stream.NewClient(stream.ClientConfig{
 		Hello: protocol.Hello{
@@ -125,7 +121,7 @@
 		Logger:         s.logger,
 		Now:            s.clock.Now,
 		OnConfirmed:    s.keeper.Confirmed,
-	}, s.keeper, candidates)
+	}, s.keeper, stream.Candidates(s.settings.Zone, s.settings.Relays))
 	return err
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -89,10 +89,6 @@
 func (s *Server) newClient() error {
 	link := &metrics.Link{}
 	link.Set(metrics.LinkControl)
-	var candidates []stream.Candidate
-	for _, peer := range s.settings.Controls {
-		candidates = append(candidates, stream.Candidate{Address: peer.Address, Near: peer.Zone == s.settings.Zone})
-	}
 	var err error
 	s.client, err = stream.NewClient(stream.ClientConfig{
 		Hello: protocol.Hello{
@@ -107,7 +103,7 @@
 		Logger:         s.logger,
 		Now:            s.clock.Now,
 		TakeReports:    s.takeReports,
-	}, s, candidates)
+	}, s, stream.Candidates(s.settings.Zone, s.settings.Controls))
 	return err
 }
 
@@ -167,16 +163,10 @@
 	return err
 }
 
+// accept serves nodes that connect.
 func (s *Server) accept(ctx context.Context, group *sync.WaitGroup) {
-	for {
-		raw, err := s.listener.Accept()
-		if err != nil {
-			if ctx.Err() == nil {
-				s.logger.Log("event", "accept_failed", "error", err)
-			}
-			return
-		}
-		group.Go(func() { s.serve(ctx, raw) })
+	if err := wire.AcceptAll(ctx, s.listener, group, s.serve); err != nil {
+		s.logger.Log("event", "accept_failed", "error", err)
 	}
 }
 
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"bramblelift/pkg/settings"
 )
 
 // Candidate is a server that a client may subscribe to.
@@ -12,6 +14,15 @@
 	Near bool
 }
 
+// Candidates lists servers as a client in the given zone sees them.
+func Candidates(zone string, servers []settings.Peer) []Candidate {
+	var all []Candidate
+	for _, server := range servers {
+		all = append(all, Candidate{Address: server.Address, Near: server.Zone == zone})
+	}
+	return all
+}
+
 // SelectorConfig sets up a Selector.
 type SelectorConfig struct {
 	// FirstBackoff and MaxBackoff bound the pause after failures, which doubles
