Simulator: starved relays and resets of calls at work; test of the start floor

No fault made a relay stale while nodes reached it and restarted near it. A dead back end's calls at work just ran into their deadlines; in life their connections are reset.

Change: fault starve-relay cuts a relay off from control only and restarts its nodes after they have moved to others and back; a back end that dies resets the calls at work there. Unit tests of the node's keeper: no service before a confirmation without a disk, at once with one, nothing served that is not durable.

Ruled out: nothing wrong in the product.

--- /dev/null
+++ b/pkg/proxy/keeper_test.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/storage"
+
+	"github.com/matryer/is"
+)
+
+type anyApproval struct{}
+
+func (anyApproval) Verify(bundle.Manifest, bundle.Approval) error { return nil }
+
+// updateTo returns the update that brings a node from nothing to a version.
+func updateTo(t *testing.T, version uint64) *distribution.Update {
+	t.Helper()
+	content := bundle.Content{
+		Services: []bundle.Service{{Name: "s"}},
+		Routes:   []bundle.Route{{Name: "r", PathPrefix: "/", Service: "s"}},
+	}
+	tree, err := bundle.NewTree(content)
+	is.New(t).NoErr(err)
+	state := &distribution.State{}
+	for number := uint64(1); number <= version; number++ {
+		state = state.Activate(&bundle.Signed{Manifest: bundle.Manifest{Version: number, Digest: tree.Root()}, Content: content})
+	}
+	update, err := distribution.NewPlanner(state).Plan("shop", distribution.Position{})
+	is.New(t).NoErr(err)
+	return update
+}
+
+// newKeeper returns a keeper and the versions that it has put in force.
+func newKeeper(t *testing.T, files storage.FileSystem) (*Keeper, *[]uint64, *error) {
+	t.Helper()
+	var inForce []uint64
+	var failure error
+	k, err := NewKeeper(KeeperConfig{
+		Files: files, Group: "shop", Verifier: anyApproval{},
+		InForce:   func(state *distribution.State) { inForce = append(inForce, state.Active.Manifest.Version) },
+		OnFailure: func(err error) { failure = err },
+	})
+	is.New(t).NoErr(err)
+	k.Start()
+	return k, &inForce, &failure
+}
+
+// A node without a disk does not know what it held: until somebody confirms that what it
+// got is current, it may be older.
+func TestNodeWithoutDiskWaitsForAConfirmation(t *testing.T) {
+	is := is.New(t)
+	k, inForce, _ := newKeeper(t, nil)
+	is.NoErr(k.Apply(updateTo(t, 3)))
+	is.Equal(len(*inForce), 0)
+	is.True(!k.Serving())
+	k.Confirmed(time.Second)
+	is.Equal(*inForce, []uint64{3})
+	is.True(k.Serving())
+}
+
+func TestNodeWithDiskStartsOnWhatItHeld(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "data")
+	files, err := storage.OpenFolder(folder)
+	is.NoErr(err)
+	k, inForce, _ := newKeeper(t, files)
+	is.NoErr(k.Apply(updateTo(t, 3)))
+	k.Confirmed(time.Second)
+	is.Equal(*inForce, []uint64{3})
+
+	again, inForce, _ := newKeeper(t, files)
+	is.Equal(*inForce, []uint64{3}) // at once, with nobody reachable
+	older := updateTo(t, 2)
+	older.To = 99 // a relay that lost count
+	is.True(errors.Is(again.Apply(older), distribution.ErrOlder))
+	is.Equal(*inForce, []uint64{3})
+
+	is.NoErr(os.WriteFile(filepath.Join(folder, stateFile), []byte("{half"), 0o600))
+	_, err = NewKeeper(KeeperConfig{Files: files, Group: "shop", Verifier: anyApproval{}})
+	is.True(err != nil) // damage is told, not taken for a first start
+}
+
+// brokenFiles fails every sync of the folder.
+type brokenFiles struct{ *storage.Folder }
+
+var errBroken = errors.New("sync failed")
+
+func (brokenFiles) SyncFolder() error { return errBroken }
+
+func TestWhatIsNotDurableIsNotServed(t *testing.T) {
+	is := is.New(t)
+	folder, err := storage.OpenFolder(filepath.Join(t.TempDir(), "data"))
+	is.NoErr(err)
+	k, inForce, failure := newKeeper(t, brokenFiles{folder})
+	k.Confirmed(time.Second)
+	is.True(errors.Is(k.Apply(updateTo(t, 1)), errBroken))
+	is.Equal(len(*inForce), 0)
+	is.True(errors.Is(*failure, errBroken)) // the process must end
+}
--- a/pkg/sim/backend.go
+++ b/pkg/sim/backend.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bramblelift/pkg/balancer"
@@ -29,6 +30,14 @@
 	leavingAt   time.Duration
 	leaving     bool
 	lies        bool
+	// underWay are the calls begun and not yet answered, in order.
+	underWay []begunCall
+}
+
+// begunCall is a call at work at a back end.
+type begunCall struct {
+	call   *simCall
+	ticket *balancer.Ticket
 }
 
 // backendSet is all back ends, by ID.
@@ -93,9 +102,12 @@
 		return
 	}
 	b.busy++
+	begun := begunCall{call: c, ticket: ticket}
+	b.underWay = append(b.underWay, begun)
 	s.cluster.observeExecution(c.id, b)
 	b.later(w.between(workTime/2, workTime*2), func() {
 		b.busy--
+		b.underWay = slices.DeleteFunc(b.underWay, func(other begunCall) bool { return other == begun })
 		s.answer(c, b, func() {
 			s.report(c.node, b, ticket, leaving)
 			if c.ticket == ticket {
@@ -106,6 +118,17 @@
 	})
 }
 
+// crash ends a back end. The connections of the calls at work there are reset, so their
+// nodes learn soon that they broke, and not whether they ran.
+func (s *backendSet) crash(b *backend) {
+	broken := b.underWay
+	b.underWay = nil
+	b.end()
+	for _, begun := range broken {
+		s.answer(begun.call, b, func() { begun.call.failed(begun.ticket, balancer.Failed, forward.Unknown) })
+	}
+}
+
 func (s *backendSet) report(n *node, b *backend, ticket *balancer.Ticket, leaving bool) {
 	load := float64(b.busy) / backendSlots
 	if b.lies {
--- a/pkg/sim/cluster.go
+++ b/pkg/sim/cluster.go
@@ -23,6 +23,7 @@
 	nodesPerZone  = 2
 	backendCount  = 6
 	operatorCount = 2
+	controlPrefix = "control-"
 )
 
 // groups are given to nodes in turn; the last is named by no route.
@@ -88,7 +89,7 @@
 func (c *cluster) addControls() error {
 	var members []raft.Member
 	for i := range controlCount {
-		name := fmt.Sprintf("control-%d", i+1)
+		name := fmt.Sprintf("%s%d", controlPrefix, i+1)
 		ctl := &control{process: newProcess(c.world, name, c.zones[i%len(c.zones)], actualDrift), cluster: c, disk: newDisk(c.world)}
 		c.controls = append(c.controls, ctl)
 		members = append(members, ctl.member())
--- a/pkg/sim/faults.go
+++ b/pkg/sim/faults.go
@@ -120,7 +120,7 @@
 		if !b.alive {
 			return func() {}
 		}
-		b.end()
+		c.backends.crash(b)
 		c.platform.record()
 		return func() { reviveBackend(c, b) }
 	}},
@@ -136,6 +136,7 @@
 			n.start()
 		}
 	}},
+	{"starve-relay", strikeStarveRelay},
 }
 
 // FaultNames returns the names of all kinds.
@@ -253,6 +254,29 @@
 	}
 }
 
+// starveDelay is longer than a node stays at a stale relay.
+const starveDelay = 4 * time.Second
+
+// strikeStarveRelay cuts a relay off from control only. Its nodes move to other relays
+// and get newer versions there; then they are restarted, and the one that is near them is
+// the stale one.
+func strikeStarveRelay(c *cluster) func() {
+	r := pickOne(c, c.relays)
+	c.network.starved[r.name] = true
+	c.world.after(starveDelay, func() {
+		if !c.network.starved[r.name] {
+			return
+		}
+		for _, n := range c.nodes {
+			if n.zone == r.zone {
+				n.kill()
+				n.start()
+			}
+		}
+	})
+	return func() { delete(c.network.starved, r.name) }
+}
+
 func isolate(c *cluster, p *process) func() {
 	c.network.isolated[p.name] = true
 	return func() { delete(c.network.isolated, p.name) }
@@ -332,6 +356,7 @@
 	x.open = nil
 	c := x.cluster
 	c.healed = true
+	clear(c.network.starved)
 	clear(c.network.cut)
 	clear(c.network.isolated)
 	c.network.chaos = false
--- a/pkg/sim/network.go
+++ b/pkg/sim/network.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"strings"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 	zoneLatency time.Duration
 	// cut holds the directions between zones that are cut.
 	cut map[[2]string]bool
+	// starved relays and control replicas do not reach each other, in silence.
+	starved map[string]bool
 	// isolated processes reach nobody and are reached by nobody, in silence.
 	isolated map[string]bool
 	// chaos makes datagrams get lost, doubled and late.
@@ -29,7 +32,7 @@
 }
 
 func newNetwork(w *world, zoneLatency time.Duration) *network {
-	return &network{world: w, zoneLatency: zoneLatency, cut: map[[2]string]bool{}, isolated: map[string]bool{}}
+	return &network{world: w, zoneLatency: zoneLatency, cut: map[[2]string]bool{}, isolated: map[string]bool{}, starved: map[string]bool{}}
 }
 
 func (n *network) reaches(from, to *process) bool {
@@ -39,9 +42,14 @@
 	if n.isolated[from.name] || n.isolated[to.name] {
 		return false
 	}
+	if (n.starved[from.name] && isControl(to)) || (n.starved[to.name] && isControl(from)) {
+		return false
+	}
 	return !n.cut[[2]string{from.zone, to.zone}]
 }
 
+func isControl(p *process) bool { return strings.HasPrefix(p.name, controlPrefix) }
+
 func (n *network) delay(from, to *process) time.Duration {
 	base := n.zoneLatency
 	if from.zone == to.zone {
