--- a/pkg/bench/fleet/fleet.go
+++ b/pkg/bench/fleet/fleet.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"bramblelift/pkg/bundle"
@@ -363,18 +362,3 @@
 	}
 	return nil
 }
-
-// LogLines returns the lines of a process's log that contain text.
-func (n *Node) LogLines(text string) []string {
-	content, err := os.ReadFile(n.Log)
-	if err != nil {
-		return nil
-	}
-	var lines []string
-	for line := range strings.Lines(string(content)) {
-		if strings.Contains(line, text) {
-			lines = append(lines, strings.TrimSpace(line))
-		}
-	}
-	return lines
-}
--- a/pkg/bench/load/load.go
+++ b/pkg/bench/load/load.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -163,6 +162,3 @@
 	}
 	return s
 }
-
-// ErrNoAnswer: no call was answered.
-var ErrNoAnswer = errors.New("no call was answered")
--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -23,8 +23,6 @@
 	HeaderLoad = "Backend-Load"
 	// HeaderDraining is set by a back end that takes no new calls.
 	HeaderDraining = "Backend-Draining"
-	// HeaderIdempotencyKey names an operation that a caller may send again.
-	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
 // Outcome says whether a refused call ran.
--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -110,6 +110,35 @@
 	s.judge()
 }
 
+// TestFrozenLeaderWakesUp: the leader and a relay are frozen while the others move on.
+// When the leader wakes up its lease is in the past: it must not answer from before.
+func TestFrozenLeaderWakesUp(t *testing.T) {
+	is := is.New(t)
+	s := startSystem(t, nil)
+	s.watch()
+	leader, err := s.Leader()
+	is.NoErr(err)
+	is.NoErr(leader.Freeze())
+	is.NoErr(s.Relays[0].Freeze())
+	accepted := s.publish()
+	is.NoErr(s.awaitVersion(s.Proxies, accepted))
+	accepted = s.publish()
+	is.NoErr(leader.Thaw())
+	alone := operator.NewClient([]string{leader.Admin})
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	for ctx.Err() == nil {
+		var status operator.Status
+		if alone.Do(ctx, http.MethodGet, operator.PathStatus, nil, &status) == nil {
+			is.True(status.Active >= accepted) // an answer is never from before
+		}
+	}
+	is.NoErr(s.Relays[0].Thaw())
+	is.NoErr(s.awaitVersion(s.Proxies, accepted))
+	is.NoErr(s.awaitRepair())
+	s.judge()
+}
+
 // TestZoneCutOffAndHealed: a zone keeps serving on what it has, and has the newest
 // version soon after the cut ends.
 func TestZoneCutOffAndHealed(t *testing.T) {
