Simulator: servers that alter updates

Change: fault garbled-updates alters three of ten updates on the way: bundles or endpoints missing, hand-back turned, secrets dropped, routes led elsewhere, another version number.

Ruled out: nothing wrong in the product.

--- a/pkg/sim/faults.go
+++ b/pkg/sim/faults.go
@@ -137,6 +137,10 @@
 		}
 	}},
 	{"starve-relay", strikeStarveRelay},
+	{"garbled-updates", func(c *cluster) func() {
+		c.network.garbling = true
+		return func() { c.network.garbling = false }
+	}},
 }
 
 // FaultNames returns the names of all kinds.
@@ -360,6 +364,7 @@
 	clear(c.network.cut)
 	clear(c.network.isolated)
 	c.network.chaos = false
+	c.network.garbling = false
 	c.platform.down = false
 	for _, ctl := range c.controls {
 		ctl.thaw()
--- a/pkg/sim/network.go
+++ b/pkg/sim/network.go
@@ -27,6 +27,8 @@
 	starved map[string]bool
 	// isolated processes reach nobody and are reached by nobody, in silence.
 	isolated map[string]bool
+	// garbling servers alter some of their updates.
+	garbling bool
 	// chaos makes datagrams get lost, doubled and late.
 	chaos bool
 }
--- a/pkg/sim/subscribe.go
+++ b/pkg/sim/subscribe.go
@@ -64,6 +64,7 @@
 	}
 	client := open.client
 	if update != nil {
+		update = client.network.garbled(update)
 		open.conn.send(toClient, func() { client.takeUpdate(open.conn, update) })
 	}
 	if pong != nil {
