--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// peerQueue is how many messages wait for one peer; when it is full, the
-	// oldest kind of loss happens: the message is dropped, and sent again later.
+	// peerQueue is how many messages wait for one peer. Beyond it messages are
+	// dropped, which consensus takes for loss on the way.
 	peerQueue        = 256
 	peerDialTimeout  = time.Second
 	peerRedialPause  = 200 * time.Millisecond
@@ -96,21 +96,34 @@
 	}
 }
 
+// sendAll connects once there is something to send, so that a replica that was replaced
+// costs nothing, and sends until the connection breaks.
 func (p *peerSet) sendAll(address string, queue <-chan protocolFrame) error {
+	frame, open := p.next(queue)
+	if !open {
+		return nil
+	}
 	conn, err := p.dial(address)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	for {
-		select {
-		case <-p.context.Done():
-			return nil
-		case frame := <-queue:
-			if err := conn.Send(frame.kind, frame.value); err != nil {
-				return err
-			}
+	for open {
+		if err := conn.Send(frame.kind, frame.value); err != nil {
+			return err
 		}
+		frame, open = p.next(queue)
+	}
+	return nil
+}
+
+// next waits for a message; it returns false when the process stops.
+func (p *peerSet) next(queue <-chan protocolFrame) (protocolFrame, bool) {
+	select {
+	case <-p.context.Done():
+		return protocolFrame{}, false
+	case frame := <-queue:
+		return frame, true
 	}
 }
 
