Simulator: a run that never ends is a violation with a name

A check that hangs names nothing.

Change: more than 400,000 steps in one run (a usual one takes 20,000) break the invariant "the system does not send messages without end".

Ruled out: a limit on time (it would differ by machine).

--- a/pkg/sim/observe.go
+++ b/pkg/sim/observe.go
@@ -26,6 +26,7 @@
 	invariantRepair    = "a replaced machine becomes a full replica"
 	invariantRecovery  = "a process can start from what it made durable"
 	invariantPlan      = "every state can be distributed"
+	invariantSteps     = "the system does not send messages without end"
 	invariantStop      = "a planned stop finishes the calls under way"
 )
 
--- a/pkg/sim/world.go
+++ b/pkg/sim/world.go
@@ -64,6 +64,9 @@
 	heap.Push(&w.queue, event{at: w.now + max(0, delay), sequence: w.sequence, run: run})
 }
 
+// maxSteps bounds a run; a usual one takes some 20,000.
+const maxSteps = 400_000
+
 // runUntil runs events up to a time, or until done says so.
 func (w *world) runUntil(end time.Duration, done func() bool) {
 	for len(w.queue) > 0 && w.queue[0].at <= end {
@@ -76,6 +79,11 @@
 		next := heap.Pop(&w.queue).(event)
 		w.now = next.at
 		w.steps++
+		if w.steps > maxSteps {
+			w.violate(invariantSteps, "more than %d steps", maxSteps)
+			w.queue = nil
+			return
+		}
 		next.run()
 	}
 	w.now = max(w.now, end)
