--- a/pkg/bench/standin/backend.go
+++ b/pkg/bench/standin/backend.go
@@ -220,6 +220,10 @@
 		length = len(id) + 1
 	}
 	body := AnswerBody(id, length)
+	if id == "" {
+		// Somebody tries things out by hand.
+		body = fmt.Appendf(nil, "%s answers %s %s\n", b.Config.Name, r.Method, r.URL.Path)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.Header().Set("Backend-Name", b.Config.Name)
 	w.Header().Set("Backend-Load", b.loadReport())
