Operators' client: a frozen replica holds nobody up for 5 s

Cause: found with TestFrozenLeaderWakesUp: a roll waited 5 s for the frozen leader's answer before the client asked another replica.

Change: in the first round each replica has 1.5 s, afterwards 5 s. A resend under the same operation ID gets the same answer, so nothing can be done twice.

Ruled out: asking all replicas at once; it would make three proposals of one command.

--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -18,8 +18,12 @@
 // Bounds of the client.
 const (
 	maxAnswerBytes = 64 << 20
-	attemptTimeout = 5 * time.Second
-	retryPause     = 200 * time.Millisecond
+	// firstAttemptTimeout bounds each replica's answer in the first round: a frozen one
+	// must not keep an operator from the others. A resend under the same operation ID
+	// is harmless.
+	firstAttemptTimeout = 1500 * time.Millisecond
+	attemptTimeout      = 5 * time.Second
+	retryPause          = 200 * time.Millisecond
 )
 
 // Client calls the control replicas, one after another, until the leader answers.
@@ -52,7 +56,7 @@
 	}
 	for attempts := 1; ; attempts++ {
 		address := c.addresses[c.next%len(c.addresses)]
-		err := c.attempt(ctx, method, "http://"+address+path, body, answer)
+		err := c.attemptWithin(ctx, timeoutOf(attempts, len(c.addresses)), method, "http://"+address+path, body, answer)
 		if err == nil || !worthRetrying(err) {
 			return err
 		}
@@ -108,6 +112,20 @@
 	return false
 }
 
+// timeoutOf returns how long an attempt may take; attempts count from one.
+func timeoutOf(attempt, replicas int) time.Duration {
+	if attempt <= replicas {
+		return firstAttemptTimeout
+	}
+	return attemptTimeout
+}
+
+func (c *Client) attemptWithin(ctx context.Context, timeout time.Duration, method, url string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.attempt(ctx, method, url, body, answer)
+}
+
 func (c *Client) attempt(ctx context.Context, method, url string, body []byte, answer any) error {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
--- a/pkg/operator/client_test.go
+++ b/pkg/operator/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -48,3 +49,17 @@
 	err := client.Do(ctx, http.MethodGet, PathVersions, nil, &VersionList{})
 	is.True(err != nil && strings.Contains(err.Error(), "no leader answered"))
 }
+
+// A replica that takes connections and answers nothing, as a frozen process does.
+func TestFrozenReplicaDoesNotHoldAnOperatorUp(t *testing.T) {
+	is := is.New(t)
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer frozen.Close()
+	client := NewClient([]string{frozen.Addr().String(), replicaAt(t, true)})
+	var list VersionList
+	started := time.Now()
+	is.NoErr(client.Do(context.Background(), http.MethodGet, PathVersions, nil, &list))
+	is.Equal(list.Head, uint64(7))
+	is.True(time.Since(started) < attemptTimeout/2)
+}
