--- a/pkg/bench/demo/demo.go
+++ b/pkg/bench/demo/demo.go
@@ -35,7 +35,7 @@
 
 const (
 	replicas    = 3
-	callers     = 24
+	callerCount = 24
 	callerPause = 15 * time.Millisecond
 	callTimeout = 10 * time.Second
 	leaveBound  = 3 * time.Second
@@ -49,14 +49,16 @@
 
 // demo is one run.
 type demo struct {
-	options  Options
-	out      io.Writer
-	profile  profile.Profile
-	network  *faultnet.Network
-	fleet    *fleet.Fleet
-	platform *standin.Platform
-	backends *profile.Backends
-	history  *history.History
+	options Options
+	out     io.Writer
+	profile profile.Profile
+	network *faultnet.Network
+	fleet   *fleet.Fleet
+	// entrances are where callers reach the nodes, with the latency to clients.
+	entrances []string
+	platform  *standin.Platform
+	backends  *profile.Backends
+	history   *history.History
 	// convergence is in milliseconds, from acceptance to in force, by node.
 	convergence *hdrhistogram.Histogram
 	rolled      int
@@ -120,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.network.Delay(d.betweenZones, d.profile.ZoneLatency); err != nil {
+	if err := d.layOutLatency(); err != nil {
 		return err
 	}
 	if err := d.fleet.Start(); err != nil {
@@ -135,13 +137,31 @@
 	return nil
 }
 
+// callers is the name of the callers' end of their links.
+const callers = "callers"
+
+// layOutLatency slows the links between zones and those from the callers.
+func (d *demo) layOutLatency() error {
+	for _, node := range d.fleet.Proxies {
+		address, err := d.network.Through(callers, node.Name, node.Address)
+		if err != nil {
+			return err
+		}
+		d.entrances = append(d.entrances, address)
+	}
+	if err := d.network.Delay(func(link faultnet.Link) bool { return link.Client == callers }, d.profile.ClientLatency); err != nil {
+		return err
+	}
+	return d.network.Delay(d.betweenZones, d.profile.ZoneLatency)
+}
+
 // betweenZones matches the links between processes in different zones.
 func (d *demo) betweenZones(link faultnet.Link) bool {
 	zones := map[string]string{}
 	for _, node := range d.fleet.All() {
 		zones[node.Name] = node.Zone
 	}
-	return zones[link.Client] != zones[link.Server]
+	return link.Client != callers && zones[link.Client] != zones[link.Server]
 }
 
 func (d *demo) tearDown() {
@@ -198,12 +218,8 @@
 }
 
 func (d *demo) load(ctx context.Context) {
-	var nodes []string
-	for _, node := range d.fleet.Proxies {
-		nodes = append(nodes, node.Address)
-	}
 	load.Run(ctx, load.Config{
-		Services: d.profile.Services, Nodes: nodes[:max(1, len(nodes)-1)], Callers: callers,
+		Services: d.profile.Services, Nodes: d.entrances[:max(1, len(d.entrances)-1)], Callers: callerCount,
 		Pause: callerPause, Timeout: callTimeout, Seed: d.options.Seed,
 	}, d.history)
 }
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -131,42 +131,58 @@
 
 const watchInterval = 200 * time.Millisecond
 
-// watch prints progress until every connected node has a version, or a later one, in
-// force.
+// watchProgress is how far a version has come.
+type watchProgress struct {
+	Version   uint64 `json:"version"`
+	InForce   int    `json:"in_force"`
+	Connected int    `json:"connected"`
+}
+
+// String returns the progress in one line.
+func (p watchProgress) String() string {
+	return fmt.Sprintf("version %d in force on %d of %d connected nodes", p.Version, p.InForce, p.Connected)
+}
+
+func (p watchProgress) done() bool { return p.Connected > 0 && p.InForce == p.Connected }
+
+// watch prints each step of progress until every connected node has a version, or a
+// later one, in force.
 func (s *session) watch(number uint64) error {
-	last := ""
+	var last watchProgress
 	for {
 		nodes, err := s.nodes()
 		if err != nil {
 			return err
 		}
-		line, done := progress(nodes, number)
-		if line != last {
-			fmt.Fprintln(s.stdout, line)
-			last = line
+		now := progress(nodes, number)
+		if now != last {
+			if err := s.print(now, func() { fmt.Fprintln(s.stdout, now) }); err != nil {
+				return err
+			}
+			last = now
 		}
-		if done {
+		if now.done() {
 			return nil
 		}
 		select {
 		case <-s.context.Done():
-			return fmt.Errorf("version %d is not in force on every connected node yet: %s", number, line)
+			return fmt.Errorf("version %d is not in force on every connected node yet: %s", number, now)
 		case <-time.After(watchInterval):
 		}
 	}
 }
 
-func progress(nodes []operator.Node, number uint64) (string, bool) {
-	connected, ready := 0, 0
+func progress(nodes []operator.Node, number uint64) watchProgress {
+	p := watchProgress{Version: number}
 	for _, node := range nodes {
 		// Relays report what they hold, but nothing is in force on them.
 		if !node.Connected || node.Group == bundle.ScopeAll {
 			continue
 		}
-		connected++
+		p.Connected++
 		if node.Active >= number {
-			ready++
+			p.InForce++
 		}
 	}
-	return fmt.Sprintf("version %d in force on %d of %d connected nodes", number, ready, connected), connected > 0 && ready == connected
+	return p
 }
--- a/test/integration/command_test.go
+++ b/test/integration/command_test.go
@@ -60,6 +60,7 @@
 	expect(ctl.ExitInvalid, "invalid-approval", "bundle", "approve", "2", "--key", s.KeyFile, "--cluster", "another")
 	expect(ctl.ExitOK, "in force on 4 of 4", "bundle", "roll", "2", "--wait")
 	expect(ctl.ExitOK, "in force on 4 of 4", "watch", "2")
+	expect(ctl.ExitOK, `"in_force": 4`, "watch", "2", "--json")
 	expect(ctl.ExitRefused, "superseded", "bundle", "roll", "1")
 	diff := expect(ctl.ExitOK, `changed secret "backend-credential"`, "diff", "1", "2")
 	is.True(!strings.Contains(diff, "hidden-credential")) // values never show
