--- a/pkg/bench/experiment/storm.go
+++ b/pkg/bench/experiment/storm.go
@@ -118,18 +118,10 @@
 	}
 	restarted := make(chan error, 1)
 	time.AfterFunc(lossTime, func() { restarted <- restart() })
-	if err := herd.AwaitServing(convergeLimit); err != nil {
-		return err
-	}
-	r.Serving = time.Since(back).Seconds()
-	if err := s.swarm.AwaitCurrent(back, convergeLimit); err != nil {
+	if err := r.awaitRecovery(s, herd, back); err != nil {
 		return err
 	}
-	r.Recovery = time.Since(back).Seconds()
-	if err := <-restarted; err != nil {
-		return err
-	}
-	if err := errors.Join(s.recorder.Await(convergeLimit), bystanders.Await(convergeLimit)); err != nil {
+	if err := errors.Join(<-restarted, s.recorder.Await(convergeLimit), bystanders.Await(convergeLimit)); err != nil {
 		return err
 	}
 	to, err := s.read()
@@ -144,6 +136,19 @@
 	return nil
 }
 
+// awaitRecovery times until the returned nodes serve and all nodes are known current.
+func (r *StormReport) awaitRecovery(s *system, herd *hollow.Swarm, back time.Time) error {
+	if err := herd.AwaitServing(convergeLimit); err != nil {
+		return err
+	}
+	r.Serving = time.Since(back).Seconds()
+	if err := s.swarm.AwaitCurrent(back, convergeLimit); err != nil {
+		return err
+	}
+	r.Recovery = time.Since(back).Seconds()
+	return nil
+}
+
 // cpuBetween returns the processor time of a role between two readings. A process that
 // was restarted began to count anew, so its role's figure is left out as negative one.
 func cpuBetween(from, to roleUsage, lostRole, role string) float64 {
