Simulator: endpoints at nodes and over incarnations are checked

Change: two invariants: "a node's endpoints are those of its revision" and "no endpoint comes back within one incarnation", in a file of their own.

Ruled out: nothing wrong in the product.

--- a/pkg/sim/observe.go
+++ b/pkg/sim/observe.go
@@ -26,6 +26,8 @@
 	invariantRepair    = "a replaced machine becomes a full replica"
 	invariantRecovery  = "a process can start from what it made durable"
 	invariantPlan      = "every state can be distributed"
+	invariantEndpoints = "a node's endpoints are those of its revision"
+	invariantNoWayBack = "no endpoint comes back within one incarnation"
 	invariantSteps     = "the system does not send messages without end"
 	invariantStop      = "a planned stop finishes the calls under way"
 )
@@ -59,18 +61,23 @@
 	inForce map[string]uint64
 	// history is the digest of the state after each applied index, as the first
 	// replica to reach it had it.
-	history    map[uint64]string
-	executions map[string]int
-	operations []*operationRecord
-	leases     map[*control]bool
-	callsEnded int
-	answered   int
-	ended      []endedCall
+	history map[uint64]string
+	// endpoints are those of each revision, endpointLives how far each incarnation
+	// has come.
+	endpoints     map[uint64]distribution.EndpointTable
+	endpointLives map[string]endpointLife
+	executions    map[string]int
+	operations    []*operationRecord
+	leases        map[*control]bool
+	callsEnded    int
+	answered      int
+	ended         []endedCall
 }
 
 func newObservations() *observations {
 	return &observations{
 		contents: map[uint64]knownContent{}, inForce: map[string]uint64{},
+		endpoints: map[uint64]distribution.EndpointTable{}, endpointLives: map[string]endpointLife{},
 		history: map[uint64]string{}, executions: map[string]int{}, leases: map[*control]bool{},
 	}
 }
@@ -97,6 +104,7 @@
 		c.checkLease(ctl)
 	}
 	c.traceReplica(ctl)
+	c.rememberEndpoints(ctl)
 	index := ctl.replica.Applied()
 	digest := fmt.Sprintf("head %d revision %d active %d", ctl.replica.Catalog().HeadVersion(), ctl.replica.State().Revision, ctl.replica.State().Position().Active)
 	if known, found := c.history[index]; found && known != digest {
@@ -149,6 +157,7 @@
 	c.inForce[n.name] = version
 	c.checkDangling(n, state.Active.Content)
 	c.checkWhole(n, version, state.Active.Content)
+	c.checkEndpoints(n, state)
 }
 
 // checkDangling looks every reference up by hand.
