Control and relay: a planned stop cannot call off the closing of its listener

Its log shows that it went on accepting connections and dropped each at once: its context was done and its listener open. Run closes the listener in a context.AfterFunc and called that off with a deferred stop() before it waited for the accept loop. If Run gets there before the function has begun, nobody closes the listener and Run waits for ever.

Ruled out: a lock held in the hub, which the same function takes first: nothing waits under it by reading.

Change: the function is never called off in control and relay; each cancels before it waits.

--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -175,11 +175,11 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() {
+	// Never called off: cancel comes before the wait for the goroutines that this ends.
+	context.AfterFunc(ctx, func() {
 		s.hub.Stop()
 		s.listener.Close()
 	})
-	defer stop()
 	group.Go(func() { s.accept(ctx, &group) })
 	group.Go(func() {
 		if err := s.admin.Serve(ctx); err != nil {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -149,13 +149,15 @@
 // Run serves until the context ends.
 func (s *Server) Run(ctx context.Context) error {
 	s.logger.Log("event", "started", "listen", s.listener.Addr(), "admin", s.admin.Address())
+	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	defer group.Wait()
-	stop := context.AfterFunc(ctx, func() {
+	defer cancel()
+	// Never called off: cancel comes before the wait for the goroutines that this ends.
+	context.AfterFunc(ctx, func() {
 		s.hub.Stop()
 		s.listener.Close()
 	})
-	defer stop()
 	group.Go(func() { s.client.Run(ctx) })
 	group.Go(func() { s.accept(ctx, &group) })
 	err := s.admin.Serve(ctx)
