Read over: derived state, work done twice, maps that were one

Change, behaviour as it was: a failed attempt's "declined" is derived from its error instead of kept beside it; the balancer asks once a back end whether it is usable; control cancels once on its way out, as the relay does; the bench's readings are tally.Bytes throughout instead of being converted at six places; the baseline keeps one map of connections instead of two; a test of the daemon's exit code ran the program twice; the size of the last record stood in two tests.

Ruled out: one set-up for calls, converge and the integration tests. They share a shape, not a purpose; a common one would need a switch for each.

No assertion was changed.

--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -242,14 +242,15 @@
 			continue
 		}
 		total++
-		if e.usable(now) {
+		ready := e.usable(now)
+		if ready {
 			usable++
 		}
 		if slices.Contains(tried, e.target.ID) {
 			continue
 		}
 		untried = append(untried, e)
-		if e.usable(now) {
+		if ready {
 			healthy = append(healthy, e)
 		}
 	}
--- a/pkg/bench/baseline/baseline.go
+++ b/pkg/bench/baseline/baseline.go
@@ -61,8 +61,8 @@
 
 	mutex   sync.Mutex
 	current *snapshot
-	conns   map[*wire.Conn]bool
-	wakeups map[*wire.Conn]chan struct{}
+	// conns holds what wakes the writer of each connection.
+	conns map[*wire.Conn]chan struct{}
 }
 
 // Start runs a server on a free port. It reads the platform's list at the interval, as
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start baseline: %w", err)
 	}
-	s := &Server{mode: mode, listener: listener, current: &snapshot{}, conns: map[*wire.Conn]bool{}, wakeups: map[*wire.Conn]chan struct{}{}}
+	s := &Server{mode: mode, listener: listener, current: &snapshot{}, conns: map[*wire.Conn]chan struct{}{}}
 	context.AfterFunc(ctx, func() { s.close() })
 	s.group.Go(s.accept)
 	s.group.Go(func() { s.readPlatform(ctx, platformURL, interval) })
@@ -106,7 +106,7 @@
 	next.Revision++
 	apply(&next)
 	s.current = &next
-	for _, wakeup := range s.wakeups {
+	for _, wakeup := range s.conns {
 		select {
 		case wakeup <- struct{}{}:
 		default:
@@ -150,10 +150,7 @@
 		wakeup := make(chan struct{}, 1)
 		wakeup <- struct{}{}
 		s.mutex.Lock()
-		s.conns[conn] = true
-		if s.mode == Push {
-			s.wakeups[conn] = wakeup
-		}
+		s.conns[conn] = wakeup
 		s.mutex.Unlock()
 		s.group.Go(func() { s.serve(conn, wakeup) })
 	}
@@ -164,7 +161,6 @@
 		conn.Close()
 		s.mutex.Lock()
 		delete(s.conns, conn)
-		delete(s.wakeups, conn)
 		s.mutex.Unlock()
 	}()
 	if s.mode == Poll {
--- a/pkg/bench/experiment/converge.go
+++ b/pkg/bench/experiment/converge.go
@@ -149,11 +149,11 @@
 	}
 	figures := Figures{
 		System: "bramblelift", Convergence: s.recorder.Summary(), Seconds: to.at.Sub(from.at).Seconds(),
-		NodeBytes: tally.Bytes(to.swarm).Minus(from.swarm), NodeMemory: to.node.memory,
+		NodeBytes: to.swarm.Minus(from.swarm), NodeMemory: to.node.memory,
 	}
 	figures.divide(options.Proxies, options.Changes)
 	idle := from.at.Sub(idleFrom.at).Seconds()
-	figures.IdleBytes = float64(tally.Bytes(from.swarm).Minus(idleFrom.swarm).Total()) / float64(options.Proxies) / idle
+	figures.IdleBytes = float64(from.swarm.Minus(idleFrom.swarm).Total()) / float64(options.Proxies) / idle
 	figures.IdleCPU = (from.node.cpuSeconds - idleFrom.node.cpuSeconds) / float64(realNodes) / idle
 	figures.LinkBytes = linkBytes(from, to)
 	return figures, nil
--- a/pkg/bench/experiment/scale.go
+++ b/pkg/bench/experiment/scale.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"bramblelift/pkg/bench/convergence"
-	"bramblelift/pkg/bench/tally"
 )
 
 // ScaleOptions are the flags of the scale experiment.
@@ -151,7 +150,7 @@
 }
 
 func nodeRate(from, to reading, nodes int) float64 {
-	bytes := tally.Bytes(to.swarm).Minus(from.swarm).Total()
+	bytes := to.swarm.Minus(from.swarm).Total()
 	return float64(bytes) / to.at.Sub(from.at).Seconds() / float64(nodes)
 }
 
--- a/pkg/bench/experiment/storm.go
+++ b/pkg/bench/experiment/storm.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	r.NodeBytes = tally.Bytes(to.swarm).Minus(from.swarm)
+	r.NodeBytes = to.swarm.Minus(from.swarm)
 	r.PerNode = float64(r.NodeBytes.Total()) / float64(len(returning))
 	r.ControlCPU = cpuBetween(from.control, to.control, lost, "control")
 	r.RelayCPU = cpuBetween(from.relay, to.relay, lost, "relay")
--- a/pkg/bench/experiment/system.go
+++ b/pkg/bench/experiment/system.go
@@ -13,6 +13,7 @@
 	"bramblelift/pkg/bench/fleet"
 	"bramblelift/pkg/bench/hollow"
 	"bramblelift/pkg/bench/standin"
+	"bramblelift/pkg/bench/tally"
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/settings"
@@ -243,7 +244,7 @@
 	control  roleUsage
 	relay    roleUsage
 	node     roleUsage
-	swarm    map[string]int64
+	swarm    tally.Bytes
 	platform int64
 }
 
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -171,7 +171,6 @@
 	s.logger.Log("event", "started", "replica", uint64(s.replica.Node().ID()), "listen", s.listener.Addr(),
 		"admin", s.admin.Address(), "commit", s.replica.Node().Commit())
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancel()
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -23,10 +23,11 @@
 	status  int
 	// retryAfter is the back end's wish, zero for none.
 	retryAfter time.Duration
-	// declined: the back end itself said that it has not begun the call.
-	declined bool
 }
 
+// declined reports whether the back end itself said that it has not begun the call.
+func (f *attemptFailure) declined() bool { return errors.Is(f.err, errDeclined) }
+
 // refusal tells the caller of this failure, with the outcome of the whole call.
 func (f *attemptFailure) refusal(outcome Outcome) *Refusal {
 	retryAfter := f.retryAfter
@@ -55,7 +56,7 @@
 		response.Body.Close()
 		return &attemptFailure{
 			outcome: NotRun, peer: ticket.Address, step: "back end's answer", err: errDeclined,
-			status: http.StatusServiceUnavailable, retryAfter: readRetryAfter(response.Header), declined: true,
+			status: http.StatusServiceUnavailable, retryAfter: readRetryAfter(response.Header),
 		}
 	}
 	c.pass(ctx, ticket, response)
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -295,7 +295,7 @@
 	if !permitted {
 		return false
 	}
-	if failure.declined {
+	if failure.declined() {
 		return c.service.declines.Withdraw(c.handler.config.Now())
 	}
 	return c.service.budget.Withdraw(c.handler.config.Now())
--- a/pkg/storage/storage_test.go
+++ b/pkg/storage/storage_test.go
@@ -35,6 +35,11 @@
 	return folder, files
 }
 
+// lastRecordSize is the size of the last record that newReplica writes.
+func lastRecordSize() int {
+	return len(appendRecord(nil, recordEntry, encodeEntry(raft.Entry{Term: 3, Index: 3, Data: []byte("third")})))
+}
+
 func TestStateComesBack(t *testing.T) {
 	is := is.New(t)
 	_, files := newReplica(t)
@@ -53,7 +58,7 @@
 	path := filepath.Join(folder, logName)
 	whole, err := os.ReadFile(path)
 	is.NoErr(err)
-	last := len(appendRecord(nil, recordEntry, encodeEntry(raft.Entry{Term: 3, Index: 3, Data: []byte("third")})))
+	last := lastRecordSize()
 	for cut := 1; cut < last; cut++ {
 		is.NoErr(os.WriteFile(path, whole[:len(whole)-cut], fileMode))
 		opened, state, err := Open(files)
@@ -74,7 +79,7 @@
 	path := filepath.Join(folder, logName)
 	whole, err := os.ReadFile(path)
 	is.NoErr(err)
-	last := len(appendRecord(nil, recordEntry, encodeEntry(raft.Entry{Term: 3, Index: 3, Data: []byte("third")})))
+	last := lastRecordSize()
 	for offset := 0; offset < len(whole)-last; offset++ {
 		damaged := append([]byte(nil), whole...)
 		damaged[offset] ^= 0x40
--- a/test/integration/command_test.go
+++ b/test/integration/command_test.go
@@ -108,14 +108,9 @@
 	t.Helper()
 	binary, err := fleet.FindBinary()
 	is.New(t).NoErr(err)
-	output, _ := exec.Command(binary, arguments...).CombinedOutput()
-	return exitCode(binary, arguments), string(output)
-}
-
-func exitCode(binary string, arguments []string) int {
 	command := exec.Command(binary, arguments...)
-	_ = command.Run()
-	return command.ProcessState.ExitCode()
+	output, _ := command.CombinedOutput()
+	return command.ProcessState.ExitCode(), string(output)
 }
 
 // TestDaemonRefusesWhatIsNotItsOwn: wrong settings and another's data folder end the
