--- a/cmd/bramblelift/main.go
+++ b/cmd/bramblelift/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"bramblelift/pkg/daemon"
+	"bramblelift/platform"
 )
 
 func main() {
-	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(daemon.Main(os.Args[1:], platform.Interfaces(), os.Stdout, os.Stderr))
 }
--- a/pkg/balancer/endpoint.go
+++ b/pkg/balancer/endpoint.go
@@ -44,7 +44,9 @@
 	reported  float64
 	// leaving is set by the first signal of whatever kind and never unset.
 	leaving bool
-	remote  bool
+	// gate is what the back end's gate said last.
+	gate   gateView
+	remote bool
 }
 
 func (e *endpoint) usable(now time.Duration) bool {
--- a/pkg/bench/baseline/baseline.go
+++ b/pkg/bench/baseline/baseline.go
@@ -15,7 +15,7 @@
 	"bramblelift/pkg/bench/tally"
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/distribution"
-	"bramblelift/pkg/platform"
+	"bramblelift/pkg/machinelist"
 	"bramblelift/pkg/wire"
 )
 
@@ -121,8 +121,8 @@
 }
 
 func (s *Server) readPlatform(ctx context.Context, url string, interval time.Duration) {
-	tracker := &platform.Tracker{}
-	reader := platform.NewReader(http.DefaultClient, url)
+	tracker := &machinelist.Tracker{}
+	reader := machinelist.NewReader(http.DefaultClient, url)
 	state := &distribution.State{}
 	for ctx.Err() == nil {
 		list, err := reader.Read(ctx)
--- a/pkg/bundle/approval.go
+++ b/pkg/bundle/approval.go
@@ -63,8 +63,21 @@
 type Verifier struct {
 	clusterID string
 	keys      map[string]ed25519.PublicKey
+	// byPublication accepts PublicationKeyID, too.
+	byPublication bool
 }
 
+// PublicationKeyID is the key ID of versions whose publication by an operator is the
+// sign-off. It cannot be the ID of a key.
+const PublicationKeyID = "publication"
+
+// PublicationApproval is the approval of a version that was published in one act.
+func PublicationApproval() Approval { return Approval{KeyID: PublicationKeyID} }
+
+// AcceptPublication makes the verifier accept versions that were published in one act,
+// without a signature. Only deployments whose operators cannot sign set it.
+func (v *Verifier) AcceptPublication() { v.byPublication = true }
+
 // NewVerifier accepts approvals by any of the keys, each base64 text. More than one
 // may be accepted while a key is being changed.
 func NewVerifier(clusterID string, keys []string) (*Verifier, error) {
@@ -81,6 +94,9 @@
 
 // Verify checks that an accepted key approved the manifest.
 func (v *Verifier) Verify(m Manifest, a Approval) error {
+	if v.byPublication && a.KeyID == PublicationKeyID {
+		return nil
+	}
 	key, known := v.keys[a.KeyID]
 	if !known {
 		return fmt.Errorf("version %d: key %q is not accepted: %w", m.Version, a.KeyID, ErrApproval)
--- a/pkg/bundle/content.go
+++ b/pkg/bundle/content.go
@@ -29,13 +29,59 @@
 	return nil
 }
 
+// Kind says how often a call may run.
+type Kind string
+
+const (
+	// KindByMethod: the HTTP method tells; the default.
+	KindByMethod Kind = ""
+	// KindSafe calls may run more than once, whatever their method.
+	KindSafe Kind = "safe"
+	// KindUnsafe calls run at most once.
+	KindUnsafe Kind = "unsafe"
+	// KindUpload calls have large bodies and run at most once.
+	KindUpload Kind = "upload"
+)
+
+// Known reports whether the kind is one of the constants.
+func (k Kind) Known() bool {
+	switch k {
+	case KindByMethod, KindSafe, KindUnsafe, KindUpload:
+		return true
+	}
+	return false
+}
+
+// Share is one part of a route's calls.
+type Share struct {
+	Service string `toml:"service" json:"service"`
+	// Weight is the part's size relative to the other shares of the route.
+	Weight int `toml:"weight" json:"weight"`
+}
+
+// Limits bound what a caller may send; zero values keep the node's own bounds.
+type Limits struct {
+	// MaxHeaderBytes bounds a request's head, MaxBodyBytes its body.
+	MaxHeaderBytes int   `toml:"max_header_bytes,omitempty" json:"max_header_bytes,omitempty"`
+	MaxBodyBytes   int64 `toml:"max_body_bytes,omitempty" json:"max_body_bytes,omitempty"`
+	// HeaderTimeout bounds how long a head may take to arrive, IdleTimeout how long a
+	// connection may rest between two calls.
+	HeaderTimeout Duration `toml:"header_timeout,omitempty" json:"header_timeout,omitempty"`
+	IdleTimeout   Duration `toml:"idle_timeout,omitempty" json:"idle_timeout,omitempty"`
+}
+
 // Route sends calls whose path starts with PathPrefix to a service.
 type Route struct {
 	Name       string `toml:"name" json:"name"`
 	PathPrefix string `toml:"path_prefix" json:"path_prefix"`
+	// Host restricts the route to calls for one host; empty means every host that has
+	// no route of its own for the path.
+	Host string `toml:"host,omitempty" json:"host,omitempty"`
 	// Sources are the node groups whose nodes serve the route; empty means all.
 	Sources []string `toml:"sources,omitempty" json:"sources,omitempty"`
-	Service string   `toml:"service" json:"service"`
+	Service string   `toml:"service,omitempty" json:"service"`
+	// Shares divide the calls between services by weight; Service is empty then.
+	Shares []Share `toml:"share,omitempty" json:"shares,omitempty"`
 	// HandBackService takes the calls instead of Service once the bundle hands
 	// traffic back; empty keeps Service.
 	HandBackService string `toml:"hand_back_service,omitempty" json:"hand_back_service,omitempty"`
@@ -45,6 +91,23 @@
 	Timeout Duration `toml:"timeout,omitempty" json:"timeout,omitempty"`
 	// Once forbids to send any call of the route twice, whatever its method.
 	Once bool `toml:"once,omitempty" json:"once,omitempty"`
+	// Kind says how often a call may run.
+	Kind Kind `toml:"kind,omitempty" json:"kind,omitempty"`
+	// MaxAttempts is the largest number of back ends that one call may be sent to; zero
+	// keeps the node's own bound.
+	MaxAttempts int `toml:"max_attempts,omitempty" json:"max_attempts,omitempty"`
+	// Priority ranks calls that wait for a back end; 0 goes first.
+	Priority int `toml:"priority,omitempty" json:"priority,omitempty"`
+	// TargetLatency is the time within which an answer is worth most.
+	TargetLatency Duration `toml:"target_latency,omitempty" json:"target_latency,omitempty"`
+}
+
+// Targets returns the services that may take the route's calls.
+func (r Route) Targets() []Share {
+	if len(r.Shares) > 0 {
+		return r.Shares
+	}
+	return []Share{{Service: r.Service, Weight: 1}}
 }
 
 // Service is a set of back ends. Endpoints that the platform lists for the service
@@ -84,6 +147,7 @@
 type Content struct {
 	// HandBack directs every route to its HandBackService.
 	HandBack bool      `toml:"hand_back,omitempty" json:"hand_back,omitempty"`
+	Limits   Limits    `toml:"limits,omitempty" json:"limits,omitzero"`
 	Routes   []Route   `toml:"route" json:"routes,omitempty"`
 	Services []Service `toml:"service" json:"services,omitempty"`
 	Secrets  []Secret  `toml:"secret" json:"secrets,omitempty"`
@@ -114,12 +178,12 @@
 	return findByName(c.Secrets, name, secretName)
 }
 
-// TargetService returns the service that takes the route's calls.
-func (c Content) TargetService(r Route) string {
+// Targets returns the services that take the route's calls while the bundle is in force.
+func (c Content) Targets(r Route) []Share {
 	if c.HandBack && r.HandBackService != "" {
-		return r.HandBackService
+		return []Share{{Service: r.HandBackService, Weight: 1}}
 	}
-	return r.Service
+	return r.Targets()
 }
 
 // Groups returns the node groups that the routes name, sorted. Nodes of any other
@@ -159,7 +223,7 @@
 	if group == ScopeAll {
 		return c
 	}
-	scoped := Content{HandBack: c.HandBack}
+	scoped := Content{HandBack: c.HandBack, Limits: c.Limits}
 	services := map[string]bool{}
 	secrets := map[string]bool{}
 	for _, route := range c.Routes {
@@ -167,7 +231,9 @@
 			continue
 		}
 		scoped.Routes = append(scoped.Routes, route)
-		services[route.Service] = true
+		for _, share := range route.Targets() {
+			services[share.Service] = true
+		}
 		services[route.HandBackService] = true
 		secrets[route.Secret] = true
 	}
--- a/pkg/bundle/delta.go
+++ b/pkg/bundle/delta.go
@@ -7,6 +7,7 @@
 // Delta turns one content into another.
 type Delta struct {
 	HandBack        bool      `json:"hand_back,omitempty"`
+	Limits          Limits    `json:"limits,omitzero"`
 	Routes          []Route   `json:"routes,omitempty"`
 	RemovedRoutes   []string  `json:"removed_routes,omitempty"`
 	Services        []Service `json:"services,omitempty"`
@@ -17,7 +18,7 @@
 
 // Diff returns the delta from old to next; both must be normalized.
 func Diff(old, next Content) Delta {
-	d := Delta{HandBack: next.HandBack}
+	d := Delta{HandBack: next.HandBack, Limits: next.Limits}
 	d.Routes, d.RemovedRoutes = diffByName(old.Routes, next.Routes, routeName)
 	d.Services, d.RemovedServices = diffByName(old.Services, next.Services, serviceName)
 	d.Secrets, d.RemovedSecrets = diffByName(old.Secrets, next.Secrets, secretName)
@@ -34,6 +35,7 @@
 func (c Content) Apply(d Delta) Content {
 	return Content{
 		HandBack: d.HandBack,
+		Limits:   d.Limits,
 		Routes:   applyByName(c.Routes, d.Routes, d.RemovedRoutes, routeName),
 		Services: applyByName(c.Services, d.Services, d.RemovedServices, serviceName),
 		Secrets:  applyByName(c.Secrets, d.Secrets, d.RemovedSecrets, secretName),
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -16,6 +16,7 @@
 	maxEndpoints    = 20000
 	maxSecretLength = 16 << 10
 	maxTimeout      = 10 * time.Minute
+	maxWeight       = 1_000_000
 )
 
 // Problem is one reason why a content cannot be distributed.
@@ -62,6 +63,7 @@
 	v.checkServices(c)
 	v.checkSecrets(c)
 	v.checkRoutes(c)
+	v.checkLimits(c.Limits)
 	if len(v.problems) > 0 {
 		return &ValidationError{Problems: v.problems}
 	}
@@ -148,13 +150,76 @@
 				v.add("route", route.Name, "source %q is not a usable node group", group)
 			}
 		}
+		v.checkHandling(route)
 		v.checkReferences(c, route)
 	}
+	v.checkPlaces(c.Routes)
+}
+
+// checkHandling checks how a route's calls are to be treated.
+func (v *validator) checkHandling(route Route) {
+	if !route.Kind.Known() {
+		v.add("route", route.Name, "kind %q is none of safe, unsafe and upload", route.Kind)
+	}
+	if route.MaxAttempts < 0 || route.Priority < 0 || route.TargetLatency < 0 {
+		v.add("route", route.Name, "max_attempts, priority and target_latency must not be negative")
+	}
+	if hasControlByte(route.Host) || len(route.Host) > maxNameLength {
+		v.add("route", route.Name, "host is not usable")
+	}
+	v.checkShares(route)
+}
+
+func (v *validator) checkShares(route Route) {
+	if len(route.Shares) == 0 {
+		return
+	}
+	if route.Service != "" {
+		v.add("route", route.Name, "service and share exclude each other")
+	}
+	sum := 0
+	for _, share := range route.Shares {
+		if share.Weight < 0 || share.Weight > maxWeight {
+			v.add("route", route.Name, "weight of share %q must be from 0 to %d", share.Service, maxWeight)
+		}
+		sum += max(0, share.Weight)
+	}
+	if sum == 0 {
+		v.add("route", route.Name, "the weights of its shares sum to 0")
+	}
+}
+
+// place is what a route matches: two routes of one place would exclude each other.
+type place struct{ host, prefix, source string }
+
+func (v *validator) checkPlaces(routes []Route) {
+	taken := map[place]string{}
+	for _, route := range routes {
+		sources := route.Sources
+		if len(sources) == 0 {
+			sources = []string{""}
+		}
+		for _, source := range sources {
+			key := place{host: strings.ToLower(route.Host), prefix: route.PathPrefix, source: source}
+			if other, found := taken[key]; found && other != route.Name {
+				v.add("route", route.Name, "host and path_prefix are those of route %q", other)
+			}
+			taken[key] = route.Name
+		}
+	}
+}
+
+func (v *validator) checkLimits(l Limits) {
+	if l.MaxHeaderBytes < 0 || l.MaxBodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		v.add("bundle", "limits", "must not be negative")
+	}
 }
 
 func (v *validator) checkReferences(c Content, route Route) {
-	if _, found := c.Service(route.Service); !found {
-		v.add("route", route.Name, "service %q is not in the bundle", route.Service)
+	for _, share := range route.Targets() {
+		if _, found := c.Service(share.Service); !found {
+			v.add("route", route.Name, "service %q is not in the bundle", share.Service)
+		}
 	}
 	if _, found := c.Service(route.HandBackService); !found && route.HandBackService != "" {
 		v.add("route", route.Name, "hand_back_service %q is not in the bundle", route.HandBackService)
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/distribution"
@@ -39,6 +41,9 @@
 	Manifest bundle.Manifest `json:"manifest"`
 	Status   Status          `json:"status"`
 	Approval bundle.Approval `json:"approval"`
+	// SourceDigest identifies the document that the version was published from; zero if
+	// it was not published.
+	SourceDigest bundle.Digest `json:"source_digest,omitzero"`
 	// Content is nil once the version is too old.
 	Content *bundle.Content `json:"content,omitempty"`
 	// CreatedMillis, ApprovedMillis and RolledMillis are Unix milliseconds.
@@ -60,6 +65,8 @@
 	Operations   map[string]operation
 	Order        []string
 	Distribution *distribution.State
+	// Source is the document that the head was published from, nil if it was not.
+	Source []byte
 }
 
 // New returns an empty catalog.
@@ -111,6 +118,8 @@
 		return c.approve(*command.Approve, command.AtMillis)
 	case command.Roll != nil:
 		return c.roll(*command.Roll, command.AtMillis)
+	case command.Publish != nil:
+		return c.publish(*command.Publish, command.AtMillis)
 	case command.Endpoints != nil:
 		c.Distribution = c.Distribution.ChangeEndpoints(command.Endpoints.Changes)
 		return Result{Revision: c.Distribution.Revision}
@@ -120,25 +129,41 @@
 }
 
 func (c *Catalog) create(request Create, atMillis int64) Result {
-	if request.ExpectedHead != c.Head {
-		result := c.refuse(CodeConflict, "expected head %d, but version %d was created meanwhile", request.ExpectedHead, c.Head)
-		if head, found := c.Versions[c.Head]; found {
-			winner := head.Manifest
-			result.Error.Winner = &winner
-		}
-		return result
+	if refusal := c.checkHead(request.ExpectedHead); refusal != nil {
+		return *refusal
 	}
 	content, refusal := c.contentOf(request)
 	if refusal != nil {
 		return *refusal
 	}
-	manifest := bundle.Manifest{Version: c.Head + 1, Parent: c.Head, Digest: request.Digest}
-	c.Versions[manifest.Version] = &Version{
-		Manifest: manifest, Status: StatusCreated, Content: &content, CreatedMillis: atMillis,
+	version := c.add(c.Head+1, request.Digest, content, atMillis)
+	c.Source = nil
+	return c.answer(version)
+}
+
+// checkHead refuses a version that does not build on the head.
+func (c *Catalog) checkHead(expected uint64) *Result {
+	if expected == c.Head {
+		return nil
+	}
+	result := c.refuse(CodeConflict, "expected head %d, but version %d was created meanwhile", expected, c.Head)
+	if head, found := c.Versions[c.Head]; found {
+		winner := head.Manifest
+		result.Error.Winner = &winner
 	}
-	c.Head = manifest.Version
+	return &result
+}
+
+// add makes a checked content the head, under a number above the present one.
+func (c *Catalog) add(number uint64, digest bundle.Digest, content bundle.Content, atMillis int64) *Version {
+	version := &Version{
+		Manifest: bundle.Manifest{Version: number, Parent: c.Head, Digest: digest},
+		Status:   StatusCreated, Content: &content, CreatedMillis: atMillis,
+	}
+	c.Versions[number] = version
+	c.Head = number
 	c.forgetOldVersions()
-	return c.answer(c.Versions[manifest.Version])
+	return version
 }
 
 // NewCreate returns the request for a version on top of a head: as a delta, if the head's
@@ -214,6 +239,12 @@
 	case StatusCreated:
 		return c.refuse(CodeNotApproved, "version %d is not approved", request.Version)
 	}
+	c.activate(version, atMillis)
+	return c.answer(version)
+}
+
+// activate puts a version into force and supersedes all earlier ones.
+func (c *Catalog) activate(version *Version, atMillis int64) {
 	c.Distribution = c.Distribution.Activate(version.signed())
 	version.RolledMillis = atMillis
 	for _, other := range c.Versions {
@@ -222,7 +253,6 @@
 		}
 	}
 	version.Status = StatusActive
-	return c.answer(version)
 }
 
 // usable returns a version that is not behind the active one.
@@ -270,16 +300,18 @@
 
 // forgetOldVersions drops contents, and later whole records, of superseded versions.
 func (c *Catalog) forgetOldVersions() {
-	if c.Head > keptContents {
-		old, found := c.Versions[c.Head-keptContents]
-		if found && old.Status == StatusSuperseded {
+	numbers := slices.Sorted(maps.Keys(c.Versions))
+	for i, number := range numbers {
+		old := c.Versions[number]
+		if old.Status != StatusSuperseded {
+			continue
+		}
+		newer := len(numbers) - 1 - i
+		if newer >= keptContents {
 			old.Content = nil
 		}
-	}
-	if c.Head > keptVersions {
-		old, found := c.Versions[c.Head-keptVersions]
-		if found && old.Status == StatusSuperseded {
-			delete(c.Versions, c.Head-keptVersions)
+		if newer >= keptVersions {
+			delete(c.Versions, number)
 		}
 	}
 }
--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -22,6 +22,7 @@
 	Create    *Create    `json:"create,omitempty"`
 	Approve   *Approve   `json:"approve,omitempty"`
 	Roll      *Roll      `json:"roll,omitempty"`
+	Publish   *Publish   `json:"publish,omitempty"`
 	Endpoints *Endpoints `json:"endpoints,omitempty"`
 }
 
@@ -45,6 +46,19 @@
 	Version uint64 `json:"version"`
 }
 
+// Publish makes, approves and rolls a version under a number of the operator's choice, in
+// one step.
+type Publish struct {
+	Create
+	// Version is the number; it must be above the head.
+	Version  uint64          `json:"version"`
+	Approval bundle.Approval `json:"approval"`
+	// Source turns the source document of the head into that of the new version;
+	// SourceDigest is the new document's. The catalog does not look into it.
+	Source       bundle.SourcePatch `json:"source"`
+	SourceDigest bundle.Digest      `json:"source_digest"`
+}
+
 // Endpoints takes in changes of the platform's list.
 type Endpoints struct {
 	Changes []distribution.Endpoint `json:"changes"`
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -19,6 +19,7 @@
 	Versions   []savedVersion       `json:"versions"`
 	Operations map[string]operation `json:"operations"`
 	Order      []string             `json:"order"`
+	Source     []byte               `json:"source,omitempty"`
 	State      savedState           `json:"state"`
 }
 
@@ -49,7 +50,7 @@
 
 // Snapshot returns the whole catalog as data for Restore.
 func (c *Catalog) Snapshot() ([]byte, error) {
-	saved := savedCatalog{Head: c.Head, Operations: c.Operations, Order: c.Order, State: saveState(c.Distribution)}
+	saved := savedCatalog{Head: c.Head, Operations: c.Operations, Order: c.Order, Source: c.Source, State: saveState(c.Distribution)}
 	for _, number := range slices.Sorted(maps.Keys(c.Versions)) {
 		version := savedVersion{Version: *c.Versions[number]}
 		version.HasContent = version.Content != nil
@@ -140,7 +141,7 @@
 		content := before
 		contents[next.Version] = &content
 	}
-	c.Head, c.Order = saved.Head, saved.Order
+	c.Head, c.Order, c.Source = saved.Head, saved.Order, saved.Source
 	if saved.Operations != nil {
 		c.Operations = saved.Operations
 	}
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
+	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/metrics"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/raft"
@@ -17,8 +17,8 @@
 	// peerQueue is how many messages wait for one peer. Beyond it messages are
 	// dropped, which consensus takes for loss on the way.
 	peerQueue        = 256
-	peerDialTimeout  = time.Second
-	peerRedialPause  = 200 * time.Millisecond
+	peerDialTimeout  = 500 * time.Millisecond
+	peerRedialPause  = 50 * time.Millisecond
 	replicaIdleLimit = 30 * time.Second
 )
 
@@ -48,18 +48,22 @@
 // send queues a message; a receiver whose address is unknown gets nothing. It runs in
 // the driver's goroutine.
 func (p *peerSet) send(m raft.Message) {
-	queue, found := p.queues[m.To]
+	p.queue(m.To, protocolFrame{kind: protocol.KindRaft, value: protocol.RaftMessage{Message: m}})
+}
+
+func (p *peerSet) queue(to raft.ReplicaID, frame protocolFrame) {
+	queue, found := p.queues[to]
 	if !found {
-		address, known := p.server.replica.Address(m.To)
+		address, known := p.server.replica.Address(to)
 		if !known {
 			return
 		}
 		queue = make(chan protocolFrame, peerQueue)
-		p.queues[m.To] = queue
+		p.queues[to] = queue
 		p.group.Go(func() { p.keepSending(address, queue) })
 	}
 	select {
-	case queue <- protocolFrame{kind: protocol.KindRaft, value: protocol.RaftMessage{Message: m}}:
+	case queue <- frame:
 	default:
 	}
 }
@@ -128,8 +132,7 @@
 }
 
 func (p *peerSet) dial(address string) (*wire.Conn, error) {
-	dialer := net.Dialer{Timeout: peerDialTimeout}
-	raw, err := dialer.DialContext(p.context, "tcp", address)
+	raw, err := wire.Dial(p.context, address, peerDialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("dial replica %s: %w", address, err)
 	}
@@ -137,7 +140,7 @@
 	link.Set(metrics.LinkReplica)
 	conn := wire.NewConn(raw, wire.DefaultMaxFrame, peerWriteTimeout, p.server.traffic.Observe(link))
 	hello := protocol.Hello{ClusterID: p.server.settings.Cluster, Role: protocol.RoleReplica, Name: p.server.settings.Name, Zone: p.server.settings.Zone,
-		Address: p.server.ownAddress()}
+		Address: ownAddress(p.server.settings)}
 	if _, err := protocol.Open(conn, hello, handshakeTimeout); err != nil {
 		conn.Close()
 		return nil, err
@@ -145,59 +148,9 @@
 	return conn, nil
 }
 
-// keepJoining asks the other replicas for membership for as long as this one does not
-// vote.
-func (p *peerSet) keepJoining() {
-	for p.context.Err() == nil {
-		var member raft.Member
-		err := p.server.inspect(p.context, func(time.Duration) { member = p.server.joinRequest() })
-		if err != nil {
-			return
-		}
-		if member.ID != 0 {
-			p.askToJoin(member)
-		}
-		select {
-		case <-p.context.Done():
-		case <-time.After(joinInterval):
-		}
-	}
-}
-
-// joinRequest returns what to ask for, or the zero member when this replica votes
-// already. It runs in the driver's goroutine.
-func (s *Server) joinRequest() raft.Member {
-	node := s.replica.Node()
-	if node.Membership().IsVoter(node.ID()) {
-		return raft.Member{}
-	}
-	return raft.Member{ID: node.ID(), Name: s.settings.Name, Zone: s.settings.Zone, Address: s.ownAddress()}
-}
-
-// ownAddress is where the other replicas reach this one.
-func (s *Server) ownAddress() string {
-	for _, peer := range s.settings.Replicas {
-		if peer.Name == s.settings.Name {
-			return peer.Address
-		}
-	}
-	return s.settings.Listen
-}
-
-func (p *peerSet) askToJoin(member raft.Member) {
-	for _, peer := range p.server.settings.Replicas {
-		if peer.Name == p.server.settings.Name {
-			continue
-		}
-		conn, err := p.dial(peer.Address)
-		if err != nil {
-			continue
-		}
-		if err := conn.Send(protocol.KindJoin, protocol.Join{Member: member}); err != nil {
-			p.server.logger.Log("event", "join_request_failed", "peer", peer.Address, "error", err)
-		}
-		conn.Close()
-	}
+// announce queues back ends for the leader. It runs in the driver's goroutine.
+func (p *peerSet) announce(leader raft.ReplicaID, endpoints []distribution.Endpoint) {
+	p.queue(leader, protocolFrame{kind: protocol.KindAnnounce, value: protocol.Announce{Endpoints: endpoints}})
 }
 
 // serveReplica takes in another replica's messages.
@@ -227,6 +180,12 @@
 			if !hand(ctx, s.joins, frame.Member) {
 				return ctx.Err()
 			}
+		case protocol.KindAnnounce:
+			var frame protocol.Announce
+			if err := conn.Decode(&frame); err != nil {
+				return err
+			}
+			s.takeAnnouncements(frame.Endpoints)
 		default:
 			return fmt.Errorf("from %s: kind %s: %w", conn.Peer(), protocol.KindName(kind), protocol.ErrUnexpected)
 		}
--- a/pkg/control/platform.go
+++ b/pkg/control/platform.go
@@ -6,7 +6,7 @@
 
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
-	"bramblelift/pkg/platform"
+	"bramblelift/pkg/machinelist"
 )
 
 // pollPlatform reads the platform's list for as long as this replica leads, so that
@@ -15,8 +15,8 @@
 	if s.settings.PlatformURL == "" {
 		return
 	}
-	tracker := &platform.Tracker{}
-	reader := platform.NewReader(s.http, s.settings.PlatformURL)
+	tracker := &machinelist.Tracker{}
+	reader := machinelist.NewReader(s.http, s.settings.PlatformURL)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -25,7 +25,7 @@
 		}
 		held, leading := s.heldEndpoints(ctx)
 		if !leading {
-			tracker = &platform.Tracker{}
+			tracker = &machinelist.Tracker{}
 			continue
 		}
 		list, err := reader.Read(ctx)
--- /dev/null
+++ b/pkg/control/publish.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/distribution"
+)
+
+// Bounds of the deployment's interface.
+const (
+	interfaceHeaderTimeout = 5 * time.Second
+	interfaceIdleTimeout   = time.Minute
+	// announceTimeout bounds the commit of announced back ends; they are announced again.
+	announceTimeout = 2 * time.Second
+)
+
+// Publication is a version that an operator makes, signs off and rolls in one act.
+type Publication struct {
+	// Base is the version that it builds on, zero for none, Version its own number.
+	Base    uint64
+	Version uint64
+	Content bundle.Content
+	// Source is the document that it came from; Newest gives it back as it is.
+	Source []byte
+}
+
+// Publish makes a publication the version in force. Taken again it changes nothing. The
+// error is a *catalog.OperationError.
+func (s *Server) Publish(ctx context.Context, p Publication) error {
+	content := p.Content.Normalized()
+	tree, err := bundle.NewTree(content)
+	if err != nil {
+		return fmt.Errorf("digest of bundle: %w", err)
+	}
+	invalid := content.Validate()
+	var settled *catalog.Result
+	err = s.readLeased(ctx, func(time.Duration) {
+		settled = settledPublication(s.replica.Catalog(), p, invalid)
+	})
+	if err != nil {
+		return err
+	}
+	if settled != nil {
+		return asError(settled.Error)
+	}
+	result, err := s.proposeBuilt(ctx, func() catalog.Command {
+		return catalog.Command{Publish: s.replica.Catalog().NewPublish(p.Base, p.Version, content, tree.Root(), p.Source)}
+	})
+	s.logger.Log("event", "publication", "version", p.Version, "base", p.Base, "revision", result.Revision, "error", err)
+	return err
+}
+
+// settledPublication answers what needs no agreement: a publication that was taken before,
+// or that can no longer be.
+func settledPublication(c *catalog.Catalog, p Publication, invalid error) *catalog.Result {
+	if c.Published(p.Version, sha256.Sum256(p.Source)) {
+		return &catalog.Result{}
+	}
+	if refusal := c.CheckPublish(p.Base, p.Version); refusal != nil {
+		return refusal
+	}
+	if invalid == nil {
+		return nil
+	}
+	refused := refuse(catalog.CodeInvalidBundle, "%v", invalid)
+	var problems *bundle.ValidationError
+	if errors.As(invalid, &problems) {
+		refused.Problems = problems.Problems
+	}
+	return &catalog.Result{Error: refused}
+}
+
+func asError(refused *catalog.OperationError) error {
+	if refused == nil {
+		return nil
+	}
+	return refused
+}
+
+// Newest returns the document of the newest version and its number, zero if there is none
+// yet. It fails where a newer one could exist.
+func (s *Server) Newest(ctx context.Context) (source []byte, version uint64, err error) {
+	err = s.readLeased(ctx, func(time.Duration) {
+		source, version = s.replica.Catalog().Source, s.replica.Catalog().HeadVersion()
+	})
+	return source, version, err
+}
+
+func newInterfaceServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: interfaceHeaderTimeout, IdleTimeout: interfaceIdleTimeout}
+}
+
+// takeAnnouncements takes in back ends that nodes announce. They come again until the
+// state shows them, so that one too many may be dropped.
+func (s *Server) takeAnnouncements(endpoints []distribution.Endpoint) {
+	select {
+	case s.announced <- endpoints:
+	default:
+	}
+}
+
+// proposeAnnounced has announced back ends agreed on, here or at the leader.
+func (s *Server) proposeAnnounced(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case endpoints := <-s.announced:
+			s.proposeNews(ctx, endpoints)
+		}
+	}
+}
+
+// proposeNews proposes what of the announcements is news.
+func (s *Server) proposeNews(ctx context.Context, endpoints []distribution.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	var news []distribution.Endpoint
+	leading := false
+	err := s.inspect(ctx, func(now time.Duration) {
+		node := s.replica.Node()
+		leading = node.LeaseValid(now)
+		news = s.replica.State().Endpoints.News(endpoints)
+		if !leading && node.Leader() != node.ID() && len(news) > 0 {
+			s.peers.announce(node.Leader(), news)
+		}
+	})
+	if err != nil || !leading || len(news) == 0 {
+		return
+	}
+	s.proposeEndpoints(ctx, news)
+}
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -14,6 +14,7 @@
 	"bramblelift/pkg/admin"
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/clock"
+	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/metrics"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/raft"
@@ -41,7 +42,6 @@
 	relaySilence       = 5 * time.Second
 	relayAdmissionRate = 50
 	relayBurst         = 50
-	joinInterval       = time.Second
 )
 
 // Server is one control replica.
@@ -68,6 +68,13 @@
 	role          raft.Role
 	nextProposal  replica.ProposalID
 	pending       map[replica.ProposalID]chan<- replica.Completion
+	stalled       bool
+	announced     chan []distribution.Endpoint
+	known         atomic.Pointer[knownMembership]
+	seeds         atomic.Pointer[[]string]
+
+	newInterface      func(*Server) http.Handler
+	interfaceListener net.Listener
 }
 
 // call runs in the driver's goroutine.
@@ -81,21 +88,16 @@
 	if err != nil {
 		return err
 	}
-	return replica.CreateFirst(files, config.Cluster, config.Name, members(config))
-}
-
-func members(config settings.Control) []raft.Member {
-	var all []raft.Member
-	for _, peer := range config.Replicas {
-		all = append(all, raft.Member{Name: peer.Name, Address: peer.Address, Zone: peer.Zone})
-	}
-	return all
+	return replica.CreateFirst(files, config.Cluster, memberName(config), founders(config))
 }
 
 // New opens the replica's state and its sockets. A folder without state becomes a
 // replica that asks to replace the machine of its name.
-func New(config settings.Control, logger log.Logger) (*Server, error) {
+//
+// newInterface, if set, makes the handler of settings.InterfaceListen.
+func New(config settings.Control, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
 	s := &Server{
+		newInterface: newInterface, announced: make(chan []distribution.Endpoint, inboxSize),
 		settings: config, logger: logger, clock: clock.NewMonotonic(),
 		messages: make(chan received, inboxSize),
 		joins:    make(chan raft.Member, inboxSize),
@@ -107,8 +109,9 @@
 		nextProposal: replica.ProposalID(rand.Uint32()),
 	}
 	s.confirmedAt.Store(unconfirmed)
+	s.SetSeeds(config.SeedAddresses())
 	var err error
-	if s.verifier, err = bundle.NewVerifier(config.Cluster, config.ApprovalKeys); err != nil {
+	if s.verifier, err = config.Verifier(); err != nil {
 		return nil, err
 	}
 	if err := s.openReplica(); err != nil {
@@ -118,15 +121,19 @@
 		Name: config.Name, SilenceTimeout: relaySilence,
 		Admission: stream.AdmissionConfig{PerSecond: relayAdmissionRate, Burst: relayBurst},
 		Now:       s.clock.Now, ConfirmedAt: s.confirmed,
-		OnReport: func(report protocol.NodeReport) { s.nodes.take(report, time.Now()) },
+		OnReport:   func(report protocol.NodeReport) { s.nodes.take(report, time.Now()) },
+		OnAnnounce: s.takeAnnouncements, Servers: s.servers,
 	}, s.replica.State())
-	if s.listener, err = net.Listen("tcp", config.Listen); err != nil {
+	if s.listener, err = wire.Listen(config.Listen); err != nil {
 		return nil, fmt.Errorf("listen for replicas and relays: %w", err)
 	}
 	s.admin, err = admin.Listen(config.AdminListen, admin.Options{Status: s.localStatus, Ready: s.ready})
 	if err != nil {
 		return nil, err
 	}
+	if err := s.openInterface(); err != nil {
+		return nil, err
+	}
 	s.traffic = metrics.NewTraffic(s.admin.Registry)
 	s.registerMetrics()
 	s.peers = newPeerSet(s)
@@ -141,13 +148,12 @@
 	}
 	identity, err := storage.ReadIdentity(files)
 	if errors.Is(err, storage.ErrNoState) {
-		s.logger.Log("event", "empty_data_folder", "action", "join_as_new_replica")
-		err = replica.CreateJoining(files, s.settings.Cluster, s.settings.Name, replica.NewReplicaID())
+		err = s.createState(files)
 	}
 	if err != nil {
 		return err
 	}
-	if identity.Name != "" && (identity.Name != s.settings.Name || identity.ClusterID != s.settings.Cluster) {
+	if identity.Name != "" && (identity.Name != memberName(s.settings) || identity.ClusterID != s.settings.Cluster) {
 		return fmt.Errorf("data folder belongs to %q of cluster %q", identity.Name, identity.ClusterID)
 	}
 	s.replica, err = replica.Open(s.clock.Now(), replica.Config{
@@ -161,6 +167,8 @@
 		},
 		CompactAfter: compactAfter,
 		CompactBytes: compactBytes,
+
+		RemoveAfter: time.Duration(s.settings.RemoveAfter), ToleratedLosses: s.settings.ToleratedLosses,
 	}, files)
 	return err
 }
@@ -186,6 +194,8 @@
 		}
 	})
 	group.Go(func() { s.pollPlatform(ctx) })
+	group.Go(func() { s.proposeAnnounced(ctx) })
+	group.Go(func() { s.serveInterface(ctx) })
 	err := s.drive(ctx)
 	s.peers.close()
 	if closeErr := s.replica.Close(); err == nil && closeErr != nil {
@@ -256,6 +266,10 @@
 	if err != nil {
 		return fmt.Errorf("replica cannot go on: %w", err)
 	}
+	if stalled := s.replica.Stalled(); stalled != s.stalled {
+		s.stalled = stalled
+		s.logger.Log("event", "disk_takes_writes", "works", !stalled)
+	}
 	for _, m := range output.Messages {
 		s.peers.send(m)
 	}
@@ -273,6 +287,7 @@
 		}
 	}
 	s.logRole()
+	s.noteMembership()
 	return nil
 }
 
@@ -285,6 +300,9 @@
 }
 
 func (s *Server) untilNextTurn() time.Duration {
+	if s.replica.Stalled() {
+		return maxTurnPause
+	}
 	wait := s.replica.Node().NextDeadline() - s.clock.Now()
 	return max(0, min(wait, maxTurnPause))
 }
--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -31,7 +31,7 @@
 	is.NoErr(config.Check())
 	is.NoErr(Init(config))
 	for range 40 {
-		server, err := New(config, log.NewNopLogger())
+		server, err := New(config, log.NewNopLogger(), nil)
 		is.NoErr(err)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -78,11 +79,22 @@
 	Version struct{}       `command:"version" description:"print the version"`
 }
 
+// errNotReloaded: the role takes its settings in at its start only.
+var errNotReloaded = errors.New("these settings take effect at the next start")
+
 // errUsage marks errors that end with ExitUsage.
 var errUsage = errors.New("settings")
 
+// Interfaces are what a platform speaks to the daemons besides the product's own
+// interfaces; each may be nil.
+type Interfaces struct {
+	// Control is for operators, Proxy for the back ends beside a node.
+	Control func(*control.Server) http.Handler
+	Proxy   func(*proxy.Server) http.Handler
+}
+
 // Main runs the program and returns its exit code.
-func Main(arguments []string, stdout, stderr io.Writer) int {
+func Main(arguments []string, interfaces Interfaces, stdout, stderr io.Writer) int {
 	var parsed options
 	parser := flags.NewParser(&parsed, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "bramblelift"
@@ -94,11 +106,11 @@
 	var err error
 	switch parser.Active.Name {
 	case "control":
-		err = parsed.Control.run(ctx, stdout, stderr)
+		err = parsed.Control.run(ctx, interfaces, stdout)
 	case "relay":
-		err = parsed.Relay.run(ctx, stdout, stderr)
+		err = parsed.Relay.run(ctx, stdout)
 	case "proxy":
-		err = parsed.Proxy.run(ctx, stdout, stderr)
+		err = parsed.Proxy.run(ctx, interfaces, stdout)
 	case "version":
 		fmt.Fprintln(stdout, "bramblelift", version.String())
 	}
@@ -142,50 +154,82 @@
 	return true, err
 }
 
-func (c *controlCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
-	var config settings.Control
-	loadErr := settings.Load(c.Settings, &config)
-	c.applyTo(&config.Common, &config.Listen)
-	override(&config.Data, c.Data)
+func (c *controlCommand) run(ctx context.Context, interfaces Interfaces, stdout io.Writer) error {
+	config, loadErr := c.load()
 	if done, err := checked(c.Settings, loadErr, config.Check(), c.Check, config, stdout); done {
 		return err
 	}
 	if c.Init {
 		return control.Init(config)
 	}
-	server, err := control.New(config, logging.New(stderr, "control", config.Name))
+	logger := logging.New(stdout, "control", config.Name)
+	server, err := control.New(config, logger, interfaces.Control)
 	if err != nil {
 		return err
 	}
+	watchSettings(ctx, c.Settings, logger, func() error {
+		next, err := c.load()
+		if err := errors.Join(err, next.Check()); err != nil {
+			return err
+		}
+		server.SetSeeds(next.SeedAddresses())
+		return nil
+	})
 	return server.Run(ctx)
 }
 
-func (c *relayCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
+// load reads the settings file and lets the flags override it.
+func (c *controlCommand) load() (settings.Control, error) {
+	var config settings.Control
+	err := settings.Load(c.Settings, &config)
+	c.applyTo(&config.Common, &config.Listen)
+	override(&config.Data, c.Data)
+	return config, err
+}
+
+func (c *relayCommand) run(ctx context.Context, stdout io.Writer) error {
 	var config settings.Relay
 	loadErr := settings.Load(c.Settings, &config)
 	c.applyTo(&config.Common, &config.Listen)
 	if done, err := checked(c.Settings, loadErr, config.Check(), c.Check, config, stdout); done {
 		return err
 	}
-	server, err := relay.New(config, logging.New(stderr, "relay", config.Name))
+	logger := logging.New(stdout, "relay", config.Name)
+	server, err := relay.New(config, logger)
 	if err != nil {
 		return err
 	}
+	watchSettings(ctx, c.Settings, logger, func() error { return errNotReloaded })
 	return server.Run(ctx)
 }
 
-func (c *proxyCommand) run(ctx context.Context, stdout, stderr io.Writer) error {
-	var config settings.Proxy
-	loadErr := settings.Load(c.Settings, &config)
-	c.applyTo(&config.Common, &config.Listen)
-	override(&config.Data, c.Data)
-	override(&config.Group, c.Group)
+func (c *proxyCommand) run(ctx context.Context, interfaces Interfaces, stdout io.Writer) error {
+	config, loadErr := c.load()
 	if done, err := checked(c.Settings, loadErr, config.Check(), c.Check, config, stdout); done {
 		return err
 	}
-	server, err := proxy.New(config, logging.New(stderr, "proxy", config.Name))
+	logger := logging.New(stdout, "proxy", config.Name)
+	server, err := proxy.New(config, logger, interfaces.Proxy)
 	if err != nil {
 		return err
 	}
+	watchSettings(ctx, c.Settings, logger, func() error {
+		next, err := c.load()
+		if err := errors.Join(err, next.Check()); err != nil {
+			return err
+		}
+		server.SetSeeds(next)
+		return nil
+	})
 	return server.Run(ctx)
 }
+
+// load reads the settings file and lets the flags override it.
+func (c *proxyCommand) load() (settings.Proxy, error) {
+	var config settings.Proxy
+	err := settings.Load(c.Settings, &config)
+	c.applyTo(&config.Common, &config.Listen)
+	override(&config.Data, c.Data)
+	override(&config.Group, c.Group)
+	return config, err
+}
--- a/pkg/distribution/endpoint.go
+++ b/pkg/distribution/endpoint.go
@@ -36,10 +36,15 @@
 	ID      string `json:"id"`
 	// Incarnation grows each time the machine behind ID is replaced or restarted;
 	// there is no way back from Leaving or Removed without a higher one.
-	Incarnation uint64        `json:"incarnation"`
-	Address     string        `json:"address"`
-	Zone        string        `json:"zone,omitempty"`
-	State       EndpointState `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone,omitempty"`
+	// Gate is where the node beside the back end takes its calls; empty if callers' nodes
+	// connect to the back end itself.
+	Gate string `json:"gate,omitempty"`
+	// Capacity is how many calls the back end works on at once, zero if unknown.
+	Capacity int           `json:"capacity,omitempty"`
+	State    EndpointState `json:"state"`
 	// Modified is the revision of the last change; zero on nodes, which do not
 	// need it.
 	Modified uint64 `json:"modified,omitempty"`
@@ -56,11 +61,12 @@
 // hash sums everything a holder acts on.
 func (e Endpoint) hash() uint64 {
 	var buffer []byte
-	for _, text := range []string{e.Service, e.ID, e.Address, e.Zone} {
+	for _, text := range []string{e.Service, e.ID, e.Address, e.Zone, e.Gate} {
 		buffer = binary.AppendUvarint(buffer, uint64(len(text)))
 		buffer = append(buffer, text...)
 	}
 	buffer = binary.AppendUvarint(buffer, e.Incarnation)
+	buffer = binary.AppendUvarint(buffer, uint64(e.Capacity))
 	buffer = append(buffer, byte(e.State))
 	return xxhash.Sum64(buffer)
 }
@@ -125,3 +131,37 @@
 	}
 	return clone
 }
+
+// News returns what the announcements of back ends bring to the table. A back end that is
+// announced at a gate takes the place of every other one there: a node has one back end
+// beside it, and one that crashed does not say so.
+func (t EndpointTable) News(announced []Endpoint) []Endpoint {
+	var news []Endpoint
+	for _, endpoint := range announced {
+		held, found := t[endpoint.Service][endpoint.ID]
+		if (!found && endpoint.State != Removed) || (found && endpoint.Supersedes(held)) {
+			news = append(news, endpoint)
+		}
+		if endpoint.Gate != "" && endpoint.State == Live {
+			news = append(news, t.replacedAt(endpoint)...)
+		}
+	}
+	return news
+}
+
+// replacedAt returns the other back ends at an endpoint's gate, as removed.
+func (t EndpointTable) replacedAt(endpoint Endpoint) []Endpoint {
+	if held, found := t[endpoint.Service][endpoint.ID]; found && held.State != Live {
+		return nil
+	}
+	var replaced []Endpoint
+	for _, held := range t {
+		for _, other := range held {
+			if other.Gate == endpoint.Gate && other.ID != endpoint.ID && other.State != Removed {
+				other.State = Removed
+				replaced = append(replaced, other)
+			}
+		}
+	}
+	return replaced
+}
--- /dev/null
+++ b/pkg/exchange/exchange.go
@@ -0,0 +1,156 @@
+// Package exchange defines what callers, nodes, gates and back ends tell each other in the
+// headers of a call, beside the names that a deployment sets (settings.Headers).
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers of the system.
+const (
+	// HeaderOutcome is on refusals, of nodes, gates and back ends.
+	HeaderOutcome = "Request-Outcome"
+	// HeaderTimeout is the caller's remaining patience in milliseconds; it shrinks
+	// hop by hop. A deployment may give it another name.
+	HeaderTimeout = "Request-Timeout-Ms"
+	// HeaderRetry marks a call that some hop sends for a second time; no later hop
+	// retries it again, so that retries do not multiply along a chain.
+	HeaderRetry = "Request-Retry"
+	// HeaderLoad is a back end's report of its load from 0 to 1.
+	HeaderLoad = "Backend-Load"
+	// HeaderDraining is set by a back end that takes no new calls.
+	HeaderDraining = "Backend-Draining"
+	// HeaderPriority is the rank of a call at a gate; 0 goes first.
+	HeaderPriority = "Gate-Priority"
+	// HeaderWait is for how many milliseconds a call may wait at a gate.
+	HeaderWait = "Gate-Wait-Ms"
+	// HeaderReport is a gate's Report.
+	HeaderReport = "Gate-Report"
+	// HeaderReason is why a gate refused, one of the Reason constants.
+	HeaderReason = "Gate-Reason"
+)
+
+// internalHeaders are never taken from callers nor passed to them or to back ends.
+var internalHeaders = []string{
+	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderReason,
+}
+
+// RemoveInternal deletes what only nodes and gates tell each other.
+func RemoveInternal(header http.Header) {
+	for _, name := range internalHeaders {
+		delete(header, name)
+	}
+}
+
+// Outcome says whether a refused call ran.
+type Outcome string
+
+const (
+	// NotRun: no back end has begun the call.
+	NotRun Outcome = "not-run"
+	// Unknown: a back end may have run the call.
+	Unknown Outcome = "unknown"
+)
+
+// Reason says why a gate did not get an answer from its back end.
+type Reason string
+
+const (
+	// ReasonFull: the wait would be longer than the call allows.
+	ReasonFull Reason = "full"
+	// ReasonAbsent: no back end is there, it leaves, or it is another one.
+	ReasonAbsent Reason = "absent"
+	// ReasonStopping: the gate's process stops.
+	ReasonStopping Reason = "stopping"
+	// ReasonUnreachable: the back end took no connection.
+	ReasonUnreachable Reason = "unreachable"
+	// ReasonDeclined: the back end got the call and said that it has not begun it.
+	ReasonDeclined Reason = "declined"
+	// ReasonDeadline: the call's time is up.
+	ReasonDeadline Reason = "deadline"
+	// ReasonBroken: the exchange with the back end broke.
+	ReasonBroken Reason = "broken"
+)
+
+// Reached reports whether the back end may have received the call.
+func (r Reason) Reached() bool { return r == ReasonDeclined || r == ReasonBroken }
+
+// Report is what a gate says of its back end with each answer.
+type Report struct {
+	// Running and Queued are the calls at work and those that wait at the gate.
+	Running int
+	Queued  int
+	// Capacity is how many calls the back end works on at once.
+	Capacity int
+	// Service is how long a call takes there, smoothed.
+	Service time.Duration
+}
+
+// String returns the report as HeaderReport carries it.
+func (r Report) String() string {
+	return fmt.Sprintf("%d,%d,%d,%d", r.Running, r.Queued, r.Capacity, r.Service.Microseconds())
+}
+
+// ParseReport reads a HeaderReport.
+func ParseReport(text string) (Report, bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 4 {
+		return Report{}, false
+	}
+	var values [4]int
+	for i, part := range parts {
+		value, err := strconv.Atoi(part)
+		if err != nil || value < 0 {
+			return Report{}, false
+		}
+		values[i] = value
+	}
+	return Report{
+		Running: values[0], Queued: values[1], Capacity: values[2],
+		Service: time.Duration(values[3]) * time.Microsecond,
+	}, true
+}
+
+// ReadMillis reads a header of whole milliseconds; false if it is not set or unusable.
+func ReadMillis(header http.Header, name string) (time.Duration, bool) {
+	millis, err := strconv.ParseInt(header.Get(name), 10, 64)
+	if err != nil || millis < 0 {
+		return 0, false
+	}
+	return time.Duration(millis) * time.Millisecond, true
+}
+
+// SetMillis writes a header of whole milliseconds.
+func SetMillis(header http.Header, name string, value time.Duration) {
+	header.Set(name, strconv.FormatInt(max(0, value.Milliseconds()), 10))
+}
+
+// hopHeaders belong to one connection (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// RemoveHop deletes the headers that concern one connection only.
+func RemoveHop(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(header, name)
+	}
+}
+
+// Copy copies all headers.
+func Copy(target, source http.Header) {
+	for name, values := range source {
+		target[name] = append([]string(nil), values...)
+	}
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bramblelift/pkg/balancer"
+	"bramblelift/pkg/exchange"
 )
 
 // attemptFailure tells how one attempt at a back end failed.
@@ -75,14 +76,14 @@
 		Header: make(http.Header, len(incoming.Header)+2),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	copyHeader(request.Header, incoming.Header)
-	removeHopHeaders(request.Header)
+	exchange.Copy(request.Header, incoming.Header)
+	exchange.RemoveHop(request.Header)
 	if _, set := request.Header["User-Agent"]; !set {
 		// An explicit nil keeps the transport from adding its own.
 		request.Header["User-Agent"] = nil
 	}
 	remaining := max(1, (c.deadline - c.handler.config.Now()).Milliseconds())
-	request.Header.Set(HeaderTimeout, strconv.FormatInt(remaining, 10))
+	request.Header.Set(c.handler.config.Headers.Deadline, strconv.FormatInt(remaining, 10))
 	if c.attempts > 1 {
 		request.Header.Set(HeaderRetry, "1")
 	}
@@ -121,8 +122,8 @@
 func (c *call) pass(ctx context.Context, ticket *balancer.Ticket, response *http.Response) {
 	defer response.Body.Close()
 	c.status = response.StatusCode
-	removeHopHeaders(response.Header)
-	copyHeader(c.writer.Header(), response.Header)
+	exchange.RemoveHop(response.Header)
+	exchange.Copy(c.writer.Header(), response.Header)
 	for name := range response.Trailer {
 		c.writer.Header().Add("Trailer", name)
 	}
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -65,3 +65,16 @@
 	t.body.taken.Store(true)
 	return t.body.stream.Read(buffer)
 }
+
+// wholeBody is an answer's body of which the first part, or all, was read already.
+type wholeBody struct {
+	io.Reader
+	io.Closer
+}
+
+func newWholeBody(data []byte, rest io.Reader, closer io.Closer) io.ReadCloser {
+	if rest == nil {
+		return wholeBody{bytes.NewReader(data), closer}
+	}
+	return wholeBody{io.MultiReader(bytes.NewReader(data), rest), closer}
+}
--- /dev/null
+++ b/pkg/forward/gated.go
@@ -0,0 +1,342 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bramblelift/pkg/balancer"
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/wire"
+)
+
+// Bounds of calls through gates.
+const (
+	// freeTries is how many gates are asked for a free slot before the call waits at one.
+	freeTries = 3
+	// maxGateTries bounds all gates that one call is sent to.
+	maxGateTries    = 8
+	gateDialTimeout = 300 * time.Millisecond
+	gateIdleTimeout = 20 * time.Second
+	gateConnections = 256
+	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
+	minServiceLeft = 5 * time.Millisecond
+	// Pauses for which a gate is left out.
+	unreachablePause = 700 * time.Millisecond
+	stoppingPause    = 1500 * time.Millisecond
+	absentPause      = 400 * time.Millisecond
+	downPause        = 250 * time.Millisecond
+	// gateRetryShare of the time left is when to come back after a refusal.
+	gateRetryShare = 10
+	minGateRetry   = 20 * time.Millisecond
+	maxGateRetry   = time.Second
+)
+
+func newGateTransport() *http.Transport {
+	dialer := net.Dialer{
+		Timeout: gateDialTimeout, Control: wire.SetUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}
+	return &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: gateConnections, IdleConnTimeout: gateIdleTimeout,
+	}
+}
+
+// gatedCall is a call on its way through gates.
+type gatedCall struct {
+	*call
+	body *exchange.Body
+	// done are back ends that must not get the call again, full those without a free slot.
+	done  []string
+	full  []string
+	tries int
+	// last is why the latest gate refused.
+	last exchange.Reason
+}
+
+// serveThroughGates answers a call of a service whose back ends stand behind gates.
+func (c *call) serveThroughGates(timeout time.Duration) *Refusal {
+	body, err := exchange.ReadBody(c.request)
+	if err != nil {
+		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: http.StatusBadRequest}
+	}
+	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
+	defer cancel()
+	c.service.budget.Attempt(c.started)
+	g := &gatedCall{call: c, body: body}
+	for {
+		refusal, again := g.tryOne(ctx)
+		if !again {
+			return refusal
+		}
+	}
+}
+
+func (c *call) now() time.Duration { return c.handler.config.Now() }
+
+// tryOne sends the call to one gate. It returns again if another should be tried, or else
+// the refusal, nil if the call was answered.
+func (g *gatedCall) tryOne(ctx context.Context) (refusal *Refusal, again bool) {
+	now := g.now()
+	if ctx.Err() != nil {
+		return g.giveUp("deadline", "the time is up"), false
+	}
+	ticket, wait, err := g.choose(now)
+	if err != nil {
+		return g.giveUp("choose back end", fmt.Sprintf("service %s: %v (%s)", g.target, err, g.last)), false
+	}
+	g.tries++
+	response, failure := g.exchange(ctx, ticket, wait)
+	if failure == nil {
+		g.attempts++
+		g.answer(ticket, response)
+		return nil, false
+	}
+	g.last = failure.reason
+	g.learn(ticket, failure)
+	if failure.reason.Reached() {
+		g.attempts++
+		g.record.Note(failure.outcome)
+	}
+	again = g.mayGoOn(ctx, failure, wait)
+	g.tellAttempt(ticket, failure, wait, now, again)
+	if again {
+		return nil, true
+	}
+	return g.giveUp(failure.step(), failure.text()), false
+}
+
+// choose picks the next gate and how long the call may wait there: not at all while
+// another may have a free slot.
+func (g *gatedCall) choose(now time.Duration) (*balancer.Ticket, time.Duration, error) {
+	if g.tries < maxGateTries && len(g.full) < freeTries {
+		leftOut := append(append([]string(nil), g.done...), g.full...)
+		ticket, free, err := g.service.pool.AcquireGate(now, leftOut)
+		if err == nil && free {
+			return ticket, 0, nil
+		}
+		if err == nil {
+			return ticket, g.patience(now), nil
+		}
+		if len(g.full) == 0 {
+			return nil, 0, err
+		}
+	}
+	ticket, _, err := g.service.pool.AcquireGate(now, g.done)
+	return ticket, g.patience(now), err
+}
+
+// patience is how long the call may wait at a gate.
+func (g *gatedCall) patience(now time.Duration) time.Duration {
+	left := g.deadline - now
+	allowed := left / 2
+	if target := g.route.TargetLatency; target > 0 {
+		allowed = min(allowed, target)
+	}
+	return max(0, min(allowed, left-minServiceLeft))
+}
+
+// gateFailure is an attempt that brought no answer of the back end.
+type gateFailure struct {
+	reason  exchange.Reason
+	outcome Outcome
+	peer    string
+	err     error
+	// refused is set if the gate itself said so, with its report.
+	refused bool
+}
+
+func (f *gateFailure) step() string {
+	if f.reason.Reached() {
+		return "exchange with back end"
+	}
+	return "gate"
+}
+
+func (f *gateFailure) text() string {
+	if f.err != nil {
+		return fmt.Sprintf("%s at %s: %v", f.reason, f.peer, f.err)
+	}
+	return fmt.Sprintf("%s at %s", f.reason, f.peer)
+}
+
+// exchange sends the call to a gate.
+func (g *gatedCall) exchange(ctx context.Context, ticket *balancer.Ticket, wait time.Duration) (*http.Response, *gateFailure) {
+	request := g.outgoingGate(ticket, wait)
+	if ticket.Address == g.handler.config.GateAddress && g.handler.config.Gate != nil {
+		return g.readGate(ticket, g.handler.config.Gate(request.WithContext(ctx)))
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := g.handler.gates.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		failure := &gateFailure{reason: exchange.ReasonUnreachable, outcome: NotRun, peer: ticket.Address, err: err}
+		if connected.Load() {
+			failure.reason, failure.outcome = exchange.ReasonBroken, Unknown
+		}
+		return nil, failure
+	}
+	return g.readGate(ticket, response)
+}
+
+// readGate tells a back end's answer from a gate's refusal, and makes sure that it is whole
+// and the right one.
+func (g *gatedCall) readGate(ticket *balancer.Ticket, response *http.Response) (*http.Response, *gateFailure) {
+	if report, ok := exchange.ParseReport(response.Header.Get(exchange.HeaderReport)); ok {
+		ticket.ReportGate(g.now(), report)
+	}
+	if outcome := response.Header.Get(exchange.HeaderOutcome); outcome != "" {
+		response.Body.Close()
+		return nil, &gateFailure{
+			reason: exchange.Reason(response.Header.Get(exchange.HeaderReason)), outcome: Outcome(outcome),
+			peer: ticket.Address, refused: true,
+		}
+	}
+	name := g.handler.config.Headers.RequestID
+	if name != "" && response.Header.Get(name) != g.request.Header.Get(name) {
+		response.Body.Close()
+		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: errWrongAnswer}
+	}
+	data, rest, err := exchange.ReadWhole(response.Body, response.ContentLength)
+	if err != nil {
+		response.Body.Close()
+		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: err}
+	}
+	response.Body = newWholeBody(data, rest, response.Body)
+	return response, nil
+}
+
+var errWrongAnswer = errors.New("the answer is to another call")
+
+// outgoingGate builds the request for a gate.
+func (g *gatedCall) outgoingGate(ticket *balancer.Ticket, wait time.Duration) *http.Request {
+	incoming := g.request
+	headers := g.handler.config.Headers
+	request := &http.Request{
+		Method: incoming.Method, Host: incoming.Host, Header: make(http.Header, len(incoming.Header)+6),
+		URL: &url.URL{
+			Scheme: "http", Host: ticket.Address, Path: incoming.URL.Path,
+			RawPath: incoming.URL.RawPath, RawQuery: incoming.URL.RawQuery, ForceQuery: incoming.URL.ForceQuery,
+		},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	exchange.Copy(request.Header, incoming.Header)
+	id := incoming.Header[http.CanonicalHeaderKey(headers.RequestID)]
+	exchange.RemoveHop(request.Header)
+	exchange.RemoveInternal(request.Header)
+	if headers.RequestID != "" && id != nil {
+		request.Header[http.CanonicalHeaderKey(headers.RequestID)] = id
+	}
+	if _, set := request.Header["User-Agent"]; !set {
+		request.Header["User-Agent"] = nil
+	}
+	exchange.SetMillis(request.Header, headers.Deadline, max(time.Millisecond, g.deadline-g.now()))
+	request.Header.Set(headers.ExpectedInstance, ticket.ID)
+	request.Header.Set(headers.Caller, g.handler.config.Service)
+	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
+	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
+	g.body.Attach(request, incoming.ContentLength)
+	if g.body.Empty() && g.safe {
+		request.Body, request.ContentLength = nil, 0
+	}
+	return request
+}
+
+// learn keeps what a failure says of the gate.
+func (g *gatedCall) learn(ticket *balancer.Ticket, failure *gateFailure) {
+	now := g.now()
+	learned := balancer.Canceled
+	switch failure.reason {
+	case exchange.ReasonFull:
+		g.full = ticket.LeftOut(g.full)
+	case exchange.ReasonUnreachable:
+		pause := unreachablePause
+		if failure.refused {
+			pause = downPause
+		}
+		ticket.Avoid(now, pause)
+	case exchange.ReasonStopping:
+		ticket.Avoid(now, stoppingPause)
+	case exchange.ReasonAbsent:
+		ticket.Avoid(now, absentPause)
+	case exchange.ReasonBroken:
+		if g.request.Context().Err() == nil && now < g.deadline {
+			learned = balancer.Failed
+		}
+	}
+	if failure.reason != exchange.ReasonFull {
+		g.done = ticket.LeftOut(g.done)
+	}
+	ticket.Done(now, learned)
+}
+
+// mayGoOn decides on another gate. Only what reached a back end draws on the budget.
+func (g *gatedCall) mayGoOn(ctx context.Context, failure *gateFailure, wait time.Duration) bool {
+	if ctx.Err() != nil || g.tries >= maxGateTries || !g.body.Repeatable() {
+		return false
+	}
+	if !failure.reason.Reached() {
+		waited := failure.reason == exchange.ReasonFull && wait > 0
+		return !waited && failure.reason != exchange.ReasonDeadline
+	}
+	if failure.outcome != NotRun && !g.safe {
+		return false
+	}
+	limit := g.route.MaxAttempts
+	if limit == 0 {
+		limit = maxAttempts
+	}
+	return g.attempts < limit && g.service.budget.Withdraw(g.now())
+}
+
+// answer passes the back end's answer to the caller.
+func (g *gatedCall) answer(ticket *balancer.Ticket, response *http.Response) {
+	defer response.Body.Close()
+	g.status = response.StatusCode
+	exchange.RemoveHop(response.Header)
+	exchange.RemoveInternal(response.Header)
+	exchange.Copy(g.writer.Header(), response.Header)
+	g.writer.WriteHeader(response.StatusCode)
+	if err := exchange.CopyBody(g.writer, response); err != nil {
+		ticket.Done(g.now(), balancer.Canceled)
+		g.handler.tell(g.call, nil)
+		panic(http.ErrAbortHandler)
+	}
+	ticket.Done(g.now(), balancer.Answered)
+}
+
+// giveUp makes the final answer. It says that the call has not run only if that is known
+// of every attempt, and then when to come back.
+func (g *gatedCall) giveUp(step, reason string) *Refusal {
+	refusal := &Refusal{Outcome: g.record.Refusal(), Step: step, Reason: reason, Status: http.StatusServiceUnavailable, Fractions: true}
+	left := g.deadline - g.now()
+	if refusal.Outcome != NotRun {
+		refusal.Status = http.StatusBadGateway
+		if left <= 0 {
+			refusal.Status = http.StatusGatewayTimeout
+		}
+		return refusal
+	}
+	refusal.RetryAfter = max(minGateRetry, min(maxGateRetry, left/gateRetryShare))
+	return refusal
+}
+
+func (g *gatedCall) tellAttempt(ticket *balancer.Ticket, failure *gateFailure, wait, began time.Duration, again bool) {
+	if g.handler.config.OnAttempt == nil {
+		return
+	}
+	now := g.now()
+	g.handler.config.OnAttempt(Attempt{
+		RequestID: g.request.Header.Get(g.handler.config.Headers.RequestID), Route: g.route.Name, Service: g.target,
+		Instance: ticket.ID, Number: g.tries, Reason: failure.reason, Err: failure.err,
+		Wait: wait, Elapsed: now - began, Left: g.deadline - now, Retried: again,
+	})
+}
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -14,8 +14,11 @@
 	"time"
 
 	"bramblelift/pkg/balancer"
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/retry"
 	"bramblelift/pkg/routing"
+	"bramblelift/pkg/settings"
 )
 
 // Bounds of forwarding.
@@ -43,10 +46,43 @@
 	Declines retry.Config
 	// OnCall, if set, is told how each call ended.
 	OnCall func(Call)
+	// Headers name the headers of calls; the zero value has defaults.
+	Headers settings.Headers
+	// Service is the service that the node's own callers belong to.
+	Service string
+	// GateAddress is where this node's own gate listens, and Gate takes its calls in
+	// place of a connection there.
+	GateAddress string
+	Gate        func(*http.Request) *http.Response
+	// OnAttempt, if set, is told of each attempt through a gate.
+	OnAttempt func(Attempt)
+}
+
+// Attempt describes one attempt through a gate, for logs and metrics.
+type Attempt struct {
+	RequestID string
+	Route     string
+	Service   string
+	Instance  string
+	Number    int
+	Reason    exchange.Reason
+	Status    int
+	Err       error
+	Report    exchange.Report
+	Wait      time.Duration
+	Elapsed   time.Duration
+	Left      time.Duration
+	Retried   bool
 }
 
 // Call describes a finished call, for metrics.
 type Call struct {
+	RequestID string
+	// Version is the configuration's, Step and Reason tell where and why it was refused.
+	Version  uint64
+	Step     string
+	Reason   string
+	Service  string
 	Route    string
 	Status   int
 	Attempts int
@@ -77,11 +113,15 @@
 	view    atomic.Pointer[view]
 	mutex   sync.Mutex
 	buffers sync.Pool
+	gates   *http.Transport
 }
 
 // New returns a handler that refuses every call until SetTable.
 func New(config Config) *Handler {
-	h := &Handler{config: config}
+	if config.Headers.Deadline == "" {
+		config.Headers.Deadline = exchange.HeaderTimeout
+	}
+	h := &Handler{config: config, gates: newGateTransport()}
 	h.buffers.New = func() any {
 		buffer := make([]byte, copyBufferSize)
 		return &buffer
@@ -172,6 +212,8 @@
 	request  *http.Request
 	route    routing.Route
 	service  *service
+	target   string
+	version  uint64
 	body     *replayBody
 	deadline time.Duration
 	// safe calls may be repeated whatever became of the first attempt.
@@ -199,12 +241,14 @@
 		return
 	}
 	told := Call{
+		RequestID: c.request.Header.Get(h.config.Headers.RequestID), Version: c.version, Service: c.target,
 		Route: c.route.Name, Status: c.status, Attempts: c.attempts,
 		Duration: h.config.Now() - c.started,
 	}
 	if refusal != nil {
 		told.Refused = true
 		told.Outcome = refusal.Outcome
+		told.Step, told.Reason = refusal.Step, refusal.Reason
 	}
 	h.config.OnCall(told)
 }
@@ -216,18 +260,23 @@
 		return &Refusal{Outcome: NotRun, Step: "configuration", Reason: "the node holds no configuration yet",
 			Status: http.StatusServiceUnavailable, RetryAfter: unavailableRetry}
 	}
-	route, found := current.table.Match(c.request.URL.Path)
+	c.version = current.table.Version
+	route, found := current.table.Match(c.request.Host, c.request.URL.Path)
 	if !found {
 		return &Refusal{Outcome: NotRun, Step: "route", Reason: "no route takes this path", Status: http.StatusNotFound}
 	}
 	c.route = route
-	c.service = current.services[route.Service]
-	c.safe = isSafe(c.request.Method) && !route.Once
+	c.target = route.Pick(rand.Float64())
+	c.service = current.services[c.target]
+	c.safe = mayRepeat(route, c.request.Method)
 	timeout := c.timeout()
 	if timeout <= 0 {
 		return &Refusal{Outcome: NotRun, Step: "deadline", Reason: "the deadline has passed", Status: http.StatusGatewayTimeout}
 	}
 	c.deadline = c.started + timeout
+	if c.service.pool.Gated() {
+		return c.serveThroughGates(timeout)
+	}
 	body, err := newReplayBody(c.request)
 	if err != nil {
 		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: http.StatusBadRequest}
@@ -243,13 +292,24 @@
 // timeout returns the smaller of the caller's patience and the route's timeout.
 func (c *call) timeout() time.Duration {
 	timeout := c.route.Timeout
-	millis, err := strconv.ParseInt(c.request.Header.Get(HeaderTimeout), 10, 64)
+	millis, err := strconv.ParseInt(c.request.Header.Get(c.handler.config.Headers.Deadline), 10, 64)
 	if err == nil && time.Duration(millis)*time.Millisecond < timeout {
 		timeout = time.Duration(millis) * time.Millisecond
 	}
 	return timeout
 }
 
+// mayRepeat reports whether a call may run more than once.
+func mayRepeat(route routing.Route, method string) bool {
+	switch {
+	case route.Once || route.Kind == bundle.KindUnsafe || route.Kind == bundle.KindUpload:
+		return false
+	case route.Kind == bundle.KindSafe:
+		return true
+	}
+	return isSafe(method)
+}
+
 func (c *call) attemptUntilDone(ctx context.Context) *Refusal {
 	for {
 		ticket, refusal := c.acquire(ctx)
@@ -277,7 +337,7 @@
 	if err == nil {
 		return ticket, nil
 	}
-	refusal := &Refusal{Outcome: c.record.Refusal(), Step: "choose back end", Reason: fmt.Sprintf("service %s: %v", c.route.Service, err),
+	refusal := &Refusal{Outcome: c.record.Refusal(), Step: "choose back end", Reason: fmt.Sprintf("service %s: %v", c.target, err),
 		Status: http.StatusServiceUnavailable, RetryAfter: unavailableRetry}
 	if errors.Is(err, balancer.ErrSaturated) {
 		refusal.RetryAfter = saturatedRetry
--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -3,36 +3,28 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/textproto"
 	"strconv"
-	"strings"
 	"time"
+
+	"bramblelift/pkg/exchange"
 )
 
 // Headers of the system.
 const (
-	// HeaderOutcome is on refusals, of nodes and of back ends.
-	HeaderOutcome = "Request-Outcome"
-	// HeaderTimeout is the caller's remaining patience in milliseconds; it shrinks
-	// hop by hop.
-	HeaderTimeout = "Request-Timeout-Ms"
-	// HeaderRetry marks a call that some hop sends for a second time; no later hop
-	// retries it again, so that retries do not multiply along a chain.
-	HeaderRetry = "Request-Retry"
-	// HeaderLoad is a back end's report of its load from 0 to 1.
-	HeaderLoad = "Backend-Load"
-	// HeaderDraining is set by a back end that takes no new calls.
-	HeaderDraining = "Backend-Draining"
+	HeaderOutcome  = exchange.HeaderOutcome
+	HeaderTimeout  = exchange.HeaderTimeout
+	HeaderRetry    = exchange.HeaderRetry
+	HeaderLoad     = exchange.HeaderLoad
+	HeaderDraining = exchange.HeaderDraining
 )
 
 // Outcome says whether a refused call ran.
-type Outcome string
+type Outcome = exchange.Outcome
 
+// Outcomes of refused calls.
 const (
-	// NotRun: no back end has begun the call.
-	NotRun Outcome = "not-run"
-	// Unknown: a back end may have run the call.
-	Unknown Outcome = "unknown"
+	NotRun  = exchange.NotRun
+	Unknown = exchange.Unknown
 )
 
 // Refusal is the body of an answer that the node makes itself.
@@ -45,6 +37,8 @@
 	Status int    `json:"-"`
 	// RetryAfter is when to come back.
 	RetryAfter time.Duration `json:"-"`
+	// Fractions lets Retry-After have fractions of a second.
+	Fractions bool `json:"-"`
 }
 
 // write sends the refusal.
@@ -57,34 +51,19 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderOutcome, string(r.Outcome))
 	if r.RetryAfter > 0 {
-		seconds := int((r.RetryAfter + time.Second - 1) / time.Second)
-		header.Set("Retry-After", strconv.Itoa(seconds))
+		header.Set("Retry-After", r.retryAfterText())
 	}
 	w.WriteHeader(r.Status)
 	_, _ = w.Write(append(body, '\n'))
 }
 
-// hopHeaders belong to one connection (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func removeHopHeaders(header http.Header) {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(header, name)
-	}
-}
-
-func copyHeader(target, source http.Header) {
-	for name, values := range source {
-		target[name] = append([]string(nil), values...)
+// retryAfterText is in whole seconds, as HTTP has it, or with fractions where the refusal
+// is meant for callers that understand them.
+func (r Refusal) retryAfterText() string {
+	if r.Fractions {
+		return strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64)
 	}
+	return strconv.Itoa(int((r.RetryAfter + time.Second - 1) / time.Second))
 }
 
 // isSafe reports whether a method may be repeated by definition (RFC 9110, 9.2.1).
--- /dev/null
+++ b/pkg/gate/admission.go
@@ -0,0 +1,214 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"bramblelift/pkg/exchange"
+)
+
+const (
+	// defaultCapacity is assumed of a back end that does not tell.
+	defaultCapacity = 8
+	// firstService is the assumed service time until one was seen, and serviceWeight how
+	// much each newer one counts.
+	firstService  = 20 * time.Millisecond
+	serviceWeight = 0.08
+	// downPause is how long a back end that takes no connection is left alone.
+	downPause = 150 * time.Millisecond
+)
+
+// Backend is the back end beside the gate.
+type Backend struct {
+	// ID changes with each start of the back end.
+	ID       string
+	Address  string
+	Capacity int
+}
+
+// SetBackend names the back end that takes calls from now on.
+func (g *Gate) SetBackend(backend Backend) {
+	if backend.Capacity <= 0 {
+		backend.Capacity = defaultCapacity
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.present && g.backend.ID == backend.ID {
+		g.backend = backend
+		return
+	}
+	g.backend, g.present = backend, true
+	g.generation++
+	g.running, g.service, g.downUntil = 0, 0, 0
+	g.dropWaiting()
+}
+
+// RemoveBackend lets nothing new reach a back end.
+func (g *Gate) RemoveBackend(id string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.backend.ID != id {
+		return
+	}
+	g.present = false
+	g.dropWaiting()
+}
+
+// Stop refuses everything new.
+func (g *Gate) Stop() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.stopping = true
+	g.dropWaiting()
+}
+
+func (g *Gate) dropWaiting() {
+	for w := g.queue.first(); w != nil; w = g.queue.first() {
+		close(w.dropped)
+	}
+}
+
+// admittance is the right to send one call to the back end.
+type admittance struct {
+	backend    Backend
+	generation uint64
+	at         time.Duration
+}
+
+// request is what admission must know of a call.
+type request struct {
+	instance string
+	priority int
+	deadline time.Duration
+	wait     time.Duration
+}
+
+// admit waits for a free slot. It returns why there is none, if there is none.
+func (g *Gate) admit(ctx context.Context, r request) (admittance, exchange.Reason) {
+	g.mutex.Lock()
+	now := g.config.Now()
+	if reason := g.mayEnter(now, r); reason != "" {
+		g.mutex.Unlock()
+		return admittance{}, reason
+	}
+	if g.running < g.backend.Capacity && len(g.queue) == 0 {
+		granted := g.grant(now)
+		g.mutex.Unlock()
+		return granted, ""
+	}
+	if g.expectedWait(r) > r.wait {
+		g.mutex.Unlock()
+		return admittance{}, exchange.ReasonFull
+	}
+	w := &waiter{priority: r.priority, deadline: r.deadline, admitted: make(chan struct{}), dropped: make(chan struct{})}
+	g.queue.add(w)
+	g.mutex.Unlock()
+	return g.await(ctx, w, r.wait)
+}
+
+// mayEnter returns why a call is refused whatever the load; the mutex is held.
+func (g *Gate) mayEnter(now time.Duration, r request) exchange.Reason {
+	switch {
+	case g.stopping:
+		return exchange.ReasonStopping
+	case !g.present || (r.instance != "" && r.instance != g.backend.ID):
+		return exchange.ReasonAbsent
+	case now < g.downUntil:
+		return exchange.ReasonUnreachable
+	case now >= r.deadline:
+		return exchange.ReasonDeadline
+	}
+	return ""
+}
+
+// grant takes a slot; the mutex is held.
+func (g *Gate) grant(now time.Duration) admittance {
+	g.running++
+	return admittance{backend: g.backend, generation: g.generation, at: now}
+}
+
+// expectedWait estimates how long a call would wait; the mutex is held.
+func (g *Gate) expectedWait(r request) time.Duration {
+	ahead := g.queue.ahead(r.priority, r.deadline)
+	return time.Duration(float64(g.serviceTime()) * float64(ahead+1) / float64(g.backend.Capacity))
+}
+
+func (g *Gate) serviceTime() time.Duration {
+	if g.service == 0 {
+		return firstService
+	}
+	return g.service
+}
+
+// await waits until the call is admitted, dropped, out of patience or left by its caller.
+func (g *Gate) await(ctx context.Context, w *waiter, patience time.Duration) (admittance, exchange.Reason) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	reason := exchange.ReasonFull
+	select {
+	case <-w.admitted:
+		return w.granted, ""
+	case <-w.dropped:
+		return admittance{}, exchange.ReasonAbsent
+	case <-timer.C:
+	case <-ctx.Done():
+		reason = exchange.ReasonDeadline
+	}
+	g.mutex.Lock()
+	stillWaiting := g.queue.remove(w)
+	g.mutex.Unlock()
+	if stillWaiting {
+		return admittance{}, reason
+	}
+	select {
+	case <-w.dropped:
+		return admittance{}, exchange.ReasonAbsent
+	case <-w.admitted:
+	}
+	if ctx.Err() == nil {
+		return w.granted, ""
+	}
+	g.release(w.granted, 0)
+	return admittance{}, reason
+}
+
+// release gives a slot back, and to the next waiter. service is how long the call took,
+// zero if that says nothing.
+func (g *Gate) release(a admittance, service time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if a.generation != g.generation {
+		return
+	}
+	g.running--
+	if service > 0 {
+		if g.service == 0 {
+			g.service = service
+		}
+		g.service += time.Duration(serviceWeight * float64(service-g.service))
+	}
+	for g.running < g.backend.Capacity {
+		w := g.queue.first()
+		if w == nil {
+			return
+		}
+		w.granted = g.grant(g.config.Now())
+		close(w.admitted)
+	}
+}
+
+// markDown notes that the back end took no connection.
+func (g *Gate) markDown(a admittance) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if a.generation == g.generation {
+		g.downUntil = g.config.Now() + downPause
+	}
+}
+
+// Report describes the load.
+func (g *Gate) Report() exchange.Report {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return exchange.Report{Running: g.running, Queued: len(g.queue), Capacity: max(1, g.backend.Capacity), Service: g.service}
+}
--- /dev/null
+++ b/pkg/gate/gate.go
@@ -0,0 +1,244 @@
+// Package gate stands in front of the one back end beside a node and lets calls of all
+// nodes through to it.
+//
+// Since it is the only way there, it knows exactly how many calls are at work, keeps those
+// that wait in order, and can say for certain that a call which it refused has not run. It
+// also enforces that a leaving back end gets nothing new, whoever still sends.
+package gate
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/settings"
+	"bramblelift/pkg/wire"
+)
+
+// Bounds of the connections to the back end.
+const (
+	dialTimeout = 500 * time.Millisecond
+	idleTimeout = 4 * time.Second
+	// leastRemaining is the time left below which a call is not begun.
+	leastRemaining = 2 * time.Millisecond
+)
+
+// errWrongAnswer: an answer belongs to another call.
+var errWrongAnswer = errors.New("the answer is to another call")
+
+// Config sets up a Gate.
+type Config struct {
+	Headers settings.Headers
+	// Now reads the process's monotonic clock.
+	Now func() time.Duration
+	// OnCall, if set, is told how each call ended.
+	OnCall func(Call)
+}
+
+// Call describes a finished call, for logs and metrics.
+type Call struct {
+	RequestID string
+	// Reason is empty if the back end answered.
+	Reason  exchange.Reason
+	Err     error
+	Status  int
+	Waited  time.Duration
+	Service time.Duration
+	Report  exchange.Report
+	Backend string
+}
+
+// Gate admits calls and sends them to the back end. It is safe for concurrent use, and an
+// http.Handler for the calls of other nodes.
+type Gate struct {
+	config    Config
+	transport *http.Transport
+
+	mutex   sync.Mutex
+	backend Backend
+	present bool
+	// generation counts the back ends; slots of an earlier one do not count any more.
+	generation uint64
+	stopping   bool
+	running    int
+	queue      waitQueue
+	service    time.Duration
+	downUntil  time.Duration
+}
+
+// New returns a gate without a back end.
+func New(config Config) *Gate {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
+	return &Gate{config: config, transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+	}}
+}
+
+const maxIdleConnections = 64
+
+// ServeHTTP implements http.Handler.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := exchange.ReadBody(r)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	request := r.WithContext(r.Context())
+	body.Attach(request, r.ContentLength)
+	response := g.Do(request)
+	defer response.Body.Close()
+	exchange.Copy(w.Header(), response.Header)
+	w.WriteHeader(response.StatusCode)
+	if err := exchange.CopyBody(w, response); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Do sends one call to the back end and returns its answer, or the gate's own refusal,
+// which HeaderOutcome marks. The header of the request is the gate's to change.
+func (g *Gate) Do(r *http.Request) *http.Response {
+	arrived := g.config.Now()
+	wanted := g.read(r.Header, arrived)
+	granted, reason := g.admit(r.Context(), wanted)
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: reason, Waited: g.config.Now() - arrived}
+	if reason != "" {
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
+	call.Backend = granted.backend.ID
+	return g.send(r, granted, wanted, &call)
+}
+
+func (g *Gate) read(header http.Header, now time.Duration) request {
+	wanted := request{instance: header.Get(g.config.Headers.ExpectedInstance), deadline: now + time.Hour}
+	if left, set := exchange.ReadMillis(header, g.config.Headers.Deadline); set {
+		wanted.deadline = now + left
+	}
+	wanted.wait, _ = exchange.ReadMillis(header, exchange.HeaderWait)
+	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
+	return wanted
+}
+
+// send exchanges the call with the back end and gives the slot back.
+func (g *Gate) send(r *http.Request, granted admittance, wanted request, call *Call) *http.Response {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), trace))
+	response, err := g.transport.RoundTrip(g.outgoing(ctx, r, granted, wanted))
+	if err == nil {
+		err = g.check(r.Header, response)
+	}
+	if err == nil && response.Header.Get(g.config.Headers.NotRun) != "" && g.config.Headers.NotRun != "" {
+		response.Body.Close()
+		cancel()
+		g.release(granted, 0)
+		call.Reason, call.Status = exchange.ReasonDeclined, response.StatusCode
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
+	if err == nil {
+		err = holdWhole(response)
+	}
+	call.Service = g.config.Now() - granted.at
+	if err != nil {
+		cancel()
+		return g.failed(call, granted, connected.Load(), r.Context(), err)
+	}
+	return g.answer(response, granted, call, cancel)
+}
+
+// answer hands out an answer of the back end. One that is not held whole keeps its slot
+// until its body is closed.
+func (g *Gate) answer(response *http.Response, granted admittance, call *Call, cancel context.CancelFunc) *http.Response {
+	finish := func() {
+		cancel()
+		g.release(granted, call.Service)
+	}
+	call.Status = response.StatusCode
+	exchange.RemoveHop(response.Header)
+	exchange.RemoveInternal(response.Header)
+	if held, whole := response.Body.(heldBody); whole {
+		finish()
+		response.Body = held
+	} else {
+		response.Body = &closingBody{ReadCloser: response.Body, finish: sync.OnceFunc(finish)}
+	}
+	call.Report = g.Report()
+	response.Header.Set(exchange.HeaderReport, call.Report.String())
+	g.tell(call)
+	return response
+}
+
+// failed classifies an error. Only if no connection was ever had is it certain that the
+// back end has seen nothing.
+func (g *Gate) failed(call *Call, granted admittance, connected bool, ctx context.Context, err error) *http.Response {
+	g.release(granted, 0)
+	call.Err = err
+	if !connected {
+		call.Reason = exchange.ReasonUnreachable
+		if ctx.Err() == nil {
+			g.markDown(granted)
+		}
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
+	call.Reason = exchange.ReasonBroken
+	return g.refuse(call, http.StatusBadGateway, exchange.Unknown)
+}
+
+// check makes sure that an answer is to the call it came after. A back end that sends two
+// answers to one call puts the second in the place of the next one's.
+func (g *Gate) check(sent http.Header, response *http.Response) error {
+	name := g.config.Headers.RequestID
+	if name == "" || response.Header.Get(name) == sent.Get(name) {
+		return nil
+	}
+	response.Body.Close()
+	return errWrongAnswer
+}
+
+func (g *Gate) outgoing(ctx context.Context, r *http.Request, granted admittance, wanted request) *http.Request {
+	request := &http.Request{
+		Method: r.Method, Host: r.Host, Header: make(http.Header, len(r.Header)+1),
+		URL: &url.URL{
+			Scheme: "http", Host: granted.backend.Address, Path: r.URL.Path,
+			RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+		},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: r.Body, ContentLength: r.ContentLength,
+	}
+	exchange.Copy(request.Header, r.Header)
+	exchange.RemoveHop(request.Header)
+	exchange.RemoveInternal(request.Header)
+	if _, set := request.Header["User-Agent"]; !set {
+		// An explicit nil keeps the transport from adding its own.
+		request.Header["User-Agent"] = nil
+	}
+	left := max(time.Millisecond, wanted.deadline-g.config.Now())
+	exchange.SetMillis(request.Header, g.config.Headers.Deadline, left)
+	return request.WithContext(ctx)
+}
+
+// refuse makes the gate's own answer.
+func (g *Gate) refuse(call *Call, status int, outcome exchange.Outcome) *http.Response {
+	call.Report = g.Report()
+	header := http.Header{}
+	header.Set(exchange.HeaderOutcome, string(outcome))
+	header.Set(exchange.HeaderReason, string(call.Reason))
+	header.Set(exchange.HeaderReport, call.Report.String())
+	header.Set("Content-Length", "0")
+	g.tell(call)
+	return &http.Response{StatusCode: status, Header: header, Body: http.NoBody, ContentLength: 0}
+}
+
+func (g *Gate) tell(call *Call) {
+	if g.config.OnCall != nil {
+		g.config.OnCall(*call)
+	}
+}
--- a/pkg/platform/platform.go
+++ b/pkg/machinelist/machinelist.go
@@ -1,7 +1,7 @@
-// Package platform reads the platform's list of machines and decides what in it is
+// Package machinelist reads the platform's list of machines and decides what in it is
 // news. The list lags: it may show a machine as live that is known to leave, or not at
 // all although it serves.
-package platform
+package machinelist
 
 import (
 	"context"
--- a/pkg/platform/platform_test.go
+++ b/pkg/machinelist/machinelist_test.go
@@ -1,4 +1,4 @@
-package platform
+package machinelist
 
 import (
 	"context"
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -31,6 +31,7 @@
 	KindAck
 	KindRaft
 	KindJoin
+	KindAnnounce
 )
 
 // KindName returns the name of a kind as metrics show it.
@@ -38,7 +39,7 @@
 	names := map[wire.Kind]string{
 		KindHello: "hello", KindWelcome: "welcome", KindRefusal: "refusal",
 		KindUpdate: "update", KindPing: "ping", KindPong: "pong", KindAck: "ack",
-		KindRaft: "raft", KindJoin: "join",
+		KindRaft: "raft", KindJoin: "join", KindAnnounce: "announce",
 	}
 	if name, found := names[kind]; found {
 		return name
@@ -76,6 +77,15 @@
 // Welcome accepts a connection.
 type Welcome struct {
 	Name string
+	// Servers are all that a subscriber may go to instead; empty if the server does not
+	// know.
+	Servers []Server
+}
+
+// Server is a process that serves subscriptions.
+type Server struct {
+	Address string
+	Zone    string
 }
 
 // RefusalReason classifies a refusal.
@@ -118,6 +128,9 @@
 	Position distribution.Position
 	// Reports are news of the nodes below a relay.
 	Reports []NodeReport
+	// Announcements are back ends that the subscriber answers for and that the state sent
+	// to it does not show as they are.
+	Announcements []distribution.Endpoint
 }
 
 // Pong answers a Ping.
@@ -130,6 +143,8 @@
 	// Stale is how long before this answer the sender's state was confirmed to
 	// include everything accepted.
 	Stale time.Duration
+	// Servers are sent again when they have changed.
+	Servers []Server
 }
 
 // Ack tells what a subscriber holds, without asking for anything.
@@ -156,6 +171,11 @@
 	Member raft.Member
 }
 
+// Announce passes announced back ends on to the leader.
+type Announce struct {
+	Endpoints []distribution.Endpoint
+}
+
 // ErrUnexpected: the peer sent a frame that does not fit here.
 var ErrUnexpected = errors.New("unexpected frame")
 
--- /dev/null
+++ b/pkg/proxy/gate.go
@@ -0,0 +1,112 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/gate"
+	"bramblelift/pkg/registration"
+	"bramblelift/pkg/wire"
+)
+
+// openGate prepares the way to the back end beside the node, if there is one.
+func (s *Server) openGate() error {
+	if s.settings.GateListen == "" {
+		return nil
+	}
+	s.gate = gate.New(gate.Config{Headers: s.settings.Headers, Now: s.clock.Now, OnCall: s.observer.gateCall})
+	s.registry = registration.New(registration.Config{
+		Gate: s.gate, GateAddress: s.settings.GateListen, Service: s.settings.Service,
+		Changed: func() { s.client.PingSoon() }, OnChange: s.noteBackend,
+	})
+	var err error
+	if s.gateListener, err = wire.Listen(s.settings.GateListen); err != nil {
+		return fmt.Errorf("listen for other nodes: %w", err)
+	}
+	s.gateServer = &http.Server{
+		Handler: s.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	return nil
+}
+
+// openInterface opens the deployment's interface, if there is one.
+func (s *Server) openInterface(newInterface func(*Server) http.Handler) error {
+	if s.settings.InterfaceListen == "" || newInterface == nil {
+		return nil
+	}
+	var err error
+	if s.interfaceListener, err = net.Listen("tcp", s.settings.InterfaceListen); err != nil {
+		return fmt.Errorf("listen for the deployment's interface: %w", err)
+	}
+	s.interfaceHandler = newInterface(s)
+	return nil
+}
+
+// Heartbeat takes in a heartbeat of the back end beside the node.
+func (s *Server) Heartbeat(h registration.Heartbeat) {
+	if s.registry != nil {
+		s.registry.Take(h)
+	}
+}
+
+// BackendLeft takes in that a back end has left.
+func (s *Server) BackendLeft(id string) {
+	if s.registry != nil {
+		s.registry.Leave(id)
+	}
+}
+
+func (s *Server) noteBackend(h registration.Heartbeat) {
+	states := map[registration.State]string{
+		registration.Ready: "ready", registration.Draining: "draining", registration.Gone: "gone",
+	}
+	s.logger.Log("event", "backend", "instance", h.ID, "state", states[h.State], "sequence", h.Sequence, "capacity", h.Capacity)
+}
+
+func (s *Server) announcements() []distribution.Endpoint {
+	if s.registry == nil {
+		return nil
+	}
+	return s.registry.Announcements()
+}
+
+// serveGate answers other nodes and the deployment's interface.
+func (s *Server) serveGate(group *sync.WaitGroup) {
+	if s.gateServer != nil {
+		group.Go(func() { s.noteServed("gate", s.gateServer.Serve(s.gateListener)) })
+	}
+	if s.interfaceListener != nil {
+		group.Go(func() { s.noteServed("interface", http.Serve(s.interfaceListener, s.interfaceHandler)) })
+	}
+}
+
+func (s *Server) noteServed(what string, err error) {
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		s.logger.Log("event", "listener_ended", "listener", what, "error", err)
+	}
+}
+
+// stopGate lets other nodes go elsewhere.
+func (s *Server) stopGate() {
+	if s.gate != nil {
+		s.gate.Stop()
+	}
+}
+
+// finishGate waits for the calls at the back end. The deployment's interface goes last: the
+// back end may still have something to say.
+func (s *Server) finishGate(ctx context.Context) error {
+	var err error
+	if s.gateServer != nil {
+		err = s.gateServer.Shutdown(ctx)
+	}
+	if s.interfaceListener != nil {
+		s.interfaceListener.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/proxy/observer.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/forward"
+	"bramblelift/pkg/gate"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// observer counts what happens to calls, and logs each decision that kept one from being
+// answered at the first attempt.
+type observer struct {
+	logger    log.Logger
+	calls     *prometheus.CounterVec
+	durations *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	admitted  *prometheus.CounterVec
+	waits     prometheus.Histogram
+	service   prometheus.Histogram
+}
+
+// durationBuckets reach from half a millisecond to eight seconds.
+var durationBuckets = prometheus.ExponentialBuckets(0.0005, 2, 15)
+
+func newObserver(registry prometheus.Registerer, logger log.Logger) *observer {
+	o := &observer{
+		logger: logger,
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramblelift_calls_total", Help: "Calls by route and how they ended.",
+		}, []string{"route", "end"}),
+		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bramblelift_call_seconds", Help: "Time from a call's head to the end of its answer, by how it ended.",
+			Buckets: durationBuckets,
+		}, []string{"end"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramblelift_attempts_total", Help: "Attempts by how they ended; above calls by the retries.",
+		}, []string{"end"}),
+		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramblelift_gate_calls_total", Help: "Calls at the gate by how they ended.",
+		}, []string{"end"}),
+		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "bramblelift_gate_wait_seconds", Help: "Time that calls waited at the gate.", Buckets: durationBuckets,
+		}),
+		service: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "bramblelift_gate_service_seconds", Help: "Time that calls took at the back end.", Buckets: durationBuckets,
+		}),
+	}
+	registry.MustRegister(o.calls, o.durations, o.attempts, o.admitted, o.waits, o.service)
+	return o
+}
+
+// endAnswered names calls that a back end answered.
+const endAnswered = "answered"
+
+// call takes in the end of a call.
+func (o *observer) call(call forward.Call) {
+	end := endAnswered
+	if call.Refused {
+		end = string(call.Outcome)
+	}
+	o.calls.WithLabelValues(call.Route, end).Inc()
+	o.durations.WithLabelValues(end).Observe(call.Duration.Seconds())
+	o.attempts.WithLabelValues(endAnswered).Add(float64(call.Attempts))
+	if !call.Refused {
+		return
+	}
+	o.logger.Log("event", "call_refused", "request", call.RequestID, "route", call.Route, "service", call.Service,
+		"version", call.Version, "status", call.Status, "outcome", string(call.Outcome), "step", call.Step,
+		"reason", call.Reason, "attempts", call.Attempts, "took", call.Duration.Round(time.Microsecond))
+}
+
+// attempt takes in an attempt that brought no answer.
+func (o *observer) attempt(a forward.Attempt) {
+	o.attempts.WithLabelValues(string(a.Reason)).Inc()
+	if a.Reason == exchange.ReasonFull && a.Retried {
+		return
+	}
+	o.logger.Log("event", "attempt_failed", "request", a.RequestID, "route", a.Route, "service", a.Service,
+		"instance", a.Instance, "try", a.Number, "reason", string(a.Reason), "error", a.Err,
+		"wait", a.Wait, "took", a.Elapsed.Round(time.Microsecond), "left", a.Left.Round(time.Millisecond), "again", a.Retried)
+}
+
+// gateCall takes in a call at the gate.
+func (o *observer) gateCall(call gate.Call) {
+	end := endAnswered
+	if call.Reason != "" {
+		end = string(call.Reason)
+	}
+	o.admitted.WithLabelValues(end).Inc()
+	o.waits.Observe(call.Waited.Seconds())
+	if call.Reason == "" {
+		o.service.Observe(call.Service.Seconds())
+		return
+	}
+	if call.Reason == exchange.ReasonFull {
+		return
+	}
+	o.logger.Log("event", "gate_refused", "request", call.RequestID, "instance", call.Backend, "reason", string(call.Reason),
+		"error", call.Err, "waited", call.Waited.Round(time.Microsecond), "service", call.Service.Round(time.Microsecond),
+		"running", call.Report.Running, "queued", call.Report.Queued, "capacity", call.Report.Capacity)
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -12,12 +12,13 @@
 
 	"bramblelift/pkg/admin"
 	"bramblelift/pkg/balancer"
-	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/clock"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/forward"
+	"bramblelift/pkg/gate"
 	"bramblelift/pkg/metrics"
 	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/registration"
 	"bramblelift/pkg/retry"
 	"bramblelift/pkg/routing"
 	"bramblelift/pkg/settings"
@@ -25,7 +26,6 @@
 	"bramblelift/pkg/stream"
 
 	"github.com/go-kit/log"
-	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Bounds of the daemon.
@@ -34,11 +34,9 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	// lameDuck is how long a stopping node still serves while it tells callers to
-	// close their connections; then it takes no new ones.
-	lameDuck = 700 * time.Millisecond
-	// drainTimeout bounds how long a stop waits for calls under way.
-	drainTimeout = 30 * time.Second
+	// gatedRetryMax is how many repeats a node may save up for one service; all nodes'
+	// together must stay small against what the deployment allows.
+	gatedRetryMax = 3
 )
 
 // Server is one node.
@@ -54,10 +52,20 @@
 	admin    *admin.Service
 	stopping atomic.Bool
 	failure  chan error
+
+	gate              *gate.Gate
+	gateListener      net.Listener
+	gateServer        *http.Server
+	registry          *registration.Registry
+	interfaceListener net.Listener
+	interfaceHandler  http.Handler
+	observer          *observer
 }
 
 // New opens the node's sockets and reads its last configuration.
-func New(config settings.Proxy, logger log.Logger) (*Server, error) {
+//
+// newInterface, if set, makes the handler of settings.InterfaceListen.
+func New(config settings.Proxy, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
 	s := &Server{settings: config, logger: logger, clock: clock.NewMonotonic(), failure: make(chan error, 1)}
 	if err := s.openKeeper(); err != nil {
 		return nil, err
@@ -70,10 +78,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s.handler = forward.New(forward.Config{
-		Node: config.Name, Zone: config.Zone, Now: s.clock.Now,
-		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: callCounter(s.admin.Registry),
-	})
+	s.observer = newObserver(s.admin.Registry, logger)
+	if err := s.openGate(); err != nil {
+		return nil, err
+	}
+	if err := s.openInterface(newInterface); err != nil {
+		return nil, err
+	}
+	s.handler = forward.New(s.forwardConfig())
 	s.http = &http.Server{
 		Handler: http.HandlerFunc(s.serveCall), ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -82,7 +94,7 @@
 }
 
 func (s *Server) openKeeper() error {
-	verifier, err := bundle.NewVerifier(s.settings.Cluster, s.settings.ApprovalKeys)
+	verifier, err := s.settings.Verifier()
 	if err != nil {
 		return err
 	}
@@ -121,10 +133,38 @@
 		Logger:         s.logger,
 		Now:            s.clock.Now,
 		OnConfirmed:    s.keeper.Confirmed,
-	}, s.keeper, stream.Candidates(s.settings.Zone, s.settings.Relays))
+		Announcements:  s.announcements,
+	}, s.keeper, candidates(s.settings))
 	return err
 }
 
+// SetSeeds takes the servers to start from out of newer settings.
+func (s *Server) SetSeeds(config settings.Proxy) {
+	s.client.SetSeeds(candidates(config))
+}
+
+// candidates are the servers of the settings.
+func candidates(config settings.Proxy) []stream.Candidate {
+	all := stream.Candidates(config.Zone, config.Relays)
+	for _, address := range config.SeedAddresses() {
+		all = append(all, stream.Candidate{Address: address})
+	}
+	return all
+}
+
+func (s *Server) forwardConfig() forward.Config {
+	config := forward.Config{
+		Node: s.settings.Name, Zone: s.settings.Zone, Now: s.clock.Now,
+		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: s.observer.call,
+		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
+	}
+	if s.gate != nil {
+		config.GateAddress, config.Gate = s.settings.GateListen, s.gate.Do
+		config.Retry = retry.Config{Ratio: s.settings.Retries.Ratio, Max: gatedRetryMax}
+	}
+	return config
+}
+
 // Run serves until the context ends, then finishes the calls under way.
 func (s *Server) Run(ctx context.Context) error {
 	s.logger.Log("event", "started", "listen", s.listener.Addr(), "admin", s.admin.Address(), "group", s.settings.Group)
@@ -141,6 +181,7 @@
 	})
 	served := make(chan error, 1)
 	group.Go(func() { served <- s.http.Serve(s.listener) })
+	s.serveGate(&group)
 	select {
 	case <-ctx.Done():
 		return s.stop()
@@ -155,13 +196,14 @@
 func (s *Server) stop() error {
 	s.logger.Log("event", "stopping")
 	s.stopping.Store(true)
-	time.Sleep(lameDuck)
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.settings.StopTimeout))
 	defer cancel()
-	err := s.http.Shutdown(ctx)
+	time.Sleep(time.Duration(s.settings.CallerNotice))
+	s.stopGate()
+	err := errors.Join(s.http.Shutdown(ctx), s.finishGate(ctx))
 	s.logger.Log("event", "stopped", "error", err)
 	if err != nil {
-		return fmt.Errorf("calls under way did not end in %s: %w", drainTimeout, err)
+		return fmt.Errorf("calls under way did not end in %s: %w", time.Duration(s.settings.StopTimeout), err)
 	}
 	return nil
 }
@@ -212,33 +254,12 @@
 	return nil
 }
 
-// callCounter counts calls and times them.
-func callCounter(registry prometheus.Registerer) func(forward.Call) {
-	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "bramblelift_calls_total", Help: "Calls by route and how they ended.",
-	}, []string{"route", "end"})
-	attempts := prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "bramblelift_attempts_total", Help: "Attempts at back ends; above calls by the retries.",
-	})
-	durations := prometheus.NewHistogram(prometheus.HistogramOpts{
-		Name: "bramblelift_call_seconds", Help: "Time from a call's head to the end of its answer.",
-		Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
-	})
-	registry.MustRegister(calls, attempts, durations)
-	return func(call forward.Call) {
-		end := "answered"
-		if call.Refused {
-			end = string(call.Outcome)
-		}
-		calls.WithLabelValues(call.Route, end).Inc()
-		attempts.Add(float64(call.Attempts))
-		durations.Observe(call.Duration.Seconds())
-	}
-}
-
 // putInForce swaps the table that calls are answered by.
 func (s *Server) putInForce(state *distribution.State) {
 	table := routing.New(state)
+	if s.registry != nil {
+		s.registry.Observe(state.Endpoints)
+	}
 	before := s.handler.Version()
 	s.handler.SetTable(table)
 	if table.Version != before {
--- a/pkg/raft/lease.go
+++ b/pkg/raft/lease.go
@@ -87,6 +87,25 @@
 	return now-n.becameLeaderAt < n.config.ElectionTimeout || n.answersNow(now, id)
 }
 
+// SilentFor returns how long this leader has not heard from a replica, counted from when
+// it became the leader at the earliest.
+func (n *Node) SilentFor(now time.Duration, id ReplicaID) time.Duration {
+	p, found := n.progress[id]
+	if id == n.config.ID || !found {
+		return 0
+	}
+	return now - max(p.ackedAt, n.becameLeaderAt)
+}
+
+// HeardLeaderAt returns when this replica last heard from a leader, or was one itself;
+// zero for never.
+func (n *Node) HeardLeaderAt(now time.Duration) time.Duration {
+	if n.role == Leader {
+		return now
+	}
+	return n.heardLeaderAt
+}
+
 // answersNow reports whether a replica has answered this leader within the election
 // timeout.
 func (n *Node) answersNow(now time.Duration, id ReplicaID) bool {
--- a/pkg/raft/membership.go
+++ b/pkg/raft/membership.go
@@ -15,6 +15,9 @@
 	// Address is where the other replicas reach it.
 	Address string
 	Zone    string
+	// Interface is where the replica answers operators' calls, for those that another
+	// replica sends on; empty if it is not known.
+	Interface string
 	// Learner receives the log but neither votes nor counts for a quorum.
 	Learner bool
 }
@@ -74,6 +77,18 @@
 	return Membership{Members: members}
 }
 
+// WithUpdated returns a copy that describes a member as given; whether it votes stays.
+func (m Membership) WithUpdated(updated Member) Membership {
+	members := slices.Clone(m.Members)
+	for i := range members {
+		if members[i].ID == updated.ID {
+			updated.Learner = members[i].Learner
+			members[i] = updated
+		}
+	}
+	return Membership{Members: members}
+}
+
 // Without returns a copy without id.
 func (m Membership) Without(id ReplicaID) Membership {
 	members := slices.DeleteFunc(slices.Clone(m.Members), func(member Member) bool {
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -71,6 +71,8 @@
 	// timeout after the last word of a leader, or after the start.
 	voteBarrier time.Duration
 
+	heardLeaderAt time.Duration
+
 	// session tells this process's clock readings from those of earlier ones.
 	session      uint64
 	confirmation confirmation
--- a/pkg/raft/replication.go
+++ b/pkg/raft/replication.go
@@ -77,6 +77,7 @@
 	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(now, m.Term, m.From)
 	}
+	n.heardLeaderAt = now
 	n.voteBarrier = now + n.config.ElectionTimeout
 	n.resetElectionDeadline(now)
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -55,7 +55,7 @@
 
 // New opens the relay's sockets.
 func New(config settings.Relay, logger log.Logger) (*Server, error) {
-	verifier, err := bundle.NewVerifier(config.Cluster, config.ApprovalKeys)
+	verifier, err := config.Verifier()
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/replica/membership.go
+++ b/pkg/replica/membership.go
@@ -88,7 +88,10 @@
 			return
 		}
 	}
-	r.removeReplaced(now)
+	if r.removeReplaced(now) {
+		return
+	}
+	r.removeSilent(now)
 }
 
 // nextMembership returns the next step for a joining replica, if one is due.
@@ -104,6 +107,10 @@
 	if member.Learner && r.node.Match(joining.ID) >= r.node.Commit() {
 		return current.WithPromoted(joining.ID), true
 	}
+	joining.Learner = member.Learner
+	if member != joining {
+		return current.WithUpdated(joining), true
+	}
 	return raft.Membership{}, false
 }
 
@@ -120,15 +127,38 @@
 
 // removeReplaced removes one replica for which a later one of the same name stands:
 // the voter that a promoted replica replaces, or a learner whose disk was lost too.
-func (r *Replica) removeReplaced(now time.Duration) {
+func (r *Replica) removeReplaced(now time.Duration) bool {
 	current := r.node.Membership()
 	for i, member := range current.Members {
 		for _, later := range current.Members[i+1:] {
 			replaced := later.Name == member.Name && (!later.Learner || member.Learner)
 			if replaced && !r.node.Alive(now, member.ID) {
-				_ = r.node.ProposeMembership(current.Without(member.ID))
-				return
+				return r.node.ProposeMembership(current.Without(member.ID)) == nil
 			}
 		}
 	}
+	return false
+}
+
+// removeSilent removes one replica that has been silent for RemoveAfter, as long as more
+// voters stay than the tolerated losses need: a majority must not depend on machines that
+// are gone for good. One that was only cut off keeps its disk and its ID, and joins again.
+func (r *Replica) removeSilent(now time.Duration) {
+	if r.config.RemoveAfter == 0 {
+		return
+	}
+	current := r.node.Membership()
+	for _, member := range current.Members {
+		if r.node.SilentFor(now, member.ID) < r.config.RemoveAfter {
+			continue
+		}
+		if !member.Learner && len(current.Voters()) <= r.config.leastVoters() {
+			continue
+		}
+		_ = r.node.ProposeMembership(current.Without(member.ID))
+		return
+	}
 }
+
+// leastVoters is the number of voters at which the tolerated losses leave a majority.
+func (c Config) leastVoters() int { return 2*c.ToleratedLosses + 1 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -29,6 +29,11 @@
 	CompactAfter uint64
 	// CompactBytes is how many bytes of log do, zero for no bound.
 	CompactBytes int64
+	// RemoveAfter is after how much silence the leader removes a replica that is not
+	// needed for a majority; zero for never.
+	RemoveAfter time.Duration
+	// ToleratedLosses is how many replicas may be lost at once.
+	ToleratedLosses int
 }
 
 // ProposalID is the caller's name for a command under way.
@@ -68,6 +73,9 @@
 	compactedSize int64
 	// addresses are where replicas said they are; see Learn.
 	addresses map[raft.ReplicaID]string
+	// unsaved are effects that the disk did not take yet. Until it does the replica
+	// stands still, as if the disk were slow: nothing that depends on them has left it.
+	unsaved *raft.Effects
 }
 
 // Open starts a replica from its durable state.
@@ -116,12 +124,18 @@
 
 // Tick lets time-driven work happen.
 func (r *Replica) Tick(now time.Duration) {
+	if r.Stalled() {
+		return
+	}
 	r.node.Tick(now)
 	r.reconcileMembership(now)
 }
 
 // Step takes in a message from another replica.
 func (r *Replica) Step(now time.Duration, m raft.Message) {
+	if r.Stalled() {
+		return
+	}
 	r.node.Step(now, m)
 }
 
@@ -143,6 +157,9 @@
 
 // Propose starts a command. Its end is told by a Completion.
 func (r *Replica) Propose(id ProposalID, command catalog.Command) error {
+	if r.Stalled() {
+		return ErrNotLeader
+	}
 	data, err := command.Encode()
 	if err != nil {
 		return err
@@ -160,12 +177,17 @@
 	var output Output
 	before := r.catalog.State().Revision
 	for {
-		effects := r.node.Effects(now)
+		effects := r.nextEffects(now)
 		if effects.Empty() {
 			break
 		}
 		if err := r.storage.Save(effects); err != nil {
-			return Output{}, fmt.Errorf("make effects durable: %w", err)
+			if !errors.Is(err, storage.ErrNoRoom) {
+				return Output{}, fmt.Errorf("make effects durable: %w", err)
+			}
+			r.unsaved = &effects
+			r.abandonWaiting(&output)
+			return output, nil
 		}
 		r.node.Persisted(effects)
 		output.Messages = append(output.Messages, effects.Messages...)
@@ -183,6 +205,19 @@
 	return output, nil
 }
 
+// Stalled reports whether the disk refuses what the replica must write. It then takes no
+// part in anything; Flush tries again.
+func (r *Replica) Stalled() bool { return r.unsaved != nil }
+
+func (r *Replica) nextEffects(now time.Duration) raft.Effects {
+	if r.unsaved == nil {
+		return r.node.Effects(now)
+	}
+	effects := *r.unsaved
+	r.unsaved = nil
+	return effects
+}
+
 func (r *Replica) apply(effects raft.Effects, output *Output) error {
 	if effects.Snapshot != nil {
 		restored, err := catalog.Restore(effects.Snapshot.Data)
@@ -259,9 +294,11 @@
 		return fmt.Errorf("compact: %w", err)
 	}
 	kept, hard, entries := r.node.Retained()
-	if err := r.storage.Checkpoint(kept, hard, entries); err != nil {
+	err = r.storage.Checkpoint(kept, hard, entries)
+	if err != nil && !errors.Is(err, storage.ErrNoRoom) {
 		return fmt.Errorf("compact: %w", err)
 	}
+	// Without room the old log stays in force; the next compaction tries again.
 	r.compactedSize = r.storage.Size()
 	return nil
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -18,12 +19,39 @@
 type Route struct {
 	Name       string
 	PathPrefix string
-	// Service names the pool that takes the calls.
-	Service string
+	// Host is in lower case; empty takes every host.
+	Host string
+	// Targets are the pools that take the calls, by weight; at least one weighs more
+	// than 0.
+	Targets []bundle.Share
 	// Credential goes to the back end; empty for none.
 	Credential string
 	Timeout    time.Duration
 	Once       bool
+	Kind       bundle.Kind
+	// MaxAttempts bounds the back ends that one call is sent to; zero for no bound.
+	MaxAttempts   int
+	Priority      int
+	TargetLatency time.Duration
+}
+
+// Pick returns the target for a number drawn from [0, 1).
+func (r Route) Pick(random float64) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	sum := 0
+	for _, target := range r.Targets {
+		sum += target.Weight
+	}
+	point := random * float64(sum)
+	for _, target := range r.Targets {
+		point -= float64(target.Weight)
+		if point < 0 {
+			return target.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
 }
 
 // Endpoint is one back end of a service.
@@ -32,7 +60,10 @@
 	Incarnation uint64
 	Address     string
 	Zone        string
-	Leaving     bool
+	// Gate takes the back end's calls in its place; empty for none.
+	Gate     string
+	Capacity int
+	Leaving  bool
 }
 
 // Service is a pool's definition.
@@ -47,19 +78,25 @@
 type Table struct {
 	Version  uint64
 	Revision uint64
-	// routes are sorted by falling length of prefix.
-	routes   []Route
+	// Limits bound what callers may send.
+	Limits bundle.Limits
+	// routes are by host, each list sorted by falling length of prefix. The empty host
+	// holds the routes that take every host.
+	routes   map[string][]Route
 	Services []Service
 }
 
 // New builds the table of a state whose active bundle is consistent.
 func New(state *distribution.State) *Table {
 	content := state.Active.Content
-	table := &Table{Version: state.Active.Manifest.Version, Revision: state.Revision}
+	table := &Table{Version: state.Active.Manifest.Version, Revision: state.Revision, Limits: content.Limits, routes: map[string][]Route{}}
 	for _, route := range content.Routes {
-		table.routes = append(table.routes, resolve(content, route))
+		resolved := resolve(content, route)
+		table.routes[resolved.Host] = append(table.routes[resolved.Host], resolved)
+	}
+	for _, routes := range table.routes {
+		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	}
-	slices.SortStableFunc(table.routes, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
 	for _, service := range content.Services {
 		table.Services = append(table.Services, Service{
 			Name: service.Name, MaxConcurrency: service.MaxConcurrency, MaxConnections: service.MaxConnections,
@@ -71,8 +108,10 @@
 
 func resolve(content bundle.Content, route bundle.Route) Route {
 	resolved := Route{
-		Name: route.Name, PathPrefix: route.PathPrefix, Service: content.TargetService(route),
-		Timeout: time.Duration(route.Timeout), Once: route.Once,
+		Name: route.Name, PathPrefix: route.PathPrefix, Host: strings.ToLower(route.Host),
+		Targets: content.Targets(route),
+		Timeout: time.Duration(route.Timeout), Once: route.Once, Kind: route.Kind,
+		MaxAttempts: route.MaxAttempts, Priority: route.Priority, TargetLatency: time.Duration(route.TargetLatency),
 	}
 	if resolved.Timeout == 0 {
 		resolved.Timeout = DefaultTimeout
@@ -96,7 +135,7 @@
 		if endpoint.State != distribution.Removed {
 			all = append(all, Endpoint{
 				ID: endpoint.ID, Incarnation: endpoint.Incarnation, Address: endpoint.Address,
-				Zone: endpoint.Zone, Leaving: endpoint.State == distribution.Leaving,
+				Zone: endpoint.Zone, Gate: endpoint.Gate, Capacity: endpoint.Capacity, Leaving: endpoint.State == distribution.Leaving,
 			})
 		}
 	}
@@ -104,9 +143,18 @@
 	return all
 }
 
-// Match returns the route with the longest prefix of the path that ends at a segment.
-func (t *Table) Match(path string) (Route, bool) {
-	for _, route := range t.routes {
+// Match returns the route for a host, which may carry a port, and a path: of the host's own
+// routes, or else of those for every host, the one with the longest prefix of the path
+// that ends at a segment.
+func (t *Table) Match(host, path string) (Route, bool) {
+	if route, found := longestPrefix(t.routes[hostName(host)], path); found {
+		return route, true
+	}
+	return longestPrefix(t.routes[""], path)
+}
+
+func longestPrefix(routes []Route, path string) (Route, bool) {
+	for _, route := range routes {
 		if matches(route.PathPrefix, path) {
 			return route, true
 		}
@@ -114,6 +162,14 @@
 	return Route{}, false
 }
 
+// hostName strips the port of a Host header and folds its case.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 func matches(prefix, path string) bool {
 	rest, found := strings.CutPrefix(path, prefix)
 	if !found {
@@ -123,4 +179,10 @@
 }
 
 // Routes returns how many routes the table has.
-func (t *Table) Routes() int { return len(t.routes) }
+func (t *Table) Routes() int {
+	count := 0
+	for _, routes := range t.routes {
+		count += len(routes)
+	}
+	return count
+}
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -39,25 +39,25 @@
 		"/orders": "orders", "/orders/1": "orders", "/orders2": "all", "/orders/deep/x": "deep",
 		"/orders/deep": "orders", "/": "all", "/x": "all",
 	} {
-		route, found := table.Match(path)
+		route, found := table.Match("", path)
 		if !found || route.Name != want {
 			t.Errorf("%s goes to %q, expected %q", path, route.Name, want)
 		}
 	}
-	_, found := table.Match("no-slash")
+	_, found := table.Match("", "no-slash")
 	is.New(t).True(!found)
 }
 
 func TestHandBackMovesRoutes(t *testing.T) {
 	is := is.New(t)
-	route, _ := New(testState(false)).Match("/orders")
-	is.Equal(route.Service, "new")
+	route, _ := New(testState(false)).Match("", "/orders")
+	is.Equal(route.Targets[0].Service, "new")
 	is.Equal(route.Credential, "value")
 	is.Equal(route.Timeout, time.Second)
-	route, _ = New(testState(true)).Match("/orders")
-	is.Equal(route.Service, "old")
-	route, _ = New(testState(true)).Match("/x")
-	is.Equal(route.Service, "old") // a route without one stays
+	route, _ = New(testState(true)).Match("", "/orders")
+	is.Equal(route.Targets[0].Service, "old")
+	route, _ = New(testState(true)).Match("", "/x")
+	is.Equal(route.Targets[0].Service, "old") // a route without one stays
 	is.Equal(route.Timeout, DefaultTimeout)
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -28,6 +28,51 @@
 	ApprovalKeys []string `toml:"approval_keys"`
 	// ApprovalKeyFiles hold further ones, one a file; relative to the settings file.
 	ApprovalKeyFiles []string `toml:"approval_key_files,omitempty"`
+	// SignOff says what approves a version.
+	SignOff SignOff `toml:"sign_off,omitempty"`
+	// InterfaceListen serves the interface that a deployment's platform speaks, if the
+	// program has one; empty for none.
+	InterfaceListen string `toml:"interface_listen,omitempty"`
+	// Seeds are addresses of control replicas, of which some may be gone. Who reaches one
+	// learns the others from it.
+	Seeds []string `toml:"seeds,omitempty"`
+	// SeedPort replaces the ports of Seeds, for seeds that are known by another of their
+	// addresses; 0 for none.
+	SeedPort uint16 `toml:"seed_port,omitempty"`
+}
+
+// SignOff says what approves a version.
+type SignOff string
+
+const (
+	// SignOffSignature: an accepted key's signature; the default.
+	SignOffSignature SignOff = ""
+	// SignOffPublication: publishing it in one act, for operators who cannot sign.
+	SignOffPublication SignOff = "publication"
+)
+
+// Verifier returns what checks approvals under these settings.
+func (c *Common) Verifier() (*bundle.Verifier, error) {
+	verifier, err := bundle.NewVerifier(c.Cluster, c.ApprovalKeys)
+	if err != nil {
+		return nil, err
+	}
+	if c.SignOff == SignOffPublication {
+		verifier.AcceptPublication()
+	}
+	return verifier, nil
+}
+
+// SeedAddresses returns the seeds with their ports replaced.
+func (c *Common) SeedAddresses() []string {
+	addresses := make([]string, len(c.Seeds))
+	for i, seed := range c.Seeds {
+		addresses[i] = seed
+		if parsed, err := netip.ParseAddrPort(seed); err == nil && c.SeedPort != 0 {
+			addresses[i] = netip.AddrPortFrom(parsed.Addr(), c.SeedPort).String()
+		}
+	}
+	return addresses
 }
 
 // Settings are those of one daemon.
@@ -71,6 +116,15 @@
 	Listen string `toml:"listen"`
 	// Replicas are all control replicas, this one included.
 	Replicas []Peer `toml:"replica"`
+	// Found makes this replica one of a new cluster's first ones, if its folder is empty
+	// and its address is among Seeds, which are the first replicas then. It must be set
+	// only at the first start of the whole system.
+	Found bool `toml:"found,omitempty"`
+	// RemoveAfter is after how much silence a replica leaves the membership; only with
+	// Seeds.
+	RemoveAfter bundle.Duration `toml:"remove_after,omitempty"`
+	// ToleratedLosses is how many replicas may be lost at once; only with Seeds.
+	ToleratedLosses int `toml:"tolerated_losses,omitempty"`
 	// PlatformURL serves the platform's list of machines; empty for none.
 	PlatformURL      string          `toml:"platform_url"`
 	PlatformInterval bundle.Duration `toml:"platform_interval"`
@@ -100,9 +154,49 @@
 	// one starts only on a configuration confirmed as current.
 	Data   string `toml:"data"`
 	Relays []Peer `toml:"relay"`
+	// Service is the service whose back end runs beside the node; empty for none.
+	Service string `toml:"service,omitempty"`
+	// BackendAddress is where that back end takes calls, GateListen where the node takes
+	// them in its place. Both or none must be set.
+	BackendAddress string `toml:"backend_address,omitempty"`
+	GateListen     string `toml:"gate_listen,omitempty"`
+	// Headers name the headers of calls.
+	Headers Headers `toml:"headers,omitempty"`
+	// Retries bound what is sent again.
+	Retries Retries `toml:"retries,omitempty"`
+	// StopTimeout bounds a planned stop, CallerNotice is how long before its end callers
+	// need to hear of it.
+	StopTimeout  bundle.Duration `toml:"stop_timeout,omitempty"`
+	CallerNotice bundle.Duration `toml:"caller_notice,omitempty"`
+	// DrainTimeout is within how much time nothing new may reach a back end that leaves.
+	DrainTimeout bundle.Duration `toml:"drain_timeout,omitempty"`
 	Timing
 }
 
+// Headers name the headers of calls; empty ones have defaults.
+type Headers struct {
+	// RequestID is echoed by back ends. Empty: answers are not checked.
+	RequestID string `toml:"request_id,omitempty"`
+	// Deadline holds the milliseconds that the caller still waits.
+	Deadline string `toml:"deadline,omitempty"`
+	// ExpectedInstance names the back end that may run the call.
+	ExpectedInstance string `toml:"expected_instance,omitempty"`
+	// Instance names the back end that answered.
+	Instance string `toml:"instance,omitempty"`
+	// Caller names the service that calls.
+	Caller string `toml:"caller,omitempty"`
+	// NotRun, with any value, is a back end's word that it has not begun the call.
+	NotRun string `toml:"not_run,omitempty"`
+}
+
+// Retries bound what all nodes together may send again.
+type Retries struct {
+	// Ratio is the share of calls that may be sent again, from 0 to 1.
+	Ratio float64 `toml:"ratio,omitempty"`
+	// Window is over how much time Ratio holds.
+	Window bundle.Duration `toml:"window,omitempty"`
+}
+
 // Timing bounds a subscription.
 type Timing struct {
 	PingInterval   bundle.Duration `toml:"ping_interval"`
@@ -120,6 +214,16 @@
 	defaultProxyPing         = 2 * time.Second
 	defaultRelaySilence      = 3 * time.Second
 	defaultProxySilence      = 5 * time.Second
+	defaultRemoveAfter       = 5 * time.Second
+	defaultStopTimeout       = 30 * time.Second
+	defaultCallerNotice      = 700 * time.Millisecond
+	defaultDrainTimeout      = 2 * time.Second
+	defaultRetryRatio        = 0.1
+	defaultRetryWindow       = 10 * time.Second
+	defaultDeadlineHeader    = "Request-Timeout-Ms"
+	defaultExpectedHeader    = "Request-Expected-Instance"
+	defaultInstanceHeader    = "Backend-Instance"
+	defaultCallerHeader      = "Request-Caller"
 	minReplicas              = 1
 	minElectionToHeartbeat   = 3
 )
@@ -183,9 +287,18 @@
 		p.add("name", "must be set")
 	}
 	p.checkAddress("admin_listen", c.AdminListen)
-	if len(c.ApprovalKeys) == 0 {
+	if c.SignOff != SignOffSignature && c.SignOff != SignOffPublication {
+		p.add("sign_off", "%q is not %q; leave it out for signatures", c.SignOff, SignOffPublication)
+	}
+	if len(c.ApprovalKeys) == 0 && c.SignOff == SignOffSignature {
 		p.add("approval_keys", "at least one accepted key must be set")
 	}
+	if c.InterfaceListen != "" {
+		p.checkAddress("interface_listen", c.InterfaceListen)
+	}
+	for _, seed := range c.Seeds {
+		p.checkAddress("seeds", seed)
+	}
 	if _, err := bundle.NewVerifier(c.Cluster, c.ApprovalKeys); err != nil {
 		p.add("approval_keys", "%v", err)
 	}
@@ -228,6 +341,30 @@
 	if c.Data == "" {
 		p.add("data", "must be set")
 	}
+	p.checkReplicas(c)
+	p.checkPositive("platform_interval", c.PlatformInterval)
+	p.checkPositive("heartbeat_interval", c.HeartbeatInterval)
+	if c.ElectionTimeout < minElectionToHeartbeat*c.HeartbeatInterval {
+		p.add("election_timeout", "must be at least %d times heartbeat_interval", minElectionToHeartbeat)
+	}
+	return p.joined()
+}
+
+// checkReplicas checks how the replica finds the others: by a fixed list, or by seeds.
+func (p *problems) checkReplicas(c *Control) {
+	if len(c.Seeds) > 0 {
+		setDefault(&c.RemoveAfter, defaultRemoveAfter)
+		if len(c.Replicas) > 0 {
+			p.add("replica", "excludes seeds")
+		}
+		if c.ToleratedLosses < 0 {
+			p.add("tolerated_losses", "must not be negative")
+		}
+		return
+	}
+	if c.Found {
+		p.add("found", "needs seeds")
+	}
 	p.checkPeers("replica", c.Replicas)
 	if len(c.Replicas)%2 == 0 || len(c.Replicas) < minReplicas {
 		p.add("replica", "their number must be odd, it is %d", len(c.Replicas))
@@ -235,12 +372,6 @@
 	if !slices.ContainsFunc(c.Replicas, func(peer Peer) bool { return peer.Name == c.Name }) {
 		p.add("replica", "%q itself is not among them", c.Name)
 	}
-	p.checkPositive("platform_interval", c.PlatformInterval)
-	p.checkPositive("heartbeat_interval", c.HeartbeatInterval)
-	if c.ElectionTimeout < minElectionToHeartbeat*c.HeartbeatInterval {
-		p.add("election_timeout", "must be at least %d times heartbeat_interval", minElectionToHeartbeat)
-	}
-	return p.joined()
 }
 
 // Check fills in defaults and reports everything that is wrong.
@@ -264,10 +395,46 @@
 	p.checkCommon(x.Common)
 	p.checkAddress("listen", x.Listen)
 	p.checkDistinct(map[string]string{"listen": x.Listen, "admin_listen": x.AdminListen})
-	p.checkPeers("relay", x.Relays)
+	if len(x.Seeds) == 0 {
+		p.checkPeers("relay", x.Relays)
+	}
 	p.checkTiming(x.Timing)
+	p.checkGate(x)
 	if x.Group == bundle.ScopeAll {
 		p.add("group", "%q is reserved", x.Group)
 	}
 	return p.joined()
 }
+
+// checkGate fills in the defaults of the data plane and checks it.
+func (p *problems) checkGate(x *Proxy) {
+	setDefault(&x.StopTimeout, defaultStopTimeout)
+	setDefault(&x.CallerNotice, defaultCallerNotice)
+	setDefault(&x.DrainTimeout, defaultDrainTimeout)
+	setDefault(&x.Retries.Window, defaultRetryWindow)
+	if x.Retries.Ratio == 0 {
+		x.Retries.Ratio = defaultRetryRatio
+	}
+	setText(&x.Headers.Deadline, defaultDeadlineHeader)
+	setText(&x.Headers.ExpectedInstance, defaultExpectedHeader)
+	setText(&x.Headers.Instance, defaultInstanceHeader)
+	setText(&x.Headers.Caller, defaultCallerHeader)
+	if x.Retries.Ratio < 0 || x.Retries.Ratio > 1 {
+		p.add("retries.ratio", "must be from 0 to 1")
+	}
+	if x.GateListen == "" && x.BackendAddress == "" {
+		return
+	}
+	p.checkAddress("gate_listen", x.GateListen)
+	p.checkAddress("backend_address", x.BackendAddress)
+	p.checkDistinct(map[string]string{"listen": x.Listen, "gate_listen": x.GateListen, "admin_listen": x.AdminListen})
+	if x.Service == "" {
+		p.add("service", "must be set with backend_address")
+	}
+}
+
+func setText(target *string, value string) {
+	if *target == "" {
+		*target = value
+	}
+}
--- a/pkg/sim/backend.go
+++ b/pkg/sim/backend.go
@@ -8,7 +8,7 @@
 
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/forward"
-	"bramblelift/pkg/platform"
+	"bramblelift/pkg/machinelist"
 )
 
 // Behaviour of simulated back ends.
@@ -166,17 +166,17 @@
 
 type timedList struct {
 	at   time.Duration
-	list platform.List
+	list machinelist.List
 }
 
 // record notes the list as it is now.
 func (p *simPlatform) record() {
-	var list platform.List
+	var list machinelist.List
 	for i, b := range p.cluster.backends.all {
 		if !b.alive {
 			continue
 		}
-		list.Machines = append(list.Machines, platform.Machine{
+		list.Machines = append(list.Machines, machinelist.Machine{
 			Service: b.service, ID: b.name, Incarnation: b.incarnation,
 			Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: b.zone, Leaving: b.leaving,
 		})
@@ -184,11 +184,11 @@
 	p.history = append(p.history, timedList{at: p.cluster.world.now, list: list})
 }
 
-func (p *simPlatform) list() (platform.List, error) {
+func (p *simPlatform) list() (machinelist.List, error) {
 	if p.down {
-		return platform.List{}, errPlatformDown
+		return machinelist.List{}, errPlatformDown
 	}
-	var seen platform.List
+	var seen machinelist.List
 	for _, entry := range p.history {
 		if entry.at+p.lag <= p.cluster.world.now {
 			seen = entry.list
--- a/pkg/sim/control.go
+++ b/pkg/sim/control.go
@@ -6,7 +6,7 @@
 
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
-	"bramblelift/pkg/platform"
+	"bramblelift/pkg/machinelist"
 	"bramblelift/pkg/raft"
 	"bramblelift/pkg/replica"
 	"bramblelift/pkg/settings"
@@ -37,7 +37,7 @@
 	disk    *disk
 	replica *replica.Replica
 	server  *server
-	tracker *platform.Tracker
+	tracker *machinelist.Tracker
 
 	confirmedAt time.Duration
 	confirmed   bool
@@ -78,7 +78,7 @@
 	c.replica = opened
 	c.confirmed = false
 	c.waiting = map[replica.ProposalID]func(replica.Completion){}
-	c.tracker = &platform.Tracker{}
+	c.tracker = &machinelist.Tracker{}
 	c.server = newServer(&c.process, opened.State(), c.freshness)
 	c.world.log("%s starts as %d at commit %d", c.name, opened.Node().ID(), opened.Node().Commit())
 	c.later(0, c.timedTurn)
@@ -189,7 +189,7 @@
 func (c *control) pollPlatform() {
 	c.later(platformInterval, c.pollPlatform)
 	if !c.replica.Node().LeaseValid(c.clock()) {
-		c.tracker = &platform.Tracker{}
+		c.tracker = &machinelist.Tracker{}
 		return
 	}
 	list, err := c.cluster.platform.list()
--- a/pkg/sim/node.go
+++ b/pkg/sim/node.go
@@ -210,12 +210,12 @@
 
 func (c *simCall) attempt() {
 	n := c.node
-	route, found := n.table.Match("/orders/" + c.id)
+	route, found := n.table.Match("", "/orders/"+c.id)
 	if !found {
 		c.end(string(forward.NotRun), false)
 		return
 	}
-	pool := n.pools[route.Service]
+	pool := n.pools[route.Targets[0].Service]
 	ticket, err := pool.Acquire(nil, n.clock, 0, c.tried)
 	if err != nil {
 		c.end(string(c.record.Refusal()), false)
--- a/pkg/storage/filesystem.go
+++ b/pkg/storage/filesystem.go
@@ -83,6 +83,14 @@
 // WriteFileAtomic replaces a file durably: after a crash it holds either the old
 // content or the new.
 func WriteFileAtomic(files FileSystem, name string, content []byte) error {
+	if err := writeTemporary(files, name, content); err != nil {
+		return err
+	}
+	return replaceByTemporary(files, name)
+}
+
+// writeTemporary makes the new content of a file durable beside it.
+func writeTemporary(files FileSystem, name string, content []byte) error {
 	temporary := name + temporarySuffix
 	file, err := files.Create(temporary)
 	if err != nil {
@@ -91,6 +99,12 @@
 	if err := writeAndSync(file, content); err != nil {
 		return fmt.Errorf("write %s: %w", temporary, err)
 	}
+	return nil
+}
+
+// replaceByTemporary durably gives a file the content that was written beside it.
+func replaceByTemporary(files FileSystem, name string) error {
+	temporary := name + temporarySuffix
 	if err := files.Rename(temporary, name); err != nil {
 		return fmt.Errorf("rename %s: %w", temporary, err)
 	}
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -17,6 +17,10 @@
 // ErrFailed: an earlier write failed, so it is unknown what is durable.
 var ErrFailed = errors.New("storage: an earlier write failed; the process must end")
 
+// ErrNoRoom: the disk did not take a write. Nothing of it counts, and the same write may be
+// tried again.
+var ErrNoRoom = errors.New("storage: the disk takes no writes")
+
 // ErrNoState: the folder holds no replica.
 var ErrNoState = errors.New("storage: data folder holds no replica")
 
@@ -37,6 +41,8 @@
 	// hardState is the last one written; a checkpoint must carry it on.
 	hardState raft.HardState
 	failed    bool
+	// torn is set while the file may hold more than size bytes, after a refused write.
+	torn bool
 }
 
 // Create makes the durable state of a new replica, with its first snapshot.
@@ -45,7 +51,7 @@
 	if err != nil {
 		return fmt.Errorf("create replica: encode identity: %w", err)
 	}
-	if _, err := files.ReadFile(logName); !errors.Is(err, fs.ErrNotExist) {
+	if _, err := ReadIdentity(files); !errors.Is(err, ErrNoState) {
 		return fmt.Errorf("create replica: data folder already holds one (%v)", err)
 	}
 	// The log goes first: without an identity the folder counts as empty.
@@ -54,10 +60,10 @@
 		return fmt.Errorf("create replica: %w", err)
 	}
 	if err := WriteFileAtomic(files, logName, log); err != nil {
-		return fmt.Errorf("create replica: %w", err)
+		return fmt.Errorf("create replica: %w: %w", ErrNoRoom, err)
 	}
 	if err := WriteFileAtomic(files, identityName, content); err != nil {
-		return fmt.Errorf("create replica: %w", err)
+		return fmt.Errorf("create replica: %w: %w", ErrNoRoom, err)
 	}
 	return nil
 }
@@ -201,9 +207,12 @@
 	if len(buffer) == 0 {
 		return nil
 	}
+	if err := s.cutTornWrite(); err != nil {
+		return err
+	}
 	if _, err := s.file.Write(buffer); err != nil {
-		s.failed = true
-		return fmt.Errorf("append to log: %w", err)
+		s.torn = true
+		return fmt.Errorf("append to log: %w: %w", ErrNoRoom, err)
 	}
 	if err := s.file.Sync(); err != nil {
 		s.failed = true
@@ -213,7 +222,20 @@
 	return nil
 }
 
-// Checkpoint replaces the log file by one that starts with a snapshot.
+// cutTornWrite takes back what a refused write may have left behind.
+func (s *Storage) cutTornWrite() error {
+	if !s.torn {
+		return nil
+	}
+	if err := s.file.Truncate(s.size); err != nil {
+		return fmt.Errorf("cut refused write: %w: %w", ErrNoRoom, err)
+	}
+	s.torn = false
+	return nil
+}
+
+// Checkpoint replaces the log file by one that starts with a snapshot. With ErrNoRoom the
+// old file stays in force.
 func (s *Storage) Checkpoint(snapshot raft.Snapshot, hard raft.HardState, entries []raft.Entry) error {
 	if s.failed {
 		return ErrFailed
@@ -222,13 +244,16 @@
 	if err != nil {
 		return fmt.Errorf("checkpoint: %w", err)
 	}
+	if err := writeTemporary(s.files, logName, content); err != nil {
+		return fmt.Errorf("checkpoint: %w: %w", ErrNoRoom, err)
+	}
 	// From here until the new file is open, an error leaves it unknown which file
 	// is in force.
 	s.failed = true
 	if err := s.file.Close(); err != nil {
 		return fmt.Errorf("checkpoint: close old log: %w", err)
 	}
-	if err := WriteFileAtomic(s.files, logName, content); err != nil {
+	if err := replaceByTemporary(s.files, logName); err != nil {
 		return fmt.Errorf("checkpoint: %w", err)
 	}
 	file, err := s.files.OpenAppend(logName)
@@ -239,6 +264,7 @@
 	s.size = int64(len(content))
 	s.hardState = hard
 	s.failed = false
+	s.torn = false
 	return nil
 }
 
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -46,6 +46,8 @@
 	OnConfirmed func(at time.Duration)
 	// TakeReports, if set, returns the reports to send with the next ping.
 	TakeReports func() []protocol.NodeReport
+	// Announcements, if set, returns the back ends to announce with the next ping.
+	Announcements func() []distribution.Endpoint
 }
 
 const (
@@ -62,6 +64,11 @@
 	target   Target
 	selector *Selector
 
+	// seeds are the servers of the settings, which servers' own lists are added to.
+	seedsMutex sync.Mutex
+	seeds      []Candidate
+	learned    []protocol.Server
+
 	confirmedAt atomic.Int64
 	// soon holds at most one wish for an early ping.
 	soon chan struct{}
@@ -75,7 +82,7 @@
 	if len(candidates) == 0 {
 		return nil, errors.New("subscribe: no server is named")
 	}
-	c := &Client{config: config, target: target, selector: NewSelector(config.Selector, candidates), soon: make(chan struct{}, 1)}
+	c := &Client{config: config, target: target, seeds: candidates, selector: NewSelector(config.Selector, candidates), soon: make(chan struct{}, 1)}
 	c.confirmedAt.Store(unconfirmed)
 	return c, nil
 }
@@ -90,6 +97,42 @@
 	return time.Duration(at), at != unconfirmed
 }
 
+// SetSeeds replaces the servers of the settings.
+func (c *Client) SetSeeds(seeds []Candidate) {
+	c.seedsMutex.Lock()
+	defer c.seedsMutex.Unlock()
+	c.seeds = seeds
+	c.offerCandidates()
+}
+
+// learnServers takes in a server's list of servers; an empty one says nothing.
+func (c *Client) learnServers(servers []protocol.Server) {
+	if len(servers) == 0 {
+		return
+	}
+	c.seedsMutex.Lock()
+	defer c.seedsMutex.Unlock()
+	c.learned = servers
+	c.offerCandidates()
+}
+
+// offerCandidates gives the selector the learned servers and the seeds that are not among
+// them; the mutex is held.
+func (c *Client) offerCandidates() {
+	var all []Candidate
+	known := map[string]bool{}
+	for _, server := range c.learned {
+		all = append(all, Candidate{Address: server.Address, Near: server.Zone == c.config.Hello.Zone})
+		known[server.Address] = true
+	}
+	for _, seed := range c.seeds {
+		if !known[seed.Address] {
+			all = append(all, seed)
+		}
+	}
+	c.selector.Offer(all)
+}
+
 // Server returns the address of the server subscribed to, empty if there is none.
 func (c *Client) Server() string {
 	if server := c.server.Load(); server != nil {
@@ -168,9 +211,11 @@
 	if c.resync {
 		hello.Position = distribution.Position{}
 	}
-	if _, err := protocol.Open(conn, hello, c.config.SilenceTimeout); err != nil {
+	welcome, err := protocol.Open(conn, hello, c.config.SilenceTimeout)
+	if err != nil {
 		return err
 	}
+	c.learnServers(welcome.Servers)
 	c.resync = false
 	c.server.Store(&address)
 	c.config.Logger.Log("event", "subscribed", "server", address, "revision", hello.Position.Revision)
@@ -227,6 +272,9 @@
 	if s.client.config.TakeReports != nil {
 		ping.Reports = s.client.config.TakeReports()
 	}
+	if s.client.config.Announcements != nil {
+		ping.Announcements = s.client.config.Announcements()
+	}
 	return s.conn.Send(protocol.KindPing, ping)
 }
 
@@ -276,6 +324,7 @@
 		return err
 	}
 	c := s.client
+	c.learnServers(pong.Servers)
 	s.mutex.Lock()
 	at, confirmed, err := s.subscription.TakePong(pong, c.target)
 	s.mutex.Unlock()
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,10 @@
 	WantFresh func()
 	// OnReport, if set, is told what subscribers report.
 	OnReport func(protocol.NodeReport)
+	// OnAnnounce, if set, is told the back ends that subscribers announce.
+	OnAnnounce func([]distribution.Endpoint)
+	// Servers, if set, returns all servers that a subscriber may go to.
+	Servers func() []protocol.Server
 }
 
 // Hub serves one state to many subscribers.
@@ -107,6 +112,8 @@
 
 	// session is guarded by the hub's mutex.
 	session *Session
+	// toldServers is what the subscriber was last told; only the writer uses it.
+	toldServers []protocol.Server
 }
 
 func (s *subscriber) wake() {
@@ -134,7 +141,8 @@
 		hello: hello, conn: conn, cancel: cancel, openedAt: h.config.Now(),
 		wakeup: make(chan struct{}, 1), session: NewSession(hello.Group, hello.Position),
 	}
-	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: h.config.Name}); err != nil {
+	s.toldServers = h.servers()
+	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: h.config.Name, Servers: s.toldServers}); err != nil {
 		return fmt.Errorf("welcome: %w", err)
 	}
 	h.add(s)
@@ -225,6 +233,9 @@
 	if changed {
 		h.tellReport(s, true)
 	}
+	if h.config.OnAnnounce != nil && len(ping.Announcements) > 0 {
+		h.config.OnAnnounce(ping.Announcements)
+	}
 	if h.config.OnReport == nil {
 		return
 	}
@@ -273,9 +284,20 @@
 	if pong == nil {
 		return nil
 	}
+	if servers := h.servers(); !slices.Equal(servers, s.toldServers) {
+		s.toldServers = servers
+		pong.Servers = servers
+	}
 	return s.conn.Send(protocol.KindPong, pong)
 }
 
+func (h *Hub) servers() []protocol.Server {
+	if h.config.Servers == nil {
+		return nil
+	}
+	return h.config.Servers()
+}
+
 func (h *Hub) freshness() Freshness {
 	confirmedAt, confirmed := h.config.ConfirmedAt()
 	return Freshness{Confirmed: confirmed, Stale: h.config.Now() - confirmedAt}
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"bramblelift/pkg/settings"
@@ -58,9 +60,10 @@
 	badUntil time.Duration
 }
 
-// Selector decides which server a client tries and when. It does no I/O and is not
-// safe for concurrent use.
+// Selector decides which server a client tries and when. It does no I/O. It is safe for
+// concurrent use.
 type Selector struct {
+	mutex      sync.Mutex
 	config     SelectorConfig
 	candidates []candidate
 	current    int
@@ -74,6 +77,12 @@
 // clients spread.
 func NewSelector(config SelectorConfig, candidates []Candidate) *Selector {
 	s := &Selector{config: config}
+	s.candidates = s.ordered(candidates)
+	return s
+}
+
+func (s *Selector) ordered(candidates []Candidate) []candidate {
+	var all []candidate
 	for _, near := range []bool{true, false} {
 		var kind []candidate
 		for _, c := range candidates {
@@ -82,9 +91,31 @@
 			}
 		}
 		s.shuffle(kind)
-		s.candidates = append(s.candidates, kind...)
+		all = append(all, kind...)
+	}
+	return all
+}
+
+// Offer replaces the candidates. What is thought of those that stay is kept, and the
+// current one stays until it fails.
+func (s *Selector) Offer(candidates []Candidate) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.candidates
+	current := before[s.current]
+	s.candidates = s.ordered(candidates)
+	for i := range s.candidates {
+		for _, old := range before {
+			if old.Address == s.candidates[i].Address {
+				s.candidates[i].badUntil = old.badUntil
+			}
+		}
+	}
+	s.current = slices.IndexFunc(s.candidates, func(c candidate) bool { return c.Address == current.Address })
+	if s.current < 0 {
+		s.current = len(s.candidates)
+		s.candidates = append(s.candidates, current)
 	}
-	return s
 }
 
 func (s *Selector) shuffle(candidates []candidate) {
@@ -97,6 +128,8 @@
 // Next returns the server to try and how long to wait before: the first one that is
 // not known to be bad, or the one that has been bad for longest.
 func (s *Selector) Next(now time.Duration) (Candidate, time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if !s.sameAgain {
 		s.current = s.best(now)
 	}
@@ -121,6 +154,8 @@
 // retryAfter is the server's wish, zero if it gave none; the same server is tried
 // again then.
 func (s *Selector) Failed(now, retryAfter time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if retryAfter > 0 {
 		s.sameAgain = true
 		s.notBefore = now + s.jitter(retryAfter)
@@ -158,6 +193,8 @@
 // Heard notes a Pong. It reports whether to leave the server: it is stale, and another
 // is not known to be.
 func (s *Selector) Heard(now time.Duration, confirmed bool, stale time.Duration) (leave bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	if confirmed && stale <= s.config.StaleLimit {
 		s.failures = 0
 		s.candidates[s.current].badUntil = -1
