--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -37,31 +37,63 @@
 	return len(p.endpoints) == 0 || p.endpoints[0].target.Gate != ""
 }
 
-// AcquireGate picks the gate at which a call is expected to be done first, leaving out the
-// given back ends. free says whether a slot is expected to be free there.
-func (p *Pool) AcquireGate(now time.Duration, leftOut []string) (ticket *Ticket, free bool, err error) {
+// GateRequest is what the choice of a gate must know of a call.
+type GateRequest struct {
+	// LeftOut are back ends that must not be chosen.
+	LeftOut []string
+	// LocalWait is for how long the call may wait at a gate of the node's own zone while
+	// another zone might take it at once: bytes between zones cost.
+	LocalWait time.Duration
+	// Patience is for how long it may wait where nobody takes it at once.
+	Patience time.Duration
+}
+
+// AcquireGate picks a gate: one of the own zone if the call will not wait there for longer
+// than LocalWait, or else the one at which it is expected to be done first. It returns how
+// long the call may wait there before the gate must refuse it.
+func (p *Pool) AcquireGate(now time.Duration, r GateRequest) (*Ticket, time.Duration, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	candidates := p.candidates(now, leftOut)
+	candidates := p.candidates(now, r.LeftOut)
 	if len(candidates) == 0 {
-		return nil, false, ErrNoEndpoint
+		return nil, 0, ErrNoEndpoint
 	}
 	fastest := fastestService(candidates)
-	best := candidates[0]
-	bestScore := 0.0
-	for i, e := range candidates {
-		score := e.gateScore(now, fastest) * (1 + scoreJitter*float64(p.config.Random(1000))/1000)
-		if i == 0 || score < bestScore {
-			best, bestScore = e, score
+	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return e.remote })
+	wait := r.LocalWait
+	best := p.bestGate(local, now, fastest)
+	if best == nil || best.gateWait(now) > r.LocalWait {
+		best = p.bestGate(candidates, now, fastest)
+		wait = 0
+		if best.gateLoad(now) >= best.gateCapacity() {
+			wait = r.Patience
 		}
 	}
-	free = best.gateLoad(now) < best.gateCapacity()
 	best.inFlight++
 	best.gate.sent++
 	return &Ticket{
 		pool: p, endpoint: best, Address: best.target.Gate,
 		ID: best.target.ID, Incarnation: best.target.Incarnation,
-	}, free, nil
+	}, wait, nil
+}
+
+// bestGate returns the candidate of the least score, nil if there is none.
+func (p *Pool) bestGate(candidates []*endpoint, now, fastest time.Duration) *endpoint {
+	var best *endpoint
+	bestScore := 0.0
+	for _, e := range candidates {
+		score := e.gateScore(now, fastest) * (1 + scoreJitter*float64(p.config.Random(1000))/1000)
+		if best == nil || score < bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+// gateWait estimates how long a call would wait at the gate.
+func (e *endpoint) gateWait(now time.Duration) time.Duration {
+	over := e.gateLoad(now) + 1 - e.gateCapacity()
+	return time.Duration(max(0, over)) * e.gate.report.Service / time.Duration(e.gateCapacity())
 }
 
 // fastestService is the least service time among back ends, zero if none is known.
--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -51,6 +51,9 @@
 // Repeatable reports whether the body can be sent once more.
 func (b *Body) Repeatable() bool { return b.rest == nil || !b.read }
 
+// Size returns how much of the body is held.
+func (b *Body) Size() int { return len(b.data) }
+
 // Empty reports whether there is no body.
 func (b *Body) Empty() bool { return len(b.data) == 0 && b.rest == nil }
 
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -31,13 +31,15 @@
 	HeaderWait = "Gate-Wait-Ms"
 	// HeaderReport is a gate's Report.
 	HeaderReport = "Gate-Report"
+	// HeaderWork is how many microseconds a call took at the back end.
+	HeaderWork = "Gate-Work-Us"
 	// HeaderReason is why a gate refused, one of the Reason constants.
 	HeaderReason = "Gate-Reason"
 )
 
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
-	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderReason,
+	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderReason, HeaderWork,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
@@ -125,6 +127,15 @@
 	return time.Duration(millis) * time.Millisecond, true
 }
 
+// ReadMicros reads a header of whole microseconds; false if it is not set or unusable.
+func ReadMicros(header http.Header, name string) (time.Duration, bool) {
+	micros, err := strconv.ParseInt(header.Get(name), 10, 64)
+	if err != nil || micros < 0 {
+		return 0, false
+	}
+	return time.Duration(micros) * time.Microsecond, true
+}
+
 // SetMillis writes a header of whole milliseconds.
 func SetMillis(header http.Header, name string, value time.Duration) {
 	header.Set(name, strconv.FormatInt(max(0, value.Milliseconds()), 10))
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -28,6 +28,14 @@
 	gateConnections = 256
 	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
 	minServiceLeft = 5 * time.Millisecond
+	// A call waits in its own zone if it is expected to be answered within its target
+	// latency all the same: services are the service times reserved for the work, the
+	// share is the part of the rest that may be waited.
+	localServices       = 2.0
+	localWaitShare      = 0.5
+	localServicesLarge  = 1.3
+	localWaitShareLarge = 0.8
+	largeBody           = 16 << 10
 	// Pauses for which a gate is left out.
 	unreachablePause = 700 * time.Millisecond
 	stoppingPause    = 1500 * time.Millisecond
@@ -60,6 +68,8 @@
 	tries int
 	// last is why the latest gate refused.
 	last exchange.Reason
+	// lastChance is set once the call was let wait at a gate after others were full.
+	lastChance bool
 }
 
 // serveThroughGates answers a call of a service whose back ends stand behind gates.
@@ -106,7 +116,7 @@
 		g.attempts++
 		g.record.Note(failure.outcome)
 	}
-	again = g.mayGoOn(ctx, failure, wait)
+	again = g.mayGoOn(ctx, failure)
 	g.tellAttempt(ticket, failure, wait, now, again)
 	if again {
 		return nil, true
@@ -117,21 +127,34 @@
 // choose picks the next gate and how long the call may wait there: not at all while
 // another may have a free slot.
 func (g *gatedCall) choose(now time.Duration) (*balancer.Ticket, time.Duration, error) {
-	if g.tries < maxGateTries && len(g.full) < freeTries {
-		leftOut := append(append([]string(nil), g.done...), g.full...)
-		ticket, free, err := g.service.pool.AcquireGate(now, leftOut)
-		if err == nil && free {
-			return ticket, 0, nil
-		}
-		if err == nil {
-			return ticket, g.patience(now), nil
-		}
-		if len(g.full) == 0 {
-			return nil, 0, err
+	request := balancer.GateRequest{LeftOut: g.done, Patience: g.patience(now)}
+	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries) {
+		request.LeftOut = append(append([]string(nil), g.done...), g.full...)
+		request.LocalWait = g.localWait(now)
+		ticket, wait, err := g.service.pool.AcquireGate(now, request)
+		if err == nil || len(g.full) == 0 {
+			return ticket, wait, err
 		}
+		request.LeftOut, request.LocalWait = g.done, 0
 	}
-	ticket, _, err := g.service.pool.AcquireGate(now, g.done)
-	return ticket, g.patience(now), err
+	ticket, _, err := g.service.pool.AcquireGate(now, request)
+	g.lastChance = true
+	return ticket, request.Patience, err
+}
+
+// localWait is how long the call may wait in its own zone and still be answered within its
+// target latency. A large body costs more on its way to another zone.
+func (g *gatedCall) localWait(now time.Duration) time.Duration {
+	target := g.route.TargetLatency
+	if target == 0 {
+		return 0
+	}
+	services, share := localServices, localWaitShare
+	if g.body.Size() > largeBody {
+		services, share = localServicesLarge, localWaitShareLarge
+	}
+	spare := target - (now - g.started) - time.Duration(services*float64(g.handler.work.of(g.route.Name)))
+	return max(0, time.Duration(share*float64(spare)))
 }
 
 // patience is how long the call may wait at a gate.
@@ -279,12 +302,12 @@
 }
 
 // mayGoOn decides on another gate. Only what reached a back end draws on the budget.
-func (g *gatedCall) mayGoOn(ctx context.Context, failure *gateFailure, wait time.Duration) bool {
+func (g *gatedCall) mayGoOn(ctx context.Context, failure *gateFailure) bool {
 	if ctx.Err() != nil || g.tries >= maxGateTries || !g.body.Repeatable() {
 		return false
 	}
 	if !failure.reason.Reached() {
-		waited := failure.reason == exchange.ReasonFull && wait > 0
+		waited := failure.reason == exchange.ReasonFull && g.lastChance
 		return !waited && failure.reason != exchange.ReasonDeadline
 	}
 	if failure.outcome != NotRun && !g.safe {
@@ -301,6 +324,7 @@
 func (g *gatedCall) answer(ticket *balancer.Ticket, response *http.Response) {
 	defer response.Body.Close()
 	g.status = response.StatusCode
+	work, _ := exchange.ReadMicros(response.Header, exchange.HeaderWork)
 	exchange.RemoveHop(response.Header)
 	exchange.RemoveInternal(response.Header)
 	exchange.Copy(g.writer.Header(), response.Header)
@@ -311,6 +335,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	ticket.Done(g.now(), balancer.Answered)
+	g.handler.work.note(g.route.Name, work)
 }
 
 // giveUp makes the final answer. It says that the call has not run only if that is known
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -114,6 +114,7 @@
 	mutex   sync.Mutex
 	buffers sync.Pool
 	gates   *http.Transport
+	work    *workTimes
 }
 
 // New returns a handler that refuses every call until SetTable.
@@ -121,7 +122,7 @@
 	if config.Headers.Deadline == "" {
 		config.Headers.Deadline = exchange.HeaderTimeout
 	}
-	h := &Handler{config: config, gates: newGateTransport()}
+	h := &Handler{config: config, gates: newGateTransport(), work: newWorkTimes()}
 	h.buffers.New = func() any {
 		buffer := make([]byte, copyBufferSize)
 		return &buffer
@@ -144,6 +145,7 @@
 		next.services[definition.Name] = held
 	}
 	h.view.Store(next)
+	h.work.keep(table.Has)
 	h.closeUnused(old, next)
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -172,6 +172,7 @@
 	}
 	call.Report = g.Report()
 	response.Header.Set(exchange.HeaderReport, call.Report.String())
+	response.Header.Set(exchange.HeaderWork, strconv.FormatInt(call.Service.Microseconds(), 10))
 	g.tell(call)
 	return response
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -83,15 +83,17 @@
 	// routes are by host, each list sorted by falling length of prefix. The empty host
 	// holds the routes that take every host.
 	routes   map[string][]Route
+	names    map[string]bool
 	Services []Service
 }
 
 // New builds the table of a state whose active bundle is consistent.
 func New(state *distribution.State) *Table {
 	content := state.Active.Content
-	table := &Table{Version: state.Active.Manifest.Version, Revision: state.Revision, Limits: content.Limits, routes: map[string][]Route{}}
+	table := &Table{Version: state.Active.Manifest.Version, Revision: state.Revision, Limits: content.Limits, routes: map[string][]Route{}, names: map[string]bool{}}
 	for _, route := range content.Routes {
 		resolved := resolve(content, route)
+		table.names[resolved.Name] = true
 		table.routes[resolved.Host] = append(table.routes[resolved.Host], resolved)
 	}
 	for _, routes := range table.routes {
@@ -178,6 +180,9 @@
 	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
 }
 
+// Has reports whether the table has a route of a name.
+func (t *Table) Has(name string) bool { return t.names[name] }
+
 // Routes returns how many routes the table has.
 func (t *Table) Routes() int {
 	count := 0
