--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -36,6 +36,10 @@
 	localServicesLarge  = 1.3
 	localWaitShareLarge = 0.8
 	largeBody           = 16 << 10
+	// Under overload a call waits no longer than it can and still be answered within its
+	// target latency: what waits longer is late, and makes those behind it late, too.
+	patienceServices = 1.4
+	minPatienceShare = 10
 	// Pauses for which a gate is left out.
 	unreachablePause = 700 * time.Millisecond
 	stoppingPause    = 1500 * time.Millisecond
@@ -162,7 +166,8 @@
 	left := g.deadline - now
 	allowed := left / 2
 	if target := g.route.TargetLatency; target > 0 {
-		allowed = min(allowed, target)
+		work := time.Duration(patienceServices * float64(g.handler.work.of(g.route.Name)))
+		allowed = min(allowed, max(target-(now-g.started)-work, target/minPatienceShare))
 	}
 	return max(0, min(allowed, left-minServiceLeft))
 }
