--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -9,9 +9,12 @@
 
 // Tuning of the choice between gates.
 const (
-	// remoteShare is what another zone adds to a score, in shares of a back end's
-	// capacity: a call that crosses zones costs bytes and time.
+	// remoteShare is what another zone adds to a score, in service times of the fastest
+	// back end: a call that crosses zones costs bytes and time.
 	remoteShare = 0.3
+	// loadShare is what a fully used back end adds, in its own service times: many slow
+	// down before they are full.
+	loadShare = 0.5
 	// scoreJitter spreads choices between gates of nearly equal score, so that nodes
 	// which heard the same reports don't all go to the same one.
 	scoreJitter = 0.15
@@ -59,10 +62,12 @@
 		return nil, 0, ErrNoEndpoint
 	}
 	fastest := fastestService(candidates)
-	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return e.remote })
+	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool {
+		return e.remote || e.gateWait(now) > r.LocalWait
+	})
 	wait := r.LocalWait
 	best := p.bestGate(local, now, fastest)
-	if best == nil || best.gateWait(now) > r.LocalWait {
+	if best == nil {
 		best = p.bestGate(candidates, now, fastest)
 		wait = 0
 		if best.gateLoad(now) >= best.gateCapacity() {
@@ -126,16 +131,16 @@
 	return max(e.inFlight, e.gate.report.Running+e.gate.report.Queued+e.gate.sent)
 }
 
-// gateScore compares gates; less is better.
+// gateScore is about how long a call takes at the gate, with its wait; less is better.
 func (e *endpoint) gateScore(now, fastest time.Duration) float64 {
-	share := float64(e.gateLoad(now)+1) / float64(e.gateCapacity())
-	slowness := 1.0
-	if fastest > 0 && e.gate.report.Service > 0 {
-		slowness = float64(e.gate.report.Service) / float64(fastest)
+	service := float64(e.gate.report.Service)
+	if service == 0 {
+		service = max(1, float64(fastest))
 	}
-	score := (share + 0.5) * slowness
+	share := float64(e.gateLoad(now)) / float64(e.gateCapacity())
+	score := float64(e.gateWait(now)) + service*(1+loadShare*share)
 	if e.remote {
-		score += remoteShare
+		score += remoteShare * float64(fastest)
 	}
 	return score / e.weight(now)
 }
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -33,8 +33,8 @@
 	// share is the part of the rest that may be waited.
 	localServices       = 2.0
 	localWaitShare      = 0.5
-	localServicesLarge  = 1.3
-	localWaitShareLarge = 0.8
+	localServicesLarge  = 1.2
+	localWaitShareLarge = 0.95
 	largeBody           = 16 << 10
 	// Under overload a call waits no longer than it can and still be answered within its
 	// target latency: what waits longer is late, and makes those behind it late, too.
