--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -25,6 +25,9 @@
 	maxGateTries    = 8
 	gateDialTimeout = 300 * time.Millisecond
 	gateIdleTimeout = 20 * time.Second
+	// gateExpectTimeout is longer than any wait at a gate: a large body is sent only once
+	// the gate has admitted the call.
+	gateExpectTimeout = time.Minute
 	gateConnections = 256
 	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
 	minServiceLeft = 5 * time.Millisecond
@@ -59,6 +62,7 @@
 	return &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: gateConnections, IdleConnTimeout: gateIdleTimeout,
+		ExpectContinueTimeout: gateExpectTimeout,
 	}
 }
 
@@ -272,6 +276,10 @@
 	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
 	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
 	g.body.Attach(request, incoming.ContentLength)
+	request.Header.Del("Expect")
+	if g.body.Size() > largeBody {
+		request.Header.Set("Expect", "100-continue")
+	}
 	if g.body.Empty() && g.safe {
 		request.Body, request.ContentLength = nil, 0
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -87,14 +87,15 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := exchange.ReadBody(r)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	request := r.WithContext(r.Context())
-	body.Attach(request, r.ContentLength)
-	response := g.Do(request)
+	response := g.do(r, func(request *http.Request) error {
+		// Only now does a caller that expects to be told so send its body: a refusal
+		// costs no more than the head.
+		body, err := exchange.ReadBody(r)
+		if err == nil {
+			body.Attach(request, r.ContentLength)
+		}
+		return err
+	})
 	defer response.Body.Close()
 	exchange.Copy(w.Header(), response.Header)
 	w.WriteHeader(response.StatusCode)
@@ -104,8 +105,16 @@
 }
 
 // Do sends one call to the back end and returns its answer, or the gate's own refusal,
-// which HeaderOutcome marks. The header of the request is the gate's to change.
+// which HeaderOutcome marks.
 func (g *Gate) Do(r *http.Request) *http.Response {
+	return g.do(r, func(request *http.Request) error {
+		request.Body, request.ContentLength = r.Body, r.ContentLength
+		return nil
+	})
+}
+
+// do is Do with a body that attach gives to the request for the back end.
+func (g *Gate) do(r *http.Request, attach func(*http.Request) error) *http.Response {
 	arrived := g.config.Now()
 	wanted := g.read(r.Header, arrived)
 	granted, reason := g.admit(r.Context(), wanted)
@@ -114,7 +123,7 @@
 		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	call.Backend = granted.backend.ID
-	return g.send(r, granted, wanted, &call)
+	return g.send(r, attach, granted, wanted, &call)
 }
 
 func (g *Gate) read(header http.Header, now time.Duration) request {
@@ -128,11 +137,15 @@
 }
 
 // send exchanges the call with the back end and gives the slot back.
-func (g *Gate) send(r *http.Request, granted admittance, wanted request, call *Call) *http.Response {
+func (g *Gate) send(r *http.Request, attach func(*http.Request) error, granted admittance, wanted request, call *Call) *http.Response {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), trace))
-	response, err := g.transport.RoundTrip(g.outgoing(ctx, r, granted, wanted))
+	outgoing := g.outgoing(ctx, r, granted, wanted)
+	response, err := (*http.Response)(nil), attach(outgoing)
+	if err == nil {
+		response, err = g.transport.RoundTrip(outgoing)
+	}
 	if err == nil {
 		err = g.check(r.Header, response)
 	}
@@ -212,11 +225,11 @@
 			RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 		},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body: r.Body, ContentLength: r.ContentLength,
 	}
 	exchange.Copy(request.Header, r.Header)
 	exchange.RemoveHop(request.Header)
 	exchange.RemoveInternal(request.Header)
+	request.Header.Del("Expect")
 	if _, set := request.Header["User-Agent"]; !set {
 		// An explicit nil keeps the transport from adding its own.
 		request.Header["User-Agent"] = nil
