--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -159,6 +159,13 @@
 	t.endpoint.ejectedTo = max(t.endpoint.ejectedTo, now+pause)
 }
 
+// Leave takes in that the back end has left for good.
+func (t *Ticket) Leave() {
+	t.pool.mutex.Lock()
+	defer t.pool.mutex.Unlock()
+	t.pool.leave(t.endpoint)
+}
+
 // LeftOut returns a list with one more back end.
 func (t *Ticket) LeftOut(list []string) []string {
 	if slices.Contains(list, t.ID) {
--- /dev/null
+++ b/pkg/catalog/publish_test.go
@@ -0,0 +1,80 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"bramblelift/pkg/bundle"
+
+	"github.com/matryer/is"
+)
+
+// publish makes the command that publishes a variant under a number.
+func publish(t *testing.T, c *Catalog, base, number uint64, variant string) Command {
+	t.Helper()
+	content := bundle.Content{
+		Services: []bundle.Service{{Name: "s"}},
+		Routes:   []bundle.Route{{Name: "r", PathPrefix: "/" + variant + "/", Service: "s"}},
+	}.Normalized()
+	tree, err := bundle.NewTree(content)
+	is.New(t).NoErr(err)
+	return Command{Publish: c.NewPublish(base, number, content, tree.Root(), fmt.Appendf(nil, `{"v":%d,{"p":%q}`, number, variant))}
+}
+
+func TestPublishedVersionIsInForceUnderItsNumber(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	is.Equal(code(c.Apply(publish(t, c, 0, 7, "x"))), Code(""))
+	is.Equal(c.State().Position().Active, uint64(7))
+	is.Equal(code(c.Apply(publish(t, c, 7, 12, "y"))), Code("")) // numbers go up unevenly
+	is.Equal(c.State().Position().Active, uint64(12))
+	is.Equal(string(c.Source), `{"v":12,{"p":"y"}`)
+}
+
+// A resend of what was taken is acknowledged again, hundreds of versions later, and after a
+// restart; it changes nothing.
+func TestResendOfATakenPublication(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	first := publish(t, c, 0, 1, "first")
+	is.Equal(code(c.Apply(first)), Code(""))
+	for number := uint64(2); number < 600; number++ {
+		is.Equal(code(c.Apply(publish(t, c, number-1, number, fmt.Sprint(number)))), Code(""))
+	}
+	is.Equal(code(c.Apply(first)), Code(""))
+	is.Equal(c.State().Position().Active, uint64(599))
+	data, err := c.Snapshot()
+	is.NoErr(err)
+	restored, err := Restore(data)
+	is.NoErr(err)
+	is.Equal(restored, c)
+	is.True(restored.Published(1, first.Publish.SourceDigest))
+	is.Equal(code(restored.Apply(first)), Code(""))
+}
+
+func TestOfTwoOnOneBaseExactlyOneWins(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.Apply(publish(t, c, 0, 1, "x"))
+	one, two := publish(t, c, 1, 2, "one"), publish(t, c, 1, 2, "two")
+	is.Equal(code(c.Apply(one)), Code(""))
+	is.Equal(code(c.Apply(two)), CodeConflict)
+	is.Equal(code(c.Apply(one)), Code(""))
+	is.Equal(string(c.Source), `{"v":2,{"p":"one"}`)
+}
+
+func TestPublicationThatCannotBe(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.Apply(publish(t, c, 0, 5, "x"))
+	is.Equal(code(c.Apply(publish(t, c, 5, 5, "again"))), CodeInvalidBundle) // not above the head
+	is.Equal(code(c.Apply(publish(t, c, 4, 9, "stale"))), CodeConflict)
+	spoilt := publish(t, c, 5, 9, "y")
+	spoilt.Publish.SourceDigest[0] ^= 1
+	is.Equal(code(c.Apply(spoilt)), CodeConflict)
+	invalid := publish(t, c, 5, 9, "y")
+	invalid.Publish.Delta.RemovedServices = []string{"s"}
+	is.Equal(code(c.Apply(invalid)), CodeInvalidBundle)
+	is.Equal(c.HeadVersion(), uint64(5))
+	is.Equal(c.State().Position().Active, uint64(5))
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -65,8 +65,10 @@
 const (
 	// ReasonFull: the wait would be longer than the call allows.
 	ReasonFull Reason = "full"
-	// ReasonAbsent: no back end is there, it leaves, or it is another one.
+	// ReasonAbsent: no back end is there yet.
 	ReasonAbsent Reason = "absent"
+	// ReasonLeft: the back end that the call was meant for has left for good.
+	ReasonLeft Reason = "left"
 	// ReasonStopping: the gate's process stops.
 	ReasonStopping Reason = "stopping"
 	// ReasonUnreachable: the back end took no connection.
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -28,7 +28,7 @@
 	// gateExpectTimeout is longer than any wait at a gate: a large body is sent only once
 	// the gate has admitted the call.
 	gateExpectTimeout = time.Minute
-	gateConnections = 256
+	gateConnections   = 256
 	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
 	minServiceLeft = 5 * time.Millisecond
 	// A call waits in its own zone if it is expected to be answered within its target
@@ -301,6 +301,8 @@
 		ticket.Avoid(now, pause)
 	case exchange.ReasonStopping:
 		ticket.Avoid(now, stoppingPause)
+	case exchange.ReasonLeft:
+		ticket.Leave()
 	case exchange.ReasonAbsent:
 		ticket.Avoid(now, absentPause)
 	case exchange.ReasonBroken:
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -54,6 +54,9 @@
 	// place of a connection there.
 	GateAddress string
 	Gate        func(*http.Request) *http.Response
+	// StopsAt, if set, returns when the process ends, zero if it does not: calls that
+	// might last longer are refused.
+	StopsAt func() time.Duration
 	// OnAttempt, if set, is told of each attempt through a gate.
 	OnAttempt func(Attempt)
 }
@@ -276,6 +279,9 @@
 		return &Refusal{Outcome: NotRun, Step: "deadline", Reason: "the deadline has passed", Status: http.StatusGatewayTimeout}
 	}
 	c.deadline = c.started + timeout
+	if refusal := c.outlastsProcess(); refusal != nil {
+		return refusal
+	}
 	if c.service.pool.Gated() {
 		return c.serveThroughGates(timeout)
 	}
@@ -291,6 +297,19 @@
 	return c.attemptUntilDone(ctx)
 }
 
+// outlastsProcess refuses a call that might not be answered before the process ends.
+func (c *call) outlastsProcess() *Refusal {
+	if c.handler.config.StopsAt == nil {
+		return nil
+	}
+	stopsAt := c.handler.config.StopsAt()
+	if stopsAt == 0 || c.deadline < stopsAt {
+		return nil
+	}
+	return &Refusal{Outcome: NotRun, Step: "stop", Reason: "the node stops before the call's time is up",
+		Status: http.StatusServiceUnavailable, RetryAfter: minGateRetry, Fractions: true}
+}
+
 // timeout returns the smaller of the caller's patience and the route's timeout.
 func (c *call) timeout() time.Duration {
 	timeout := c.route.Timeout
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -37,6 +37,7 @@
 		g.backend = backend
 		return
 	}
+	g.left = g.backend.ID
 	g.backend, g.present = backend, true
 	g.generation++
 	g.running, g.service, g.downUntil = 0, 0, 0
@@ -50,7 +51,7 @@
 	if g.backend.ID != id {
 		return
 	}
-	g.present = false
+	g.present, g.left = false, id
 	g.dropWaiting()
 }
 
@@ -111,6 +112,8 @@
 	switch {
 	case g.stopping:
 		return exchange.ReasonStopping
+	case r.instance != "" && r.instance == g.left:
+		return exchange.ReasonLeft
 	case !g.present || (r.instance != "" && r.instance != g.backend.ID):
 		return exchange.ReasonAbsent
 	case now < g.downUntil:
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -65,6 +65,8 @@
 	mutex   sync.Mutex
 	backend Backend
 	present bool
+	// left is the last back end that has left for good.
+	left string
 	// generation counts the back ends; slots of an earlier one do not count any more.
 	generation uint64
 	stopping   bool
@@ -149,7 +151,7 @@
 	if err == nil {
 		err = g.check(r.Header, response)
 	}
-	if err == nil && response.Header.Get(g.config.Headers.NotRun) != "" && g.config.Headers.NotRun != "" {
+	if err == nil && g.declined(response) {
 		response.Body.Close()
 		cancel()
 		g.release(granted, 0)
@@ -213,10 +215,19 @@
 	if name == "" || response.Header.Get(name) == sent.Get(name) {
 		return nil
 	}
+	if g.declined(response) && response.Header.Get(name) == "" {
+		return nil
+	}
 	response.Body.Close()
 	return errWrongAnswer
 }
 
+// declined reports whether the back end says that it has not begun the call.
+func (g *Gate) declined(response *http.Response) bool {
+	name := g.config.Headers.NotRun
+	return name != "" && response.Header.Get(name) != ""
+}
+
 func (g *Gate) outgoing(ctx context.Context, r *http.Request, granted admittance, wanted request) *http.Request {
 	request := &http.Request{
 		Method: r.Method, Host: r.Host, Header: make(http.Header, len(r.Header)+1),
--- /dev/null
+++ b/pkg/gate/gate_test.go
@@ -0,0 +1,353 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/settings"
+
+	"github.com/matryer/is"
+)
+
+var testHeaders = settings.Headers{
+	RequestID: "Call-Id", Deadline: "Left-Ms", ExpectedInstance: "Want", NotRun: "Not-Run", Caller: "From",
+}
+
+// gateTo returns a gate with a back end at an address.
+func gateTo(address string, capacity int) *Gate {
+	started := time.Now()
+	g := New(Config{Headers: testHeaders, Now: func() time.Duration { return time.Since(started) }})
+	g.SetBackend(Backend{ID: "b1", Address: address, Capacity: capacity})
+	return g
+}
+
+func newCall(t *testing.T, method, id string, header ...string) *http.Request {
+	t.Helper()
+	request := httptest.NewRequest(method, "http://host.example/path/x?q=1", strings.NewReader("body"))
+	request.Header.Set("Call-Id", id)
+	request.Header.Set("Left-Ms", "2000")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	return request
+}
+
+func reasonOf(response *http.Response) exchange.Reason {
+	return exchange.Reason(response.Header.Get(exchange.HeaderReason))
+}
+
+// rawBackend answers each call by a script.
+func rawBackend(t *testing.T, serve func(conn net.Conn, request *http.Request, number int64) (keep bool)) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	var calls atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					if !serve(conn, request, calls.Add(1)) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), &calls
+}
+
+func write(conn net.Conn, id, rest string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nCall-Id: "+id+"\r\n"+rest)
+}
+
+// holdingBackend answers once released.
+func holdingBackend(t *testing.T) (address string, release chan struct{}, calls *atomic.Int64) {
+	release = make(chan struct{})
+	var counted atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		counted.Add(1)
+		<-release
+		w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), release, &counted
+}
+
+func TestNoMoreThanCapacityReachesTheBackend(t *testing.T) {
+	is := is.New(t)
+	address, release, calls := holdingBackend(t)
+	g := gateTo(address, 2)
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() { g.Do(newCall(t, "GET", "a")).Body.Close() })
+	}
+	for calls.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	third := g.Do(newCall(t, "GET", "c")) // it may not wait
+	is.Equal(third.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(third.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
+	is.Equal(reasonOf(third), exchange.ReasonFull)
+	report, ok := exchange.ParseReport(third.Header.Get(exchange.HeaderReport))
+	is.True(ok)
+	is.Equal(report.Running, 2)
+	is.Equal(report.Capacity, 2)
+	close(release)
+	group.Wait()
+	is.Equal(calls.Load(), int64(2))
+}
+
+func TestWaitersGoByPriorityThenDeadline(t *testing.T) {
+	is := is.New(t)
+	address, release, calls := holdingBackend(t)
+	g := gateTo(address, 1)
+	var group sync.WaitGroup
+	group.Go(func() { g.Do(newCall(t, "GET", "first")).Body.Close() })
+	for calls.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	var mutex sync.Mutex
+	var order []string
+	for _, waiter := range [][]string{{"low", "2", "900"}, {"high late", "1", "900"}, {"high soon", "1", "800"}} {
+		group.Go(func() {
+			g.Do(newCall(t, "GET", waiter[0], exchange.HeaderPriority, waiter[1], "Left-Ms", waiter[2], exchange.HeaderWait, "700")).Body.Close()
+			mutex.Lock()
+			order = append(order, waiter[0])
+			mutex.Unlock()
+		})
+	}
+	for g.Report().Queued < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	for range 4 {
+		release <- struct{}{}
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	is.Equal(order, []string{"high soon", "high late", "low"})
+}
+
+// Leaving is enforced here: whoever still sends, and whoever already waits.
+func TestNothingNewReachesALeavingBackend(t *testing.T) {
+	is := is.New(t)
+	address, release, calls := holdingBackend(t)
+	g := gateTo(address, 1)
+	var group sync.WaitGroup
+	group.Go(func() {
+		is.Equal(g.Do(newCall(t, "GET", "running")).StatusCode, http.StatusOK) // what runs is finished
+	})
+	for calls.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	waiting := make(chan exchange.Reason, 1)
+	group.Go(func() { waiting <- reasonOf(g.Do(newCall(t, "GET", "waits", exchange.HeaderWait, "1000"))) })
+	for g.Report().Queued < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	g.RemoveBackend("other")
+	is.Equal(g.Report().Queued, 1) // the word of another one changes nothing
+	g.RemoveBackend("b1")
+	is.Equal(<-waiting, exchange.ReasonAbsent)
+	is.Equal(reasonOf(g.Do(newCall(t, "GET", "new", "Want", "b1"))), exchange.ReasonLeft)
+	close(release)
+	group.Wait()
+	is.Equal(calls.Load(), int64(1))
+}
+
+// Addresses are used again: a call for another back end must not reach this one.
+func TestOnlyTheExpectedInstanceIsReached(t *testing.T) {
+	is := is.New(t)
+	address, calls := rawBackend(t, func(conn net.Conn, r *http.Request, _ int64) bool {
+		write(conn, r.Header.Get("Call-Id"), "Content-Length: 0\r\n\r\n")
+		return true
+	})
+	g := gateTo(address, 2)
+	is.Equal(reasonOf(g.Do(newCall(t, "GET", "a", "Want", "b0"))), exchange.ReasonAbsent)
+	is.Equal(g.Do(newCall(t, "GET", "a", "Want", "b1")).StatusCode, http.StatusOK)
+	g.SetBackend(Backend{ID: "b2", Address: address, Capacity: 2})
+	is.Equal(reasonOf(g.Do(newCall(t, "GET", "a", "Want", "b1"))), exchange.ReasonLeft)
+	is.Equal(calls.Load(), int64(1))
+}
+
+// What a faulty back end sends must never reach a caller as an answer.
+func TestWrongAnswersAreUnknown(t *testing.T) {
+	for name, serve := range map[string]func(net.Conn, *http.Request, int64) bool{
+		"another call's": func(conn net.Conn, _ *http.Request, _ int64) bool {
+			write(conn, "other", "Content-Length: 2\r\n\r\nok")
+			return true
+		},
+		"cut off": func(conn net.Conn, r *http.Request, _ int64) bool {
+			write(conn, r.Header.Get("Call-Id"), "Content-Length: 20\r\n\r\nhalf")
+			return false
+		},
+		"not an answer": func(conn net.Conn, _ *http.Request, _ int64) bool {
+			_, _ = io.WriteString(conn, "garbage\r\n\r\n")
+			return false
+		},
+		"none": func(net.Conn, *http.Request, int64) bool { return false },
+		"without length, reset": func(conn net.Conn, r *http.Request, _ int64) bool {
+			write(conn, r.Header.Get("Call-Id"), "\r\nsome")
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, calls := rawBackend(t, serve)
+			g := gateTo(address, 2)
+			response := g.Do(newCall(t, "POST", "a"))
+			is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.Unknown))
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+			is.Equal(reasonOf(response), exchange.ReasonBroken)
+			is.Equal(calls.Load(), int64(1)) // never sent again
+			is.Equal(g.Report().Running, 0)  // the slot is free again
+		})
+	}
+}
+
+// A second answer to one call stands where the next call's is expected.
+func TestSurplusAnswerIsNotTheNextOnes(t *testing.T) {
+	is := is.New(t)
+	address, _ := rawBackend(t, func(conn net.Conn, r *http.Request, _ int64) bool {
+		write(conn, r.Header.Get("Call-Id"), "Content-Length: 2\r\n\r\nok")
+		time.Sleep(5 * time.Millisecond)
+		write(conn, r.Header.Get("Call-Id"), "Content-Length: 2\r\n\r\nok")
+		return true
+	})
+	g := gateTo(address, 2)
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		response := g.Do(newCall(t, "GET", id))
+		if response.Header.Get(exchange.HeaderOutcome) == "" {
+			is.Equal(response.Header.Get("Call-Id"), id)
+		}
+	}
+}
+
+func TestAnswerWithoutLengthIsWholeAtItsEnd(t *testing.T) {
+	is := is.New(t)
+	address, _ := rawBackend(t, func(conn net.Conn, r *http.Request, _ int64) bool {
+		write(conn, r.Header.Get("Call-Id"), "\r\nall of it")
+		return false
+	})
+	response := gateTo(address, 1).Do(newCall(t, "GET", "a"))
+	data, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(data), "all of it")
+}
+
+// A back end that is full says so: the call is not run, though it reached it.
+func TestDeclineIsNotRunButReached(t *testing.T) {
+	is := is.New(t)
+	address, _ := rawBackend(t, func(conn net.Conn, r *http.Request, _ int64) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	response := gateTo(address, 1).Do(newCall(t, "GET", "a"))
+	is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
+	is.True(reasonOf(response).Reached())
+}
+
+func TestCrashedBackendIsNotRunAndLeftAlone(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	response := gateTo(address, 1).Do(newCall(t, "POST", "a"))
+	is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
+	is.Equal(reasonOf(response), exchange.ReasonUnreachable)
+	is.True(!reasonOf(response).Reached())
+}
+
+// The deadline handed on is what is left at the moment of sending, wait included.
+func TestDeadlineShrinksWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	left := make(chan time.Duration, 2)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		value, _ := exchange.ReadMillis(r.Header, "Left-Ms")
+		left <- value
+		time.Sleep(60 * time.Millisecond)
+		w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
+	}))
+	defer server.Close()
+	g := gateTo(server.Listener.Addr().String(), 1)
+	go g.Do(newCall(t, "GET", "a"))
+	is.True(<-left > 1900*time.Millisecond)
+	go g.Do(newCall(t, "GET", "b", exchange.HeaderWait, "1000"))
+	is.True(<-left <= 1950*time.Millisecond)
+}
+
+// A caller that leaves is felt at the back end at once, over the hop between nodes.
+func TestLeavingCallerEndsTheWork(t *testing.T) {
+	is := is.New(t)
+	begun, ended := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	}))
+	defer server.Close()
+	front := httptest.NewServer(gateTo(server.Listener.Addr().String(), 1))
+	defer front.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, "GET", front.URL, nil)
+	is.NoErr(err)
+	request.Header.Set("Call-Id", "a")
+	go func() { _, _ = http.DefaultClient.Do(request) }()
+	<-begun
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the back end still works half a second after its caller left")
+	}
+}
+
+// A refused call with a large body costs no more than its head.
+func TestBodyIsSentOnlyOnceAdmitted(t *testing.T) {
+	is := is.New(t)
+	g := gateTo("127.0.0.1:1", 1)
+	g.Stop()
+	front := httptest.NewServer(g)
+	defer front.Close()
+	var read atomic.Bool
+	request, err := http.NewRequest("POST", front.URL, readerFunc(func([]byte) (int, error) {
+		read.Store(true)
+		return 0, io.EOF
+	}))
+	is.NoErr(err)
+	request.ContentLength = 100_000
+	request.Header.Set("Expect", "100-continue")
+	response, err := (&http.Transport{ExpectContinueTimeout: time.Minute}).RoundTrip(request)
+	is.NoErr(err)
+	is.Equal(reasonOf(response), exchange.ReasonStopping)
+	is.True(!read.Load())
+}
+
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(buffer []byte) (int, error) { return f(buffer) }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -37,6 +37,12 @@
 	// gatedRetryMax is how many repeats a node may save up for one service; all nodes'
 	// together must stay small against what the deployment allows.
 	gatedRetryMax = 3
+	// quietTime is for how long no call must have come before a stopping node closes.
+	quietTime = time.Second
+	// stopReserveShare of the time for a stop is kept for the calls under way, and
+	// stopMargin for what comes after the last answer.
+	stopReserveShare = 5
+	stopMargin       = 100 * time.Millisecond
 )
 
 // Server is one node.
@@ -52,6 +58,10 @@
 	admin    *admin.Service
 	stopping atomic.Bool
 	failure  chan error
+	// lastCall is when the newest call came, stopsAt when the process ends, zero while
+	// that is not near.
+	lastCall atomic.Int64
+	stopsAt  atomic.Int64
 
 	gate              *gate.Gate
 	gateListener      net.Listener
@@ -156,6 +166,7 @@
 	config := forward.Config{
 		Node: s.settings.Name, Zone: s.settings.Zone, Now: s.clock.Now,
 		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: s.observer.call,
+		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
 		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
 	}
 	if s.gate != nil {
@@ -196,10 +207,12 @@
 func (s *Server) stop() error {
 	s.logger.Log("event", "stopping")
 	s.stopping.Store(true)
+	ends := s.clock.Now() + time.Duration(s.settings.StopTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.settings.StopTimeout))
 	defer cancel()
 	time.Sleep(time.Duration(s.settings.CallerNotice))
 	s.stopGate()
+	s.awaitQuiet(ends)
 	err := errors.Join(s.http.Shutdown(ctx), s.finishGate(ctx))
 	s.logger.Log("event", "stopped", "error", err)
 	if err != nil {
@@ -208,8 +221,23 @@
 	return nil
 }
 
+// awaitQuiet keeps the node open while callers still come, who may have nowhere else to go,
+// and there is time left for them. Calls that could outlast the process are refused.
+func (s *Server) awaitQuiet(ends time.Duration) {
+	s.stopsAt.Store(int64(ends - stopMargin))
+	latest := ends - time.Duration(s.settings.StopTimeout)/stopReserveShare
+	for s.clock.Now() < latest {
+		quiet := s.clock.Now() - time.Duration(s.lastCall.Load())
+		if quiet >= quietTime {
+			return
+		}
+		time.Sleep(min(quietTime-quiet, latest-s.clock.Now()))
+	}
+}
+
 // serveCall forwards a call; a stopping node asks the caller to reconnect elsewhere.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	s.lastCall.Store(int64(s.clock.Now()))
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/pkg/storage/storage_test.go
+++ b/pkg/storage/storage_test.go
@@ -166,3 +166,70 @@
 		_, _ = replay(records)
 	})
 }
+
+// fullFiles refuses every write while full is set; what was written before stays.
+type fullFiles struct {
+	*Folder
+	full *bool
+}
+
+type fullFile struct {
+	File
+	full *bool
+}
+
+var errFull = errors.New("no space left")
+
+// Write takes a part of what it is given, as a full disk may.
+func (f fullFile) Write(data []byte) (int, error) {
+	if !*f.full {
+		return f.File.Write(data)
+	}
+	taken, _ := f.File.Write(data[:len(data)/2])
+	return taken, errFull
+}
+
+func (f fullFiles) Create(name string) (File, error) {
+	file, err := f.Folder.Create(name)
+	return fullFile{file, f.full}, err
+}
+
+func (f fullFiles) OpenAppend(name string) (File, error) {
+	file, err := f.Folder.OpenAppend(name)
+	return fullFile{file, f.full}, err
+}
+
+// A disk without room must not end the replica: the same write passes once there is room,
+// and what the refused one left behind does not count.
+func TestFullDiskHeals(t *testing.T) {
+	is := is.New(t)
+	_, files := newReplica(t)
+	full := false
+	opened, state, err := Open(fullFiles{files, &full})
+	is.NoErr(err)
+	effects := raft.Effects{Entries: []raft.Entry{{Term: 3, Index: 4, Data: []byte("fourth")}}}
+	full = true
+	for range 3 {
+		is.True(errors.Is(opened.Save(effects), ErrNoRoom))
+		is.True(errors.Is(opened.Checkpoint(firstSnapshot(), state.HardState, state.Entries), ErrNoRoom))
+	}
+	full = false
+	is.NoErr(opened.Save(effects))
+	is.NoErr(opened.Save(raft.Effects{Entries: []raft.Entry{{Term: 3, Index: 5, Data: []byte("fifth")}}}))
+	is.NoErr(opened.Close())
+	_, state, err = Open(files)
+	is.NoErr(err)
+	is.Equal(len(state.Entries), 4)
+	is.Equal(string(state.Entries[3].Data), "fifth")
+}
+
+func TestFullDiskAtTheFirstStart(t *testing.T) {
+	is := is.New(t)
+	files, err := OpenFolder(t.TempDir())
+	is.NoErr(err)
+	full := true
+	limited := fullFiles{files, &full}
+	is.True(errors.Is(Create(limited, testIdentity, firstSnapshot()), ErrNoRoom))
+	full = false
+	is.NoErr(Create(limited, testIdentity, firstSnapshot()))
+}
