--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	./bin/bramblebench demo
 
 check:
-	@unformatted=$$(gofmt -l cmd pkg test); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd pkg platform test); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
 
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -17,6 +17,10 @@
 const (
 	interfaceHeaderTimeout = 5 * time.Second
 	interfaceIdleTimeout   = time.Minute
+	// leaseWait is how long a new leader is given until its lease holds, and leasePoll the
+	// pause between two looks; callers go elsewhere after a second.
+	leaseWait = 700 * time.Millisecond
+	leasePoll = 20 * time.Millisecond
 	// announceTimeout bounds the commit of announced back ends; they are announced again.
 	announceTimeout = 2 * time.Second
 )
@@ -41,7 +45,7 @@
 	}
 	invalid := content.Validate()
 	var settled *catalog.Result
-	err = s.readLeased(ctx, func(time.Duration) {
+	err = s.readOnceLeased(ctx, func(time.Duration) {
 		settled = settledPublication(s.replica.Catalog(), p, invalid)
 	})
 	if err != nil {
@@ -57,6 +61,24 @@
 	return err
 }
 
+// readOnceLeased is readLeased for a replica that may just have become the leader: it gives
+// it some time to be sure.
+func (s *Server) readOnceLeased(ctx context.Context, read func(now time.Duration)) error {
+	ctx, cancel := context.WithTimeout(ctx, leaseWait)
+	defer cancel()
+	for {
+		err := s.readLeased(ctx, read)
+		if _, leading := s.LeaderInterface(); err == nil || !leading {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(leasePoll):
+		}
+	}
+}
+
 // settledPublication answers what needs no agreement: a publication that was taken before,
 // or that can no longer be.
 func settledPublication(c *catalog.Catalog, p Publication, invalid error) *catalog.Result {
@@ -87,7 +109,7 @@
 // Newest returns the document of the newest version and its number, zero if there is none
 // yet. It fails where a newer one could exist.
 func (s *Server) Newest(ctx context.Context) (source []byte, version uint64, err error) {
-	err = s.readLeased(ctx, func(time.Duration) {
+	err = s.readOnceLeased(ctx, func(time.Duration) {
 		source, version = s.replica.Catalog().Source, s.replica.Catalog().HeadVersion()
 	})
 	return source, version, err
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -163,6 +163,7 @@
 		return control.Init(config)
 	}
 	logger := logging.New(stdout, "control", config.Name)
+	defer logger.Close()
 	server, err := control.New(config, logger, interfaces.Control)
 	if err != nil {
 		return err
@@ -195,6 +196,7 @@
 		return err
 	}
 	logger := logging.New(stdout, "relay", config.Name)
+	defer logger.Close()
 	server, err := relay.New(config, logger)
 	if err != nil {
 		return err
@@ -209,6 +211,7 @@
 		return err
 	}
 	logger := logging.New(stdout, "proxy", config.Name)
+	defer logger.Close()
 	server, err := proxy.New(config, logger, interfaces.Proxy)
 	if err != nil {
 		return err
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -84,7 +84,7 @@
 func (c *call) serveThroughGates(timeout time.Duration) *Refusal {
 	body, err := exchange.ReadBody(c.request)
 	if err != nil {
-		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: http.StatusBadRequest}
+		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: bodyStatus(err)}
 	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
 	defer cancel()
@@ -98,6 +98,15 @@
 	}
 }
 
+// bodyStatus is the status of a call whose body could not be read.
+func bodyStatus(err error) int {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
 func (c *call) now() time.Duration { return c.handler.config.Now() }
 
 // tryOne sends the call to one gate. It returns again if another should be tried, or else
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -279,6 +279,9 @@
 		return &Refusal{Outcome: NotRun, Step: "deadline", Reason: "the deadline has passed", Status: http.StatusGatewayTimeout}
 	}
 	c.deadline = c.started + timeout
+	if refusal := c.bodyTooLarge(current.table.Limits.MaxBodyBytes); refusal != nil {
+		return refusal
+	}
 	if refusal := c.outlastsProcess(); refusal != nil {
 		return refusal
 	}
@@ -297,6 +300,20 @@
 	return c.attemptUntilDone(ctx)
 }
 
+// bodyTooLarge refuses a body beyond the bound, zero for none, and keeps one without a
+// length from growing beyond it.
+func (c *call) bodyTooLarge(limit int64) *Refusal {
+	if limit == 0 {
+		return nil
+	}
+	if c.request.ContentLength > limit {
+		return &Refusal{Outcome: NotRun, Step: "request body", Reason: fmt.Sprintf("more than %d bytes", limit),
+			Status: http.StatusRequestEntityTooLarge}
+	}
+	c.request.Body = http.MaxBytesReader(c.writer, c.request.Body, limit)
+	return nil
+}
+
 // outlastsProcess refuses a call that might not be answered before the process ends.
 func (c *call) outlastsProcess() *Refusal {
 	if c.handler.config.StopsAt == nil {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -168,8 +168,6 @@
 	// need to hear of it.
 	StopTimeout  bundle.Duration `toml:"stop_timeout,omitempty"`
 	CallerNotice bundle.Duration `toml:"caller_notice,omitempty"`
-	// DrainTimeout is within how much time nothing new may reach a back end that leaves.
-	DrainTimeout bundle.Duration `toml:"drain_timeout,omitempty"`
 	Timing
 }
 
@@ -193,8 +191,6 @@
 type Retries struct {
 	// Ratio is the share of calls that may be sent again, from 0 to 1.
 	Ratio float64 `toml:"ratio,omitempty"`
-	// Window is over how much time Ratio holds.
-	Window bundle.Duration `toml:"window,omitempty"`
 }
 
 // Timing bounds a subscription.
@@ -217,9 +213,7 @@
 	defaultRemoveAfter       = 5 * time.Second
 	defaultStopTimeout       = 30 * time.Second
 	defaultCallerNotice      = 700 * time.Millisecond
-	defaultDrainTimeout      = 2 * time.Second
 	defaultRetryRatio        = 0.1
-	defaultRetryWindow       = 10 * time.Second
 	defaultDeadlineHeader    = "Request-Timeout-Ms"
 	defaultExpectedHeader    = "Request-Expected-Instance"
 	defaultInstanceHeader    = "Backend-Instance"
@@ -410,8 +404,6 @@
 func (p *problems) checkGate(x *Proxy) {
 	setDefault(&x.StopTimeout, defaultStopTimeout)
 	setDefault(&x.CallerNotice, defaultCallerNotice)
-	setDefault(&x.DrainTimeout, defaultDrainTimeout)
-	setDefault(&x.Retries.Window, defaultRetryWindow)
 	if x.Retries.Ratio == 0 {
 		x.Retries.Ratio = defaultRetryRatio
 	}
