Large bodies: the gates of the own zone are asked first

Cause: the sender's estimate of the wait counts all that wait at a gate, though an upload ranks before reads; calls of 65 KB left their zone for it.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -47,6 +47,9 @@
 	// LocalWait is for how long the call may wait at a gate of the node's own zone while
 	// another zone might take it at once: bytes between zones cost.
 	LocalWait time.Duration
+	// AskLocal lets the gates of the own zone decide whether the wait is too long: they
+	// know the ranks of those that wait. It is for calls that cost much elsewhere.
+	AskLocal bool
 	// Patience is for how long it may wait where nobody takes it at once.
 	Patience time.Duration
 }
@@ -63,7 +66,7 @@
 	}
 	fastest := fastestService(candidates)
 	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool {
-		return e.remote || e.gateWait(now) > r.LocalWait
+		return e.remote || (!r.AskLocal && e.gateWait(now) > r.LocalWait)
 	})
 	wait := r.LocalWait
 	best := p.bestGate(local, now, fastest)
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -148,11 +148,12 @@
 	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries) {
 		request.LeftOut = append(append([]string(nil), g.done...), g.full...)
 		request.LocalWait = g.localWait(now)
+		request.AskLocal = g.body.Size() > largeBody
 		ticket, wait, err := g.service.pool.AcquireGate(now, request)
 		if err == nil || len(g.full) == 0 {
 			return ticket, wait, err
 		}
-		request.LeftOut, request.LocalWait = g.done, 0
+		request.LeftOut, request.LocalWait, request.AskLocal = g.done, 0, false
 	}
 	ticket, _, err := g.service.pool.AcquireGate(now, request)
 	g.lastChance = true
