A SIGHUP during a planned stop no longer ends the process

Cause: the watcher of the settings stopped catching SIGHUP when the process began to stop, so that a later one had its default effect. Ruled out: the grace time (5.6 s were left), a crash (no trace on standard error).

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -116,6 +116,24 @@
 	return fastest
 }
 
+// MeanService is the mean of how long calls take at the back ends, zero if it is not known.
+func (p *Pool) MeanService() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var sum time.Duration
+	count := time.Duration(0)
+	for _, e := range p.endpoints {
+		if e.gate.report.Service > 0 {
+			sum += e.gate.report.Service
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / count
+}
+
 func (e *endpoint) gateCapacity() int {
 	switch {
 	case e.gate.reported:
--- a/pkg/daemon/reload.go
+++ b/pkg/daemon/reload.go
@@ -16,12 +16,12 @@
 const settingsInterval = 5 * time.Second
 
 // watchSettings calls reload when the settings file has changed, told by SIGHUP or not. It
-// catches the signal, which would end the process, also if there is no file.
+// catches the signal, which would end the process, also if there is no file, and goes on
+// catching it after the context has ended: the process still finishes calls then.
 func watchSettings(ctx context.Context, path string, logger log.Logger, reload func() error) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hangup)
 		ticker := time.NewTicker(settingsInterval)
 		defer ticker.Stop()
 		last, _ := os.ReadFile(path)
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -29,6 +29,9 @@
 	HeaderPriority = "Gate-Priority"
 	// HeaderWait is for how many milliseconds a call may wait at a gate.
 	HeaderWait = "Gate-Wait-Ms"
+	// HeaderExpectedWork is how many microseconds a call is expected to take at the back
+	// end, by what its route took before.
+	HeaderExpectedWork = "Gate-Expected-Work-Us"
 	// HeaderReport is a gate's Report.
 	HeaderReport = "Gate-Report"
 	// HeaderWork is how many microseconds a call took at the back end.
@@ -39,7 +42,7 @@
 
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
-	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderReason, HeaderWork,
+	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderReason, HeaderWork, HeaderExpectedWork,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -43,6 +43,9 @@
 	// target latency: what waits longer is late, and makes those behind it late, too.
 	patienceServices = 1.4
 	minPatienceShare = 10
+	// Calls that take less than this share of the mean at their back ends may wait longer:
+	// the slots are held by longer ones, and they themselves delay hardly anybody.
+	shortWorkShare = 3
 	// Pauses for which a gate is left out.
 	unreachablePause = 700 * time.Millisecond
 	stoppingPause    = 1500 * time.Millisecond
@@ -179,9 +182,10 @@
 func (g *gatedCall) patience(now time.Duration) time.Duration {
 	left := g.deadline - now
 	allowed := left / 2
-	if target := g.route.TargetLatency; target > 0 {
-		work := time.Duration(patienceServices * float64(g.handler.work.of(g.route.Name)))
-		allowed = min(allowed, max(target-(now-g.started)-work, target/minPatienceShare))
+	work := g.handler.work.of(g.route.Name)
+	if target := g.route.TargetLatency; target > 0 && work*shortWorkShare > g.service.pool.MeanService() {
+		reserved := time.Duration(patienceServices * float64(work))
+		allowed = min(allowed, max(target-(now-g.started)-reserved, target/minPatienceShare))
 	}
 	return max(0, min(allowed, left-minServiceLeft))
 }
@@ -285,6 +289,8 @@
 	request.Header.Set(headers.Caller, g.handler.config.Service)
 	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
 	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
+	work := g.handler.work.of(g.route.Name)
+	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(work.Microseconds(), 10))
 	g.body.Attach(request, incoming.ContentLength)
 	request.Header.Del("Expect")
 	if g.body.Size() > largeBody {
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -82,6 +82,14 @@
 	priority int
 	deadline time.Duration
 	wait     time.Duration
+	work     time.Duration
+}
+
+func (r request) waiter() *waiter {
+	return &waiter{
+		priority: r.priority, size: sizeOf(r.work), deadline: r.deadline,
+		admitted: make(chan struct{}), dropped: make(chan struct{}),
+	}
 }
 
 // admit waits for a free slot. It returns why there is none, if there is none.
@@ -97,11 +105,11 @@
 		g.mutex.Unlock()
 		return granted, ""
 	}
-	if g.expectedWait(r) > r.wait {
+	w := r.waiter()
+	if g.expectedWait(w) > r.wait {
 		g.mutex.Unlock()
 		return admittance{}, exchange.ReasonFull
 	}
-	w := &waiter{priority: r.priority, deadline: r.deadline, admitted: make(chan struct{}), dropped: make(chan struct{})}
 	g.queue.add(w)
 	g.mutex.Unlock()
 	return g.await(ctx, w, r.wait)
@@ -131,8 +139,8 @@
 }
 
 // expectedWait estimates how long a call would wait; the mutex is held.
-func (g *Gate) expectedWait(r request) time.Duration {
-	ahead := g.queue.ahead(r.priority, r.deadline)
+func (g *Gate) expectedWait(w *waiter) time.Duration {
+	ahead := g.queue.ahead(w)
 	return time.Duration(float64(g.serviceTime()) * float64(ahead+1) / float64(g.backend.Capacity))
 }
 
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -2,12 +2,15 @@
 
 import (
 	"container/heap"
+	"math/bits"
 	"time"
 )
 
 // waiter is a call that waits for a free slot.
 type waiter struct {
 	priority int
+	// size is the call's expected work, as an order of magnitude.
+	size     int
 	deadline time.Duration
 	// admitted is closed when the call may go on, dropped when it must not.
 	admitted chan struct{}
@@ -17,13 +20,20 @@
 	index   int
 }
 
-// waitQueue orders waiters by priority, then by deadline.
+// sizeOf sorts expected work by powers of two.
+func sizeOf(work time.Duration) int { return bits.Len64(uint64(work / time.Millisecond)) }
+
+// waitQueue orders waiters by priority, then the shorter work first, which lets the most
+// calls be answered in time, then by deadline.
 type waitQueue []*waiter
 
 func (q waitQueue) before(a, b *waiter) bool {
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
+	if a.size != b.size {
+		return a.size < b.size
+	}
 	return a.deadline < b.deadline
 }
 
@@ -55,12 +65,11 @@
 	return last
 }
 
-// ahead counts the waiters that go before a call of the given rank.
-func (q waitQueue) ahead(priority int, deadline time.Duration) int {
+// ahead counts the waiters that go before another.
+func (q waitQueue) ahead(other *waiter) int {
 	count := 0
-	probe := &waiter{priority: priority, deadline: deadline}
 	for _, w := range q {
-		if q.before(w, probe) {
+		if q.before(w, other) {
 			count++
 		}
 	}
