Settings are read before the watch begins: a change right after the start is not missed

Cause: the first content was read in the watcher's goroutine; TestHangupDoesNotEndAStoppingProcess waited for ever when the file changed before that (one go test run of 10 minutes).

--- a/pkg/daemon/reload.go
+++ b/pkg/daemon/reload.go
@@ -21,10 +21,10 @@
 func watchSettings(ctx context.Context, path string, logger log.Logger, reload func() error) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	last, _ := os.ReadFile(path)
 	go func() {
 		ticker := time.NewTicker(settingsInterval)
 		defer ticker.Stop()
-		last, _ := os.ReadFile(path)
 		for {
 			signalled := false
 			select {
