--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -32,13 +32,18 @@
 	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
 	minServiceLeft = 5 * time.Millisecond
 	// A call waits in its own zone if it is expected to be answered within its target
-	// latency all the same: services are the service times reserved for the work, the
-	// share is the part of the rest that may be waited.
-	localServices       = 2.0
-	localWaitShare      = 0.5
-	localServicesLarge  = 1.2
-	localWaitShareLarge = 0.95
-	largeBody           = 16 << 10
+	// latency all the same: localServices are the service times reserved for the work, the
+	// share is the part of the rest that may be waited. It grows with what the call moves
+	// beyond freeKilobytes.
+	localServices         = 1.8
+	minLocalShare         = 0.5
+	maxLocalShare         = 0.9
+	localSharePerKilobyte = 0.1
+	freeKilobytes         = 2
+	// A large body may wait for a share of the time that the caller leaves.
+	largeBody          = 16 << 10
+	localServicesLarge = 1.5
+	localShareLarge    = 0.8
 	// Under overload a call waits no longer than it can and still be answered within its
 	// target latency: what waits longer is late, and makes those behind it late, too.
 	patienceServices = 1.4
@@ -163,26 +168,30 @@
 	return ticket, request.Patience, err
 }
 
-// localWait is how long the call may wait in its own zone and still be answered within its
-// target latency. A large body costs more on its way to another zone.
+// localWait is how long the call may wait in its own zone while another zone might take it
+// at once: the more bytes it moves, the longer. One with a large body may become late for
+// it; any other must still be answered within its target latency.
 func (g *gatedCall) localWait(now time.Duration) time.Duration {
+	work, answer := g.handler.work.of(g.route.Name)
+	if g.body.Size() > largeBody {
+		left := g.deadline - now - time.Duration(localServicesLarge*float64(work))
+		return max(0, time.Duration(localShareLarge*float64(left)))
+	}
 	target := g.route.TargetLatency
 	if target == 0 {
 		return 0
 	}
-	services, share := localServices, localWaitShare
-	if g.body.Size() > largeBody {
-		services, share = localServicesLarge, localWaitShareLarge
-	}
-	spare := target - (now - g.started) - time.Duration(services*float64(g.handler.work.of(g.route.Name)))
-	return max(0, time.Duration(share*float64(spare)))
+	kilobytes := float64(g.body.Size()+answer) / 1024
+	share := min(maxLocalShare, max(minLocalShare, minLocalShare+localSharePerKilobyte*(kilobytes-freeKilobytes)))
+	reserved := time.Duration(localServices * float64(work))
+	return max(0, time.Duration(share*float64(target-(now-g.started)-reserved)))
 }
 
 // patience is how long the call may wait at a gate.
 func (g *gatedCall) patience(now time.Duration) time.Duration {
 	left := g.deadline - now
 	allowed := left / 2
-	work := g.handler.work.of(g.route.Name)
+	work, _ := g.handler.work.of(g.route.Name)
 	if target := g.route.TargetLatency; target > 0 && work*shortWorkShare > g.service.pool.MeanService() {
 		reserved := time.Duration(patienceServices * float64(work))
 		allowed = min(allowed, max(target-(now-g.started)-reserved, target/minPatienceShare))
@@ -289,7 +298,7 @@
 	request.Header.Set(headers.Caller, g.handler.config.Service)
 	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
 	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
-	work := g.handler.work.of(g.route.Name)
+	work, _ := g.handler.work.of(g.route.Name)
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(work.Microseconds(), 10))
 	g.body.Attach(request, incoming.ContentLength)
 	request.Header.Del("Expect")
@@ -366,7 +375,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	ticket.Done(g.now(), balancer.Answered)
-	g.handler.work.note(g.route.Name, work)
+	g.handler.work.note(g.route.Name, work, max(0, int(response.ContentLength)))
 }
 
 // giveUp makes the final answer. It says that the call has not run only if that is known
--- a/pkg/forward/work.go
+++ b/pkg/forward/work.go
@@ -8,22 +8,29 @@
 // workWeight is how much each newer answer counts in a route's service time.
 const workWeight = 0.05
 
-// workTimes remembers how long the calls of each route take at back ends, without waiting.
+// workTimes remembers how long the calls of each route take at back ends, without waiting,
+// and how long their answers are in bytes.
 type workTimes struct {
 	mutex  sync.Mutex
-	routes map[string]time.Duration
+	routes map[string]routeWork
 }
 
-func newWorkTimes() *workTimes { return &workTimes{routes: map[string]time.Duration{}} }
+type routeWork struct {
+	work   time.Duration
+	answer float64
+}
+
+func newWorkTimes() *workTimes { return &workTimes{routes: map[string]routeWork{}} }
 
-// of returns a route's service time, zero if it is not known.
-func (w *workTimes) of(route string) time.Duration {
+// of returns a route's service time and the bytes of its answers, zero if not known.
+func (w *workTimes) of(route string) (work time.Duration, answer int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.routes[route]
+	held := w.routes[route]
+	return held.work, int(held.answer)
 }
 
-func (w *workTimes) note(route string, work time.Duration) {
+func (w *workTimes) note(route string, work time.Duration, answer int) {
 	if work <= 0 {
 		return
 	}
@@ -31,10 +38,12 @@
 	defer w.mutex.Unlock()
 	held, found := w.routes[route]
 	if !found {
-		w.routes[route] = work
+		w.routes[route] = routeWork{work: work, answer: float64(answer)}
 		return
 	}
-	w.routes[route] = held + time.Duration(workWeight*float64(work-held))
+	held.work += time.Duration(workWeight * float64(work-held.work))
+	held.answer += workWeight * (float64(answer) - held.answer)
+	w.routes[route] = held
 }
 
 // keep forgets the routes that a table no longer has.
