Waiters without hope are told within a fifth of the target latency; a node without a back end stays

And sidecar-sjo-cartago-2 closed after one quiet second while the platform still fell back on it (122 tries found no connection from 14.85 s on).

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -29,6 +29,8 @@
 	HeaderPriority = "Gate-Priority"
 	// HeaderWait is for how many milliseconds a call may wait at a gate.
 	HeaderWait = "Gate-Wait-Ms"
+	// HeaderEarly is for how many milliseconds a refusal still helps the caller most.
+	HeaderEarly = "Gate-Early-Ms"
 	// HeaderExpectedWork is how many microseconds a call is expected to take at the back
 	// end, by what its route took before.
 	HeaderExpectedWork = "Gate-Expected-Work-Us"
@@ -42,7 +44,7 @@
 
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
-	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderReason, HeaderWork, HeaderExpectedWork,
+	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderReason, HeaderWork, HeaderExpectedWork, HeaderEarly,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -56,6 +56,9 @@
 	stoppingPause    = 1500 * time.Millisecond
 	absentPause      = 400 * time.Millisecond
 	downPause        = 250 * time.Millisecond
+	// earlyShare of the target latency is within how much a refusal leaves the caller the
+	// time to try again.
+	earlyShare = 5
 	// gateRetryShare of the time left is when to come back after a refusal.
 	gateRetryShare = 10
 	minGateRetry   = 20 * time.Millisecond
@@ -298,6 +301,9 @@
 	request.Header.Set(headers.Caller, g.handler.config.Service)
 	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
 	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
+	if target := g.route.TargetLatency; target > 0 {
+		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.started))
+	}
 	work, _ := g.handler.work.of(g.route.Name)
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(work.Microseconds(), 10))
 	g.body.Attach(request, incoming.ContentLength)
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -14,6 +14,8 @@
 	// much each newer one counts.
 	firstService  = 20 * time.Millisecond
 	serviceWeight = 0.08
+	// hopeMargin is how much longer a wait may turn out than is expected.
+	hopeMargin = 1.3
 	// downPause is how long a back end that takes no connection is left alone.
 	downPause = 150 * time.Millisecond
 )
@@ -55,6 +57,13 @@
 	g.dropWaiting()
 }
 
+// Present reports whether there is a back end that takes calls.
+func (g *Gate) Present() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.present
+}
+
 // Stop refuses everything new.
 func (g *Gate) Stop() {
 	g.mutex.Lock()
@@ -82,7 +91,9 @@
 	priority int
 	deadline time.Duration
 	wait     time.Duration
-	work     time.Duration
+	// early is until when a refusal helps the caller most.
+	early time.Duration
+	work  time.Duration
 }
 
 func (r request) waiter() *waiter {
@@ -112,7 +123,7 @@
 	}
 	g.queue.add(w)
 	g.mutex.Unlock()
-	return g.await(ctx, w, r.wait)
+	return g.await(ctx, w, r)
 }
 
 // mayEnter returns why a call is refused whatever the load; the mutex is held.
@@ -152,18 +163,26 @@
 }
 
 // await waits until the call is admitted, dropped, out of patience or left by its caller.
-func (g *Gate) await(ctx context.Context, w *waiter, patience time.Duration) (admittance, exchange.Reason) {
-	timer := time.NewTimer(patience)
+func (g *Gate) await(ctx context.Context, w *waiter, r request) (admittance, exchange.Reason) {
+	timer := time.NewTimer(r.wait)
 	defer timer.Stop()
+	early := time.NewTimer(r.early)
+	defer early.Stop()
 	reason := exchange.ReasonFull
-	select {
-	case <-w.admitted:
-		return w.granted, ""
-	case <-w.dropped:
-		return admittance{}, exchange.ReasonAbsent
-	case <-timer.C:
-	case <-ctx.Done():
-		reason = exchange.ReasonDeadline
+	for waiting := true; waiting; {
+		select {
+		case <-w.admitted:
+			return w.granted, ""
+		case <-w.dropped:
+			return admittance{}, exchange.ReasonAbsent
+		case <-early.C:
+			waiting = r.early >= r.wait || g.hopeful(w, r.wait-r.early)
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			reason = exchange.ReasonDeadline
+			waiting = false
+		}
 	}
 	g.mutex.Lock()
 	stillWaiting := g.queue.remove(w)
@@ -183,6 +202,14 @@
 	return admittance{}, reason
 }
 
+// hopeful reports whether a waiter can still expect to be admitted in the time that is
+// left: if not, it is better told now than later.
+func (g *Gate) hopeful(w *waiter, left time.Duration) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return time.Duration(hopeMargin*float64(g.expectedWait(w))) <= left
+}
+
 // release gives a slot back, and to the next waiter. service is how long the call took,
 // zero if that says nothing.
 func (g *Gate) release(a admittance, service time.Duration) {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -134,6 +134,10 @@
 		wanted.deadline = now + left
 	}
 	wanted.wait, _ = exchange.ReadMillis(header, exchange.HeaderWait)
+	wanted.early = wanted.wait
+	if early, set := exchange.ReadMillis(header, exchange.HeaderEarly); set {
+		wanted.early = early
+	}
 	wanted.work, _ = exchange.ReadMicros(header, exchange.HeaderExpectedWork)
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -39,6 +39,7 @@
 	gatedRetryMax = 3
 	// quietTime is for how long no call must have come before a stopping node closes.
 	quietTime = time.Second
+	quietPoll = 100 * time.Millisecond
 	// stopReserveShare of the time for a stop is kept for the calls under way, and
 	// stopMargin for what comes after the last answer.
 	stopReserveShare = 5
@@ -222,16 +223,18 @@
 }
 
 // awaitQuiet keeps the node open while callers still come, who may have nowhere else to go,
-// and there is time left for them. Calls that could outlast the process are refused.
+// and there is time left for them. Without a back end the node is not missed anywhere and
+// stays in any case. Calls that could outlast the process are refused.
 func (s *Server) awaitQuiet(ends time.Duration) {
 	s.stopsAt.Store(int64(ends - stopMargin))
+	backendBeside := s.gate != nil && s.gate.Present()
 	latest := ends - time.Duration(s.settings.StopTimeout)/stopReserveShare
 	for s.clock.Now() < latest {
 		quiet := s.clock.Now() - time.Duration(s.lastCall.Load())
-		if quiet >= quietTime {
+		if quiet >= quietTime && (s.gate == nil || backendBeside) {
 			return
 		}
-		time.Sleep(min(quietTime-quiet, latest-s.clock.Now()))
+		time.Sleep(min(max(quietTime-quiet, quietPoll), latest-s.clock.Now()))
 	}
 }
 
