--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -27,8 +27,6 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 4 * time.Second
-	// leastRemaining is the time left below which a call is not begun.
-	leastRemaining = 2 * time.Millisecond
 )
 
 // errWrongAnswer: an answer belongs to another call.
--- /dev/null
+++ b/pkg/stream/hub_test.go
@@ -0,0 +1,149 @@
+package stream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/wire"
+
+	"github.com/matryer/is"
+)
+
+// hubFixture is a hub with one subscriber connected by a pipe.
+type hubFixture struct {
+	hub  *Hub
+	conn *wire.Conn
+
+	mutex       sync.Mutex
+	confirmedAt time.Duration
+	confirmed   bool
+	servers     []protocol.Server
+	announced   []distribution.Endpoint
+}
+
+const (
+	hubNow      = 10 * time.Second
+	pipeTimeout = 2 * time.Second
+)
+
+func newHubFixture(t *testing.T, servers ...protocol.Server) *hubFixture {
+	t.Helper()
+	f := &hubFixture{servers: servers}
+	f.hub = NewHub(HubConfig{
+		Name: "one", SilenceTimeout: pipeTimeout, Admission: AdmissionConfig{PerSecond: 10, Burst: 10},
+		Now: func() time.Duration { return hubNow },
+		ConfirmedAt: func() (time.Duration, bool) {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			return f.confirmedAt, f.confirmed
+		},
+		Servers: func() []protocol.Server {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			return f.servers
+		},
+		OnAnnounce: func(endpoints []distribution.Endpoint) {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.announced = append(f.announced, endpoints...)
+		},
+	}, &distribution.State{})
+	near, far := net.Pipe()
+	t.Cleanup(func() { near.Close() })
+	f.conn = wire.NewConn(near, wire.DefaultMaxFrame, pipeTimeout, nil)
+	go func() {
+		_ = f.hub.Serve(context.Background(), wire.NewConn(far, wire.DefaultMaxFrame, pipeTimeout, nil),
+			protocol.Hello{Name: "node", Role: protocol.RoleNode})
+	}()
+	return f
+}
+
+func (f *hubFixture) set(confirmedAt time.Duration, confirmed bool, servers ...protocol.Server) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.confirmedAt, f.confirmed, f.servers = confirmedAt, confirmed, servers
+}
+
+// receive decodes the next frame, which must be of a kind.
+func (f *hubFixture) receive(t *testing.T, kind wire.Kind, value any) {
+	t.Helper()
+	is := is.New(t)
+	got, err := f.conn.Receive(pipeTimeout)
+	is.NoErr(err)
+	is.Equal(got, kind)
+	is.NoErr(f.conn.Decode(value))
+}
+
+func (f *hubFixture) ping(t *testing.T, ping protocol.Ping) protocol.Pong {
+	t.Helper()
+	is.New(t).NoErr(f.conn.Send(protocol.KindPing, ping))
+	var pong protocol.Pong
+	f.receive(t, protocol.KindPong, &pong)
+	is.New(t).Equal(pong.Sequence, ping.Sequence)
+	return pong
+}
+
+// The hub must not claim to be fresher than it is: a node without a disk would start on an
+// old version, and a node would stay with a server that is cut off.
+func TestHubSaysHowStaleItIs(t *testing.T) {
+	is := is.New(t)
+	f := newHubFixture(t)
+	var welcome protocol.Welcome
+	f.receive(t, protocol.KindWelcome, &welcome)
+	pong := f.ping(t, protocol.Ping{Sequence: 1})
+	is.True(!pong.Confirmed)
+	f.set(7*time.Second, true)
+	pong = f.ping(t, protocol.Ping{Sequence: 2})
+	is.True(pong.Confirmed)
+	is.Equal(pong.Stale, 3*time.Second)
+	f.set(hubNow, true)
+	is.Equal(f.ping(t, protocol.Ping{Sequence: 3}).Stale, time.Duration(0))
+}
+
+func TestHubTellsServersWhenTheyChange(t *testing.T) {
+	is := is.New(t)
+	one, two := protocol.Server{Address: "10.0.0.1:1", Zone: "a"}, protocol.Server{Address: "10.0.0.2:1", Zone: "b"}
+	f := newHubFixture(t, one)
+	var welcome protocol.Welcome
+	f.receive(t, protocol.KindWelcome, &welcome)
+	is.Equal(welcome.Servers, []protocol.Server{one})
+	is.Equal(len(f.ping(t, protocol.Ping{Sequence: 1}).Servers), 0)
+	f.set(0, false, one, two)
+	is.Equal(f.ping(t, protocol.Ping{Sequence: 2}).Servers, []protocol.Server{one, two})
+	is.Equal(len(f.ping(t, protocol.Ping{Sequence: 3}).Servers), 0)
+}
+
+func TestHubPassesAnnouncementsOn(t *testing.T) {
+	is := is.New(t)
+	f := newHubFixture(t)
+	var welcome protocol.Welcome
+	f.receive(t, protocol.KindWelcome, &welcome)
+	endpoint := distribution.Endpoint{Service: "s", ID: "a", Incarnation: 1, Gate: "10.0.0.1:9"}
+	f.ping(t, protocol.Ping{Sequence: 1, Announcements: []distribution.Endpoint{endpoint}})
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	is.Equal(f.announced, []distribution.Endpoint{endpoint})
+}
+
+// A client keeps the server it is at when the list changes, and knows the new ones.
+func TestOfferedCandidatesKeepWhatIsThoughtOfThem(t *testing.T) {
+	is := is.New(t)
+	config := DefaultSelectorConfig()
+	config.Random = func() float64 { return 0.5 }
+	s := NewSelector(config, []Candidate{{Address: "seed"}})
+	first, _ := s.Next(0)
+	is.Equal(first.Address, "seed")
+	s.Offer([]Candidate{{Address: "far"}, {Address: "near", Near: true}})
+	s.Failed(0, 0) // the seed, which is not among them any more
+	next, _ := s.Next(time.Second)
+	is.Equal(next.Address, "near")
+	s.Failed(time.Second, 0)
+	s.Offer([]Candidate{{Address: "near", Near: true}, {Address: "far"}})
+	next, _ = s.Next(time.Second + 200*time.Millisecond)
+	is.Equal(next.Address, "far") // near is still known to be bad
+}
