--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -210,6 +210,7 @@
 	err     error
 	// refused is set if the gate itself said so, with its report.
 	refused bool
+	report  exchange.Report
 }
 
 func (f *gateFailure) step() string {
@@ -248,14 +249,15 @@
 // readGate tells a back end's answer from a gate's refusal, and makes sure that it is whole
 // and the right one.
 func (g *gatedCall) readGate(ticket *balancer.Ticket, response *http.Response) (*http.Response, *gateFailure) {
-	if report, ok := exchange.ParseReport(response.Header.Get(exchange.HeaderReport)); ok {
+	report, reported := exchange.ParseReport(response.Header.Get(exchange.HeaderReport))
+	if reported {
 		ticket.ReportGate(g.now(), report)
 	}
 	if outcome := response.Header.Get(exchange.HeaderOutcome); outcome != "" {
 		response.Body.Close()
 		return nil, &gateFailure{
 			reason: exchange.Reason(response.Header.Get(exchange.HeaderReason)), outcome: Outcome(outcome),
-			peer: ticket.Address, refused: true,
+			peer: ticket.Address, refused: true, report: report,
 		}
 	}
 	name := g.handler.config.Headers.RequestID
@@ -407,7 +409,7 @@
 	now := g.now()
 	g.handler.config.OnAttempt(Attempt{
 		RequestID: g.request.Header.Get(g.handler.config.Headers.RequestID), Route: g.route.Name, Service: g.target,
-		Instance: ticket.ID, Number: g.tries, Reason: failure.reason, Err: failure.err,
+		Instance: ticket.ID, Number: g.tries, Reason: failure.reason, Err: failure.err, Report: failure.report,
 		Wait: wait, Elapsed: now - began, Left: g.deadline - now, Retried: again,
 	})
 }
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -81,7 +81,8 @@
 	}
 	o.logger.Log("event", "attempt_failed", "request", a.RequestID, "route", a.Route, "service", a.Service,
 		"instance", a.Instance, "try", a.Number, "reason", string(a.Reason), "error", a.Err,
-		"wait", a.Wait, "took", a.Elapsed.Round(time.Microsecond), "left", a.Left.Round(time.Millisecond), "again", a.Retried)
+		"running", a.Report.Running, "queued", a.Report.Queued, "capacity", a.Report.Capacity,
+		"wait", a.Wait.Round(time.Microsecond), "took", a.Elapsed.Round(time.Microsecond), "left", a.Left.Round(time.Millisecond), "again", a.Retried)
 }
 
 // gateCall takes in a call at the gate.
