--- a/pkg/sim/control.go
+++ b/pkg/sim/control.go
@@ -42,6 +42,8 @@
 
 	confirmedAt time.Duration
 	confirmed   bool
+	// leftForGood is set once another machine has taken this one's place.
+	leftForGood bool
 	waiting     map[replica.ProposalID]func(replica.Completion)
 	proposal    replica.ProposalID
 	// traced is the last line of the trace about the replica's state.
@@ -54,7 +56,7 @@
 
 // start runs the replica on what its disk holds; an empty disk joins as a new one.
 func (c *control) start() {
-	if c.alive {
+	if c.alive || c.leftForGood {
 		return
 	}
 	c.begin()
--- a/pkg/sim/faults_grown.go
+++ b/pkg/sim/faults_grown.go
@@ -34,6 +34,7 @@
 	index := c.world.random.IntN(len(c.controls))
 	gone := c.controls[index]
 	gone.kill()
+	gone.leftForGood = true
 	successor := c.newControl(index)
 	c.world.log("%s is gone for good, %s comes in its place", gone.name, successor.name)
 	c.controls[index] = successor
