--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -117,7 +117,12 @@
 	return nil
 }
 
-// subset picks the node's share of a large service by rendezvous hashing.
+// localSubset is how many of them are of the node's own zone, if there are as many.
+const localSubset = 16
+
+// subset picks the node's share of a large service by rendezvous hashing: first those of
+// its own zone up to localSubset, then those of others, so that a zone which fails leaves
+// enough.
 func (p *Pool) subset(all []routing.Endpoint) []routing.Endpoint {
 	if len(all) <= subsetSize {
 		return all
@@ -130,7 +135,15 @@
 		}
 		return uintCompare(rank(a), rank(b))
 	})
-	return sorted[:subsetSize]
+	var chosen, rest []routing.Endpoint
+	for _, e := range sorted {
+		if e.Zone == p.config.Zone && len(chosen) < localSubset {
+			chosen = append(chosen, e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	return append(chosen, rest[:subsetSize-len(chosen)]...)
 }
 
 func boolCompare(a, b bool) int {
--- /dev/null
+++ b/pkg/balancer/subset_test.go
@@ -0,0 +1,41 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"bramblelift/pkg/routing"
+
+	"github.com/matryer/is"
+)
+
+// A node of a large service keeps back ends of its own zone, and of others in case that
+// zone fails.
+func TestSubsetHoldsTheOwnZoneFirst(t *testing.T) {
+	is := is.New(t)
+	for zoneSize, wantLocal := range map[int]int{3: 3, 11: 11, 40: localSubset} {
+		service := routing.Service{Name: "s"}
+		for zone := range 4 {
+			for i := range zoneSize {
+				service.Endpoints = append(service.Endpoints, routing.Endpoint{
+					ID: fmt.Sprintf("z%d-%d", zone, i), Incarnation: 1, Zone: fmt.Sprintf("z%d", zone), Gate: "10.0.0.1:1"})
+			}
+		}
+		used := map[string]int{}
+		for node := range 40 {
+			p := NewPool(Config{Node: fmt.Sprintf("n%d", node), Zone: "z1", Random: rand.New(rand.NewPCG(1, 2)).IntN})
+			p.Update(0, service)
+			local := 0
+			for _, e := range p.endpoints {
+				used[e.target.ID]++
+				if !e.remote {
+					local++
+				}
+			}
+			is.Equal(local, wantLocal)
+			is.Equal(len(p.endpoints), min(subsetSize, 4*zoneSize))
+		}
+		is.True(len(used) > 3*zoneSize) // all nodes together use nearly everybody
+	}
+}
