Read over: one builder of outgoing requests, one copy of answers, what nothing used

exchange.NewOutgoing serves the gate and the calls through gates, which built the same request; exchange.CopyBody also serves calls without gates, in place of a flushWriter and two wrappers that stood twice. Out: Body.Whole and the setting headers.instance, which nothing read. Callers and back ends see the same; assertions of the tests are as they were (one drops the setting's name from its set-up). The direct path keeps its own builder: it passes the retry mark on.

--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -45,9 +45,6 @@
 	return &Body{data: data, rest: rest}, nil
 }
 
-// Whole reports whether the body is held whole.
-func (b *Body) Whole() bool { return b.rest == nil }
-
 // Repeatable reports whether the body can be sent once more.
 func (b *Body) Repeatable() bool { return b.rest == nil || !b.read }
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -128,7 +128,8 @@
 		c.writer.Header().Add("Trailer", name)
 	}
 	c.writer.WriteHeader(response.StatusCode)
-	err := c.finishCopy(response)
+	// A body that breaks off must reach the caller as an error: the connection is aborted.
+	err := exchange.CopyBody(c.writer, response)
 	if err != nil {
 		outcome := balancer.Failed
 		if c.request.Context().Err() != nil || ctx.Err() != nil {
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -280,24 +279,11 @@
 func (g *gatedCall) outgoingGate(ticket *balancer.Ticket, wait time.Duration) *http.Request {
 	incoming := g.request
 	headers := g.handler.config.Headers
-	request := &http.Request{
-		Method: incoming.Method, Host: incoming.Host, Header: make(http.Header, len(incoming.Header)+6),
-		URL: &url.URL{
-			Scheme: "http", Host: ticket.Address, Path: incoming.URL.Path,
-			RawPath: incoming.URL.RawPath, RawQuery: incoming.URL.RawQuery, ForceQuery: incoming.URL.ForceQuery,
-		},
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	exchange.Copy(request.Header, incoming.Header)
+	request := exchange.NewOutgoing(incoming, ticket.Address)
 	id := incoming.Header[http.CanonicalHeaderKey(headers.RequestID)]
-	exchange.RemoveHop(request.Header)
-	exchange.RemoveInternal(request.Header)
 	if headers.RequestID != "" && id != nil {
 		request.Header[http.CanonicalHeaderKey(headers.RequestID)] = id
 	}
-	if _, set := request.Header["User-Agent"]; !set {
-		request.Header["User-Agent"] = nil
-	}
 	exchange.SetMillis(request.Header, headers.Deadline, max(time.Millisecond, g.deadline-g.now()))
 	request.Header.Set(headers.ExpectedInstance, ticket.ID)
 	request.Header.Set(headers.Caller, g.handler.config.Service)
@@ -309,7 +295,6 @@
 	work, _ := g.handler.work.of(g.route.Name)
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(work.Microseconds(), 10))
 	g.body.Attach(request, incoming.ContentLength)
-	request.Header.Del("Expect")
 	if g.body.Size() > largeBody {
 		request.Header.Set("Expect", "100-continue")
 	}
--- a/pkg/forward/gated_test.go
+++ b/pkg/forward/gated_test.go
@@ -23,7 +23,7 @@
 )
 
 var gatedHeaders = settings.Headers{
-	RequestID: "Call-Id", Deadline: "Left-Ms", ExpectedInstance: "Want", Caller: "From", NotRun: "Not-Run", Instance: "Instance",
+	RequestID: "Call-Id", Deadline: "Left-Ms", ExpectedInstance: "Want", Caller: "From", NotRun: "Not-Run",
 }
 
 // gatedNode is a node whose service stands behind the given gates.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -28,7 +27,6 @@
 	// end, whatever the number of attempts; it must stay small against any deadline.
 	maxPatience      = 100 * time.Millisecond
 	patienceShare    = 8
-	copyBufferSize   = 32 << 10
 	dialTimeout      = time.Second
 	idleTimeout      = 30 * time.Second
 	saturatedRetry   = time.Second
@@ -112,12 +110,11 @@
 
 // Handler forwards calls by the newest table. It is an http.Handler.
 type Handler struct {
-	config  Config
-	view    atomic.Pointer[view]
-	mutex   sync.Mutex
-	buffers sync.Pool
-	gates   *http.Transport
-	work    *workTimes
+	config Config
+	view   atomic.Pointer[view]
+	mutex  sync.Mutex
+	gates  *http.Transport
+	work   *workTimes
 }
 
 // New returns a handler that refuses every call until SetTable.
@@ -126,10 +123,6 @@
 		config.Headers.Deadline = exchange.HeaderTimeout
 	}
 	h := &Handler{config: config, gates: newGateTransport(), work: newWorkTimes()}
-	h.buffers.New = func() any {
-		buffer := make([]byte, copyBufferSize)
-		return &buffer
-	}
 	return h
 }
 
@@ -398,32 +391,3 @@
 	}
 	return c.service.budget.Withdraw(c.handler.config.Now())
 }
-
-// finishCopy copies the answer's body. A body that breaks off must reach the caller as
-// an error: the connection is aborted.
-func (c *call) finishCopy(response *http.Response) error {
-	buffer := c.handler.buffers.Get().(*[]byte)
-	defer c.handler.buffers.Put(buffer)
-	target := io.Writer(c.writer)
-	if response.ContentLength < 0 {
-		target = flushWriter{c.writer}
-	}
-	_, err := io.CopyBuffer(onlyWriter{target}, onlyReader{response.Body}, *buffer)
-	return err
-}
-
-// onlyWriter and onlyReader hide other methods, so that the copy uses the buffer.
-type onlyWriter struct{ io.Writer }
-type onlyReader struct{ io.Reader }
-
-// flushWriter passes each piece of a streamed answer on at once.
-type flushWriter struct{ http.ResponseWriter }
-
-// Write implements io.Writer.
-func (f flushWriter) Write(data []byte) (int, error) {
-	written, err := f.ResponseWriter.Write(data)
-	if err == nil {
-		err = http.NewResponseController(f.ResponseWriter).Flush()
-	}
-	return written, err
-}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -232,22 +231,7 @@
 }
 
 func (g *Gate) outgoing(ctx context.Context, r *http.Request, granted admittance, wanted request) *http.Request {
-	request := &http.Request{
-		Method: r.Method, Host: r.Host, Header: make(http.Header, len(r.Header)+1),
-		URL: &url.URL{
-			Scheme: "http", Host: granted.backend.Address, Path: r.URL.Path,
-			RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
-		},
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	exchange.Copy(request.Header, r.Header)
-	exchange.RemoveHop(request.Header)
-	exchange.RemoveInternal(request.Header)
-	request.Header.Del("Expect")
-	if _, set := request.Header["User-Agent"]; !set {
-		// An explicit nil keeps the transport from adding its own.
-		request.Header["User-Agent"] = nil
-	}
+	request := exchange.NewOutgoing(r, granted.backend.Address)
 	left := max(time.Millisecond, wanted.deadline-g.config.Now())
 	exchange.SetMillis(request.Header, g.config.Headers.Deadline, left)
 	return request.WithContext(ctx)
--- a/pkg/settings/dataplane.go
+++ b/pkg/settings/dataplane.go
@@ -9,7 +9,6 @@
 	defaultRetryRatio     = 0.1
 	defaultDeadlineHeader = "Request-Timeout-Ms"
 	defaultExpectedHeader = "Request-Expected-Instance"
-	defaultInstanceHeader = "Backend-Instance"
 	defaultCallerHeader   = "Request-Caller"
 )
 
@@ -21,8 +20,6 @@
 	Deadline string `toml:"deadline,omitempty"`
 	// ExpectedInstance names the back end that may run the call.
 	ExpectedInstance string `toml:"expected_instance,omitempty"`
-	// Instance names the back end that answered.
-	Instance string `toml:"instance,omitempty"`
 	// Caller names the service that calls.
 	Caller string `toml:"caller,omitempty"`
 	// NotRun, with any value, is a back end's word that it has not begun the call.
@@ -44,7 +41,6 @@
 	}
 	setText(&x.Headers.Deadline, defaultDeadlineHeader)
 	setText(&x.Headers.ExpectedInstance, defaultExpectedHeader)
-	setText(&x.Headers.Instance, defaultInstanceHeader)
 	setText(&x.Headers.Caller, defaultCallerHeader)
 	if x.Retries.Ratio < 0 || x.Retries.Ratio > 1 {
 		p.add("retries.ratio", "must be from 0 to 1")
