Failing back ends are noticed at their gates, and server errors of safe calls are made good

Change: a gate keeps the share of calls that its back end failed lately (server errors, declines below capacity, broken exchanges, no answer in a call's whole time; it forgets within seconds) and tells it with its report; nodes add the risk to the score, less where the call may be repeated, and leave the own zone for it. An error says nothing of the service time. A safe call that got a server error is sent to another back end if its attempts and the budget allow; if that brings no answer, the first one is passed on unchanged.

Ruled out: leaving failing back ends out altogether: under overload half of their calls are still worth having, and the risk in the score decides by load.

Tests, seen red on the code before: TestServerErrorsOfSafeCallsAreMadeGood (3 of 6 cases).

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,14 @@
 	scoreJitter = 0.15
 	// reportMemory is after how long a report says nothing of the load any more.
 	reportMemory = 500 * time.Millisecond
+	// failureCost is what a certain failure of the call adds to a score, in service times
+	// of the fastest back end: one that may be repeated costs another attempt, any other is
+	// lost to its caller.
+	failureCost         = 20.0
+	failureCostRepeated = 6.0
+	// failingMemory is after how long a report of failures counts half: a back end that
+	// gets no calls for them must be tried again.
+	failingMemory = 2 * time.Second
 	// assumedCapacity is used until a gate or the endpoint tells.
 	assumedCapacity = 8
 )
@@ -52,6 +61,16 @@
 	AskLocal bool
 	// Patience is for how long it may wait where nobody takes it at once.
 	Patience time.Duration
+	// Repeatable is set if another back end may run the call after one that failed.
+	Repeatable bool
+}
+
+// failureCost is what a certain failure of the call adds to a score, in service times.
+func (r GateRequest) failureCost() float64 {
+	if r.Repeatable {
+		return failureCostRepeated
+	}
+	return failureCost
 }
 
 // AcquireGate picks a gate: one of the own zone if the call will not wait there for longer
@@ -64,14 +83,12 @@
 	if len(candidates) == 0 {
 		return nil, 0, ErrNoEndpoint
 	}
-	fastest := fastestService(candidates)
-	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool {
-		return e.remote || (!r.AskLocal && e.gateWait(now) > r.LocalWait)
-	})
+	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
+	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return !r.staysLocal(e, rating) })
 	wait := r.LocalWait
-	best := p.bestGate(local, now, fastest)
+	best := p.bestGate(local, rating)
 	if best == nil {
-		best = p.bestGate(candidates, now, fastest)
+		best = p.bestGate(candidates, rating)
 		wait = 0
 		if best.gateLoad(now) >= best.gateCapacity() {
 			wait = r.Patience
@@ -86,11 +103,11 @@
 }
 
 // bestGate returns the candidate of the least score, nil if there is none.
-func (p *Pool) bestGate(candidates []*endpoint, now, fastest time.Duration) *endpoint {
+func (p *Pool) bestGate(candidates []*endpoint, rating gateRating) *endpoint {
 	var best *endpoint
 	bestScore := 0.0
 	for _, e := range candidates {
-		score := e.gateScore(now, fastest) * (1 + scoreJitter*float64(p.config.Random(1000))/1000)
+		score := e.gateScore(rating) * (1 + scoreJitter*float64(p.config.Random(1000))/1000)
 		if best == nil || score < bestScore {
 			best, bestScore = e, score
 		}
@@ -152,8 +169,44 @@
 	return max(e.inFlight, e.gate.report.Running+e.gate.report.Queued+e.gate.sent)
 }
 
-// gateScore is about how long a call takes at the gate, with its wait; less is better.
-func (e *endpoint) gateScore(now, fastest time.Duration) float64 {
+// gateRating is what all gates are rated by for one call.
+type gateRating struct {
+	now time.Duration
+	// fastest is the least service time of the candidates.
+	fastest     time.Duration
+	failureCost float64
+}
+
+// staysLocal reports whether a back end is of the node's own zone and good enough to be
+// preferred for it.
+func (r GateRequest) staysLocal(e *endpoint, rating gateRating) bool {
+	if e.remote {
+		return false
+	}
+	risk := e.failureRisk(rating)
+	if risk > remoteShare*float64(rating.fastest) && risk > float64(r.LocalWait) {
+		return false
+	}
+	return r.AskLocal || e.gateWait(rating.now) <= r.LocalWait
+}
+
+// failureRisk is what the back end's failures add to its score.
+func (e *endpoint) failureRisk(rating gateRating) float64 {
+	return e.failing(rating.now) * rating.failureCost * float64(rating.fastest)
+}
+
+// failing is the share of calls that the back end is expected to fail.
+func (e *endpoint) failing(now time.Duration) float64 {
+	if e.gate.report.Failing == 0 {
+		return 0
+	}
+	return e.gate.report.Failing * math.Exp2(-float64(now-e.gate.at)/float64(failingMemory))
+}
+
+// gateScore is about how long a call takes at the gate, with its wait and what its failure
+// would cost; less is better.
+func (e *endpoint) gateScore(rating gateRating) float64 {
+	now, fastest := rating.now, rating.fastest
 	service := float64(e.gate.report.Service)
 	if service == 0 {
 		service = max(1, float64(fastest))
@@ -163,6 +216,7 @@
 	if e.remote {
 		score += remoteShare * float64(fastest)
 	}
+	score += e.failureRisk(rating)
 	return score / e.weight(now)
 }
 
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -36,6 +36,9 @@
 	HeaderExpectedWork = "Gate-Expected-Work-Us"
 	// HeaderReport is a gate's Report.
 	HeaderReport = "Gate-Report"
+	// HeaderFailing is the Failing of a gate's Report in thousandths, if it is not 0. Nodes
+	// that do not know it read the rest of the report.
+	HeaderFailing = "Gate-Failing"
 	// HeaderWork is how many microseconds a call took at the back end.
 	HeaderWork = "Gate-Work-Us"
 	// HeaderReason is why a gate refused, one of the Reason constants.
@@ -44,7 +47,8 @@
 
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
-	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderReason, HeaderWork, HeaderExpectedWork, HeaderEarly,
+	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
+	HeaderExpectedWork, HeaderEarly,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
@@ -84,10 +88,14 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonBroken: the exchange with the back end broke.
 	ReasonBroken Reason = "broken"
+	// ReasonServerError: the back end answered that it failed.
+	ReasonServerError Reason = "server-error"
 )
 
 // Reached reports whether the back end may have received the call.
-func (r Reason) Reached() bool { return r == ReasonDeclined || r == ReasonBroken }
+func (r Reason) Reached() bool {
+	return r == ReasonDeclined || r == ReasonBroken || r == ReasonServerError
+}
 
 // Report is what a gate says of its back end with each answer.
 type Report struct {
@@ -98,6 +106,34 @@
 	Capacity int
 	// Service is how long a call takes there, smoothed.
 	Service time.Duration
+	// Failing is the share of the latest calls that the back end failed, from 0 to 1.
+	Failing float64
+}
+
+const thousandths = 1000
+
+// Set writes the report into the headers of an answer.
+func (r Report) Set(header http.Header) {
+	header.Set(HeaderReport, r.String())
+	if failing := int(r.Failing * thousandths); failing > 0 {
+		header.Set(HeaderFailing, strconv.Itoa(failing))
+	}
+}
+
+// ReadReport reads what Set wrote, false if there is no report.
+func ReadReport(header http.Header) (Report, bool) {
+	report, ok := ParseReport(header.Get(HeaderReport))
+	failing, err := strconv.ParseUint(header.Get(HeaderFailing), 10, 16)
+	if ok && err == nil {
+		report.Failing = min(1, float64(failing)/thousandths)
+	}
+	return report, ok
+}
+
+// ServerFailed reports whether a back end's status says that it failed the call, which
+// another might not. A gateway timeout says that the time was up, whoever took it.
+func ServerFailed(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout && status != http.StatusNotImplemented
 }
 
 // String returns the report as HeaderReport carries it.
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -70,11 +70,13 @@
 type wholeBody struct {
 	io.Reader
 	io.Closer
+	// whole is set if all of it was read.
+	whole bool
 }
 
 func newWholeBody(data []byte, rest io.Reader, closer io.Closer) io.ReadCloser {
 	if rest == nil {
-		return wholeBody{bytes.NewReader(data), closer}
+		return wholeBody{bytes.NewReader(data), closer, true}
 	}
-	return wholeBody{io.MultiReader(bytes.NewReader(data), rest), closer}
+	return wholeBody{io.MultiReader(bytes.NewReader(data), rest), closer, false}
 }
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -88,6 +88,8 @@
 	last exchange.Reason
 	// lastChance is set once the call was let wait at a gate after others were full.
 	lastChance bool
+	// held is a back end's failure that another attempt may yet make good, nil for none.
+	held *http.Response
 }
 
 // serveThroughGates answers a call of a service whose back ends stand behind gates.
@@ -134,6 +136,10 @@
 	response, failure := g.exchange(ctx, ticket, wait)
 	if failure == nil {
 		g.attempts++
+		if exchange.ServerFailed(response.StatusCode) && g.mayMakeGood(ctx, ticket, response) {
+			g.tellAttempt(ticket, &gateFailure{reason: exchange.ReasonServerError, peer: ticket.Address}, wait, now, true)
+			return nil, true
+		}
 		g.answer(ticket, response)
 		return nil, false
 	}
@@ -154,7 +160,7 @@
 // choose picks the next gate and how long the call may wait there: not at all while
 // another may have a free slot.
 func (g *gatedCall) choose(now time.Duration) (*balancer.Ticket, time.Duration, error) {
-	request := balancer.GateRequest{LeftOut: g.done, Patience: g.patience(now)}
+	request := balancer.GateRequest{LeftOut: g.done, Patience: g.patience(now), Repeatable: g.safe}
 	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries) {
 		request.LeftOut = append(append([]string(nil), g.done...), g.full...)
 		request.LocalWait = g.localWait(now)
@@ -248,7 +254,7 @@
 // readGate tells a back end's answer from a gate's refusal, and makes sure that it is whole
 // and the right one.
 func (g *gatedCall) readGate(ticket *balancer.Ticket, response *http.Response) (*http.Response, *gateFailure) {
-	report, reported := exchange.ParseReport(response.Header.Get(exchange.HeaderReport))
+	report, reported := exchange.ReadReport(response.Header)
 	if reported {
 		ticket.ReportGate(g.now(), report)
 	}
@@ -346,34 +352,81 @@
 	if failure.outcome != NotRun && !g.safe {
 		return false
 	}
-	limit := g.route.MaxAttempts
-	if limit == 0 {
-		limit = maxAttempts
-	}
-	return g.attempts < limit && g.service.budget.Withdraw(g.now())
+	return g.payRepeat()
 }
 
 // answer passes the back end's answer to the caller.
 func (g *gatedCall) answer(ticket *balancer.Ticket, response *http.Response) {
+	g.dropHeld()
+	work, _ := exchange.ReadMicros(response.Header, exchange.HeaderWork)
+	if err := g.pass(response); err != nil {
+		ticket.Done(g.now(), balancer.Canceled)
+		g.abort()
+	}
+	ticket.Done(g.now(), balancer.Answered)
+	if !exchange.ServerFailed(response.StatusCode) {
+		g.handler.work.note(g.route.Name, work, max(0, int(response.ContentLength)))
+	}
+}
+
+// pass writes an answer to the caller.
+func (g *gatedCall) pass(response *http.Response) error {
 	defer response.Body.Close()
 	g.status = response.StatusCode
-	work, _ := exchange.ReadMicros(response.Header, exchange.HeaderWork)
 	exchange.RemoveHop(response.Header)
 	exchange.RemoveInternal(response.Header)
 	exchange.Copy(g.writer.Header(), response.Header)
 	g.writer.WriteHeader(response.StatusCode)
-	if err := exchange.CopyBody(g.writer, response); err != nil {
-		ticket.Done(g.now(), balancer.Canceled)
-		g.handler.tell(g.call, nil)
-		panic(http.ErrAbortHandler)
+	return exchange.CopyBody(g.writer, response)
+}
+
+// abort ends the caller's connection: its answer could not be passed on whole.
+func (g *gatedCall) abort() {
+	g.handler.tell(g.call, nil)
+	panic(http.ErrAbortHandler)
+}
+
+// mayMakeGood decides whether another back end is asked after one that answered with a
+// failure, and keeps that answer in case none does better.
+func (g *gatedCall) mayMakeGood(ctx context.Context, ticket *balancer.Ticket, response *http.Response) bool {
+	body, _ := response.Body.(wholeBody)
+	if !body.whole || !g.safe || g.tries >= maxGateTries || !g.body.Repeatable() || ctx.Err() != nil || !g.payRepeat() {
+		return false
 	}
+	g.dropHeld()
+	g.record.Note(Unknown)
+	g.held = response
+	g.done = ticket.LeftOut(g.done)
 	ticket.Done(g.now(), balancer.Answered)
-	g.handler.work.note(g.route.Name, work, max(0, int(response.ContentLength)))
+	return true
+}
+
+// payRepeat draws one more arrival at a back end from the route's attempts and the budget.
+func (g *gatedCall) payRepeat() bool {
+	limit := g.route.MaxAttempts
+	if limit == 0 {
+		limit = maxAttempts
+	}
+	return g.attempts < limit && g.service.budget.Withdraw(g.now())
+}
+
+func (g *gatedCall) dropHeld() {
+	if g.held != nil {
+		g.held.Body.Close()
+	}
+	g.held = nil
 }
 
-// giveUp makes the final answer. It says that the call has not run only if that is known
-// of every attempt, and then when to come back.
+// giveUp makes the final answer: a back end's failure that was held, if there is one. It
+// says that the call has not run only if that is known of every attempt, and then when to
+// come back.
 func (g *gatedCall) giveUp(step, reason string) *Refusal {
+	if g.held != nil {
+		if err := g.pass(g.held); err != nil {
+			g.abort()
+		}
+		return nil
+	}
 	refusal := &Refusal{Outcome: g.record.Refusal(), Step: step, Reason: reason, Status: http.StatusServiceUnavailable, Fractions: true}
 	left := g.deadline - g.now()
 	if refusal.Outcome != NotRun {
--- a/pkg/forward/gated_test.go
+++ b/pkg/forward/gated_test.go
@@ -255,3 +255,52 @@
 	is.Equal(outcome(response), string(NotRun))
 	is.Equal(n.call(t, "GET", "/safe/x", "", "Left-Ms", "50").StatusCode, http.StatusOK)
 }
+
+func failing(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "failed")
+}
+
+// A back end's failure is made good elsewhere where the call may run again and the budget
+// pays; otherwise the caller gets that answer, unchanged.
+func TestServerErrorsOfSafeCallsAreMadeGood(t *testing.T) {
+	for _, c := range []struct {
+		name, path   string
+		repeats      float64
+		second       http.HandlerFunc
+		status, runs int
+		body         string
+	}{
+		{"safe", "/safe/x", 10, serving, http.StatusOK, 2, "served"},
+		{"unsafe", "/unsafe/x", 10, serving, http.StatusInternalServerError, 1, "failed"},
+		{"budget spent", "/safe/x", 0, serving, http.StatusInternalServerError, 1, "failed"},
+		{"both fail", "/safe/x", 10, failing, http.StatusInternalServerError, 2, "failed"},
+		{"the other is full", "/safe/x", 10, refusing(exchange.ReasonFull, NotRun), http.StatusInternalServerError, 2, "failed"},
+		{"the other breaks", "/safe/x", 10, refusing(exchange.ReasonBroken, Unknown), http.StatusInternalServerError, 2, "failed"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var asked atomic.Int64
+			first := func(w http.ResponseWriter, r *http.Request) {
+				if asked.Add(1) == 1 {
+					failing(w, r)
+					return
+				}
+				c.second(w, r)
+			}
+			a, _ := standInGate(t, first)
+			b, _ := standInGate(t, first)
+			n := newGatedNode(t, c.repeats, a, b)
+			response := n.call(t, "GET", c.path, "")
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, c.status)
+			is.Equal(string(body), c.body)
+			is.Equal(response.Header.Get(exchange.HeaderOutcome), "")
+			if c.name != "the other is full" { // a full gate may be asked twice
+				is.Equal(int(asked.Load()), c.runs)
+			}
+		})
+	}
+}
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -42,7 +42,7 @@
 	g.left = g.backend.ID
 	g.backend, g.present = backend, true
 	g.generation++
-	g.running, g.service, g.downUntil = 0, 0, 0
+	g.running, g.service, g.health, g.downUntil = 0, 0, health{}, 0
 	g.dropWaiting()
 }
 
@@ -198,7 +198,7 @@
 	if ctx.Err() == nil {
 		return w.granted, ""
 	}
-	g.release(w.granted, 0)
+	g.release(w.granted, ending{})
 	return admittance{}, reason
 }
 
@@ -210,20 +210,38 @@
 	return time.Duration(hopeMargin*float64(g.expectedWait(w))) <= left
 }
 
-// release gives a slot back, and to the next waiter. service is how long the call took,
-// zero if that says nothing.
-func (g *Gate) release(a admittance, service time.Duration) {
+// ending is what the end of a call says of the back end.
+type ending struct {
+	// service is how long the call took, zero if that says nothing.
+	service time.Duration
+	failed  bool
+}
+
+// hung reports whether a call that ended without an answer had its whole time, and enough
+// of it at the back end, so that it was the back end that did not answer.
+func (g *Gate) hung(a admittance, deadline time.Duration) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.config.Now()
+	return now >= deadline && now-a.at >= hangServices*g.serviceTime()
+}
+
+// release gives a slot back, and to the next waiter.
+func (g *Gate) release(a admittance, end ending) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if a.generation != g.generation {
 		return
 	}
 	g.running--
-	if service > 0 {
+	if end.failed || end.service > 0 {
+		g.health.note(g.config.Now(), end.failed)
+	}
+	if end.service > 0 {
 		if g.service == 0 {
-			g.service = service
+			g.service = end.service
 		}
-		g.service += time.Duration(serviceWeight * float64(service-g.service))
+		g.service += time.Duration(serviceWeight * float64(end.service-g.service))
 	}
 	for g.running < g.backend.Capacity {
 		w := g.queue.first()
@@ -248,5 +266,8 @@
 func (g *Gate) Report() exchange.Report {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return exchange.Report{Running: g.running, Queued: len(g.queue), Capacity: max(1, g.backend.Capacity), Service: g.service}
+	return exchange.Report{
+		Running: g.running, Queued: len(g.queue), Capacity: max(1, g.backend.Capacity),
+		Service: g.service, Failing: g.health.failing(g.config.Now()),
+	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -70,6 +70,7 @@
 	running    int
 	queue      waitQueue
 	service    time.Duration
+	health     health
 	downUntil  time.Duration
 }
 
@@ -156,7 +157,8 @@
 	if err == nil && g.declined(response) {
 		response.Body.Close()
 		cancel()
-		g.release(granted, 0)
+		// The gate sends no more calls than the back end works on: it has no cause to decline.
+		g.release(granted, ending{failed: true})
 		call.Reason, call.Status = exchange.ReasonDeclined, response.StatusCode
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
@@ -166,7 +168,7 @@
 	call.Service = g.config.Now() - granted.at
 	if err != nil {
 		cancel()
-		return g.failed(call, granted, connected.Load(), r.Context(), err)
+		return g.failed(call, granted, connected.Load(), r.Context(), wanted.deadline, err)
 	}
 	return g.answer(response, granted, call, cancel)
 }
@@ -174,11 +176,16 @@
 // answer hands out an answer of the back end. One that is not held whole keeps its slot
 // until its body is closed.
 func (g *Gate) answer(response *http.Response, granted admittance, call *Call, cancel context.CancelFunc) *http.Response {
+	call.Status = response.StatusCode
+	end := ending{service: call.Service}
+	if exchange.ServerFailed(call.Status) {
+		// How soon an error came says nothing of how long the work takes.
+		end = ending{failed: true}
+	}
 	finish := func() {
 		cancel()
-		g.release(granted, call.Service)
+		g.release(granted, end)
 	}
-	call.Status = response.StatusCode
 	exchange.RemoveHop(response.Header)
 	exchange.RemoveInternal(response.Header)
 	if held, whole := response.Body.(heldBody); whole {
@@ -188,7 +195,7 @@
 		response.Body = &closingBody{ReadCloser: response.Body, finish: sync.OnceFunc(finish)}
 	}
 	call.Report = g.Report()
-	response.Header.Set(exchange.HeaderReport, call.Report.String())
+	call.Report.Set(response.Header)
 	response.Header.Set(exchange.HeaderWork, strconv.FormatInt(call.Service.Microseconds(), 10))
 	g.tell(call)
 	return response
@@ -196,16 +203,17 @@
 
 // failed classifies an error. Only if no connection was ever had is it certain that the
 // back end has seen nothing.
-func (g *Gate) failed(call *Call, granted admittance, connected bool, ctx context.Context, err error) *http.Response {
-	g.release(granted, 0)
+func (g *Gate) failed(call *Call, granted admittance, connected bool, ctx context.Context, deadline time.Duration, err error) *http.Response {
 	call.Err = err
 	if !connected {
+		g.release(granted, ending{})
 		call.Reason = exchange.ReasonUnreachable
 		if ctx.Err() == nil {
 			g.markDown(granted)
 		}
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
+	g.release(granted, ending{failed: ctx.Err() == nil || g.hung(granted, deadline)})
 	call.Reason = exchange.ReasonBroken
 	return g.refuse(call, http.StatusBadGateway, exchange.Unknown)
 }
@@ -243,7 +251,7 @@
 	header := http.Header{}
 	header.Set(exchange.HeaderOutcome, string(outcome))
 	header.Set(exchange.HeaderReason, string(call.Reason))
-	header.Set(exchange.HeaderReport, call.Report.String())
+	call.Report.Set(header)
 	header.Set("Content-Length", "0")
 	g.tell(call)
 	return &http.Response{StatusCode: status, Header: header, Body: http.NoBody, ContentLength: 0}
