A replica that asked for votes too early asks again within two heartbeats

Change: while a replica is a pre-candidate it asks again after one to two heartbeat intervals. A pre-vote changes nothing durable, and a replica that hears a leader answers no.

Ruled out: a shorter election timeout (leases and slow processors depend on it); no vote barrier at the start (a replica may have acknowledged a lease just before it stopped).

Test: TestPreCandidateAsksAgainSoon, red before (some of 50 seeds without a leader 0.6 s after the cut healed).

--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -24,8 +24,12 @@
 
 // startPreVote asks the others whether an election could be won. Nothing durable
 // changes, so a replica that was cut off does not disturb a working leader.
+//
+// It asks again soon, long before an election timeout: those who are asked may be about to
+// start, or just not yet allowed to vote.
 func (n *Node) startPreVote(now time.Duration) {
-	n.resetElectionDeadline(now)
+	jitter := time.Duration(n.config.Random(int64(n.config.HeartbeatInterval)))
+	n.electionDeadline = now + n.config.HeartbeatInterval + jitter
 	n.role = PreCandidate
 	n.leader = 0
 	n.votes = map[ReplicaID]bool{n.config.ID: true}
--- a/pkg/raft/raft_test.go
+++ b/pkg/raft/raft_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -159,3 +160,21 @@
 	is.Equal(len(kept), 0) // a new durable log needs only what follows the snapshot
 	is.True(leader.Compact(snapshot) != nil)
 }
+
+// Replicas that come back one after the other must not wait out whole election timeouts: one
+// that asked for votes before anybody could give them asks again soon.
+func TestPreCandidateAsksAgainSoon(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(50) {
+		n := newTestNetwork(t, 3)
+		n.random = rand.New(rand.NewPCG(seed, 1))
+		for id, node := range n.nodes {
+			n.start(id, State{Snapshot: node.log.snapshot})
+		}
+		n.cut = map[ReplicaID]bool{1: true, 2: true, 3: true}
+		n.run(2*testElection + testHeartbeat) // all have asked, and nobody heard them
+		n.cut = nil
+		n.run(3 * testHeartbeat)
+		is.True(n.leader() != nil)
+	}
+}
