--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -18,10 +18,12 @@
 
 // Bounds of the service.
 const (
-	headerTimeout   = 5 * time.Second
-	requestTimeout  = 30 * time.Second
-	maxHeaderBytes  = 64 << 10
-	shutdownTimeout = 5 * time.Second
+	headerTimeout  = 5 * time.Second
+	requestTimeout = 30 * time.Second
+	maxHeaderBytes = 64 << 10
+	// shutdownTimeout is short: nobody waits for an answer that is worth holding up the
+	// end of the process for.
+	shutdownTimeout = 200 * time.Millisecond
 )
 
 // Service is the HTTP service of one daemon.
@@ -29,7 +31,8 @@
 	App      *iris.Application
 	Registry *prometheus.Registry
 	server   *http.Server
-	listener net.Listener
+	// listeners are where it answers, the administration's own address first.
+	listeners []net.Listener
 }
 
 // Options fill the service.
@@ -38,19 +41,22 @@
 	Status func() any
 	// Ready reports whether the daemon can do its job, and if not why.
 	Ready func() error
+	// MetricsListen is a further address at which the service answers, for a collector
+	// that does not reach the first; empty for none.
+	MetricsListen string
 }
 
 // Listen opens the service; Serve runs it.
 func Listen(address string, options Options) (*Service, error) {
-	listener, err := net.Listen("tcp", address)
+	listeners, err := listenAll(address, options.MetricsListen)
 	if err != nil {
-		return nil, fmt.Errorf("listen for administration: %w", err)
+		return nil, err
 	}
 	app := iris.New().Configure(iris.WithoutStartupLog, iris.WithoutServerError(iris.ErrServerClosed))
 	app.Logger().SetLevel("disable")
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	s := &Service{App: app, Registry: registry, listener: listener}
+	s := &Service{App: app, Registry: registry, listeners: listeners}
 	app.Get("/live", func(ctx iris.Context) { _, _ = ctx.WriteString("live\n") })
 	app.Get("/ready", func(ctx iris.Context) { answerReady(ctx, options.Ready) })
 	app.Get("/status", func(ctx iris.Context) { _ = ctx.JSON(options.Status()) })
@@ -58,6 +64,25 @@
 	return s, nil
 }
 
+// listenAll opens the addresses that are set: all of them or none.
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	var opened []net.Listener
+	for _, address := range addresses {
+		if address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, other := range opened {
+				other.Close()
+			}
+			return nil, fmt.Errorf("listen for administration: %w", err)
+		}
+		opened = append(opened, l)
+	}
+	return opened, nil
+}
+
 func answerReady(ctx iris.Context, ready func() error) {
 	if err := ready(); err != nil {
 		ctx.StatusCode(http.StatusServiceUnavailable)
@@ -68,7 +93,7 @@
 }
 
 // Address returns where the service listens.
-func (s *Service) Address() string { return s.listener.Addr().String() }
+func (s *Service) Address() string { return s.listeners[0].Addr().String() }
 
 // Serve answers until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
@@ -86,7 +111,11 @@
 		defer cancel()
 		_ = s.server.Shutdown(limited)
 	})
-	err := s.server.Serve(s.listener)
+	ended := make(chan error, len(s.listeners))
+	for _, l := range s.listeners {
+		go func() { ended <- s.server.Serve(l) }()
+	}
+	err := <-ended
 	if !stop() {
 		<-stopped
 	}
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -127,7 +127,7 @@
 	if s.listener, err = wire.Listen(config.Listen); err != nil {
 		return nil, fmt.Errorf("listen for replicas and relays: %w", err)
 	}
-	s.admin, err = admin.Listen(config.AdminListen, admin.Options{Status: s.localStatus, Ready: s.ready})
+	s.admin, err = admin.Listen(config.AdminListen, admin.Options{Status: s.localStatus, Ready: s.ready, MetricsListen: config.MetricsListen})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -85,7 +85,7 @@
 	if s.listener, err = net.Listen("tcp", config.Listen); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	s.admin, err = admin.Listen(config.AdminListen, admin.Options{Status: s.status, Ready: s.ready})
+	s.admin, err = admin.Listen(config.AdminListen, admin.Options{Status: s.status, Ready: s.ready, MetricsListen: config.MetricsListen})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -75,7 +75,7 @@
 	if s.listener, err = net.Listen("tcp", config.Listen); err != nil {
 		return nil, fmt.Errorf("listen for nodes: %w", err)
 	}
-	s.admin, err = admin.Listen(config.AdminListen, admin.Options{Status: s.status, Ready: s.ready})
+	s.admin, err = admin.Listen(config.AdminListen, admin.Options{Status: s.status, Ready: s.ready, MetricsListen: config.MetricsListen})
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -24,6 +24,9 @@
 	// AdminListen serves status, metrics and the live and ready checks; on a
 	// control replica also the operators' calls.
 	AdminListen string `toml:"admin_listen"`
+	// MetricsListen is a second address at which the same service answers, for a
+	// collector of metrics that does not reach the first; empty for none.
+	MetricsListen string `toml:"metrics_listen,omitempty"`
 	// ApprovalKeys are the accepted public keys in base64.
 	ApprovalKeys []string `toml:"approval_keys"`
 	// ApprovalKeyFiles hold further ones, one a file; relative to the settings file.
@@ -256,6 +259,10 @@
 		p.add("name", "must be set")
 	}
 	p.checkAddress("admin_listen", c.AdminListen)
+	if c.MetricsListen != "" {
+		p.checkAddress("metrics_listen", c.MetricsListen)
+		p.checkDistinct(map[string]string{"metrics_listen": c.MetricsListen, "admin_listen": c.AdminListen})
+	}
 	if c.SignOff != SignOffSignature && c.SignOff != SignOffPublication {
 		p.add("sign_off", "%q is not %q; leave it out for signatures", c.SignOff, SignOffPublication)
 	}
