Routes are matched by map and shared between tables of one bundle

Every endpoint change rebuilt and sorted all routes at every node, and every call compared its path with up to all prefixes of its host.

Change: routing.Next shares the routes of the same bundle; the longest prefix is found by looking up the path at each of its slashes.

Tests: TestMatchIsTheLongestPrefix holds the map against the plain meaning (the former search), TestNextSharesRoutesOfTheSameBundle.

--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -71,6 +71,8 @@
 	interfaceListener net.Listener
 	interfaceHandler  http.Handler
 	observer          *observer
+	// table is the newest one; only putInForce uses it.
+	table *routing.Table
 }
 
 // New opens the node's sockets and reads its last configuration.
@@ -287,7 +289,8 @@
 
 // putInForce swaps the table that calls are answered by.
 func (s *Server) putInForce(state *distribution.State) {
-	table := routing.New(state)
+	table := routing.Next(s.table, state)
+	s.table = table
 	if s.registry != nil {
 		s.registry.Observe(state.Endpoints)
 	}
--- /dev/null
+++ b/pkg/routing/match_test.go
@@ -0,0 +1,71 @@
+package routing
+
+import (
+	"strings"
+	"testing"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/distribution"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// longestBySearch is the plain meaning of the match: of all prefixes that end at a segment of
+// the path, the longest.
+func longestBySearch(routes []bundle.Route, host, path string) string {
+	best := ""
+	for _, r := range routes {
+		rest, found := strings.CutPrefix(path, r.PathPrefix)
+		whole := found && (rest == "" || strings.HasSuffix(r.PathPrefix, "/") || rest[0] == '/')
+		if whole && r.Host == host && len(r.PathPrefix) > len(best) {
+			best = r.PathPrefix
+		}
+	}
+	return best
+}
+
+func TestMatchIsTheLongestPrefix(t *testing.T) {
+	segment := rapid.StringMatching(`[ab]{0,2}`)
+	path := rapid.Custom(func(t *rapid.T) string {
+		return "/" + strings.Join(rapid.SliceOfN(segment, 0, 4).Draw(t, "segments"), "/")
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		c := bundle.Content{Services: []bundle.Service{{Name: "s"}}}
+		taken := map[string]bool{}
+		for range rapid.IntRange(1, 12).Draw(t, "routes") {
+			r := bundle.Route{Host: rapid.SampledFrom([]string{"", "h"}).Draw(t, "host"), PathPrefix: path.Draw(t, "prefix"), Service: "s"}
+			r.Name = r.Host + r.PathPrefix
+			if !taken[r.Name] {
+				c.Routes = append(c.Routes, r)
+			}
+			taken[r.Name] = true
+		}
+		table := New(&distribution.State{Active: &bundle.Signed{Content: c}})
+		asked := path.Draw(t, "path")
+		want := longestBySearch(c.Routes, "h", asked)
+		if want == "" {
+			want = longestBySearch(c.Routes, "", asked)
+		}
+		got, found := table.Match("H:80", asked)
+		if found != (want != "") || got.PathPrefix != want {
+			t.Fatalf("%s goes to %q, expected %q", asked, got.PathPrefix, want)
+		}
+	})
+}
+
+func TestNextSharesRoutesOfTheSameBundle(t *testing.T) {
+	is := is.New(t)
+	state := testState(false)
+	first := New(state)
+	state = state.ChangeEndpoints([]distribution.Endpoint{{Service: "old", ID: "o", Incarnation: 1, Address: "10.0.0.3:80"}})
+	second := Next(first, state)
+	is.Equal(second.routes, first.routes)
+	is.True(second.routes == first.routes)
+	is.Equal(len(second.Services[1].Endpoints), 1)
+	is.Equal(second.Revision, state.Revision)
+	third := Next(second, state.Activate(testState(true).Active))
+	is.True(third.routes != second.routes)
+	route, _ := third.Match("", "/orders")
+	is.Equal(route.Targets[0].Service, "old")
+}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -79,25 +79,25 @@
 	Version  uint64
 	Revision uint64
 	// Limits bound what callers may send.
-	Limits bundle.Limits
-	// routes are by host, each list sorted by falling length of prefix. The empty host
-	// holds the routes that take every host.
-	routes   map[string][]Route
-	names    map[string]bool
+	Limits   bundle.Limits
 	Services []Service
+	// active is what routes were resolved from.
+	active *bundle.Signed
+	routes *routeIndex
 }
 
 // New builds the table of a state whose active bundle is consistent.
-func New(state *distribution.State) *Table {
+func New(state *distribution.State) *Table { return Next(nil, state) }
+
+// Next builds the table of a state that follows the one of an earlier table, which may be
+// nil. Endpoints change far more often than bundles: routes of the same bundle are shared.
+func Next(earlier *Table, state *distribution.State) *Table {
 	content := state.Active.Content
-	table := &Table{Version: state.Active.Manifest.Version, Revision: state.Revision, Limits: content.Limits, routes: map[string][]Route{}, names: map[string]bool{}}
-	for _, route := range content.Routes {
-		resolved := resolve(content, route)
-		table.names[resolved.Name] = true
-		table.routes[resolved.Host] = append(table.routes[resolved.Host], resolved)
-	}
-	for _, routes := range table.routes {
-		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	table := &Table{Version: state.Active.Manifest.Version, Revision: state.Revision, Limits: content.Limits, active: state.Active}
+	if earlier != nil && earlier.active == state.Active {
+		table.routes = earlier.routes
+	} else {
+		table.routes = newRouteIndex(content)
 	}
 	for _, service := range content.Services {
 		table.Services = append(table.Services, Service{
@@ -108,16 +108,19 @@
 	return table
 }
 
-func resolve(content bundle.Content, route bundle.Route) Route {
+func resolve(content bundle.Content, route *bundle.Route) Route {
 	resolved := Route{
 		Name: route.Name, PathPrefix: route.PathPrefix, Host: strings.ToLower(route.Host),
-		Targets: content.Targets(route),
+		Targets: content.Targets(*route),
 		Timeout: time.Duration(route.Timeout), Once: route.Once, Kind: route.Kind,
 		MaxAttempts: route.MaxAttempts, Priority: route.Priority, TargetLatency: time.Duration(route.TargetLatency),
 	}
 	if resolved.Timeout == 0 {
 		resolved.Timeout = DefaultTimeout
 	}
+	if route.Secret == "" {
+		return resolved
+	}
 	if secret, found := content.Secret(route.Secret); found {
 		resolved.Credential = secret.Value
 	}
@@ -149,45 +152,25 @@
 // routes, or else of those for every host, the one with the longest prefix of the path
 // that ends at a segment.
 func (t *Table) Match(host, path string) (Route, bool) {
-	if route, found := longestPrefix(t.routes[hostName(host)], path); found {
-		return route, true
-	}
-	return longestPrefix(t.routes[""], path)
-}
-
-func longestPrefix(routes []Route, path string) (Route, bool) {
-	for _, route := range routes {
-		if matches(route.PathPrefix, path) {
-			return route, true
-		}
+	found := t.routes.match(hostName(host), path)
+	if found == nil {
+		return Route{}, false
 	}
-	return Route{}, false
+	return *found, true
 }
 
 // hostName strips the port of a Host header and folds its case.
 func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	if strings.IndexByte(host, ':') >= 0 {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
 	}
 	return strings.ToLower(host)
 }
 
-func matches(prefix, path string) bool {
-	rest, found := strings.CutPrefix(path, prefix)
-	if !found {
-		return false
-	}
-	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
-}
-
 // Has reports whether the table has a route of a name.
-func (t *Table) Has(name string) bool { return t.names[name] }
+func (t *Table) Has(name string) bool { return t.routes.names[name] }
 
 // Routes returns how many routes the table has.
-func (t *Table) Routes() int {
-	count := 0
-	for _, routes := range t.routes {
-		count += len(routes)
-	}
-	return count
-}
+func (t *Table) Routes() int { return len(t.routes.names) }
