The back end beside the node is asked first while it has a free slot

The load of the gate beside the node is known exactly and asking it costs no message.

Change: a call whose service has its back end beside the node takes a free slot there, if that back end fails few calls and is fast enough for the route; a refusal there does not count as a try for a free slot. A node's subset always holds its own back end.

Tests: TestOwnGateGoesFirst, TestSubsetHoldsTheOwnGate.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -29,6 +29,9 @@
 	// failingMemory is after how long a report of failures counts half: a back end that
 	// gets no calls for them must be tried again.
 	failingMemory = 2 * time.Second
+	// maxOwnFailing is up to which share of failed calls the back end beside the node is
+	// preferred.
+	maxOwnFailing = 0.05
 	// assumedCapacity is used until a gate or the endpoint tells.
 	assumedCapacity = 8
 )
@@ -63,6 +66,10 @@
 	Patience time.Duration
 	// Repeatable is set if another back end may run the call after one that failed.
 	Repeatable bool
+	// OwnWork is up to which service time the back end beside the node is preferred to all
+	// others while it has a free slot; zero for not at all. Its load is known exactly, and
+	// the call takes no further hop.
+	OwnWork time.Duration
 }
 
 // failureCost is what a certain failure of the call adds to a score, in service times.
@@ -83,6 +90,9 @@
 	if len(candidates) == 0 {
 		return nil, 0, ErrNoEndpoint
 	}
+	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
+		return p.acquired(own), 0, nil
+	}
 	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
 	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return !r.staysLocal(e, rating) })
 	wait := r.LocalWait
@@ -94,12 +104,31 @@
 			wait = r.Patience
 		}
 	}
-	best.inFlight++
-	best.gate.sent++
+	return p.acquired(best), wait, nil
+}
+
+// acquired notes a call on its way to a gate.
+func (p *Pool) acquired(e *endpoint) *Ticket {
+	e.inFlight++
+	e.gate.sent++
 	return &Ticket{
-		pool: p, endpoint: best, Address: best.target.Gate,
-		ID: best.target.ID, Incarnation: best.target.Incarnation,
-	}, wait, nil
+		pool: p, endpoint: e, Address: e.target.Gate,
+		ID: e.target.ID, Incarnation: e.target.Incarnation,
+	}
+}
+
+// ownGate returns the back end beside the node if it is a candidate, fails few calls and
+// takes no longer for one than work; otherwise nil.
+func (p *Pool) ownGate(candidates []*endpoint, now, work time.Duration) *endpoint {
+	if p.config.OwnGate == "" {
+		return nil
+	}
+	for _, e := range candidates {
+		if e.target.Gate == p.config.OwnGate && e.gate.report.Service <= work && e.failing(now) <= maxOwnFailing {
+			return e
+		}
+	}
+	return nil
 }
 
 // bestGate returns the candidate of the least score, nil if there is none.
--- /dev/null
+++ b/pkg/balancer/gated_test.go
@@ -0,0 +1,47 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/routing"
+
+	"github.com/matryer/is"
+)
+
+// The back end beside the node is asked first, as long as it is worth it.
+func TestOwnGateGoesFirst(t *testing.T) {
+	is := is.New(t)
+	const work = 20 * time.Millisecond
+	pool := func() *Pool {
+		p := gatedPool(t, []string{"z", "z", "other"}, nil)
+		p.config.OwnGate = p.endpoints[1].target.Gate
+		p.endpoints[1].gate.report.Running = 4 // what was reported is old: the gate itself knows
+		return p
+	}
+	is.Equal(chosen(t, pool(), 0, 5, GateRequest{OwnWork: work})["b"], 5)
+	is.Equal(chosen(t, pool(), 0, 1, GateRequest{})["a"], 1)
+	is.Equal(chosen(t, pool(), 0, 1, GateRequest{OwnWork: work, LeftOut: []string{"b"}})["a"], 1)
+	is.Equal(chosen(t, pool(), 0, 1, GateRequest{OwnWork: 9 * time.Millisecond})["a"], 1) // too slow for the call
+	failing := pool()
+	failing.endpoints[1].gate.report.Failing = 0.2
+	is.Equal(chosen(t, failing, 0, 1, GateRequest{OwnWork: work})["a"], 1)
+}
+
+// A node's subset of a large service holds the back end beside it, whatever the hashes say.
+func TestSubsetHoldsTheOwnGate(t *testing.T) {
+	is := is.New(t)
+	service := routing.Service{Name: "s"}
+	for i := range 4 * subsetSize {
+		service.Endpoints = append(service.Endpoints, routing.Endpoint{
+			ID: fmt.Sprintf("e%d", i), Incarnation: 1, Gate: fmt.Sprintf("10.0.0.%d:1", i), Zone: "z",
+		})
+	}
+	for i := range 4 * subsetSize {
+		p := NewPool(Config{Node: "n", Zone: "z", OwnGate: service.Endpoints[i].Gate, Random: func(int) int { return 0 }})
+		p.Update(0, service)
+		is.Equal(len(p.endpoints), subsetSize)
+		is.Equal(chosen(t, p, 0, 1, GateRequest{OwnWork: time.Second})[service.Endpoints[i].ID], 1)
+	}
+}
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -45,6 +45,8 @@
 type Config struct {
 	Node string
 	Zone string
+	// OwnGate is the address of the gate beside the node, empty for none.
+	OwnGate string
 	// Random returns a number in [0, n).
 	Random func(n int) int
 }
@@ -120,16 +122,20 @@
 // localSubset is how many of them are of the node's own zone, if there are as many.
 const localSubset = 16
 
-// subset picks the node's share of a large service by rendezvous hashing: first those of
-// its own zone up to localSubset, then those of others, so that a zone which fails leaves
+// subset picks the node's share of a large service by rendezvous hashing: the one beside the
+// node, then those of its own zone up to localSubset, then those of others, so that a zone which fails leaves
 // enough.
 func (p *Pool) subset(all []routing.Endpoint) []routing.Endpoint {
 	if len(all) <= subsetSize {
 		return all
 	}
 	rank := func(e routing.Endpoint) uint64 { return xxhash.Sum64String(p.config.Node + "\x00" + e.ID) }
+	own := func(e routing.Endpoint) bool { return e.Gate != "" && e.Gate == p.config.OwnGate }
 	sorted := slices.Clone(all)
 	slices.SortFunc(sorted, func(a, b routing.Endpoint) int {
+		if own(a) != own(b) {
+			return boolCompare(!own(a), !own(b))
+		}
 		if a.Leaving != b.Leaving {
 			return boolCompare(a.Leaving, b.Leaving)
 		}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -50,6 +50,9 @@
 	// Calls that take less than this share of the mean at their back ends may wait longer:
 	// the slots are held by longer ones, and they themselves delay hardly anybody.
 	shortWorkShare = 3
+	// ownWorkShare of the time in which a call should be answered may be the service time of
+	// the back end beside the node for it to be preferred.
+	ownWorkShare = 2
 	// Pauses for which a gate is left out.
 	unreachablePause = 700 * time.Millisecond
 	stoppingPause    = 1500 * time.Millisecond
@@ -86,6 +89,8 @@
 	tries int
 	// last is why the latest gate refused.
 	last exchange.Reason
+	// ownRefused is set if the gate beside the node was asked, and was full.
+	ownRefused bool
 	// lastChance is set once the call was let wait at a gate after others were full.
 	lastChance bool
 	// held is a back end's failure that another attempt may yet make good, nil for none.
@@ -161,7 +166,10 @@
 // another may have a free slot.
 func (g *gatedCall) choose(now time.Duration) (*balancer.Ticket, time.Duration, error) {
 	request := balancer.GateRequest{LeftOut: g.done, Patience: g.patience(now), Repeatable: g.safe}
-	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries) {
+	if g.tries == 0 {
+		request.OwnWork = g.ownWork(now)
+	}
+	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries+g.ownFull()) {
 		request.LeftOut = append(append([]string(nil), g.done...), g.full...)
 		request.LocalWait = g.localWait(now)
 		request.AskLocal = g.body.Size() > largeBody
@@ -195,6 +203,24 @@
 	return max(0, time.Duration(share*float64(target-(now-g.started)-reserved)))
 }
 
+// ownFull is 1 if the gate beside the node refused the call: asking it cost nothing.
+func (g *gatedCall) ownFull() int {
+	if g.ownRefused {
+		return 1
+	}
+	return 0
+}
+
+// ownWork is up to which service time the back end beside the node may take the call: it must
+// be answered within its target latency with some certainty.
+func (g *gatedCall) ownWork(now time.Duration) time.Duration {
+	left := g.deadline - now
+	if target := g.route.TargetLatency; target > 0 {
+		left = min(left, target-(now-g.started))
+	}
+	return left / ownWorkShare
+}
+
 // patience is how long the call may wait at a gate.
 func (g *gatedCall) patience(now time.Duration) time.Duration {
 	left := g.deadline - now
@@ -317,6 +343,7 @@
 	switch failure.reason {
 	case exchange.ReasonFull:
 		g.full = ticket.LeftOut(g.full)
+		g.ownRefused = g.ownRefused || ticket.Address == g.handler.config.GateAddress
 	case exchange.ReasonUnreachable:
 		pause := unreachablePause
 		if failure.refused {
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -170,7 +170,7 @@
 		connections = max(definition.MaxConcurrency, balancer.DefaultConcurrency)
 	}
 	return &service{
-		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, Random: rand.IntN}),
+		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, OwnGate: h.config.GateAddress, Random: rand.IntN}),
 		budget: retry.NewBudget(h.config.Retry), declines: retry.NewBudget(h.config.Declines),
 		transport: &http.Transport{
 			DialContext:         dialer.DialContext,
