A large body takes no slot while it comes, and lets others by on its way

Cause: on the grown sites a node's link carries 9.4 or 4.7 Mbit/s, a photo of 60 KB takes 51 ms of it or more. The gate gave the call its slot before the body came, so that a sixth of the media service's slots stood idle; its inner calls became late, each of them held a slot of the ordering service, and that one was full. Whatever was behind a body on the link waited, too.

Change: a gate lets a large body come if there is hope of a slot by then, counting the bodies already on their way, and gives the slot once the call is here (then waiting is cheaper than sending it elsewhere). A node sends large bodies in pieces, at a third of its link's rate and within a third of the time that the call has; the rate is a setting, link_megabits.

--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -53,6 +53,8 @@
 	// ownWorkShare of the time in which a call should be answered may be the service time of
 	// the back end beside the node for it to be preferred.
 	ownWorkShare = 2
+	// bodyShare of the time left is what a large body may take on its way.
+	bodyShare = 3
 	// Pauses for which a gate is left out.
 	unreachablePause = 700 * time.Millisecond
 	stoppingPause    = 1500 * time.Millisecond
@@ -329,6 +331,9 @@
 	g.body.Attach(request, incoming.ContentLength)
 	if g.body.Size() > largeBody {
 		request.Header.Set("Expect", "100-continue")
+		if ticket.Address != g.handler.config.GateAddress {
+			request.Body = g.handler.config.Pacer.Body(request.Body, g.body.Size(), g.bodyTime())
+		}
 	}
 	if g.body.Empty() && g.safe {
 		request.Body, request.ContentLength = nil, 0
@@ -336,6 +341,17 @@
 	return request
 }
 
+// bodyTime is how long a large body may take on its way: a share of the time until the call
+// should be answered.
+func (g *gatedCall) bodyTime() time.Duration {
+	now := g.now()
+	left := g.deadline - now
+	if target := g.route.TargetLatency; target > 0 {
+		left = min(left, max(target-(now-g.started), left/bodyShare))
+	}
+	return left / bodyShare
+}
+
 // learn keeps what a failure says of the gate.
 func (g *gatedCall) learn(ticket *balancer.Ticket, failure *gateFailure) {
 	now := g.now()
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -55,6 +55,8 @@
 	// StopsAt, if set, returns when the process ends, zero if it does not: calls that
 	// might last longer are refused.
 	StopsAt func() time.Duration
+	// Pacer, if set, spreads large bodies over time.
+	Pacer *exchange.Pacer
 	// OnAttempt, if set, is told of each attempt through a gate.
 	OnAttempt func(Attempt)
 }
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -126,6 +126,29 @@
 	return g.await(ctx, w, r)
 }
 
+// expectBody returns why a call's body need not be sent, or counts it as on its way: there is
+// no slot for it in the time that it may wait.
+func (g *Gate) expectBody(r request) exchange.Reason {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if reason := g.mayEnter(g.config.Now(), r); reason != "" {
+		return reason
+	}
+	ahead := max(0, g.running+g.receiving+1-g.backend.Capacity) + g.queue.ahead(r.waiter())
+	if g.serviceTime()*time.Duration(ahead)/time.Duration(g.backend.Capacity) > r.wait {
+		return exchange.ReasonFull
+	}
+	g.receiving++
+	return ""
+}
+
+// bodyReceived ends what expectBody began.
+func (g *Gate) bodyReceived() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.receiving--
+}
+
 // mayEnter returns why a call is refused whatever the load; the mutex is held.
 func (g *Gate) mayEnter(now time.Duration, r request) exchange.Reason {
 	switch {
@@ -267,7 +290,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return exchange.Report{
-		Running: g.running, Queued: len(g.queue), Capacity: max(1, g.backend.Capacity),
+		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
 		Service: g.service, Failing: g.health.failing(g.config.Now()),
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -26,6 +26,11 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 4 * time.Second
+	// largeBody is from which length on a body is received before the call gets a slot.
+	largeBody = 16 << 10
+	// receivedWaitShare of the time left is what a call may wait for a slot once its body is
+	// here.
+	receivedWaitShare = 3
 )
 
 // errWrongAnswer: an answer belongs to another call.
@@ -68,10 +73,12 @@
 	generation uint64
 	stopping   bool
 	running    int
-	queue      waitQueue
-	service    time.Duration
-	health     health
-	downUntil  time.Duration
+	// receiving counts the calls whose bodies are on their way here.
+	receiving int
+	queue     waitQueue
+	service   time.Duration
+	health    health
+	downUntil time.Duration
 }
 
 // New returns a gate without a back end.
@@ -87,21 +94,52 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	response := g.do(r, func(request *http.Request) error {
-		// Only now does a caller that expects to be told so send its body: a refusal
-		// costs no more than the head.
+	response := g.serve(r)
+	defer response.Body.Close()
+	exchange.Copy(w.Header(), response.Header)
+	w.WriteHeader(response.StatusCode)
+	if err := exchange.CopyBody(w, response); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve is Do for the call of another node.
+func (g *Gate) serve(r *http.Request) *http.Response {
+	if r.ContentLength >= largeBody {
+		return g.receiveFirst(r)
+	}
+	return g.do(r, func(request *http.Request) error {
 		body, err := exchange.ReadBody(r)
 		if err == nil {
 			body.Attach(request, r.ContentLength)
 		}
 		return err
 	})
-	defer response.Body.Close()
-	exchange.Copy(w.Header(), response.Header)
-	w.WriteHeader(response.StatusCode)
-	if err := exchange.CopyBody(w, response); err != nil {
-		panic(http.ErrAbortHandler)
+}
+
+// receiveFirst takes in a large body before the call gets a slot: it may take longer to come
+// than the back end's work, and the slot would stand idle meanwhile. A caller that expects to
+// be told so sends it only then: a call that has no hope of a slot costs no more than its head.
+func (g *Gate) receiveFirst(r *http.Request) *http.Response {
+	arrived := g.config.Now()
+	wanted := g.read(r.Header, arrived)
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: g.expectBody(wanted)}
+	if call.Reason != "" {
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
+	body, err := exchange.ReadBody(r)
+	g.bodyReceived()
+	if err != nil {
+		call.Reason, call.Err = exchange.ReasonBroken, err
+		return g.refuse(&call, http.StatusBadGateway, exchange.NotRun)
+	}
+	// It is here now: to send it elsewhere would cost more than to wait for the next slot.
+	wanted.wait = max(wanted.wait, (wanted.deadline-g.config.Now())/receivedWaitShare)
+	wanted.early = max(wanted.early, wanted.wait)
+	return g.admitAndSend(r, wanted, func(request *http.Request) error {
+		body.Attach(request, r.ContentLength)
+		return nil
+	})
 }
 
 // Do sends one call to the back end and returns its answer, or the gate's own refusal,
@@ -115,8 +153,12 @@
 
 // do is Do with a body that attach gives to the request for the back end.
 func (g *Gate) do(r *http.Request, attach func(*http.Request) error) *http.Response {
+	return g.admitAndSend(r, g.read(r.Header, g.config.Now()), attach)
+}
+
+// admitAndSend waits for a slot, and sends the call to the back end or makes a refusal.
+func (g *Gate) admitAndSend(r *http.Request, wanted request, attach func(*http.Request) error) *http.Response {
 	arrived := g.config.Now()
-	wanted := g.read(r.Header, arrived)
 	granted, reason := g.admit(r.Context(), wanted)
 	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: reason, Waited: g.config.Now() - arrived}
 	if reason != "" {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/clock"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/forward"
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/metrics"
@@ -37,6 +38,7 @@
 	// gatedRetryMax is how many repeats a node may save up for one service; all nodes'
 	// together must stay small against what the deployment allows.
 	gatedRetryMax = 3
+	megabit       = 1e6
 	// quietTime is for how long no call must have come before a stopping node closes.
 	quietTime = time.Second
 	quietPoll = 100 * time.Millisecond
@@ -172,6 +174,9 @@
 		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
 		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
 	}
+	if s.settings.LinkMegabits > 0 {
+		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, s.clock.Now)
+	}
 	if s.gate != nil {
 		config.GateAddress, config.Gate = s.settings.GateListen, s.gate.Do
 		config.Retry = retry.Config{Ratio: s.settings.Retries.Ratio, Max: gatedRetryMax}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -163,6 +163,9 @@
 	// them in its place. Both or none must be set.
 	BackendAddress string `toml:"backend_address,omitempty"`
 	GateListen     string `toml:"gate_listen,omitempty"`
+	// LinkMegabits is the rate of the machine's link in megabits a second; large bodies are
+	// spread over time so that others go in between. Zero if it is not known.
+	LinkMegabits float64 `toml:"link_megabits,omitempty"`
 	// Headers name the headers of calls.
 	Headers Headers `toml:"headers,omitempty"`
 	// Retries bound what is sent again.
@@ -381,6 +384,9 @@
 	}
 	p.checkTiming(x.Timing)
 	p.checkGate(x)
+	if x.LinkMegabits < 0 {
+		p.add("link_megabits", "must not be negative")
+	}
 	if x.Group == bundle.ScopeAll {
 		p.add("group", "%q is reserved", x.Group)
 	}
