--- a/pkg/bench/faultnet/faultnet.go
+++ b/pkg/bench/faultnet/faultnet.go
@@ -85,6 +85,27 @@
 	return proxy.Listen, nil
 }
 
+// anyClient is the client of a link that everybody uses.
+const anyClient = "any"
+
+// Before opens a fault proxy at an address, through which everybody reaches a server.
+func (n *Network) Before(server, listen, address string) error {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	proxy := toxiproxy.NewProxy(n.server, anyClient+"-"+server, listen, address)
+	if err := proxy.Start(); err != nil {
+		return fmt.Errorf("fault proxy before %s: %w", server, err)
+	}
+	n.proxies[Link{Client: anyClient, Server: server}] = proxy
+	return nil
+}
+
+// To matches the links to the given servers.
+func To(servers ...string) func(Link) bool {
+	match := Names(servers...)
+	return func(l Link) bool { return match(l.Server) }
+}
+
 // Delay adds a one-way delay to each direction of the links that match.
 func (n *Network) Delay(match func(Link) bool, delay time.Duration) error {
 	n.mutex.Lock()
@@ -105,6 +126,17 @@
 	return nil
 }
 
+// Slow delays both directions of the links that match, each way, until Heal.
+func (n *Network) Slow(match func(Link) bool, delay time.Duration) error {
+	attributes := fmt.Sprintf(`{"latency":%d,"jitter":%d}`, max(1, delay.Milliseconds()), delay.Milliseconds()/2)
+	return n.disturb(match, "latency", attributes, fromClient, fromServer)
+}
+
+// Reset ends the connections of the links that match with a reset, new ones too, until Heal.
+func (n *Network) Reset(match func(Link) bool) error {
+	return n.disturb(match, "reset_peer", `{"timeout":0}`, fromClient, fromServer)
+}
+
 // Cut silences the links that match in both directions: connections stay open and new
 // ones are accepted, but nothing comes through.
 func (n *Network) Cut(match func(Link) bool) error {
@@ -117,7 +149,17 @@
 	return n.cut(match, fromServer)
 }
 
+// CutRequests silences what clients send on the links that match.
+func (n *Network) CutRequests(match func(Link) bool) error {
+	return n.cut(match, fromClient)
+}
+
 func (n *Network) cut(match func(Link) bool, streams ...string) error {
+	return n.disturb(match, "timeout", `{"timeout":0}`, streams...)
+}
+
+// disturb adds a fault of the library to the links that match and have none.
+func (n *Network) disturb(match func(Link) bool, kind, attributes string, streams ...string) error {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	for link, proxy := range n.proxies {
@@ -125,10 +167,10 @@
 			continue
 		}
 		for _, stream := range streams {
-			name := "cut-" + stream
-			text := fmt.Sprintf(`{"name":%q,"type":"timeout","stream":%q,"attributes":{"timeout":0}}`, name, stream)
+			name := kind + "-" + stream
+			text := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":%s}`, name, kind, stream, attributes)
 			if _, err := proxy.Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
-				return fmt.Errorf("cut %s: %w", proxy.Name, err)
+				return fmt.Errorf("disturb %s: %w", proxy.Name, err)
 			}
 			n.cuts[link] = append(n.cuts[link], name)
 		}
@@ -136,7 +178,7 @@
 	return nil
 }
 
-// Heal ends all cuts. Connections that were cut break, as they would after a long one.
+// Heal ends all cuts and other faults but Delay. Connections that were cut break, as they would after a long one.
 func (n *Network) Heal() error {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/pkg/control/membership.go
+++ b/pkg/control/membership.go
@@ -34,7 +34,7 @@
 // that the first replicas know of each other.
 func memberName(config settings.Control) string {
 	if len(config.Seeds) > 0 {
-		return config.Listen
+		return config.Advertise
 	}
 	return config.Name
 }
@@ -46,7 +46,7 @@
 			return peer.Address
 		}
 	}
-	return config.Listen
+	return config.Advertise
 }
 
 // founders returns the members of a new cluster.
@@ -66,7 +66,7 @@
 // createState makes the state of a replica whose folder is empty. A disk without room is
 // waited for: a process that ends and starts again would not help.
 func (s *Server) createState(files storage.FileSystem) error {
-	founding := s.settings.Found && slices.Contains(s.settings.SeedAddresses(), s.settings.Listen)
+	founding := s.settings.Found && slices.Contains(s.settings.SeedAddresses(), s.settings.Advertise)
 	s.logger.Log("event", "empty_data_folder", "founding", founding)
 	for {
 		var err error
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -20,8 +20,9 @@
 		return nil
 	}
 	s.gate = gate.New(gate.Config{Headers: s.settings.Headers, Now: s.clock.Now, OnCall: s.observer.gateCall})
+	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.registry = registration.New(registration.Config{
-		Gate: s.gate, GateAddress: s.settings.GateListen, Service: s.settings.Service,
+		Gate: s.gate, GateAddress: s.settings.GateAdvertise, Service: s.settings.Service,
 		Changed: func() { s.client.PingSoon() }, OnChange: s.noteBackend,
 	})
 	var err error
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -53,6 +53,19 @@
 	return o
 }
 
+// watchGate shows the gate's load and the health of its back end.
+func (o *observer) watchGate(registry prometheus.Registerer, g *gate.Gate) {
+	gauge := func(name, help string, read func(exchange.Report) float64) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help},
+			func() float64 { return read(g.Report()) }))
+	}
+	gauge("bramblelift_gate_running", "Calls at work at the back end.", func(r exchange.Report) float64 { return float64(r.Running) })
+	gauge("bramblelift_gate_queued", "Calls that wait at the gate, and those whose bodies are on their way.",
+		func(r exchange.Report) float64 { return float64(r.Queued) })
+	gauge("bramblelift_gate_capacity", "Calls that the back end works on at once.", func(r exchange.Report) float64 { return float64(r.Capacity) })
+	gauge("bramblelift_gate_failing_ratio", "Share of the latest calls that the back end failed.", func(r exchange.Report) float64 { return r.Failing })
+}
+
 // endAnswered names calls that a back end answered.
 const endAnswered = "answered"
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -175,10 +175,10 @@
 		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
 	}
 	if s.settings.LinkMegabits > 0 {
-		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, s.clock.Now)
+		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, clock.New().Now)
 	}
 	if s.gate != nil {
-		config.GateAddress, config.Gate = s.settings.GateListen, s.gate.Do
+		config.GateAddress, config.Gate = s.settings.GateAdvertise, s.gate.Do
 		config.Retry = retry.Config{Ratio: s.settings.Retries.Ratio, Max: gatedRetryMax}
 	}
 	return config
--- a/pkg/settings/dataplane.go
+++ b/pkg/settings/dataplane.go
@@ -49,6 +49,8 @@
 		return
 	}
 	p.checkAddress("gate_listen", x.GateListen)
+	setText(&x.GateAdvertise, x.GateListen)
+	p.checkAddress("gate_advertise", x.GateAdvertise)
 	p.checkAddress("backend_address", x.BackendAddress)
 	p.checkDistinct(map[string]string{"listen": x.Listen, "gate_listen": x.GateListen, "admin_listen": x.AdminListen})
 	if x.Service == "" {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -117,6 +117,8 @@
 	Data string `toml:"data"`
 	// Listen is where other replicas and relays connect.
 	Listen string `toml:"listen"`
+	// Advertise is the address under which others reach Listen, if it is not the same.
+	Advertise string `toml:"advertise,omitempty"`
 	// Replicas are all control replicas, this one included.
 	Replicas []Peer `toml:"replica"`
 	// Found makes this replica one of a new cluster's first ones, if its folder is empty
@@ -163,6 +165,9 @@
 	// them in its place. Both or none must be set.
 	BackendAddress string `toml:"backend_address,omitempty"`
 	GateListen     string `toml:"gate_listen,omitempty"`
+	// GateAdvertise is the address under which other nodes reach GateListen, if it is not
+	// the same.
+	GateAdvertise string `toml:"gate_advertise,omitempty"`
 	// LinkMegabits is the rate of the machine's link in megabits a second; large bodies are
 	// spread over time so that others go in between. Zero if it is not known.
 	LinkMegabits float64 `toml:"link_megabits,omitempty"`
@@ -319,6 +324,8 @@
 	var p problems
 	p.checkCommon(c.Common)
 	p.checkAddress("listen", c.Listen)
+	setText(&c.Advertise, c.Listen)
+	p.checkAddress("advertise", c.Advertise)
 	p.checkDistinct(map[string]string{"listen": c.Listen, "admin_listen": c.AdminListen})
 	if c.Data == "" {
 		p.add("data", "must be set")
