Nodes give up dials sooner; the vote barrier counts from the process's start

Change: nodes give a dial 0.4 s; raft.Config.Uptime shortens the barrier by the time that the process has run.

Ruled out: no barrier (a lease may rest on the last word before the stop).

Test: TestVoteBarrierCountsFromTheProcessesStart.

--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -159,6 +159,7 @@
 	s.replica, err = replica.Open(s.clock.Now(), replica.Config{
 		Raft: raft.Config{
 			ElectionTimeout:   time.Duration(s.settings.ElectionTimeout),
+			Uptime:            s.clock.Now(),
 			HeartbeatInterval: time.Duration(s.settings.HeartbeatInterval),
 			MaxClockDrift:     maxClockDrift,
 			MaxAppendBytes:    maxAppendBytes,
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -31,7 +31,9 @@
 
 // Bounds of the daemon.
 const (
-	dialTimeout    = time.Second
+	// dialTimeout is short: a machine that is not up yet, or not any more, says nothing, and
+	// there are others.
+	dialTimeout    = 400 * time.Millisecond
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -25,6 +25,9 @@
 	// ElectionTimeout is the least silence after which an election may start; the
 	// actual one is drawn between it and twice it.
 	ElectionTimeout time.Duration
+	// Uptime is for how long the process has run when New is called: in that time it has
+	// not spoken to any leader.
+	Uptime time.Duration
 	// HeartbeatInterval is how often a leader speaks; well under ElectionTimeout.
 	HeartbeatInterval time.Duration
 	// MaxClockDrift is the largest relative error of any replica's clock rate.
@@ -108,8 +111,9 @@
 	n.log.commit = max(n.log.commit, min(state.HardState.Commit, n.log.lastIndex()))
 	n.lastHardState = n.hardState()
 	// A restarted replica may have acknowledged a leader just before it stopped.
-	n.voteBarrier = now + config.ElectionTimeout
-	n.resetElectionDeadline(now)
+	silent := min(config.Uptime, config.ElectionTimeout)
+	n.voteBarrier = now + config.ElectionTimeout - silent
+	n.resetElectionDeadline(now - silent)
 	return n, nil
 }
 
--- a/pkg/raft/raft_test.go
+++ b/pkg/raft/raft_test.go
@@ -144,6 +144,28 @@
 	is.Equal(fresh.Term(), uint64(0))
 }
 
+// What counts is how long the process has spoken to nobody, not when its state was read.
+func TestVoteBarrierCountsFromTheProcessesStart(t *testing.T) {
+	is := is.New(t)
+	asked := Message{Kind: MessageVote, From: 3, To: 1, Term: 5, Index: 100, LogTerm: 5}
+	for uptime, votesAt := range map[time.Duration]time.Duration{0: testElection, testElection / 2: testElection / 2, 3 * testElection: 0} {
+		n := newTestNetwork(t, 3)
+		config := n.nodes[1].config
+		config.Uptime = uptime
+		for _, early := range []time.Duration{testStep, 0} {
+			fresh, err := New(0, config, State{Snapshot: n.nodes[1].log.snapshot})
+			is.NoErr(err)
+			if votesAt < early {
+				continue
+			}
+			fresh.Step(votesAt-early, asked)
+			answers := fresh.Effects(votesAt - early).Messages
+			granted := len(answers) == 1 && !answers[0].Reject
+			is.Equal(granted, early == 0)
+		}
+	}
+}
+
 func TestCompactKeepsTheTailAndRefusesTheFuture(t *testing.T) {
 	is := is.New(t)
 	n := newTestNetwork(t, 1)
