After a full own gate a call may still wait there before it goes to another zone

Change: that refusal leaves the gate on the list of those to wait at. A zero OwnWork means not at all.

Test: TestOwnGateMayBeWaitedAt, red before.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -120,7 +120,7 @@
 // ownGate returns the back end beside the node if it is a candidate, fails few calls and
 // takes no longer for one than work; otherwise nil.
 func (p *Pool) ownGate(candidates []*endpoint, now, work time.Duration) *endpoint {
-	if p.config.OwnGate == "" {
+	if p.config.OwnGate == "" || work <= 0 {
 		return nil
 	}
 	for _, e := range candidates {
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -91,8 +91,6 @@
 	tries int
 	// last is why the latest gate refused.
 	last exchange.Reason
-	// ownRefused is set if the gate beside the node was asked, and was full.
-	ownRefused bool
 	// lastChance is set once the call was let wait at a gate after others were full.
 	lastChance bool
 	// held is a back end's failure that another attempt may yet make good, nil for none.
@@ -171,7 +169,7 @@
 	if g.tries == 0 {
 		request.OwnWork = g.ownWork(now)
 	}
-	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries+g.ownFull()) {
+	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries) {
 		request.LeftOut = append(append([]string(nil), g.done...), g.full...)
 		request.LocalWait = g.localWait(now)
 		request.AskLocal = g.body.Size() > largeBody
@@ -205,14 +203,6 @@
 	return max(0, time.Duration(share*float64(target-(now-g.started)-reserved)))
 }
 
-// ownFull is 1 if the gate beside the node refused the call: asking it cost nothing.
-func (g *gatedCall) ownFull() int {
-	if g.ownRefused {
-		return 1
-	}
-	return 0
-}
-
 // ownWork is up to which service time the back end beside the node may take the call: it must
 // be answered within its target latency with some certainty.
 func (g *gatedCall) ownWork(now time.Duration) time.Duration {
@@ -358,8 +348,11 @@
 	learned := balancer.Canceled
 	switch failure.reason {
 	case exchange.ReasonFull:
-		g.full = ticket.LeftOut(g.full)
-		g.ownRefused = g.ownRefused || ticket.Address == g.handler.config.GateAddress
+		// The gate beside the node was asked for a free slot only, at no cost: the call
+		// may still wait there.
+		if g.tries > 1 || ticket.Address != g.handler.config.GateAddress {
+			g.full = ticket.LeftOut(g.full)
+		}
 	case exchange.ReasonUnreachable:
 		pause := unreachablePause
 		if failure.refused {
--- a/pkg/forward/gated_test.go
+++ b/pkg/forward/gated_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -34,18 +35,27 @@
 }
 
 func newGatedNode(t *testing.T, maxRepeats float64, gates ...string) *gatedNode {
+	t.Helper()
+	return newGatedNodeWith(t, func(cfg *Config) { cfg.Retry = retry.Config{Max: maxRepeats * 2} }, slices.Repeat([]string{"z"}, len(gates)), gates...)
+}
+
+// newGatedNodeWith is newGatedNode with a changed configuration and the gates' zones; the
+// node's own is z.
+func newGatedNodeWith(t *testing.T, change func(*Config), zones []string, gates ...string) *gatedNode {
 	t.Helper()
 	n := &gatedNode{}
 	started := time.Now()
-	handler := New(Config{
+	cfg := Config{
 		Node: "n", Zone: "z", Now: func() time.Duration { return time.Since(started) }, Headers: gatedHeaders, Service: "shop",
-		Retry: retry.Config{Max: maxRepeats * 2}, OnAttempt: func(a Attempt) { n.attempts = append(n.attempts, a) },
-		StopsAt: func() time.Duration { return time.Duration(n.stopsAt.Load()) },
-	})
+		OnAttempt: func(a Attempt) { n.attempts = append(n.attempts, a) },
+		StopsAt:   func() time.Duration { return time.Duration(n.stopsAt.Load()) },
+	}
+	change(&cfg)
+	handler := New(cfg)
 	endpoints := map[string]distribution.Endpoint{}
 	for i, gate := range gates {
 		id := fmt.Sprintf("e%d", i)
-		endpoints[id] = distribution.Endpoint{Service: "s", ID: id, Incarnation: 1, Address: "10.0.0.1:1", Gate: gate, Zone: "z", Capacity: 4}
+		endpoints[id] = distribution.Endpoint{Service: "s", ID: id, Incarnation: 1, Address: "10.0.0.1:1", Gate: gate, Zone: zones[i], Capacity: 4}
 	}
 	route := func(name string, kind bundle.Kind) bundle.Route {
 		return bundle.Route{Name: name, Host: "shop.example", PathPrefix: "/" + name + "/", Service: "s", Kind: kind, MaxAttempts: 2,
@@ -304,3 +314,28 @@
 		})
 	}
 }
+
+// The gate beside the node, asked for a free slot first, may still be the one to wait at: other
+// zones cost more.
+func TestOwnGateMayBeWaitedAt(t *testing.T) {
+	is := is.New(t)
+	var waits []string
+	own := func(r *http.Request) *http.Response {
+		waits = append(waits, r.Header.Get(exchange.HeaderWait))
+		recorder := httptest.NewRecorder()
+		if len(waits) == 1 {
+			refusing(exchange.ReasonFull, NotRun)(recorder, r)
+		} else {
+			serving(recorder, r)
+		}
+		return recorder.Result()
+	}
+	other, asked := standInGate(t, serving)
+	const ownGate = "10.0.0.9:1"
+	n := newGatedNodeWith(t, func(cfg *Config) { cfg.GateAddress, cfg.Gate = ownGate, own }, []string{"z", "other"}, ownGate, other)
+	is.Equal(n.call(t, "GET", "/safe/x", "").StatusCode, http.StatusOK)
+	is.Equal(len(waits), 2)
+	is.Equal(waits[0], "0")
+	is.True(waits[1] != "0")
+	is.Equal(asked.Load(), int64(0))
+}
