--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -32,6 +32,7 @@
 	app.Post(operator.PathVersions, s.handleCreate)
 	app.Post(operator.PathVersions+"/{version:uint64}/approve", s.handleApprove)
 	app.Post(operator.PathVersions+"/{version:uint64}/roll", s.handleRoll)
+	app.Post(operator.PathPublications, s.handlePublish)
 	app.Get(operator.PathVersions, s.handleList)
 	app.Get(operator.PathStatus, s.handleStatus)
 	app.Get(operator.PathNodes, s.handleNodes)
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -11,6 +11,10 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/operator"
+	"bramblelift/pkg/settings"
+
+	"github.com/kataras/iris/v12"
 )
 
 // Bounds of the deployment's interface.
@@ -61,6 +65,38 @@
 	return err
 }
 
+func (s *Server) handlePublish(ctx iris.Context) {
+	result, err := s.publishFile(ctx)
+	answer(ctx, result, err)
+}
+
+// publishFile publishes a bundle file that an operator sends.
+func (s *Server) publishFile(ctx iris.Context) (catalog.Result, error) {
+	if s.settings.SignOff != settings.SignOffPublication {
+		return catalog.Result{}, refuse(catalog.CodeNotApproved, "versions need a signature here: sign_off is not %q", settings.SignOffPublication)
+	}
+	var request operator.PublishRequest
+	if err := readRequest(ctx, &request); err != nil {
+		return catalog.Result{}, err
+	}
+	if request.TOML == "" || request.Version == 0 {
+		return catalog.Result{}, refuse(catalog.CodeInvalidRequest, "toml and version must be set")
+	}
+	content, err := parseContent(request.FileName, []byte(request.TOML))
+	if err != nil {
+		return catalog.Result{}, err
+	}
+	p := Publication{Base: request.Base, Version: request.Version, Content: content, Source: []byte(request.TOML)}
+	if err := s.Publish(ctx.Request().Context(), p); err != nil {
+		return catalog.Result{}, err
+	}
+	var published catalog.Version
+	err = s.readOnceLeased(ctx.Request().Context(), func(time.Duration) {
+		published, _ = s.replica.Catalog().Lookup(request.Version)
+	})
+	return catalog.Result{Version: published.Manifest, Status: published.Status}, err
+}
+
 // readOnceLeased is readLeased for a replica that may just have become the leader: it gives
 // it some time to be sure.
 func (s *Server) readOnceLeased(ctx context.Context, read func(now time.Duration)) error {
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -61,6 +61,7 @@
 	Bundle struct {
 		Create   createCommand   `command:"create" description:"create a version from a file, the source or an earlier version"`
 		Approve  approveCommand  `command:"approve" description:"sign a version off"`
+		Publish  publishCommand  `command:"publish" description:"create, sign off and roll a version in one act, where the settings accept that"`
 		Roll     rollCommand     `command:"roll" description:"put a version in force everywhere"`
 		HandBack handBackCommand `command:"hand-back" description:"create, approve and roll a version that hands traffic back"`
 		List     listCommand     `command:"list" description:"list versions"`
--- a/pkg/operator/api.go
+++ b/pkg/operator/api.go
@@ -9,10 +9,11 @@
 
 // Paths of the calls. A version number replaces {version}.
 const (
-	PathVersions = "/v1/versions"
-	PathStatus   = "/v1/status"
-	PathNodes    = "/v1/nodes"
-	PathDiff     = "/v1/diff"
+	PathVersions     = "/v1/versions"
+	PathPublications = "/v1/publications"
+	PathStatus       = "/v1/status"
+	PathNodes        = "/v1/nodes"
+	PathDiff         = "/v1/diff"
 )
 
 // CreateRequest makes a version. Just one of TOML, Source and FromVersion is set.
@@ -30,6 +31,17 @@
 	HandBack *bool `json:"hand_back,omitempty"`
 }
 
+// PublishRequest makes, signs off and rolls a version in one act, where the settings accept
+// that. Sent again unchanged it changes nothing.
+type PublishRequest struct {
+	// Base is the version that it builds on, zero for none, Version its own number.
+	Base    uint64 `json:"base"`
+	Version uint64 `json:"version"`
+	// TOML is the text of a bundle file, FileName its name for error messages.
+	TOML     string `json:"toml"`
+	FileName string `json:"file_name,omitempty"`
+}
+
 // ApproveRequest signs a version off.
 type ApproveRequest struct {
 	OperationID string          `json:"operation_id"`
--- a/test/integration/command_test.go
+++ b/test/integration/command_test.go
@@ -55,6 +55,7 @@
 	expect(ctl.ExitConflict, "version 2", "bundle", "create", "--file", good, "--expect-head", "1")
 	expect(ctl.ExitConflict, "operation-id-reused", "bundle", "create", "--from-version", "1", "--operation", "first")
 	expect(ctl.ExitRefused, "not-approved", "bundle", "roll", "2")
+	expect(ctl.ExitRefused, "need a signature", "bundle", "publish", "--file", good)
 	expect(ctl.ExitRefused, "unknown-version", "bundle", "roll", "99")
 	expect(ctl.ExitOK, "approved", append([]string{"bundle", "approve", "2"}, sign...)...)
 	expect(ctl.ExitInvalid, "invalid-approval", "bundle", "approve", "2", "--key", s.KeyFile, "--cluster", "another")
