--- /dev/null
+++ b/pkg/forward/gate_choice.go
@@ -0,0 +1,114 @@
+package forward
+
+import (
+	"time"
+
+	"bramblelift/pkg/balancer"
+)
+
+// Bounds of the choice of a gate.
+const (
+	// freeTries is how many gates are asked for a free slot before the call waits at one.
+	freeTries = 3
+	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
+	minServiceLeft = 5 * time.Millisecond
+	// A call waits in its own zone if it is expected to be answered within its target
+	// latency all the same: localServices are the service times reserved for the work, the
+	// share is the part of the rest that may be waited. It grows with what the call moves
+	// beyond freeKilobytes.
+	localServices         = 1.8
+	minLocalShare         = 0.5
+	maxLocalShare         = 0.9
+	localSharePerKilobyte = 0.1
+	freeKilobytes         = 2
+	// A large body may wait for a share of the time that the caller leaves.
+	largeBody          = 16 << 10
+	localServicesLarge = 1.5
+	localShareLarge    = 0.8
+	// Under overload a call waits no longer than it can and still be answered within its
+	// target latency: what waits longer is late, and makes those behind it late, too.
+	patienceServices = 1.4
+	minPatienceShare = 10
+	// Calls that take less than this share of the mean at their back ends may wait longer:
+	// the slots are held by longer ones, and they themselves delay hardly anybody.
+	shortWorkShare = 3
+	// ownWorkShare of the time in which a call should be answered may be the service time of
+	// the back end beside the node for it to be preferred.
+	ownWorkShare = 2
+	// bodyShare of the time left is what a large body may take on its way.
+	bodyShare = 3
+)
+
+// choose picks the next gate and how long the call may wait there: not at all while
+// another may have a free slot.
+func (g *gatedCall) choose(now time.Duration) (*balancer.Ticket, time.Duration, error) {
+	request := balancer.GateRequest{LeftOut: g.done, Patience: g.patience(now), Repeatable: g.safe}
+	if g.tries == 0 {
+		request.OwnWork = g.ownWork(now)
+	}
+	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries) {
+		request.LeftOut = append(append([]string(nil), g.done...), g.full...)
+		request.LocalWait = g.localWait(now)
+		request.AskLocal = g.body.Size() > largeBody
+		ticket, wait, err := g.service.pool.AcquireGate(now, request)
+		if err == nil || len(g.full) == 0 {
+			return ticket, wait, err
+		}
+		request.LeftOut, request.LocalWait, request.AskLocal = g.done, 0, false
+	}
+	ticket, _, err := g.service.pool.AcquireGate(now, request)
+	g.lastChance = true
+	return ticket, request.Patience, err
+}
+
+// localWait is how long the call may wait in its own zone while another zone might take it
+// at once: the more bytes it moves, the longer. One with a large body may become late for
+// it; any other must still be answered within its target latency.
+func (g *gatedCall) localWait(now time.Duration) time.Duration {
+	work, answer := g.handler.work.of(g.route.Name)
+	if g.body.Size() > largeBody {
+		left := g.deadline - now - time.Duration(localServicesLarge*float64(work))
+		return max(0, time.Duration(localShareLarge*float64(left)))
+	}
+	target := g.route.TargetLatency
+	if target == 0 {
+		return 0
+	}
+	kilobytes := float64(g.body.Size()+answer) / 1024
+	share := min(maxLocalShare, max(minLocalShare, minLocalShare+localSharePerKilobyte*(kilobytes-freeKilobytes)))
+	reserved := time.Duration(localServices * float64(work))
+	return max(0, time.Duration(share*float64(target-(now-g.started)-reserved)))
+}
+
+// ownWork is up to which service time the back end beside the node may take the call: it must
+// be answered within its target latency with some certainty.
+func (g *gatedCall) ownWork(now time.Duration) time.Duration {
+	left := g.deadline - now
+	if target := g.route.TargetLatency; target > 0 {
+		left = min(left, target-(now-g.started))
+	}
+	return left / ownWorkShare
+}
+
+// patience is how long the call may wait at a gate.
+func (g *gatedCall) patience(now time.Duration) time.Duration {
+	left := g.deadline - now
+	allowed := left / 2
+	work, _ := g.handler.work.of(g.route.Name)
+	if target := g.route.TargetLatency; target > 0 && work*shortWorkShare > g.service.pool.MeanService() {
+		reserved := time.Duration(patienceServices * float64(work))
+		allowed = min(allowed, max(target-(now-g.started)-reserved, target/minPatienceShare))
+	}
+	return max(0, min(allowed, left-minServiceLeft))
+}
+
+// bodyTime is how long a large body may take on its way: a share of the time until the call
+// should be answered.
+func (g *gatedCall) bodyTime() time.Duration {
+	now := g.now()
+	left := g.deadline - now
+	if target := g.route.TargetLatency; target > 0 {
+		left = min(left, max(target-(now-g.started), left/bodyShare))
+	}
+	return left / bodyShare
+}
