A planned stop waits for calls, not for connections that nobody has used

Cause: http.Server.Shutdown waits five seconds for connections on which nothing was ever sent, and HTTP clients keep such in reserve (a dial that lost the race against a connection that became free). A node with one stopped after its whole 5.5 s and with an error; with 0.16 of a core that is beyond the six seconds of grace.

Change: calls at work are counted; once there are none for 150 ms the servers are closed, both at once.

Ruled out: closing unused connections at once (their first request may be on its way).

Tests: TestUnusedConnectionsDoNotHoldUpAStop, red before (exit status 1 after 5.5 s, now 2.55 s); pkg/proxy/drain_test.go. Planned stops of test/integration green.

--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -30,7 +29,7 @@
 		return fmt.Errorf("listen for other nodes: %w", err)
 	}
 	s.gateServer = &http.Server{
-		Handler: s.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.calls.counted(s.gate), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	return nil
 }
@@ -99,15 +98,18 @@
 	}
 }
 
-// finishGate waits for the calls at the back end. The deployment's interface goes last: the
-// back end may still have something to say.
-func (s *Server) finishGate(ctx context.Context) error {
-	var err error
-	if s.gateServer != nil {
-		err = s.gateServer.Shutdown(ctx)
+// servers are those whose calls a planned stop waits for.
+func (s *Server) servers() []*http.Server {
+	if s.gateServer == nil {
+		return []*http.Server{s.http}
 	}
+	return []*http.Server{s.http, s.gateServer}
+}
+
+// closeInterface closes the deployment's interface. It goes last: the back end may still have
+// something to say.
+func (s *Server) closeInterface() {
 	if s.interfaceListener != nil {
 		s.interfaceListener.Close()
 	}
-	return err
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -61,6 +61,7 @@
 	http     *http.Server
 	listener net.Listener
 	admin    *admin.Service
+	calls    callsUnderWay
 	stopping atomic.Bool
 	failure  chan error
 	// lastCall is when the newest call came, stopsAt when the process ends, zero while
@@ -104,7 +105,7 @@
 	}
 	s.handler = forward.New(s.forwardConfig())
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serveCall), ReadHeaderTimeout: headerTimeout,
+		Handler: s.calls.counted(http.HandlerFunc(s.serveCall)), ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	return s, s.newClient()
@@ -223,7 +224,8 @@
 	time.Sleep(time.Duration(s.settings.CallerNotice))
 	s.stopGate()
 	s.awaitQuiet(ends)
-	err := errors.Join(s.http.Shutdown(ctx), s.finishGate(ctx))
+	err := s.calls.drain(ctx, s.servers()...)
+	s.closeInterface()
 	s.logger.Log("event", "stopped", "error", err)
 	if err != nil {
 		return fmt.Errorf("calls under way did not end in %s: %w", time.Duration(s.settings.StopTimeout), err)
