Read over: one check for another try, one refusal of invalid content, one wrong-answer error

What the whole change, read once more, had twice: whether a call can go to another gate (mayGoOn, mayMakeGood); the refusal with a validation's problems (create and publish in pkg/control); the error for an answer to another call (gate and forward, exchange.ErrWrongAnswer now). An index looked up only to see whether there is one is ContainsFunc. Behaviour and tests as before; unit tests and staticcheck of these packages pass.

--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -123,8 +123,8 @@
 const localSubset = 16
 
 // subset picks the node's share of a large service by rendezvous hashing: the one beside the
-// node, then those of its own zone up to localSubset, then those of others, so that a zone which fails leaves
-// enough.
+// node, then those of its own zone up to localSubset, then those of others, so that a zone
+// which fails leaves enough.
 func (p *Pool) subset(all []routing.Endpoint) []routing.Endpoint {
 	if len(all) <= subsetSize {
 		return all
--- a/pkg/bundle/content.go
+++ b/pkg/bundle/content.go
@@ -287,8 +287,7 @@
 // routesOf returns the routes that nodes of a group serve: the list itself if it is all.
 func (c Content) routesOf(group string) []Route {
 	others := func(r Route) bool { return len(r.Sources) > 0 && !slices.Contains(r.Sources, group) }
-	first := slices.IndexFunc(c.Routes, others)
-	if first < 0 {
+	if !slices.ContainsFunc(c.Routes, others) {
 		return c.Routes
 	}
 	return slices.DeleteFunc(slices.Clone(c.Routes), others)
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -43,6 +43,16 @@
 	return &catalog.OperationError{Code: code, Message: fmt.Sprintf(format, values...)}
 }
 
+// refuseInvalid refuses a content with every problem that its validation found.
+func refuseInvalid(err error) *catalog.OperationError {
+	refused := refuse(catalog.CodeInvalidBundle, "%v", err)
+	var invalid *bundle.ValidationError
+	if errors.As(err, &invalid) {
+		refused.Problems = invalid.Problems
+	}
+	return refused
+}
+
 var statusOfCode = map[catalog.Code]int{
 	catalog.CodeConflict:        http.StatusConflict,
 	catalog.CodeOperationReused: http.StatusConflict,
@@ -173,12 +183,7 @@
 	}
 	content = content.Normalized()
 	if err := content.Validate(); err != nil {
-		refused := refuse(catalog.CodeInvalidBundle, "%v", err)
-		var invalid *bundle.ValidationError
-		if errors.As(err, &invalid) {
-			refused.Problems = invalid.Problems
-		}
-		return catalog.Result{}, refused
+		return catalog.Result{}, refuseInvalid(err)
 	}
 	tree, err := bundle.NewTree(content)
 	if err != nil {
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -127,12 +126,7 @@
 	if invalid == nil {
 		return nil
 	}
-	refused := refuse(catalog.CodeInvalidBundle, "%v", invalid)
-	var problems *bundle.ValidationError
-	if errors.As(invalid, &problems) {
-		refused.Problems = problems.Problems
-	}
-	return &catalog.Result{Error: refused}
+	return &catalog.Result{Error: refuseInvalid(invalid)}
 }
 
 func asError(refused *catalog.OperationError) error {
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -3,6 +3,7 @@
 package exchange
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"net/textproto"
@@ -58,6 +59,9 @@
 	}
 }
 
+// ErrWrongAnswer: an answer belongs to another call.
+var ErrWrongAnswer = errors.New("the answer is to another call")
+
 // Outcome says whether a refused call ran.
 type Outcome string
 
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -102,7 +101,7 @@
 	name := g.handler.config.Headers.RequestID
 	if name != "" && response.Header.Get(name) != g.request.Header.Get(name) {
 		response.Body.Close()
-		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: errWrongAnswer}
+		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: exchange.ErrWrongAnswer}
 	}
 	data, rest, err := exchange.ReadWhole(response.Body, response.ContentLength)
 	if err != nil {
@@ -113,8 +112,6 @@
 	return response, nil
 }
 
-var errWrongAnswer = errors.New("the answer is to another call")
-
 // outgoingGate builds the request for a gate.
 func (g *gatedCall) outgoingGate(ticket *balancer.Ticket, wait time.Duration) *http.Request {
 	incoming := g.request
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -141,9 +141,14 @@
 	ticket.Done(now, learned)
 }
 
+// canTryAnother reports whether the call has time, tries and its body left for another gate.
+func (g *gatedCall) canTryAnother(ctx context.Context) bool {
+	return ctx.Err() == nil && g.tries < maxGateTries && g.body.Repeatable()
+}
+
 // mayGoOn decides on another gate. Only what reached a back end draws on the budget.
 func (g *gatedCall) mayGoOn(ctx context.Context, failure *gateFailure) bool {
-	if ctx.Err() != nil || g.tries >= maxGateTries || !g.body.Repeatable() {
+	if !g.canTryAnother(ctx) {
 		return false
 	}
 	if !failure.reason.Reached() {
@@ -191,7 +196,7 @@
 // failure, and keeps that answer in case none does better.
 func (g *gatedCall) mayMakeGood(ctx context.Context, ticket *balancer.Ticket, response *http.Response) bool {
 	body, _ := response.Body.(wholeBody)
-	if !body.whole || !g.safe || g.tries >= maxGateTries || !g.body.Repeatable() || ctx.Err() != nil || !g.payRepeat() {
+	if !body.whole || !g.safe || !g.canTryAnother(ctx) || !g.payRepeat() {
 		return false
 	}
 	g.dropHeld()
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -33,9 +32,6 @@
 	receivedWaitShare = 3
 )
 
-// errWrongAnswer: an answer belongs to another call.
-var errWrongAnswer = errors.New("the answer is to another call")
-
 // Config sets up a Gate.
 type Config struct {
 	Headers settings.Headers
@@ -271,7 +267,7 @@
 		return nil
 	}
 	response.Body.Close()
-	return errWrongAnswer
+	return exchange.ErrWrongAnswer
 }
 
 // declined reports whether the back end says that it has not begun the call.
