--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -161,18 +161,33 @@
 	return g.payRepeat()
 }
 
-// answer passes the back end's answer to the caller.
+// answer passes the back end's answer to the caller. The back end is done with the call once its
+// answer is here whole: the caller may take its time, or wait for answers before this one.
 func (g *gatedCall) answer(ticket *balancer.Ticket, response *http.Response) {
 	g.dropHeld()
 	work, _ := exchange.ReadMicros(response.Header, exchange.HeaderWork)
-	if err := g.pass(response); err != nil {
-		ticket.Done(g.now(), balancer.Canceled)
-		g.abort()
-	}
-	ticket.Done(g.now(), balancer.Answered)
 	if !exchange.ServerFailed(response.StatusCode) {
 		g.handler.work.note(g.route.Name, work, max(0, int(response.ContentLength)))
 	}
+	body, _ := response.Body.(wholeBody)
+	if body.whole {
+		ticket.Done(g.now(), balancer.Answered)
+	}
+	err := g.pass(response)
+	if !body.whole {
+		ticket.Done(g.now(), learnedFrom(err))
+	}
+	if err != nil {
+		g.abort()
+	}
+}
+
+// learnedFrom is what the end of a streamed answer says of its back end.
+func learnedFrom(err error) balancer.Outcome {
+	if err != nil {
+		return balancer.Canceled
+	}
+	return balancer.Answered
 }
 
 // pass writes an answer to the caller.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -15,6 +15,7 @@
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/retry"
 	"bramblelift/pkg/routing"
 	"bramblelift/pkg/settings"
@@ -205,6 +206,17 @@
 	return pools
 }
 
+// MayRunBeside reports whether a call may be handled beside others of its connection: it may run
+// more than once.
+func (h *Handler) MayRunBeside(r *http.Request) bool {
+	current := h.view.Load()
+	if current == nil {
+		return false
+	}
+	route, found := current.table.Match(r.Host, r.URL.Path)
+	return found && mayRepeat(route, r.Method)
+}
+
 // call is one call on its way.
 type call struct {
 	handler  *Handler
@@ -227,7 +239,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{handler: h, writer: w, request: r, started: h.config.Now()}
+	c := &call{handler: h, writer: w, request: r, started: h.config.Now() - pipeline.Waited(r)}
 	refusal := c.serve()
 	if refusal != nil {
 		refusal.write(w)
--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -51,10 +51,16 @@
 	return nil
 }
 
+// stoppable is a server that ends with its connections, or at once.
+type stoppable interface {
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // drain ends servers once no call is under way. http.Server.Shutdown alone would wait for
 // connections on which nothing was ever sent, as HTTP clients keep them in reserve, until its
 // time is up.
-func (c *callsUnderWay) drain(ctx context.Context, servers ...*http.Server) error {
+func (c *callsUnderWay) drain(ctx context.Context, servers ...stoppable) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	for _, server := range servers {
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -99,11 +99,11 @@
 }
 
 // servers are those whose calls a planned stop waits for.
-func (s *Server) servers() []*http.Server {
+func (s *Server) servers() []stoppable {
 	if s.gateServer == nil {
-		return []*http.Server{s.http}
+		return []stoppable{s.callers}
 	}
-	return []*http.Server{s.http, s.gateServer}
+	return []stoppable{s.callers, s.gateServer}
 }
 
 // closeInterface closes the deployment's interface. It goes last: the back end may still have
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -18,6 +18,7 @@
 	"bramblelift/pkg/forward"
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/metrics"
+	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/registration"
 	"bramblelift/pkg/retry"
@@ -37,6 +38,10 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// writeTimeout is for each write to a caller.
+	writeTimeout = 30 * time.Second
+	// maxPipelined bounds the calls of one connection that are under way at once.
+	maxPipelined = 16
 	// gatedRetryMax is how many repeats a node may save up for one service; all nodes'
 	// together must stay small against what the deployment allows.
 	gatedRetryMax = 3
@@ -58,7 +63,7 @@
 	keeper   *Keeper
 	client   *stream.Client
 	handler  *forward.Handler
-	http     *http.Server
+	callers  *pipeline.Server
 	listener net.Listener
 	admin    *admin.Service
 	calls    callsUnderWay
@@ -104,10 +109,12 @@
 		return nil, err
 	}
 	s.handler = forward.New(s.forwardConfig())
-	s.http = &http.Server{
-		Handler: s.calls.counted(http.HandlerFunc(s.serveCall)), ReadHeaderTimeout: headerTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	s.callers = pipeline.New(pipeline.Config{
+		Handler: s.calls.counted(http.HandlerFunc(s.serveCall)), Concurrent: s.handler.MayRunBeside,
+		MaxConcurrent: maxPipelined, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
+		OnPanic: func(value any) { logger.Log("event", "handler_panicked", "value", value) },
+	})
 	return s, s.newClient()
 }
 
@@ -202,7 +209,7 @@
 		}
 	})
 	served := make(chan error, 1)
-	group.Go(func() { served <- s.http.Serve(s.listener) })
+	group.Go(func() { served <- s.callers.Serve(s.listener) })
 	s.serveGate(&group)
 	select {
 	case <-ctx.Done():
