--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -32,6 +32,8 @@
 	HeaderWait = "Gate-Wait-Ms"
 	// HeaderEarly is for how many milliseconds a refusal still helps the caller most.
 	HeaderEarly = "Gate-Early-Ms"
+	// HeaderLate is set on a call that can no longer be answered within its target latency.
+	HeaderLate = "Gate-Late"
 	// HeaderExpectedWork is how many microseconds a call is expected to take at the back
 	// end, by what its route took before.
 	HeaderExpectedWork = "Gate-Expected-Work-Us"
@@ -49,7 +51,7 @@
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
-	HeaderExpectedWork, HeaderEarly,
+	HeaderExpectedWork, HeaderEarly, HeaderLate,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -77,7 +77,7 @@
 	kilobytes := float64(g.body.Size()+answer) / 1024
 	share := min(maxLocalShare, max(minLocalShare, minLocalShare+localSharePerKilobyte*(kilobytes-freeKilobytes)))
 	reserved := time.Duration(localServices * float64(work))
-	return max(0, time.Duration(share*float64(target-(now-g.started)-reserved)))
+	return max(0, time.Duration(share*float64(target-(now-g.begun)-reserved)))
 }
 
 // ownWork is up to which service time the back end beside the node may take the call: it must
@@ -85,7 +85,7 @@
 func (g *gatedCall) ownWork(now time.Duration) time.Duration {
 	left := g.deadline - now
 	if target := g.route.TargetLatency; target > 0 {
-		left = min(left, target-(now-g.started))
+		left = min(left, target-(now-g.begun))
 	}
 	return left / ownWorkShare
 }
@@ -97,18 +97,24 @@
 	work, _ := g.handler.work.of(g.route.Name)
 	if target := g.route.TargetLatency; target > 0 && work*shortWorkShare > g.service.pool.MeanService() {
 		reserved := time.Duration(patienceServices * float64(work))
-		allowed = min(allowed, max(target-(now-g.started)-reserved, target/minPatienceShare))
+		allowed = min(allowed, max(target-(now-g.begun)-reserved, target/minPatienceShare))
 	}
 	return max(0, min(allowed, left-minServiceLeft))
 }
 
+// isLate reports whether the call can no longer be answered within its target latency.
+func (g *gatedCall) isLate(now time.Duration) bool {
+	work, _ := g.handler.work.of(g.route.Name)
+	return g.route.TargetLatency > 0 && now-g.begun+work > g.route.TargetLatency
+}
+
 // bodyTime is how long a large body may take on its way: a share of the time until the call
 // should be answered.
 func (g *gatedCall) bodyTime() time.Duration {
 	now := g.now()
 	left := g.deadline - now
 	if target := g.route.TargetLatency; target > 0 {
-		left = min(left, max(target-(now-g.started), left/bodyShare))
+		left = min(left, max(target-(now-g.begun), left/bodyShare))
 	}
 	return left / bodyShare
 }
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -127,7 +127,10 @@
 	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
 	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
 	if target := g.route.TargetLatency; target > 0 {
-		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.started))
+		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.begun))
+	}
+	if g.isLate(g.now()) {
+		request.Header.Set(exchange.HeaderLate, "1")
 	}
 	work, _ := g.handler.work.of(g.route.Name)
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(work.Microseconds(), 10))
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -118,6 +118,8 @@
 	mutex  sync.Mutex
 	gates  *http.Transport
 	work   *workTimes
+	// patience tells callers that come back from new ones.
+	patience *patiences
 }
 
 // New returns a handler that refuses every call until SetTable.
@@ -125,7 +127,7 @@
 	if config.Headers.Deadline == "" {
 		config.Headers.Deadline = exchange.HeaderTimeout
 	}
-	h := &Handler{config: config, gates: newGateTransport(), work: newWorkTimes()}
+	h := &Handler{config: config, gates: newGateTransport(), work: newWorkTimes(), patience: newPatiences()}
 	return h
 }
 
@@ -145,6 +147,7 @@
 	}
 	h.view.Store(next)
 	h.work.keep(table.Has)
+	h.patience.keep(table.Has)
 	h.closeUnused(old, next)
 }
 
@@ -233,8 +236,10 @@
 	attempts int
 	record   Record
 	tried    []string
-	started  time.Duration
-	status   int
+	// started is when the call came, begun when its caller is estimated to have first tried.
+	started time.Duration
+	begun   time.Duration
+	status  int
 }
 
 // ServeHTTP implements http.Handler.
@@ -286,6 +291,7 @@
 		return &Refusal{Outcome: NotRun, Step: "deadline", Reason: "the deadline has passed", Status: http.StatusGatewayTimeout}
 	}
 	c.deadline = c.started + timeout
+	c.begun = c.started - c.age()
 	if refusal := c.bodyTooLarge(current.table.Limits.MaxBodyBytes); refusal != nil {
 		return refusal
 	}
@@ -336,12 +342,26 @@
 
 // timeout returns the smaller of the caller's patience and the route's timeout.
 func (c *call) timeout() time.Duration {
-	timeout := c.route.Timeout
+	patience, told := c.callerPatience()
+	if told && patience < c.route.Timeout {
+		return patience
+	}
+	return c.route.Timeout
+}
+
+// callerPatience is how long the caller says that it waits, false if it does not say.
+func (c *call) callerPatience() (time.Duration, bool) {
 	millis, err := strconv.ParseInt(c.request.Header.Get(c.handler.config.Headers.Deadline), 10, 64)
-	if err == nil && time.Duration(millis)*time.Millisecond < timeout {
-		timeout = time.Duration(millis) * time.Millisecond
+	return time.Duration(millis) * time.Millisecond, err == nil
+}
+
+// age is for how long the caller is estimated to have tried before this attempt.
+func (c *call) age() time.Duration {
+	patience, told := c.callerPatience()
+	if !told {
+		return 0
 	}
-	return timeout
+	return c.handler.patience.age(c.route.Name, patience)
 }
 
 // mayRepeat reports whether a call may run more than once.
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -88,6 +88,8 @@
 // request is what admission must know of a call.
 type request struct {
 	instance string
+	// late calls can no longer be answered within their target latency.
+	late     bool
 	priority int
 	deadline time.Duration
 	wait     time.Duration
@@ -98,7 +100,7 @@
 
 func (r request) waiter() *waiter {
 	return &waiter{
-		priority: r.priority, size: sizeOf(r.work), deadline: r.deadline,
+		late: r.late, priority: r.priority, size: sizeOf(r.work), deadline: r.deadline,
 		admitted: make(chan struct{}), dropped: make(chan struct{}),
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -175,6 +175,7 @@
 		wanted.early = early
 	}
 	wanted.work, _ = exchange.ReadMicros(header, exchange.HeaderExpectedWork)
+	wanted.late = header.Get(exchange.HeaderLate) != ""
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -8,6 +8,7 @@
 
 // waiter is a call that waits for a free slot.
 type waiter struct {
+	late     bool
 	priority int
 	// size is the call's expected work, as an order of magnitude.
 	size     int
@@ -23,11 +24,15 @@
 // sizeOf sorts expected work by powers of two.
 func sizeOf(work time.Duration) int { return bits.Len64(uint64(work / time.Millisecond)) }
 
-// waitQueue orders waiters by priority, then the shorter work first, which lets the most
-// calls be answered in time, then by deadline.
+// waitQueue orders waiters: those that can still be answered within their target latency first,
+// since a late answer is worth little to its caller; then by priority, then the shorter work
+// first, which lets the most calls be answered in time, then by deadline.
 type waitQueue []*waiter
 
 func (q waitQueue) before(a, b *waiter) bool {
+	if a.late != b.late {
+		return b.late
+	}
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
