--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -4,13 +4,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/kataras/iris/v12"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -28,7 +29,8 @@
 
 // Service is the HTTP service of one daemon.
 type Service struct {
-	App      *iris.Application
+	// Mux takes further calls until Serve.
+	Mux      *http.ServeMux
 	Registry *prometheus.Registry
 	server   *http.Server
 	// listeners are where it answers, the administration's own address first.
@@ -52,16 +54,14 @@
 	if err != nil {
 		return nil, err
 	}
-	app := iris.New().Configure(iris.WithoutStartupLog, iris.WithoutServerError(iris.ErrServerClosed))
-	app.Logger().SetLevel("disable")
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	s := &Service{App: app, Registry: registry, listeners: listeners}
-	app.Get("/live", func(ctx iris.Context) { _, _ = ctx.WriteString("live\n") })
-	app.Get("/ready", func(ctx iris.Context) { answerReady(ctx, options.Ready) })
-	app.Get("/status", func(ctx iris.Context) { _ = ctx.JSON(options.Status()) })
-	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
-	return s, nil
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "live\n") })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) { answerReady(w, options.Ready) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, options.Status()) })
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	return &Service{Mux: mux, Registry: registry, listeners: listeners}, nil
 }
 
 // listenAll opens the addresses that are set: all of them or none.
@@ -83,13 +83,25 @@
 	return opened, nil
 }
 
-func answerReady(ctx iris.Context, ready func() error) {
+func answerReady(w http.ResponseWriter, ready func() error) {
 	if err := ready(); err != nil {
-		ctx.StatusCode(http.StatusServiceUnavailable)
-		_, _ = ctx.WriteString(err.Error() + "\n")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, err.Error()+"\n")
 		return
 	}
-	_, _ = ctx.WriteString("ready\n")
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// WriteJSON answers with a value as JSON.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("encode answer: %v", err), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
 }
 
 // Address returns where the service listens.
@@ -97,11 +109,8 @@
 
 // Serve answers until the context ends.
 func (s *Service) Serve(ctx context.Context) error {
-	if err := s.App.Build(); err != nil {
-		return fmt.Errorf("build administration service: %w", err)
-	}
 	s.server = &http.Server{
-		Handler: s.App, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+		Handler: s.Mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
 		WriteTimeout: requestTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	stopped := make(chan struct{})
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,12 +12,11 @@
 	"strconv"
 	"time"
 
+	"bramblelift/pkg/admin"
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/operator"
 	"bramblelift/pkg/replica"
-
-	"github.com/kataras/iris/v12"
 )
 
 const (
@@ -28,15 +28,15 @@
 
 // routeOperators adds the operators' calls to the administration service.
 func (s *Server) routeOperators() {
-	app := s.admin.App
-	app.Post(operator.PathVersions, s.handleCreate)
-	app.Post(operator.PathVersions+"/{version:uint64}/approve", s.handleApprove)
-	app.Post(operator.PathVersions+"/{version:uint64}/roll", s.handleRoll)
-	app.Post(operator.PathPublications, s.handlePublish)
-	app.Get(operator.PathVersions, s.handleList)
-	app.Get(operator.PathStatus, s.handleStatus)
-	app.Get(operator.PathNodes, s.handleNodes)
-	app.Get(operator.PathDiff, s.handleDiff)
+	mux := s.admin.Mux
+	mux.HandleFunc("POST "+operator.PathVersions, s.handleCreate)
+	mux.HandleFunc("POST "+operator.PathVersions+"/{version}/approve", s.handleApprove)
+	mux.HandleFunc("POST "+operator.PathVersions+"/{version}/roll", s.handleRoll)
+	mux.HandleFunc("POST "+operator.PathPublications, s.handlePublish)
+	mux.HandleFunc("GET "+operator.PathVersions, s.handleList)
+	mux.HandleFunc("GET "+operator.PathStatus, s.handleStatus)
+	mux.HandleFunc("GET "+operator.PathNodes, s.handleNodes)
+	mux.HandleFunc("GET "+operator.PathDiff, s.handleDiff)
 }
 
 func refuse(code catalog.Code, format string, values ...any) *catalog.OperationError {
@@ -68,9 +68,9 @@
 }
 
 // answer writes a result, or the refusal that err is or becomes.
-func answer(ctx iris.Context, value any, err error) {
+func answer(w http.ResponseWriter, value any, err error) {
 	if err == nil {
-		_ = ctx.JSON(value)
+		admin.WriteJSON(w, http.StatusOK, value)
 		return
 	}
 	var refused *catalog.OperationError
@@ -82,20 +82,33 @@
 		status = http.StatusInternalServerError
 	}
 	if refused.Code == catalog.CodeUnavailable {
-		ctx.Header("Retry-After", "1")
+		w.Header().Set("Retry-After", "1")
 	}
-	ctx.StatusCode(status)
-	_ = ctx.JSON(refused)
+	admin.WriteJSON(w, status, refused)
 }
 
-func readRequest(ctx iris.Context, target any) error {
-	ctx.SetMaxRequestBodySize(maxRequestBytes)
-	if err := ctx.ReadJSON(target); err != nil {
+// readRequest reads the JSON body of an operator's call.
+func readRequest(w http.ResponseWriter, r *http.Request, target any) error {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err == nil {
+		err = json.Unmarshal(data, target)
+	}
+	if err != nil {
 		return refuse(catalog.CodeInvalidRequest, "cannot read request: %v", err)
 	}
 	return nil
 }
 
+// versionOf reads the version in an operator's call's path.
+func versionOf(r *http.Request) (uint64, error) {
+	text := r.PathValue("version")
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, refuse(catalog.CodeUnknownVersion, "%q is not the number of a version", text)
+	}
+	return number, nil
+}
+
 // propose hands a command to the driver and waits for its outcome.
 func (s *Server) propose(ctx context.Context, command catalog.Command) (catalog.Result, error) {
 	return s.proposeBuilt(ctx, func() catalog.Command { return command })
@@ -161,20 +174,20 @@
 	return nil
 }
 
-func (s *Server) handleCreate(ctx iris.Context) {
-	result, err := s.create(ctx)
-	answer(ctx, result, err)
+func (s *Server) handleCreate(w http.ResponseWriter, r *http.Request) {
+	result, err := s.create(w, r)
+	answer(w, result, err)
 }
 
-func (s *Server) create(ctx iris.Context) (catalog.Result, error) {
+func (s *Server) create(w http.ResponseWriter, r *http.Request) (catalog.Result, error) {
 	var request operator.CreateRequest
-	if err := readRequest(ctx, &request); err != nil {
+	if err := readRequest(w, r, &request); err != nil {
 		return catalog.Result{}, err
 	}
 	if request.OperationID == "" || request.ExpectedHead == nil {
 		return catalog.Result{}, refuse(catalog.CodeInvalidRequest, "operation_id and expected_head must be set")
 	}
-	content, err := s.contentOf(ctx.Request().Context(), request)
+	content, err := s.contentOf(r.Context(), request)
 	if err != nil {
 		return catalog.Result{}, err
 	}
@@ -189,7 +202,7 @@
 	if err != nil {
 		return catalog.Result{}, fmt.Errorf("digest of bundle: %w", err)
 	}
-	return s.proposeBuilt(ctx.Request().Context(), func() catalog.Command {
+	return s.proposeBuilt(r.Context(), func() catalog.Command {
 		return catalog.Command{
 			OperationID: request.OperationID,
 			Create:      s.replica.Catalog().NewCreate(*request.ExpectedHead, content, tree.Root()),
@@ -259,21 +272,23 @@
 	return *version.Content, nil
 }
 
-func (s *Server) handleApprove(ctx iris.Context) {
-	result, err := s.approve(ctx)
-	answer(ctx, result, err)
+func (s *Server) handleApprove(w http.ResponseWriter, r *http.Request) {
+	result, err := s.approve(w, r)
+	answer(w, result, err)
 }
 
-func (s *Server) approve(ctx iris.Context) (catalog.Result, error) {
+func (s *Server) approve(w http.ResponseWriter, r *http.Request) (catalog.Result, error) {
 	var request operator.ApproveRequest
-	if err := readRequest(ctx, &request); err != nil {
+	if err := readRequest(w, r, &request); err != nil {
+		return catalog.Result{}, err
+	}
+	number, err := versionOf(r)
+	if err != nil {
 		return catalog.Result{}, err
 	}
-	number := ctx.Params().GetUint64Default("version", 0)
 	var version catalog.Version
 	found := false
-	requestContext := ctx.Request().Context()
-	err := s.readLeased(requestContext, func(time.Duration) { version, found = s.replica.Catalog().Lookup(number) })
+	err = s.readLeased(r.Context(), func(time.Duration) { version, found = s.replica.Catalog().Lookup(number) })
 	if err != nil {
 		return catalog.Result{}, err
 	}
@@ -283,32 +298,36 @@
 	if err := s.verifier.Verify(version.Manifest, request.Approval); err != nil {
 		return catalog.Result{}, refuse(catalog.CodeInvalidApproval, "%v", err)
 	}
-	return s.propose(requestContext, catalog.Command{
+	return s.propose(r.Context(), catalog.Command{
 		OperationID: request.OperationID,
 		Approve:     &catalog.Approve{Version: number, Approval: request.Approval},
 	})
 }
 
-func (s *Server) handleRoll(ctx iris.Context) {
+func (s *Server) handleRoll(w http.ResponseWriter, r *http.Request) {
 	var request operator.RollRequest
-	if err := readRequest(ctx, &request); err != nil {
-		answer(ctx, nil, err)
+	if err := readRequest(w, r, &request); err != nil {
+		answer(w, nil, err)
+		return
+	}
+	number, err := versionOf(r)
+	if err != nil {
+		answer(w, nil, err)
 		return
 	}
-	number := ctx.Params().GetUint64Default("version", 0)
-	result, err := s.propose(ctx.Request().Context(), catalog.Command{
+	result, err := s.propose(r.Context(), catalog.Command{
 		OperationID: request.OperationID, Roll: &catalog.Roll{Version: number},
 	})
 	if err == nil {
 		s.logger.Log("event", "version_accepted", "version", number, "revision", result.Revision)
 	}
-	answer(ctx, result, err)
+	answer(w, result, err)
 }
 
-func (s *Server) handleList(ctx iris.Context) {
+func (s *Server) handleList(w http.ResponseWriter, r *http.Request) {
 	var list operator.VersionList
-	err := s.readLeased(ctx.Request().Context(), func(time.Duration) { list = s.versionList() })
-	answer(ctx, list, err)
+	err := s.readLeased(r.Context(), func(time.Duration) { list = s.versionList() })
+	answer(w, list, err)
 }
 
 func (s *Server) versionList() operator.VersionList {
@@ -328,34 +347,34 @@
 	return list
 }
 
-func (s *Server) handleStatus(ctx iris.Context) {
+func (s *Server) handleStatus(w http.ResponseWriter, r *http.Request) {
 	var status operator.Status
-	err := s.readLeased(ctx.Request().Context(), func(now time.Duration) { status = s.status(now) })
-	answer(ctx, status, err)
+	err := s.readLeased(r.Context(), func(now time.Duration) { status = s.status(now) })
+	answer(w, status, err)
 }
 
-func (s *Server) handleNodes(ctx iris.Context) {
-	answer(ctx, s.nodes.list(time.Now()), nil)
+func (s *Server) handleNodes(w http.ResponseWriter, _ *http.Request) {
+	answer(w, s.nodes.list(time.Now()), nil)
 }
 
-func (s *Server) handleDiff(ctx iris.Context) {
-	from, fromErr := strconv.ParseUint(ctx.URLParam("from"), 10, 64)
-	to, toErr := strconv.ParseUint(ctx.URLParam("to"), 10, 64)
+func (s *Server) handleDiff(w http.ResponseWriter, r *http.Request) {
+	from, fromErr := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	to, toErr := strconv.ParseUint(r.URL.Query().Get("to"), 10, 64)
 	if err := errors.Join(fromErr, toErr); err != nil {
-		answer(ctx, nil, refuse(catalog.CodeInvalidRequest, "from and to must be versions: %v", err))
+		answer(w, nil, refuse(catalog.CodeInvalidRequest, "from and to must be versions: %v", err))
 		return
 	}
-	old, err := s.contentOrEmpty(ctx.Request().Context(), from)
+	old, err := s.contentOrEmpty(r.Context(), from)
 	if err != nil {
-		answer(ctx, nil, err)
+		answer(w, nil, err)
 		return
 	}
-	next, err := s.contentOrEmpty(ctx.Request().Context(), to)
+	next, err := s.contentOrEmpty(r.Context(), to)
 	changes := operator.DiffContents(old, next)
 	if changes == nil {
 		changes = []operator.Change{}
 	}
-	answer(ctx, changes, err)
+	answer(w, changes, err)
 }
 
 // contentOrEmpty treats version zero as the empty bundle.
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -12,8 +12,6 @@
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/operator"
 	"bramblelift/pkg/settings"
-
-	"github.com/kataras/iris/v12"
 )
 
 // Bounds of the deployment's interface.
@@ -64,18 +62,18 @@
 	return err
 }
 
-func (s *Server) handlePublish(ctx iris.Context) {
-	result, err := s.publishFile(ctx)
-	answer(ctx, result, err)
+func (s *Server) handlePublish(w http.ResponseWriter, r *http.Request) {
+	result, err := s.publishFile(w, r)
+	answer(w, result, err)
 }
 
 // publishFile publishes a bundle file that an operator sends.
-func (s *Server) publishFile(ctx iris.Context) (catalog.Result, error) {
+func (s *Server) publishFile(w http.ResponseWriter, r *http.Request) (catalog.Result, error) {
 	if s.settings.SignOff != settings.SignOffPublication {
 		return catalog.Result{}, refuse(catalog.CodeNotApproved, "versions need a signature here: sign_off is not %q", settings.SignOffPublication)
 	}
 	var request operator.PublishRequest
-	if err := readRequest(ctx, &request); err != nil {
+	if err := readRequest(w, r, &request); err != nil {
 		return catalog.Result{}, err
 	}
 	if request.TOML == "" || request.Version == 0 {
@@ -86,11 +84,11 @@
 		return catalog.Result{}, err
 	}
 	p := Publication{Base: request.Base, Version: request.Version, Content: content, Source: []byte(request.TOML)}
-	if err := s.Publish(ctx.Request().Context(), p); err != nil {
+	if err := s.Publish(r.Context(), p); err != nil {
 		return catalog.Result{}, err
 	}
 	var published catalog.Version
-	err = s.readOnceLeased(ctx.Request().Context(), func(time.Duration) {
+	err = s.readOnceLeased(r.Context(), func(time.Duration) {
 		published, _ = s.replica.Catalog().Lookup(request.Version)
 	})
 	return catalog.Result{Version: published.Manifest, Status: published.Status}, err
