--- a/pkg/raft/node.go
+++ b/pkg/raft/node.go
@@ -86,6 +86,11 @@
 	unsent        bool
 }
 
+// firstElectionSpread is over how many heartbeat intervals replicas that start together spread
+// their first pre-votes. They begin as soon as votes are granted: a pre-vote disturbs no working
+// leader, and where there is none everybody waits.
+const firstElectionSpread = 2
+
 // New starts a replica from its durable state.
 func New(now time.Duration, config Config, state State) (*Node, error) {
 	if config.ID == 0 {
@@ -113,7 +118,7 @@
 	// A restarted replica may have acknowledged a leader just before it stopped.
 	silent := min(config.Uptime, config.ElectionTimeout)
 	n.voteBarrier = now + config.ElectionTimeout - silent
-	n.resetElectionDeadline(now - silent)
+	n.electionDeadline = n.voteBarrier + time.Duration(config.Random(int64(firstElectionSpread*config.HeartbeatInterval)))
 	return n, nil
 }
 
--- a/pkg/raft/raft_test.go
+++ b/pkg/raft/raft_test.go
@@ -200,3 +200,22 @@
 		is.True(n.leader() != nil)
 	}
 }
+
+// When all replicas return at once there is no leader to disturb, and everybody waits for one.
+func TestReplicasThatReturnTogetherElectSoon(t *testing.T) {
+	is := is.New(t)
+	late := 0
+	const rounds = 50
+	for seed := range uint64(rounds) {
+		n := newTestNetwork(t, 3)
+		n.random = rand.New(rand.NewPCG(seed, 2))
+		for id, node := range n.nodes {
+			n.start(id, State{Snapshot: node.log.snapshot})
+		}
+		n.run(testElection + testHeartbeat*3/2)
+		if n.leader() == nil {
+			late++
+		}
+	}
+	is.True(late <= rounds/5) // votes may be split
+}
