--- a/pkg/forward/handler_test.go
+++ b/pkg/forward/handler_test.go
@@ -292,18 +292,36 @@
 	}
 }
 
+// awaitCalls waits until back ends have got so many calls together.
+func awaitCalls(t *testing.T, wanted int64, counts ...*atomic.Int64) {
+	t.Helper()
+	for range 500 {
+		got := int64(0)
+		for _, count := range counts {
+			got += count.Load()
+		}
+		if got >= wanted {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("back ends did not get %d calls", wanted)
+}
+
 // A call that finds no free slot waits a little, once, and is then told at once.
 func TestSaturatedCallIsRefusedInTime(t *testing.T) {
 	is := is.New(t)
 	held := make(chan struct{})
 	defer close(held)
 	var addresses []string
+	var atWork []*atomic.Int64
 	for range 2 {
-		address, _ := rawBackend(t, func(net.Conn, *http.Request, int64) bool {
+		address, calls := rawBackend(t, func(net.Conn, *http.Request, int64) bool {
 			<-held
 			return false
 		})
 		addresses = append(addresses, address)
+		atWork = append(atWork, calls)
 	}
 	server := node(t, addresses...)
 	for range 2 * 64 { // the limit of a back end for which the bundle sets none
@@ -314,7 +332,7 @@
 			}
 		}()
 	}
-	time.Sleep(300 * time.Millisecond)
+	awaitCalls(t, 2*64, atWork...)
 	started := time.Now()
 	response := send(t, server, http.MethodPost, "/once/x", nil, "body")
 	is.Equal(outcome(response), string(NotRun))
