--- a/pkg/sim/subscribe.go
+++ b/pkg/sim/subscribe.go
@@ -203,7 +203,7 @@
 			s.onConfirmed(at)
 		}
 	}
-	if s.selector.Heard(s.process.clock(), confirmed, pong.Stale) {
+	if s.selector.Heard(s.process.clock(), stream.Standing{Confirmed: confirmed, Stale: pong.Stale, Behind: pong.Revision < s.target.Position().Revision}) {
 		s.lost(conn)
 	}
 }
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -334,8 +334,9 @@
 	if confirmed {
 		c.confirm(at)
 	}
-	if c.selector.Heard(c.config.Now(), confirmed, pong.Stale) {
-		return fmt.Errorf("server %s is stale (confirmed=%t stale=%s)", s.conn.Peer(), confirmed, pong.Stale)
+	standing := Standing{Confirmed: confirmed, Stale: pong.Stale, Behind: pong.Revision < c.target.Position().Revision}
+	if c.selector.Heard(c.config.Now(), standing) {
+		return fmt.Errorf("server %s is stale (confirmed=%t stale=%s behind=%t)", s.conn.Peer(), confirmed, pong.Stale, standing.Behind)
 	}
 	return nil
 }
--- a/pkg/stream/hub_test.go
+++ b/pkg/stream/hub_test.go
@@ -157,7 +157,7 @@
 	s.Next(0)
 	spread := pingInterval + pingInterval/4
 	for now := spread - time.Millisecond; ; now += spread {
-		if s.Heard(now, true, now) {
+		if s.Heard(now, Standing{Confirmed: true, Stale: now}) {
 			return now
 		}
 	}
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -202,16 +202,26 @@
 	return time.Duration((0.5 + s.config.Random()) * float64(pause))
 }
 
+// Standing is what a Pong says of its server.
+type Standing struct {
+	// Confirmed says that Stale is known.
+	Confirmed bool
+	Stale     time.Duration
+	// Behind is set if the client holds a newer state than the server: it got that from
+	// another, so another is worth more.
+	Behind bool
+}
+
 // Heard notes a Pong. It reports whether to leave the server: it is stale, and another
-// is not known to be.
-func (s *Selector) Heard(now time.Duration, confirmed bool, stale time.Duration) (leave bool) {
+// is not known to be, or it is behind.
+func (s *Selector) Heard(now time.Duration, standing Standing) (leave bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if confirmed && stale <= s.config.StaleLimit {
+	if standing.Confirmed && !standing.Behind && standing.Stale <= s.config.StaleLimit {
 		s.failures = 0
 		s.candidates[s.current].badUntil = -1
 		return false
 	}
 	s.markBad(now)
-	return s.otherUsable(now)
+	return s.otherUsable(now) || (standing.Behind && len(s.candidates) > 1)
 }
--- a/pkg/stream/stream_test.go
+++ b/pkg/stream/stream_test.go
@@ -61,11 +61,30 @@
 	is := is.New(t)
 	s := testSelector("stale", "other")
 	s.Next(0)
-	is.True(!s.Heard(0, true, time.Second))  // fresh enough
-	is.True(s.Heard(0, true, 9*time.Second)) // stale, the other is not known to be
+	is.True(!s.Heard(0, Standing{Confirmed: true, Stale: time.Second}))  // fresh enough
+	is.True(s.Heard(0, Standing{Confirmed: true, Stale: 9 * time.Second})) // stale, the other is not known to be
 	s.Failed(0, 0)
 	s.Next(0)
-	is.True(!s.Heard(0, false, 0)) // all are bad: stay where there is a connection
+	is.True(!s.Heard(0, Standing{})) // all are bad: stay where there is a connection
+}
+
+// A server that holds less than the client, such as one that lost its disk, is left for any other.
+func TestSelectorLeavesAServerThatIsBehind(t *testing.T) {
+	is := is.New(t)
+	s := testSelector("other", "behind")
+	s.Next(0)
+	is.True(s.Heard(0, Standing{})) // not confirmed: the next one may be
+	s.Failed(0, 0)
+	next, _ := s.Next(0)
+	is.Equal(next.Address, "behind")
+	is.True(s.Heard(0, Standing{Behind: true}))
+	s.Failed(0, 0)
+	next, wait := s.Next(0)
+	is.Equal(next.Address, "other")
+	is.True(wait <= 200*time.Millisecond)
+	alone := testSelector("behind")
+	alone.Next(0)
+	is.True(!alone.Heard(0, Standing{Behind: true})) // there is no other
 }
 
 func TestAdmissionSpreadsAHerd(t *testing.T) {
