--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -32,8 +32,9 @@
 	HeaderWait = "Gate-Wait-Ms"
 	// HeaderEarly is for how many milliseconds a refusal still helps the caller most.
 	HeaderEarly = "Gate-Early-Ms"
-	// HeaderLate is set on a call that can no longer be answered within its target latency.
-	HeaderLate = "Gate-Late"
+	// HeaderTarget is how many milliseconds are left until the call's target latency, zero if
+	// that has passed.
+	HeaderTarget = "Gate-Target-Ms"
 	// HeaderExpectedWork is how many microseconds a call is expected to take at the back
 	// end, by what its route took before.
 	HeaderExpectedWork = "Gate-Expected-Work-Us"
@@ -51,7 +52,7 @@
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
-	HeaderExpectedWork, HeaderEarly, HeaderLate,
+	HeaderExpectedWork, HeaderEarly, HeaderTarget,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
@@ -80,6 +81,8 @@
 const (
 	// ReasonFull: the wait would be longer than the call allows.
 	ReasonFull Reason = "full"
+	// ReasonLink: the call's body would come too late over the gate's link.
+	ReasonLink Reason = "link"
 	// ReasonAbsent: no back end is there yet.
 	ReasonAbsent Reason = "absent"
 	// ReasonLeft: the back end that the call was meant for has left for good.
@@ -103,6 +106,9 @@
 	return r == ReasonDeclined || r == ReasonBroken || r == ReasonServerError
 }
 
+// Busy reports whether the gate may take the call a little later.
+func (r Reason) Busy() bool { return r == ReasonFull || r == ReasonLink }
+
 // Report is what a gate says of its back end with each answer.
 type Report struct {
 	// Running and Queued are the calls at work and those that wait at the gate.
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -102,12 +102,6 @@
 	return max(0, min(allowed, left-minServiceLeft))
 }
 
-// isLate reports whether the call can no longer be answered within its target latency.
-func (g *gatedCall) isLate(now time.Duration) bool {
-	work, _ := g.handler.work.of(g.route.Name)
-	return g.route.TargetLatency > 0 && now-g.begun+work > g.route.TargetLatency
-}
-
 // bodyTime is how long a large body may take on its way: a share of the time until the call
 // should be answered.
 func (g *gatedCall) bodyTime() time.Duration {
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -127,11 +127,9 @@
 	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
 	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
 	if target := g.route.TargetLatency; target > 0 {
+		exchange.SetMillis(request.Header, exchange.HeaderTarget, target-(g.now()-g.begun))
 		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.begun))
 	}
-	if g.isLate(g.now()) {
-		request.Header.Set(exchange.HeaderLate, "1")
-	}
 	work, _ := g.handler.work.of(g.route.Name)
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(work.Microseconds(), 10))
 	g.body.Attach(request, incoming.ContentLength)
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -112,7 +112,7 @@
 	now := g.now()
 	learned := balancer.Canceled
 	switch failure.reason {
-	case exchange.ReasonFull:
+	case exchange.ReasonFull, exchange.ReasonLink:
 		// The gate beside the node was asked for a free slot only, at no cost: the call
 		// may still wait there.
 		if g.tries > 1 || ticket.Address != g.handler.config.GateAddress {
@@ -135,7 +135,7 @@
 			learned = balancer.Failed
 		}
 	}
-	if failure.reason != exchange.ReasonFull {
+	if !failure.reason.Busy() {
 		g.done = ticket.LeftOut(g.done)
 	}
 	ticket.Done(now, learned)
@@ -152,7 +152,7 @@
 		return false
 	}
 	if !failure.reason.Reached() {
-		waited := failure.reason == exchange.ReasonFull && g.lastChance
+		waited := failure.reason.Busy() && g.lastChance
 		return !waited && failure.reason != exchange.ReasonDeadline
 	}
 	if failure.outcome != NotRun && !g.safe {
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -88,11 +88,14 @@
 // request is what admission must know of a call.
 type request struct {
 	instance string
-	// late calls can no longer be answered within their target latency.
-	late     bool
-	priority int
-	deadline time.Duration
-	wait     time.Duration
+	// targetLeft is when the call should be answered, if it is targeted; late calls can no
+	// longer be.
+	targetLeft time.Duration
+	targeted   bool
+	late       bool
+	priority   int
+	deadline   time.Duration
+	wait       time.Duration
 	// early is until when a refusal helps the caller most.
 	early time.Duration
 	work  time.Duration
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -39,6 +39,8 @@
 	Now func() time.Duration
 	// OnCall, if set, is told how each call ended.
 	OnCall func(Call)
+	// LinkBits is the rate of the machine's link in bits a second, zero for no bound.
+	LinkBits float64
 }
 
 // Call describes a finished call, for logs and metrics.
@@ -59,6 +61,7 @@
 type Gate struct {
 	config    Config
 	transport *http.Transport
+	inbound   *inbound
 
 	mutex   sync.Mutex
 	backend Backend
@@ -80,7 +83,7 @@
 // New returns a gate without a back end.
 func New(config Config) *Gate {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
-	return &Gate{config: config, transport: &http.Transport{
+	return &Gate{config: config, inbound: newInbound(config.LinkBits), transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 	}}
@@ -123,6 +126,13 @@
 	if call.Reason != "" {
 		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
+	due, inTime := g.inbound.reserve(arrived, r.ContentLength, g.linkPatience(wanted, r.ContentLength))
+	if !inTime {
+		g.bodyReceived()
+		call.Reason = exchange.ReasonLink
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
+	g.awaitLink(r.Context(), due)
 	body, err := exchange.ReadBody(r)
 	g.bodyReceived()
 	if err != nil {
@@ -138,6 +148,21 @@
 	})
 }
 
+// awaitLink waits until a body may come. A caller that leaves meanwhile is noticed by the reading
+// of the body.
+func (g *Gate) awaitLink(ctx context.Context, due time.Duration) {
+	wait := due - g.config.Now()
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Do sends one call to the back end and returns its answer, or the gate's own refusal,
 // which HeaderOutcome marks.
 func (g *Gate) Do(r *http.Request) *http.Response {
@@ -175,7 +200,8 @@
 		wanted.early = early
 	}
 	wanted.work, _ = exchange.ReadMicros(header, exchange.HeaderExpectedWork)
-	wanted.late = header.Get(exchange.HeaderLate) != ""
+	wanted.late = wanted.targeted && wanted.targetLeft <= wanted.work
+	wanted.targetLeft, wanted.targeted = exchange.ReadMillis(header, exchange.HeaderTarget)
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
--- /dev/null
+++ b/pkg/gate/inbound_test.go
@@ -0,0 +1,94 @@
+package gate
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/exchange"
+
+	"github.com/matryer/is"
+)
+
+func TestBodiesGetTheLinkOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	l := newInbound(8e6) // a megabyte a second
+	first := l.takes(70_000)
+	is.Equal(first, 100*time.Millisecond) // at the share for bodies
+	due, ok := l.reserve(0, 70_000, 0)
+	is.True(ok)
+	is.Equal(due, time.Duration(0))
+	_, ok = l.reserve(0, 70_000, first/2)
+	is.True(!ok) // takes no time
+	due, ok = l.reserve(0, 70_000, first)
+	is.True(ok)
+	is.Equal(due, first)
+	due, ok = l.reserve(time.Second, 70_000, 0)
+	is.True(ok)
+	is.Equal(due, time.Second) // the link was free
+	var none *inbound
+	due, ok = none.reserve(3, 1<<30, 0)
+	is.True(ok)
+	is.Equal(due, time.Duration(3))
+}
+
+func TestPatienceForTheLink(t *testing.T) {
+	is := is.New(t)
+	g := New(Config{Headers: testHeaders, Now: func() time.Duration { return 0 }, LinkBits: 8e6})
+	const size = 70_000 // 100 ms
+	call := request{work: 100 * time.Millisecond, wait: 5 * time.Second, targeted: true, targetLeft: time.Second}
+	is.Equal(g.linkPatience(call, size), time.Second-130*time.Millisecond-100*time.Millisecond)
+	call.targetLeft, call.late = 50*time.Millisecond, true
+	is.Equal(g.linkPatience(call, size), inboundSlack)
+	is.Equal(g.linkPatience(request{wait: time.Second}, size), time.Second) // no target is known
+	is.Equal(g.linkPatience(request{}, size), inboundSlack)
+}
+
+// post sends a large body that is sent once the gate asks for it.
+func post(t *testing.T, url, id string, header ...string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url, io.LimitReader(endless{}, 100_000))
+	is.New(t).NoErr(err)
+	r.ContentLength = 100_000
+	r.Header.Set("Expect", "100-continue")
+	r.Header.Set("Call-Id", id)
+	r.Header.Set("Left-Ms", "5000")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := (&http.Transport{ExpectContinueTimeout: time.Minute}).RoundTrip(r)
+	is.New(t).NoErr(err)
+	response.Body.Close()
+	return response
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// What the link cannot bring in time is refused before it is sent; what waits for the link is
+// answered.
+func TestGateRefusesWhatItsLinkCannotBringInTime(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
+	}))
+	t.Cleanup(server.Close)
+	started := time.Now()
+	// A body takes 200 ms of the link.
+	g := New(Config{Headers: testHeaders, Now: func() time.Duration { return time.Since(started) }, LinkBits: 100_000 / 0.2 / inboundShare * 8})
+	g.SetBackend(Backend{ID: "b1", Address: server.Listener.Addr().String(), Capacity: 4})
+	front := httptest.NewServer(g)
+	t.Cleanup(front.Close)
+	is.Equal(post(t, front.URL, "1").StatusCode, http.StatusOK)
+	refused := post(t, front.URL, "2")
+	is.Equal(reasonOf(refused), exchange.ReasonLink)
+	is.Equal(refused.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
+	is.Equal(g.Report().Queued, 0)
+	waited := post(t, front.URL, "3", exchange.HeaderTarget, "2000")
+	is.Equal(waited.StatusCode, http.StatusOK)
+	is.True(time.Since(started) >= 190*time.Millisecond)
+}
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -89,7 +89,7 @@
 // attempt takes in an attempt that brought no answer.
 func (o *observer) attempt(a forward.Attempt) {
 	o.attempts.WithLabelValues(string(a.Reason)).Inc()
-	if a.Reason == exchange.ReasonFull && a.Retried {
+	if a.Reason.Busy() && a.Retried {
 		return
 	}
 	o.logger.Log("event", "attempt_failed", "request", a.RequestID, "route", a.Route, "service", a.Service,
@@ -110,7 +110,7 @@
 		o.service.Observe(call.Service.Seconds())
 		return
 	}
-	if call.Reason == exchange.ReasonFull {
+	if call.Reason.Busy() {
 		return
 	}
 	o.logger.Log("event", "gate_refused", "request", call.RequestID, "instance", call.Backend, "reason", string(call.Reason),
