--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -21,9 +21,9 @@
 	absentPause      = 400 * time.Millisecond
 	downPause        = 250 * time.Millisecond
 	// gateRetryShare of the time left is when to come back after a refusal.
-	gateRetryShare = 10
+	gateRetryShare = 3
 	minGateRetry   = 20 * time.Millisecond
-	maxGateRetry   = time.Second
+	maxGateRetry   = 2 * time.Second
 )
 
 // gatedCall is a call on its way through gates.
--- a/pkg/stream/stream_test.go
+++ b/pkg/stream/stream_test.go
@@ -61,7 +61,7 @@
 	is := is.New(t)
 	s := testSelector("stale", "other")
 	s.Next(0)
-	is.True(!s.Heard(0, Standing{Confirmed: true, Stale: time.Second}))  // fresh enough
+	is.True(!s.Heard(0, Standing{Confirmed: true, Stale: time.Second}))    // fresh enough
 	is.True(s.Heard(0, Standing{Confirmed: true, Stale: 9 * time.Second})) // stale, the other is not known to be
 	s.Failed(0, 0)
 	s.Next(0)
