--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -42,7 +42,7 @@
 	g.left = g.backend.ID
 	g.backend, g.present = backend, true
 	g.generation++
-	g.running, g.service, g.health, g.downUntil = 0, 0, health{}, 0
+	g.running, g.service, g.pace, g.health, g.downUntil = 0, 0, pace{}, health{}, 0
 	g.dropWaiting()
 }
 
@@ -80,7 +80,9 @@
 
 // admittance is the right to send one call to the back end.
 type admittance struct {
-	backend    Backend
+	backend Backend
+	// work is what the caller expected the call to take.
+	work       time.Duration
 	generation uint64
 	at         time.Duration
 }
@@ -99,11 +101,14 @@
 	// early is until when a refusal helps the caller most.
 	early time.Duration
 	work  time.Duration
+	// lateAt is when the call becomes late unless the back end has begun it, zero if it has
+	// no target latency.
+	lateAt time.Duration
 }
 
 func (r request) waiter() *waiter {
 	return &waiter{
-		late: r.late, priority: r.priority, size: sizeOf(r.work), deadline: r.deadline,
+		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, size: sizeOf(r.work), deadline: r.deadline,
 		admitted: make(chan struct{}), dropped: make(chan struct{}),
 	}
 }
@@ -117,7 +122,7 @@
 		return admittance{}, reason
 	}
 	if g.running < g.backend.Capacity && len(g.queue) == 0 {
-		granted := g.grant(now)
+		granted := g.grant(now, r.work)
 		g.mutex.Unlock()
 		return granted, ""
 	}
@@ -172,9 +177,9 @@
 }
 
 // grant takes a slot; the mutex is held.
-func (g *Gate) grant(now time.Duration) admittance {
+func (g *Gate) grant(now, work time.Duration) admittance {
 	g.running++
-	return admittance{backend: g.backend, generation: g.generation, at: now}
+	return admittance{backend: g.backend, work: work, generation: g.generation, at: now}
 }
 
 // expectedWait estimates how long a call would wait; the mutex is held.
@@ -270,13 +275,15 @@
 			g.service = end.service
 		}
 		g.service += time.Duration(serviceWeight * float64(end.service-g.service))
+		g.pace.note(a.work, end.service)
 	}
 	for g.running < g.backend.Capacity {
-		w := g.queue.first()
+		now := g.config.Now()
+		w := g.queue.firstInTime(now)
 		if w == nil {
 			return
 		}
-		w.granted = g.grant(g.config.Now())
+		w.granted = g.grant(now, w.work)
 		close(w.admitted)
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -76,6 +76,7 @@
 	receiving int
 	queue     waitQueue
 	service   time.Duration
+	pace      pace
 	health    health
 	downUntil time.Duration
 }
@@ -200,8 +201,12 @@
 		wanted.early = early
 	}
 	wanted.work, _ = exchange.ReadMicros(header, exchange.HeaderExpectedWork)
-	wanted.late = wanted.targeted && wanted.targetLeft <= wanted.work
 	wanted.targetLeft, wanted.targeted = exchange.ReadMillis(header, exchange.HeaderTarget)
+	if wanted.targeted {
+		lastStart := wanted.targetLeft - g.paced(wanted.work)
+		wanted.late = lastStart <= 0
+		wanted.lateAt = now + max(lastStart, 1)
+	}
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -8,7 +8,10 @@
 
 // waiter is a call that waits for a free slot.
 type waiter struct {
-	late     bool
+	late bool
+	// lateAt is when the call becomes late, zero for never.
+	lateAt   time.Duration
+	work     time.Duration
 	priority int
 	// size is the call's expected work, as an order of magnitude.
 	size     int
@@ -92,6 +95,19 @@
 	return true
 }
 
+// firstInTime is first for the call that goes on now: one that became late while it waited gives
+// way to those that did not.
+func (q *waitQueue) firstInTime(now time.Duration) *waiter {
+	for {
+		w := q.first()
+		if w == nil || w.late || w.lateAt == 0 || now <= w.lateAt {
+			return w
+		}
+		w.late = true
+		q.add(w)
+	}
+}
+
 func (q *waitQueue) first() *waiter {
 	if len(*q) == 0 {
 		return nil
