--- a/pkg/balancer/gated_test.go
+++ b/pkg/balancer/gated_test.go
@@ -45,3 +45,11 @@
 		is.Equal(chosen(t, p, 0, 1, GateRequest{OwnWork: time.Second})[service.Endpoints[i].ID], 1)
 	}
 }
+
+// A back end that joins gets calls at once: it is taken for as fast as the fastest one.
+func TestBackEndThatJoinsGetsCalls(t *testing.T) {
+	is := is.New(t)
+	p := gatedPool(t, []string{"z", "z", "z"}, nil)
+	p.endpoints[2].gate = gateView{} // nothing was heard of it yet
+	is.True(chosen(t, p, 0, 9, GateRequest{LocalWait: time.Second})["c"] >= 2)
+}
