Connections between nodes cost less memory: the gate is served by pkg/pipeline, buffers of 2 KB

Change: the gate's connections are served by pkg/pipeline, which keeps no buffer for writing at rest (one request at a time: nodes do not send ahead); the transports' buffers are 2 KB instead of 4. One kind of server less in a node.

--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -23,6 +23,9 @@
 	// the gate has admitted the call.
 	gateExpectTimeout = time.Minute
 	gateConnections   = 256
+	// gateBuffer is for reading and for writing on each connection; most calls and answers
+	// fit, and there are hundreds of connections.
+	gateBuffer = 2 << 10
 	// earlyShare of the target latency is within how much a refusal leaves the caller the
 	// time to try again.
 	earlyShare = 5
@@ -37,6 +40,7 @@
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: gateConnections, IdleConnTimeout: gateIdleTimeout,
 		ExpectContinueTimeout: gateExpectTimeout,
+		ReadBufferSize:        gateBuffer, WriteBufferSize: gateBuffer,
 	}
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -25,6 +25,8 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 4 * time.Second
+	// connBuffer is for reading and for writing on each connection.
+	connBuffer = 2 << 10
 	// largeBody is from which length on a body is received before the call gets a slot.
 	largeBody = 16 << 10
 	// receivedWaitShare of the time left is what a call may wait for a slot once its body is
@@ -87,6 +89,7 @@
 	return &Gate{config: config, inbound: newInbound(config.LinkBits), transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+		ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
 	}}
 }
 
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -28,9 +28,7 @@
 	if s.gateListener, err = wire.Listen(s.settings.GateListen); err != nil {
 		return fmt.Errorf("listen for other nodes: %w", err)
 	}
-	s.gateServer = &http.Server{
-		Handler: s.calls.counted(s.gate), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	s.gateServer = s.newServer(s.gate, nil)
 	return nil
 }
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -76,7 +76,7 @@
 
 	gate              *gate.Gate
 	gateListener      net.Listener
-	gateServer        *http.Server
+	gateServer        *pipeline.Server
 	registry          *registration.Registry
 	interfaceListener net.Listener
 	interfaceHandler  http.Handler
@@ -109,15 +109,19 @@
 		return nil, err
 	}
 	s.handler = forward.New(s.forwardConfig())
-	s.callers = pipeline.New(pipeline.Config{
-		Handler: s.calls.counted(http.HandlerFunc(s.serveCall)), Concurrent: s.handler.MayRunBeside,
-		MaxConcurrent: maxPipelined, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
-		OnPanic: func(value any) { logger.Log("event", "handler_panicked", "value", value) },
-	})
+	s.callers = s.newServer(http.HandlerFunc(s.serveCall), s.handler.MayRunBeside)
 	return s, s.newClient()
 }
 
+// newServer returns a server whose calls a planned stop waits for.
+func (s *Server) newServer(handler http.Handler, concurrent func(*http.Request) bool) *pipeline.Server {
+	return pipeline.New(pipeline.Config{
+		Handler: s.calls.counted(handler), Concurrent: concurrent, MaxConcurrent: maxPipelined,
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
+		OnPanic: func(value any) { s.logger.Log("event", "handler_panicked", "value", value) },
+	})
+}
+
 func (s *Server) openKeeper() error {
 	verifier, err := s.settings.Verifier()
 	if err != nil {
