--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -108,7 +108,7 @@
 
 func (r request) waiter() *waiter {
 	return &waiter{
-		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, size: sizeOf(r.work), deadline: r.deadline,
+		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline,
 		admitted: make(chan struct{}), dropped: make(chan struct{}),
 	}
 }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"math/bits"
 	"time"
 )
 
@@ -13,8 +12,6 @@
 	lateAt   time.Duration
 	work     time.Duration
 	priority int
-	// size is the call's expected work, as an order of magnitude.
-	size     int
 	deadline time.Duration
 	// admitted is closed when the call may go on, dropped when it must not.
 	admitted chan struct{}
@@ -24,12 +21,8 @@
 	index   int
 }
 
-// sizeOf sorts expected work by powers of two.
-func sizeOf(work time.Duration) int { return bits.Len64(uint64(work / time.Millisecond)) }
-
 // waitQueue orders waiters: those that can still be answered within their target latency first,
-// since a late answer is worth little to its caller; then by priority, then the shorter work
-// first, which lets the most calls be answered in time, then by deadline.
+// since a late answer is worth little to its caller; then by priority, then by deadline.
 type waitQueue []*waiter
 
 func (q waitQueue) before(a, b *waiter) bool {
@@ -39,9 +32,6 @@
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
-	if a.size != b.size {
-		return a.size < b.size
-	}
 	return a.deadline < b.deadline
 }
 
