A long body may take longer than a head, and one that stops coming does not hold its connection for ever

Found by reading the change over: pkg/pipeline set the ten seconds for a request's head and left them in force for its body, so an upload over a slow link was cut off after ten seconds; net/http, which it replaced, set no bound at all. Now each piece of a body has that time. TestLongBodyMayTakeLongerThanAHead was seen failing first.

--- a/pkg/pipeline/body.go
+++ b/pkg/pipeline/body.go
@@ -70,6 +70,9 @@
 			return 0, b.end(err)
 		}
 	}
+	if err := b.conn.setReadDeadline(); err != nil {
+		return 0, b.end(err)
+	}
 	n, err := b.body.Read(p)
 	b.taken += int64(n)
 	if err != nil {
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -108,7 +108,7 @@
 			return err
 		}
 	}
-	return c.setHeaderDeadline()
+	return c.setReadDeadline()
 }
 
 // setAwaiting notes that the reader waits, as long as it takes while requests are under way.
@@ -126,7 +126,8 @@
 	return nil
 }
 
-func (c *conn) setHeaderDeadline() error {
+// setReadDeadline starts the time for the rest of a head, or for the next bytes of a body.
+func (c *conn) setReadDeadline() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaiting = false
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -26,8 +26,9 @@
 	Concurrent func(*http.Request) bool
 	// MaxConcurrent bounds the requests of one connection that are handled at once.
 	MaxConcurrent int
-	// HeaderTimeout is for the head of a request from its first byte, IdleTimeout for a
-	// connection without a request, WriteTimeout for each write to a caller.
+	// HeaderTimeout is for the head of a request from its first byte, and for each further
+	// piece of its body; IdleTimeout for a connection without a request, WriteTimeout for
+	// each write to a caller.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 	WriteTimeout  time.Duration
--- a/pkg/pipeline/server_test.go
+++ b/pkg/pipeline/server_test.go
@@ -566,6 +566,33 @@
 	is.True(idle.ended())
 }
 
+// The time for a head does not bound a long body.
+func TestLongBodyMayTakeLongerThanAHead(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(w, "%d %v", n, err)
+	}))
+	cfg.HeaderTimeout = 400 * time.Millisecond
+	_, address := serve(t, cfg)
+	const pieces, piece = 6, 5 << 10
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", pieces*piece)
+	c := dial(t, address)
+	c.send(head)
+	for range pieces {
+		time.Sleep(cfg.HeaderTimeout / 4)
+		c.send(strings.Repeat("x", piece))
+	}
+	_, body := c.answer()
+	is.Equal(body, fmt.Sprintf("%d <nil>", pieces*piece))
+	// One that does not come at all does not hold its connection for ever.
+	stuck := dial(t, address)
+	stuck.send(head)
+	response, _ := stuck.answer()
+	is.True(response.Close)
+	is.True(stuck.ended())
+}
+
 // The time that a request waited behind others is told to its handler.
 func TestWaitedIsTold(t *testing.T) {
 	is := is.New(t)
