--- a/pkg/forward/patience_test.go
+++ b/pkg/forward/patience_test.go
@@ -1,9 +1,14 @@
 package forward
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"bramblelift/pkg/exchange"
+
 	"github.com/matryer/is"
 )
 
@@ -54,3 +59,41 @@
 	p.keep(func(route string) bool { return route == "a" })
 	is.Equal(len(p.routes), 1)
 }
+
+// A gate is told what is left of the target latency, counted from the caller's first attempt.
+func TestGateIsToldTheAgeOfACall(t *testing.T) {
+	is := is.New(t)
+	var target atomic.Int64
+	gate, _ := standInGate(t, func(w http.ResponseWriter, r *http.Request) {
+		millis, set := exchange.ReadMillis(r.Header, exchange.HeaderTarget)
+		is.True(set)
+		target.Store(millis.Milliseconds())
+		serving(w, r)
+	})
+	n := newGatedNode(t, 1, gate)
+	for range 20 {
+		n.call(t, http.MethodGet, "/safe/x", "", "Left-Ms", "350")
+	}
+	is.True(target.Load() > 100) // a first attempt has nearly all of its 200 ms
+	n.call(t, http.MethodGet, "/safe/x", "", "Left-Ms", "250")
+	is.True(target.Load() > 50 && target.Load() <= 100)
+	n.call(t, http.MethodGet, "/safe/x", "", "Left-Ms", "100")
+	is.Equal(target.Load(), int64(0))
+}
+
+// Calls that may run twice are handled beside others of their connection, no others.
+func TestWhichCallsMayRunBesideOthers(t *testing.T) {
+	is := is.New(t)
+	gate, _ := standInGate(t, serving)
+	n := newGatedNode(t, 1, gate)
+	handler := n.Config.Handler.(*Handler)
+	asked := func(method, path string) bool {
+		r := httptest.NewRequest(method, path, nil)
+		r.Host = "shop.example"
+		return handler.MayRunBeside(r)
+	}
+	is.True(asked(http.MethodGet, "/safe/x"))
+	is.True(!asked(http.MethodGet, "/unsafe/x")) // whatever the method says
+	is.True(!asked(http.MethodGet, "/nowhere/x"))
+	is.True(!New(Config{}).MayRunBeside(httptest.NewRequest(http.MethodGet, "/safe/x", nil)))
+}
