--- /dev/null
+++ b/pkg/pipeline/response_test.go
@@ -0,0 +1,77 @@
+package pipeline
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestFramingOfAnswers(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, testConfig(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/short":
+			_, _ = io.WriteString(w, "short")
+		case "/long":
+			for range 100 {
+				_, _ = io.WriteString(w, strings.Repeat("x", 100))
+			}
+		case "/none":
+			w.WriteHeader(http.StatusNoContent)
+		case "/lies":
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "short")
+		case "/declared":
+			w.Header().Set("Content-Length", "8")
+			_, _ = io.WriteString(w, "declared")
+		}
+	})))
+	c := dial(t, address)
+	c.get("/short")
+	response, body := c.answer()
+	is.Equal(response.ContentLength, int64(5))
+	is.Equal(body, "short")
+	is.True(response.Header.Get("Date") != "")
+	c.get("/long")
+	response, body = c.answer()
+	is.Equal(response.TransferEncoding, []string{"chunked"})
+	is.Equal(len(body), 10000)
+	c.get("/none")
+	response, _ = c.answer()
+	is.Equal(response.StatusCode, http.StatusNoContent)
+	c.get("/declared")
+	_, body = c.answer()
+	is.Equal(body, "declared")
+	old := dial(t, address)
+	old.send("GET /long HTTP/1.0\r\n\r\n")
+	response, body = old.answer()
+	is.Equal(len(response.TransferEncoding), 0)
+	is.Equal(len(body), 10000)
+	is.True(response.Close)
+	// An answer that was cut short must not look complete.
+	c.get("/lies")
+	response, err := http.ReadResponse(c.reader, nil)
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+	}
+	is.True(err != nil)
+}
+
+func TestHeadAnswersHaveNoBody(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, testConfig(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "5")
+		_, _ = io.WriteString(w, "words")
+	})))
+	c := dial(t, address)
+	c.send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	c.get("/2")
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodHead})
+	is.NoErr(err)
+	is.Equal(response.ContentLength, int64(5))
+	_, body := c.answer()
+	is.Equal(body, "words")
+}
