pkg/pipeline: tokens of a header by the library that is imported already; a refusal need not ask for the end twice

httpguts.HeaderValuesContainsToken does what hasToken did. A request that could not be read is the last of its connection, which closes it whatever its handler sets. Tests unchanged.

--- a/pkg/pipeline/head.go
+++ b/pkg/pipeline/head.go
@@ -168,10 +168,7 @@
 	return http.StatusBadRequest
 }
 
-// refuse answers a request that could not be read.
+// refuse answers a request that could not be read. It is its connection's last one.
 func refuse(status int, err error) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Connection", "close")
-		http.Error(w, err.Error(), status)
-	})
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, err.Error(), status) })
 }
--- a/pkg/pipeline/response.go
+++ b/pkg/pipeline/response.go
@@ -6,11 +6,11 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-	"net/textproto"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -133,7 +133,7 @@
 // frame decides how the end of the answer is found, and whether the connection stays open.
 func (r *response) frame() {
 	delete(r.header, "Transfer-Encoding")
-	wish := r.x.last || hasToken(r.header["Connection"], "close")
+	wish := r.x.last || httpguts.HeaderValuesContainsToken(r.header["Connection"], "close")
 	if r.x.body != nil && !r.x.body.settle() {
 		wish = true
 	}
@@ -195,15 +195,3 @@
 	writers.Put(r.w)
 	r.w = nil
 }
-
-// hasToken reports whether a header of tokens has one.
-func hasToken(values []string, token string) bool {
-	for _, value := range values {
-		for part := range strings.SplitSeq(value, ",") {
-			if strings.EqualFold(textproto.TrimString(part), token) {
-				return true
-			}
-		}
-	}
-	return false
-}
