forward: what a try reckons with is worked out once

A route's service time was looked up under its lock by the wait, by the wait in the own zone and by the headers of the same try; it is read once a try. What is left of the target latency stood in five places; it has one function.

--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -61,31 +61,35 @@
 	return ticket, request.Patience, err
 }
 
+// targetLeft is what is left of the route's target latency since the caller first tried, negative
+// if that has passed.
+func (g *gatedCall) targetLeft(now time.Duration) time.Duration {
+	return g.route.TargetLatency - (now - g.begun)
+}
+
 // localWait is how long the call may wait in its own zone while another zone might take it
 // at once: the more bytes it moves, the longer. One with a large body may become late for
 // it; any other must still be answered within its target latency.
 func (g *gatedCall) localWait(now time.Duration) time.Duration {
-	work, answer := g.handler.work.of(g.route.Name)
 	if g.body.Size() > largeBody {
-		left := g.deadline - now - time.Duration(localServicesLarge*float64(work))
+		left := g.deadline - now - time.Duration(localServicesLarge*float64(g.work))
 		return max(0, time.Duration(localShareLarge*float64(left)))
 	}
-	target := g.route.TargetLatency
-	if target == 0 {
+	if g.route.TargetLatency == 0 {
 		return 0
 	}
-	kilobytes := float64(g.body.Size()+answer) / 1024
+	kilobytes := float64(g.body.Size()+g.answerBytes) / 1024
 	share := min(maxLocalShare, max(minLocalShare, minLocalShare+localSharePerKilobyte*(kilobytes-freeKilobytes)))
-	reserved := time.Duration(localServices * float64(work))
-	return max(0, time.Duration(share*float64(target-(now-g.begun)-reserved)))
+	reserved := time.Duration(localServices * float64(g.work))
+	return max(0, time.Duration(share*float64(g.targetLeft(now)-reserved)))
 }
 
 // ownWork is up to which service time the back end beside the node may take the call: it must
 // be answered within its target latency with some certainty.
 func (g *gatedCall) ownWork(now time.Duration) time.Duration {
 	left := g.deadline - now
-	if target := g.route.TargetLatency; target > 0 {
-		left = min(left, target-(now-g.begun))
+	if g.route.TargetLatency > 0 {
+		left = min(left, g.targetLeft(now))
 	}
 	return left / ownWorkShare
 }
@@ -94,10 +98,9 @@
 func (g *gatedCall) patience(now time.Duration) time.Duration {
 	left := g.deadline - now
 	allowed := left / 2
-	work, _ := g.handler.work.of(g.route.Name)
-	if target := g.route.TargetLatency; target > 0 && work*shortWorkShare > g.service.pool.MeanService() {
-		reserved := time.Duration(patienceServices * float64(work))
-		allowed = min(allowed, max(target-(now-g.begun)-reserved, target/minPatienceShare))
+	if target := g.route.TargetLatency; target > 0 && g.work*shortWorkShare > g.service.pool.MeanService() {
+		reserved := time.Duration(patienceServices * float64(g.work))
+		allowed = min(allowed, max(g.targetLeft(now)-reserved, target/minPatienceShare))
 	}
 	return max(0, min(allowed, left-minServiceLeft))
 }
@@ -107,8 +110,8 @@
 func (g *gatedCall) bodyTime() time.Duration {
 	now := g.now()
 	left := g.deadline - now
-	if target := g.route.TargetLatency; target > 0 {
-		left = min(left, max(target-(now-g.begun), left/bodyShare))
+	if g.route.TargetLatency > 0 {
+		left = min(left, max(g.targetLeft(now), left/bodyShare))
 	}
 	return left / bodyShare
 }
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -131,11 +131,10 @@
 	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
 	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
 	if target := g.route.TargetLatency; target > 0 {
-		exchange.SetMillis(request.Header, exchange.HeaderTarget, target-(g.now()-g.begun))
+		exchange.SetMillis(request.Header, exchange.HeaderTarget, g.targetLeft(g.now()))
 		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.begun))
 	}
-	work, _ := g.handler.work.of(g.route.Name)
-	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(work.Microseconds(), 10))
+	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(g.work.Microseconds(), 10))
 	g.body.Attach(request, incoming.ContentLength)
 	if g.body.Size() > largeBody {
 		request.Header.Set("Expect", "100-continue")
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -34,6 +34,10 @@
 	done  []string
 	full  []string
 	tries int
+	// work is how long the route's calls take at back ends, answerBytes how long their answers
+	// are, zero if not known.
+	work        time.Duration
+	answerBytes int
 	// last is why the latest gate refused.
 	last exchange.Reason
 	// lastChance is set once the call was let wait at a gate after others were full.
@@ -78,6 +82,7 @@
 	if ctx.Err() != nil {
 		return g.giveUp("deadline", "the time is up"), false
 	}
+	g.work, g.answerBytes = g.handler.work.of(g.route.Name)
 	ticket, wait, err := g.choose(now)
 	if err != nil {
 		return g.giveUp("choose back end", fmt.Sprintf("service %s: %v (%s)", g.target, err, g.last)), false
