One clock type: what the second one did is Clock.Elapsed

The house rule asks for one small type in milliseconds; clock.Monotonic stood beside it and was used in nine places of ten. Leases and service times keep their resolution, the pacer reads the node's own clock in whole milliseconds as before.

--- a/pkg/bench/hollow/node.go
+++ b/pkg/bench/hollow/node.go
@@ -49,7 +49,7 @@
 
 	mutex sync.Mutex
 	// clock starts with each life, as a process's does.
-	clock   *clock.Monotonic
+	clock   *clock.Clock
 	client  *stream.Client
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -62,7 +62,7 @@
 
 // Start begins a life of the node.
 func (n *Node) Start() error {
-	started := clock.NewMonotonic()
+	started := clock.New()
 	keeper, err := proxy.NewKeeper(proxy.KeeperConfig{
 		Group: n.Group, Verifier: n.config.Verifier, InForce: n.inForce,
 		OnFailure: func(error) {},
@@ -80,7 +80,7 @@
 		DialTimeout:    dialTimeout,
 		Observe:        n.tally.Observe,
 		Logger:         log.NewNopLogger(),
-		Now:            started.Now,
+		Now:            started.Elapsed,
 		OnConfirmed:    keeper.Confirmed,
 	}, keeper, stream.Candidates(n.Zone, n.config.Relays))
 	if err != nil {
@@ -127,5 +127,5 @@
 	client, started := n.client, n.clock
 	n.mutex.Unlock()
 	at, confirmed := client.ConfirmedAt()
-	return confirmed && time.Now().Add(at-started.Now()).After(moment)
+	return confirmed && time.Now().Add(at-started.Elapsed()).After(moment)
 }
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -3,8 +3,8 @@
 
 import "time"
 
-// Clock is a steady clock that counts whole milliseconds from when it was made. Its zero value
-// does not work.
+// Clock is a steady clock that counts whole milliseconds from when it was made. It goes on while
+// the process is stopped, so a lease does not outlive a freeze. Its zero value does not work.
 type Clock struct {
 	start time.Time
 }
@@ -13,21 +13,11 @@
 func New() *Clock { return &Clock{start: time.Now()} }
 
 // Millis returns the milliseconds since the clock was made.
-func (c *Clock) Millis() int64 { return time.Since(c.start).Milliseconds() }
+func (c *Clock) Millis() int64 { return c.Elapsed().Milliseconds() }
 
 // Now returns the same as a duration.
 func (c *Clock) Now() time.Duration { return time.Duration(c.Millis()) * time.Millisecond }
 
-// Monotonic counts from when it was made. It goes on while the process is stopped, so
-// a lease does not outlive a freeze.
-type Monotonic struct {
-	start time.Time
-}
-
-// NewMonotonic returns a clock that starts now.
-func NewMonotonic() *Monotonic {
-	return &Monotonic{start: time.Now()}
-}
-
-// Now returns the time since the clock was made.
-func (m *Monotonic) Now() time.Duration { return time.Since(m.start) }
+// Elapsed is Now in full, for what takes less than a millisecond, such as the service times of the
+// data plane.
+func (c *Clock) Elapsed() time.Duration { return time.Since(c.start) }
--- a/pkg/control/membership.go
+++ b/pkg/control/membership.go
@@ -168,7 +168,7 @@
 // takeJoin takes a request in, and sends it on to the leader unless that was done already.
 // It runs in the driver's goroutine.
 func (s *Server) takeJoin(join protocol.Join) {
-	s.replica.Join(s.clock.Now(), join.Member)
+	s.replica.Join(s.clock.Elapsed(), join.Member)
 	node := s.replica.Node()
 	if leader := node.Leader(); !join.Forwarded && leader != 0 && leader != node.ID() {
 		join.Forwarded = true
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -48,7 +48,7 @@
 type Server struct {
 	settings settings.Control
 	logger   log.Logger
-	clock    *clock.Monotonic
+	clock    *clock.Clock
 	replica  *replica.Replica
 	verifier *bundle.Verifier
 	hub      *stream.Hub
@@ -98,7 +98,7 @@
 func New(config settings.Control, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
 	s := &Server{
 		newInterface: newInterface, announced: make(chan []distribution.Endpoint, inboxSize),
-		settings: config, logger: logger, clock: clock.NewMonotonic(),
+		settings: config, logger: logger, clock: clock.New(),
 		messages: make(chan received, inboxSize),
 		joins:    make(chan protocol.Join, inboxSize),
 		calls:    make(chan call, inboxSize),
@@ -120,7 +120,7 @@
 	s.hub = stream.NewHub(stream.HubConfig{
 		Name: config.Name, SilenceTimeout: relaySilence,
 		Admission: stream.AdmissionConfig{PerSecond: relayAdmissionRate, Burst: relayBurst},
-		Now:       s.clock.Now, ConfirmedAt: s.confirmed,
+		Now:       s.clock.Elapsed, ConfirmedAt: s.confirmed,
 		OnReport:   func(report protocol.NodeReport) { s.nodes.take(report, time.Now()) },
 		OnAnnounce: s.takeAnnouncements, Servers: s.servers,
 	}, s.replica.State())
@@ -156,10 +156,10 @@
 	if identity.Name != "" && (identity.Name != memberName(s.settings) || identity.ClusterID != s.settings.Cluster) {
 		return fmt.Errorf("data folder belongs to %q of cluster %q", identity.Name, identity.ClusterID)
 	}
-	s.replica, err = replica.Open(s.clock.Now(), replica.Config{
+	s.replica, err = replica.Open(s.clock.Elapsed(), replica.Config{
 		Raft: raft.Config{
 			ElectionTimeout:   time.Duration(s.settings.ElectionTimeout),
-			Uptime:            s.clock.Now(),
+			Uptime:            s.clock.Elapsed(),
 			HeartbeatInterval: time.Duration(s.settings.HeartbeatInterval),
 			MaxClockDrift:     maxClockDrift,
 			MaxAppendBytes:    maxAppendBytes,
@@ -219,7 +219,7 @@
 		case join := <-s.joins:
 			s.takeJoin(join)
 		case run := <-s.calls:
-			run(s.clock.Now())
+			run(s.clock.Elapsed())
 		case <-timer.C:
 		}
 		s.takeWaiting()
@@ -240,7 +240,7 @@
 		case join := <-s.joins:
 			s.takeJoin(join)
 		case run := <-s.calls:
-			run(s.clock.Now())
+			run(s.clock.Elapsed())
 		default:
 			return
 		}
@@ -257,13 +257,13 @@
 	if m.address != "" {
 		s.replica.Learn(m.message.From, m.address)
 	}
-	s.replica.Step(s.clock.Now(), m.message)
+	s.replica.Step(s.clock.Elapsed(), m.message)
 }
 
 // turn flushes the replica once and lets the outcome out.
 func (s *Server) turn() error {
-	s.replica.Tick(s.clock.Now())
-	output, err := s.replica.Flush(s.clock.Now())
+	s.replica.Tick(s.clock.Elapsed())
+	output, err := s.replica.Flush(s.clock.Elapsed())
 	if err != nil {
 		return fmt.Errorf("replica cannot go on: %w", err)
 	}
@@ -278,7 +278,7 @@
 		s.hub.SetState(s.replica.State())
 	}
 	// Only after the hub has the state may it be called confirmed.
-	if at, confirmed := s.replica.Node().ConfirmedAt(s.clock.Now()); confirmed {
+	if at, confirmed := s.replica.Node().ConfirmedAt(s.clock.Elapsed()); confirmed {
 		s.confirmedAt.Store(int64(at))
 	}
 	for _, done := range output.Completions {
@@ -304,7 +304,7 @@
 	if s.replica.Stalled() {
 		return maxTurnPause
 	}
-	wait := s.replica.Node().NextDeadline() - s.clock.Now()
+	wait := s.replica.Node().NextDeadline() - s.clock.Elapsed()
 	return max(0, min(wait, maxTurnPause))
 }
 
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -36,7 +36,7 @@
 	}
 	if at, confirmed := s.confirmed(); confirmed {
 		status.Confirmed = true
-		status.StaleMillis = (s.clock.Now() - at).Milliseconds()
+		status.StaleMillis = (s.clock.Elapsed() - at).Milliseconds()
 	}
 	return status
 }
@@ -79,7 +79,7 @@
 	if !confirmed {
 		return errors.New("no leader has confirmed this replica's state yet")
 	}
-	if s.clock.Now()-at > readyStaleLimit {
+	if s.clock.Elapsed()-at > readyStaleLimit {
 		return errors.New("cut off from the leader")
 	}
 	return nil
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -18,7 +18,7 @@
 	if s.settings.GateListen == "" {
 		return nil
 	}
-	s.gate = gate.New(gate.Config{Headers: s.settings.Headers, Now: s.clock.Now, OnCall: s.observer.gateCall, LinkBits: s.settings.LinkMegabits * megabit})
+	s.gate = gate.New(gate.Config{Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall, LinkBits: s.settings.LinkMegabits * megabit})
 	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.registry = registration.New(registration.Config{
 		Gate: s.gate, GateAddress: s.settings.GateAdvertise, Service: s.settings.Service,
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -59,7 +59,7 @@
 type Server struct {
 	settings settings.Proxy
 	logger   log.Logger
-	clock    *clock.Monotonic
+	clock    *clock.Clock
 	keeper   *Keeper
 	client   *stream.Client
 	handler  *forward.Handler
@@ -89,7 +89,7 @@
 //
 // newInterface, if set, makes the handler of settings.InterfaceListen.
 func New(config settings.Proxy, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
-	s := &Server{settings: config, logger: logger, clock: clock.NewMonotonic(), failure: make(chan error, 1)}
+	s := &Server{settings: config, logger: logger, clock: clock.New(), failure: make(chan error, 1)}
 	if err := s.openKeeper(); err != nil {
 		return nil, err
 	}
@@ -160,7 +160,7 @@
 		DialTimeout:    dialTimeout,
 		Observe:        metrics.NewTraffic(s.admin.Registry).Observe(link),
 		Logger:         s.logger,
-		Now:            s.clock.Now,
+		Now:            s.clock.Elapsed,
 		OnConfirmed:    s.keeper.Confirmed,
 		Announcements:  s.announcements,
 	}, s.keeper, candidates(s.settings))
@@ -183,13 +183,13 @@
 
 func (s *Server) forwardConfig() forward.Config {
 	config := forward.Config{
-		Node: s.settings.Name, Zone: s.settings.Zone, Now: s.clock.Now,
+		Node: s.settings.Name, Zone: s.settings.Zone, Now: s.clock.Elapsed,
 		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: s.observer.call,
 		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
 		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
 	}
 	if s.settings.LinkMegabits > 0 {
-		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, clock.New().Now)
+		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, s.clock.Now)
 	}
 	if s.gate != nil {
 		config.GateAddress, config.Gate = s.settings.GateAdvertise, s.gate.Do
@@ -229,7 +229,7 @@
 func (s *Server) stop() error {
 	s.logger.Log("event", "stopping")
 	s.stopping.Store(true)
-	ends := s.clock.Now() + time.Duration(s.settings.StopTimeout)
+	ends := s.clock.Elapsed() + time.Duration(s.settings.StopTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.settings.StopTimeout))
 	defer cancel()
 	time.Sleep(time.Duration(s.settings.CallerNotice))
@@ -251,18 +251,18 @@
 	s.stopsAt.Store(int64(ends - stopMargin))
 	backendBeside := s.gate != nil && s.gate.Present()
 	latest := ends - time.Duration(s.settings.StopTimeout)/stopReserveShare
-	for s.clock.Now() < latest {
-		quiet := s.clock.Now() - time.Duration(s.lastCall.Load())
+	for s.clock.Elapsed() < latest {
+		quiet := s.clock.Elapsed() - time.Duration(s.lastCall.Load())
 		if quiet >= quietTime && (s.gate == nil || backendBeside) {
 			return
 		}
-		time.Sleep(min(max(quietTime-quiet, quietPoll), latest-s.clock.Now()))
+		time.Sleep(min(max(quietTime-quiet, quietPoll), latest-s.clock.Elapsed()))
 	}
 }
 
 // serveCall forwards a call; a stopping node asks the caller to reconnect elsewhere.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	s.lastCall.Store(int64(s.clock.Now()))
+	s.lastCall.Store(int64(s.clock.Elapsed()))
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -292,7 +292,7 @@
 	}
 	if at, confirmed := s.client.ConfirmedAt(); confirmed {
 		status.Confirmed = true
-		status.StaleMillis = (s.clock.Now() - at).Milliseconds()
+		status.StaleMillis = (s.clock.Elapsed() - at).Milliseconds()
 	}
 	return status
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -41,7 +41,7 @@
 type Server struct {
 	settings settings.Relay
 	logger   log.Logger
-	clock    *clock.Monotonic
+	clock    *clock.Clock
 	hub      *stream.Hub
 	client   *stream.Client
 	admin    *admin.Service
@@ -60,14 +60,14 @@
 		return nil, err
 	}
 	s := &Server{
-		settings: config, logger: logger, clock: clock.NewMonotonic(),
+		settings: config, logger: logger, clock: clock.New(),
 		holder:  distribution.NewHolder(bundle.ScopeAll, verifier, nil),
 		reports: newReportQueue(),
 	}
 	s.hub = stream.NewHub(stream.HubConfig{
 		Name: config.Name, SilenceTimeout: nodeSilence,
 		Admission:   stream.AdmissionConfig{PerSecond: admissionPerSecond, Burst: admissionBurst},
-		Now:         s.clock.Now,
+		Now:         s.clock.Elapsed,
 		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() },
 		WantFresh:   func() { s.client.PingSoon() },
 		OnReport:    s.reports.add,
@@ -101,7 +101,7 @@
 		DialTimeout:    dialTimeout,
 		Observe:        s.traffic.Observe(link),
 		Logger:         s.logger,
-		Now:            s.clock.Now,
+		Now:            s.clock.Elapsed,
 		TakeReports:    s.takeReports,
 	}, s, stream.Candidates(s.settings.Zone, s.settings.Controls))
 	return err
@@ -207,7 +207,7 @@
 	}
 	if at, confirmed := s.client.ConfirmedAt(); confirmed {
 		status.Confirmed = true
-		status.StaleMillis = (s.clock.Now() - at).Milliseconds()
+		status.StaleMillis = (s.clock.Elapsed() - at).Milliseconds()
 	}
 	return status
 }
