--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -47,8 +47,8 @@
 
 // Gated reports whether the service's back ends are reached through gates.
 func (p *Pool) Gated() bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return len(p.endpoints) == 0 || p.endpoints[0].target.Gate != ""
 }
 
@@ -84,8 +84,8 @@
 // than LocalWait, or else the one at which it is expected to be done first. It returns how
 // long the call may wait there before the gate must refuse it.
 func (p *Pool) AcquireGate(now time.Duration, r GateRequest) (*Ticket, time.Duration, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	candidates := p.candidates(now, r.LeftOut)
 	if len(candidates) == 0 {
 		return nil, 0, ErrNoEndpoint
@@ -164,8 +164,8 @@
 
 // MeanService is the mean of how long calls take at the back ends, zero if it is not known.
 func (p *Pool) MeanService() time.Duration {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var sum time.Duration
 	count := time.Duration(0)
 	for _, e := range p.endpoints {
@@ -251,22 +251,22 @@
 
 // ReportGate takes in a gate's report.
 func (t *Ticket) ReportGate(now time.Duration, report exchange.Report) {
-	t.pool.mutex.Lock()
-	defer t.pool.mutex.Unlock()
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
 	t.endpoint.gate = gateView{report: report, at: now, reported: true}
 }
 
 // Avoid leaves the back end out for a while, unless too few would remain.
 func (t *Ticket) Avoid(now, pause time.Duration) {
-	t.pool.mutex.Lock()
-	defer t.pool.mutex.Unlock()
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
 	t.endpoint.ejectedTo = max(t.endpoint.ejectedTo, now+pause)
 }
 
 // Leave takes in that the back end has left for good.
 func (t *Ticket) Leave() {
-	t.pool.mutex.Lock()
-	defer t.pool.mutex.Unlock()
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
 	t.pool.leave(t.endpoint)
 }
 
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -56,7 +56,7 @@
 type Pool struct {
 	config Config
 
-	mutex     sync.Mutex
+	mu        sync.Mutex
 	endpoints []*endpoint
 	// gone remembers leaving incarnations, so that a list that lags cannot bring
 	// one back.
@@ -73,8 +73,8 @@
 
 // Update takes in a service's definition. Back ends that stay keep what was learned.
 func (p *Pool) Update(now time.Duration, service routing.Service) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	first := len(p.endpoints) == 0
 	var next []*endpoint
 	for _, target := range p.subset(service.Endpoints) {
@@ -192,16 +192,16 @@
 func (p *Pool) Acquire(done <-chan struct{}, now func() time.Duration, patience time.Duration, tried []string) (*Ticket, error) {
 	deadline := now() + patience
 	for {
-		p.mutex.Lock()
+		p.mu.Lock()
 		ticket, err := p.pick(now(), tried)
 		remaining := deadline - now()
 		if !errors.Is(err, ErrSaturated) || remaining <= 0 || p.waiting >= maxWaiting {
-			p.mutex.Unlock()
+			p.mu.Unlock()
 			return ticket, err
 		}
 		p.waiting++
 		changed := p.changed
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		if !p.wait(done, changed, remaining) {
 			return nil, err
 		}
@@ -212,9 +212,9 @@
 // left.
 func (p *Pool) wait(done, changed <-chan struct{}, remaining time.Duration) bool {
 	defer func() {
-		p.mutex.Lock()
+		p.mu.Lock()
 		p.waiting--
-		p.mutex.Unlock()
+		p.mu.Unlock()
 	}()
 	timer := time.NewTimer(remaining)
 	defer timer.Stop()
@@ -282,8 +282,8 @@
 // Report takes in what the back end said of itself: its load from 0 to 1, negative for
 // nothing, and whether it leaves.
 func (t *Ticket) Report(load float64, leaving bool) {
-	t.pool.mutex.Lock()
-	defer t.pool.mutex.Unlock()
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
 	if load >= 0 {
 		t.endpoint.reported = min(load, 1)
 	}
@@ -294,8 +294,8 @@
 
 // Done ends the call.
 func (t *Ticket) Done(now time.Duration, outcome Outcome) {
-	t.pool.mutex.Lock()
-	defer t.pool.mutex.Unlock()
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
 	t.endpoint.inFlight--
 	switch outcome {
 	case Answered:
@@ -329,8 +329,8 @@
 
 // Status describes all back ends.
 func (p *Pool) Status(now time.Duration) []Status {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var all []Status
 	for _, e := range p.endpoints {
 		all = append(all, Status{
--- a/pkg/bench/baseline/baseline.go
+++ b/pkg/bench/baseline/baseline.go
@@ -59,7 +59,7 @@
 	listener net.Listener
 	group    sync.WaitGroup
 
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	current *snapshot
 	// conns holds what wakes the writer of each connection.
 	conns map[*wire.Conn]chan struct{}
@@ -87,8 +87,8 @@
 
 func (s *Server) close() {
 	s.listener.Close()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for conn := range s.conns {
 		conn.Close()
 	}
@@ -100,8 +100,8 @@
 }
 
 func (s *Server) change(apply func(next *snapshot)) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	next := *s.current
 	next.Revision++
 	apply(&next)
@@ -115,8 +115,8 @@
 }
 
 func (s *Server) snapshot() *snapshot {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.current
 }
 
@@ -149,9 +149,9 @@
 		conn := wire.NewConn(raw, wire.DefaultMaxFrame, writeTimeout, nil)
 		wakeup := make(chan struct{}, 1)
 		wakeup <- struct{}{}
-		s.mutex.Lock()
+		s.mu.Lock()
 		s.conns[conn] = wakeup
-		s.mutex.Unlock()
+		s.mu.Unlock()
 		s.group.Go(func() { s.serve(conn, wakeup) })
 	}
 }
@@ -159,9 +159,9 @@
 func (s *Server) serve(conn *wire.Conn, wakeup chan struct{}) {
 	defer func() {
 		conn.Close()
-		s.mutex.Lock()
+		s.mu.Lock()
 		delete(s.conns, conn)
-		s.mutex.Unlock()
+		s.mu.Unlock()
 	}()
 	if s.mode == Poll {
 		s.answerPolls(conn)
--- a/pkg/bench/convergence/recorder.go
+++ b/pkg/bench/convergence/recorder.go
@@ -33,7 +33,7 @@
 
 // Recorder times changes. It is safe for concurrent use.
 type Recorder struct {
-	mutex     sync.Mutex
+	mu        sync.Mutex
 	nodes     []string
 	held      map[string]*distribution.State
 	open      []*Change
@@ -51,8 +51,8 @@
 // InForce takes in that a node has put a state in force.
 func (r *Recorder) InForce(node string, state *distribution.State) {
 	now := time.Now()
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.held[node] = state
 	var open []*Change
 	for _, change := range r.open {
@@ -74,8 +74,8 @@
 
 // Begin starts to time a change. Call it before the change is made.
 func (r *Recorder) Begin(change *Change) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	change.waiting = map[string]bool{}
 	for _, node := range r.nodes {
 		if change.Needs == nil || change.Needs(node) {
@@ -102,8 +102,8 @@
 
 // missing describes the first open change, empty if there is none.
 func (r *Recorder) missing() string {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, change := range r.open {
 		for node := range change.waiting {
 			return fmt.Sprintf("%s is not in force on %d nodes, among them %s", change.Name, len(change.waiting), node)
@@ -114,8 +114,8 @@
 
 // Forget drops the open changes and what was timed so far.
 func (r *Recorder) Forget() {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.open = nil
 	r.histogram.Reset()
 }
@@ -132,8 +132,8 @@
 
 // Summary returns the figures so far.
 func (r *Recorder) Summary() Summary {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	s := Summary{
 		Count: r.histogram.TotalCount(), P50: r.millis(50), P99: r.millis(99),
 		Worst: float64(r.histogram.Max()) / 1000,
--- a/pkg/bench/faultnet/faultnet.go
+++ b/pkg/bench/faultnet/faultnet.go
@@ -56,7 +56,7 @@
 type Network struct {
 	server *toxiproxy.ApiServer
 
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	proxies map[Link]*toxiproxy.Proxy
 	cuts    map[Link][]string
 }
@@ -71,8 +71,8 @@
 
 // Through opens a fault proxy before an address and returns where its client connects.
 func (n *Network) Through(client, server, address string) (string, error) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	link := Link{Client: client, Server: server}
 	if proxy, found := n.proxies[link]; found {
 		return proxy.Listen, nil
@@ -90,8 +90,8 @@
 
 // Before opens a fault proxy at an address, through which everybody reaches a server.
 func (n *Network) Before(server, listen, address string) error {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	proxy := toxiproxy.NewProxy(n.server, anyClient+"-"+server, listen, address)
 	if err := proxy.Start(); err != nil {
 		return fmt.Errorf("fault proxy before %s: %w", server, err)
@@ -108,8 +108,8 @@
 
 // Delay adds a one-way delay to each direction of the links that match.
 func (n *Network) Delay(match func(Link) bool, delay time.Duration) error {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for link, proxy := range n.proxies {
 		if !match(link) {
 			continue
@@ -160,8 +160,8 @@
 
 // disturb adds a fault of the library to the links that match and have none.
 func (n *Network) disturb(match func(Link) bool, kind, attributes string, streams ...string) error {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for link, proxy := range n.proxies {
 		if !match(link) || len(n.cuts[link]) > 0 {
 			continue
@@ -180,8 +180,8 @@
 
 // Heal ends all cuts and other faults but Delay. Connections that were cut break, as they would after a long one.
 func (n *Network) Heal() error {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for link, names := range n.cuts {
 		for _, name := range names {
 			if err := n.proxies[link].Toxics.RemoveToxic(context.Background(), name); err != nil {
@@ -195,8 +195,8 @@
 
 // Stop closes all fault proxies.
 func (n *Network) Stop() {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, proxy := range n.proxies {
 		proxy.Stop()
 	}
--- a/pkg/bench/fleet/process.go
+++ b/pkg/bench/fleet/process.go
@@ -21,7 +21,7 @@
 	binary string
 	args   []string
 
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	command *exec.Cmd
 	done    chan struct{}
 	err     error
@@ -34,8 +34,8 @@
 
 // Start runs the process; its log is appended to.
 func (p *Process) Start() error {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
@@ -53,9 +53,9 @@
 	p.done = make(chan struct{})
 	go func(done chan struct{}) {
 		err := command.Wait()
-		p.mutex.Lock()
+		p.mu.Lock()
 		p.err = err
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		close(done)
 	}(p.done)
 	return nil
@@ -63,8 +63,8 @@
 
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) error {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.command == nil {
 		return fmt.Errorf("signal %s: not running", p.Name)
 	}
@@ -96,9 +96,9 @@
 
 // Wait waits until the process has ended.
 func (p *Process) Wait(timeout time.Duration) error {
-	p.mutex.Lock()
+	p.mu.Lock()
 	done := p.done
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	if done == nil {
 		return nil
 	}
@@ -107,16 +107,16 @@
 	case <-time.After(timeout):
 		return fmt.Errorf("%s: %w", p.Name, errStillRunning)
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.err
 }
 
 // Running reports whether the process is running.
 func (p *Process) Running() bool {
-	p.mutex.Lock()
+	p.mu.Lock()
 	done := p.done
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	if done == nil {
 		return false
 	}
--- a/pkg/bench/history/history.go
+++ b/pkg/bench/history/history.go
@@ -52,7 +52,7 @@
 // History is everything that was recorded. It is safe for concurrent use; a nil one
 // records nothing.
 type History struct {
-	mutex      sync.Mutex
+	mu         sync.Mutex
 	calls      []Call
 	executions []Execution
 	departures []Departure
@@ -64,8 +64,8 @@
 	if h == nil {
 		return
 	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.calls = append(h.calls, c)
 }
 
@@ -74,8 +74,8 @@
 	if h == nil {
 		return
 	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.executions = append(h.executions, e)
 }
 
@@ -84,8 +84,8 @@
 	if h == nil {
 		return
 	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.departures = append(h.departures, d)
 }
 
@@ -94,8 +94,8 @@
 	if h == nil {
 		return
 	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.sightings = append(h.sightings, s)
 }
 
@@ -109,8 +109,8 @@
 
 // Records copies what was recorded so far.
 func (h *History) Records() Records {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	return Records{
 		Calls:      append([]Call(nil), h.calls...),
 		Executions: append([]Execution(nil), h.executions...),
--- a/pkg/bench/hollow/node.go
+++ b/pkg/bench/hollow/node.go
@@ -47,7 +47,7 @@
 	config Config
 	tally  *tally.Tally
 
-	mutex sync.Mutex
+	mu sync.Mutex
 	// clock starts with each life, as a process's does.
 	clock   *clock.Clock
 	client  *stream.Client
@@ -88,9 +88,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	n.mutex.Lock()
+	n.mu.Lock()
 	n.clock, n.client, n.cancel, n.done, n.serving = started, client, cancel, done, false
-	n.mutex.Unlock()
+	n.mu.Unlock()
 	go func() {
 		defer close(done)
 		client.Run(ctx)
@@ -99,33 +99,33 @@
 }
 
 func (n *Node) inForce(state *distribution.State) {
-	n.mutex.Lock()
+	n.mu.Lock()
 	n.serving = true
-	n.mutex.Unlock()
+	n.mu.Unlock()
 	n.config.InForce(n.Name, state)
 }
 
 // Serving reports whether the node has a configuration in force in this life.
 func (n *Node) Serving() bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	return n.serving
 }
 
 // Stop ends the node's life.
 func (n *Node) Stop() {
-	n.mutex.Lock()
+	n.mu.Lock()
 	cancel, done := n.cancel, n.done
-	n.mutex.Unlock()
+	n.mu.Unlock()
 	cancel()
 	<-done
 }
 
 // ConfirmedAfter reports whether the node is known to be current as of a moment.
 func (n *Node) ConfirmedAfter(moment time.Time) bool {
-	n.mutex.Lock()
+	n.mu.Lock()
 	client, started := n.client, n.clock
-	n.mutex.Unlock()
+	n.mu.Unlock()
 	at, confirmed := client.ConfirmedAt()
 	return confirmed && time.Now().Add(at-started.Elapsed()).After(moment)
 }
--- a/pkg/bench/load/open.go
+++ b/pkg/bench/load/open.go
@@ -47,7 +47,7 @@
 type open struct {
 	config OpenConfig
 	client *http.Client
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	result OpenResult
 }
 
@@ -100,8 +100,8 @@
 
 func (o *open) end(due time.Time, status int, outcome string, err error) {
 	micros := max(1, time.Since(due).Microseconds())
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.result.Calls++
 	switch {
 	case err == nil && status == http.StatusOK:
--- a/pkg/bench/standin/backend.go
+++ b/pkg/bench/standin/backend.go
@@ -64,7 +64,7 @@
 
 	// Fault, if set, may end a call by force: it is asked before the call begins,
 	// before and in the middle of the answer.
-	mutex sync.Mutex
+	mu    sync.Mutex
 	fault func(callID string, stage Stage) bool
 
 	stop context.CancelFunc
@@ -104,8 +104,8 @@
 
 // SetFault makes calls end by force where fault says so.
 func (b *Backend) SetFault(fault func(callID string, stage Stage) bool) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.fault = fault
 }
 
@@ -184,9 +184,9 @@
 
 // dieIf breaks the connection as a dying process would.
 func (b *Backend) dieIf(id string, stage Stage) {
-	b.mutex.Lock()
+	b.mu.Lock()
 	fault := b.fault
-	b.mutex.Unlock()
+	b.mu.Unlock()
 	if fault != nil && fault(id, stage) {
 		panic(http.ErrAbortHandler)
 	}
@@ -231,9 +231,9 @@
 	if _, err := w.Write(body[:half]); err != nil {
 		return
 	}
-	b.mutex.Lock()
+	b.mu.Lock()
 	faulty := b.fault != nil
-	b.mutex.Unlock()
+	b.mu.Unlock()
 	if faulty {
 		_ = http.NewResponseController(w).Flush()
 		b.dieIf(id, InAnswer)
--- a/pkg/bench/standin/platform.go
+++ b/pkg/bench/standin/platform.go
@@ -24,7 +24,7 @@
 	listener net.Listener
 	server   *http.Server
 
-	mutex sync.Mutex
+	mu sync.Mutex
 	// lag is how old the served list is.
 	lag      time.Duration
 	versions []timedList
@@ -62,36 +62,36 @@
 
 // SetMachines replaces the list; readers see it after the lag.
 func (p *Platform) SetMachines(machines []Machine) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.versions = append(p.versions, timedList{at: time.Now(), machines: append([]Machine(nil), machines...)})
 }
 
 // SetBundle puts a bundle file into the configuration source.
 func (p *Platform) SetBundle(name, text string) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.bundles[name] = text
 }
 
 // SetDown makes every read fail, or work again.
 func (p *Platform) SetDown(down bool) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.down = down
 }
 
 // Reads returns how many reads there were.
 func (p *Platform) Reads() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.reads
 }
 
 // Bytes returns how many bytes of lists were served.
 func (p *Platform) Bytes() int64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.bytes
 }
 
@@ -99,7 +99,7 @@
 func (p *Platform) Stop() { _ = p.server.Close() }
 
 func (p *Platform) serveMachines(w http.ResponseWriter, r *http.Request) {
-	p.mutex.Lock()
+	p.mu.Lock()
 	p.reads++
 	down := p.down
 	machines, number := []Machine{}, 0
@@ -108,7 +108,7 @@
 			machines, number = version.machines, i+1
 		}
 	}
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -124,18 +124,18 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	p.mutex.Lock()
+	p.mu.Lock()
 	p.bytes += int64(len(text))
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	_, _ = w.Write(text)
 }
 
 func (p *Platform) serveBundle(w http.ResponseWriter, r *http.Request) {
-	p.mutex.Lock()
+	p.mu.Lock()
 	text, found := p.bundles[r.PathValue("name")]
 	down := p.down
 	p.reads++
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	switch {
 	case down:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/pkg/control/nodes.go
+++ b/pkg/control/nodes.go
@@ -16,7 +16,7 @@
 // nodeRegistry keeps what this replica last heard of each node. It is an opinion, not
 // replicated state: operators' clients ask all replicas and take the newest.
 type nodeRegistry struct {
-	mutex sync.Mutex
+	mu    sync.Mutex
 	nodes map[string]operator.Node
 }
 
@@ -25,8 +25,8 @@
 }
 
 func (r *nodeRegistry) take(report protocol.NodeReport, at time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.nodes[report.Node] = operator.Node{
 		Name: report.Node, Group: report.Group, Zone: report.Zone,
 		Active: report.Position.Active, Staged: report.Position.Staged, Revision: report.Position.Revision,
@@ -35,8 +35,8 @@
 }
 
 func (r *nodeRegistry) list(now time.Time) []operator.Node {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var nodes []operator.Node
 	for name, node := range r.nodes {
 		if !node.Connected && now.UnixMilli()-node.HeardMillis > forgetNodesAfter.Milliseconds() {
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -115,7 +115,7 @@
 type Handler struct {
 	config Config
 	view   atomic.Pointer[view]
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	gates  *http.Transport
 	work   *workTimes
 	// patience tells callers that come back from new ones.
@@ -133,8 +133,8 @@
 
 // SetTable swaps the table. Calls under way finish on what they started with.
 func (h *Handler) SetTable(table *routing.Table) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	old := h.view.Load()
 	next := &view{table: table, services: make(map[string]*service, len(table.Services))}
 	for _, definition := range table.Services {
--- a/pkg/forward/work.go
+++ b/pkg/forward/work.go
@@ -11,7 +11,7 @@
 // workTimes remembers how long the calls of each route take at back ends, without waiting,
 // and how long their answers are in bytes.
 type workTimes struct {
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	routes map[string]routeWork
 }
 
@@ -24,8 +24,8 @@
 
 // of returns a route's service time and the bytes of its answers, zero if not known.
 func (w *workTimes) of(route string) (work time.Duration, answer int) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	held := w.routes[route]
 	return held.work, int(held.answer)
 }
@@ -34,8 +34,8 @@
 	if work <= 0 {
 		return
 	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	held, found := w.routes[route]
 	if !found {
 		w.routes[route] = routeWork{work: work, answer: float64(answer)}
@@ -48,8 +48,8 @@
 
 // keep forgets the routes that a table no longer has.
 func (w *workTimes) keep(known func(route string) bool) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for route := range w.routes {
 		if !known(route) {
 			delete(w.routes, route)
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -33,8 +33,8 @@
 	if backend.Capacity <= 0 {
 		backend.Capacity = defaultCapacity
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.present && g.backend.ID == backend.ID {
 		g.backend = backend
 		return
@@ -48,8 +48,8 @@
 
 // RemoveBackend lets nothing new reach a back end.
 func (g *Gate) RemoveBackend(id string) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.backend.ID != id {
 		return
 	}
@@ -59,15 +59,15 @@
 
 // Present reports whether there is a back end that takes calls.
 func (g *Gate) Present() bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return g.present
 }
 
 // Stop refuses everything new.
 func (g *Gate) Stop() {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.stopping = true
 	g.dropWaiting()
 }
@@ -115,32 +115,32 @@
 
 // admit waits for a free slot. It returns why there is none, if there is none.
 func (g *Gate) admit(ctx context.Context, r request) (admittance, exchange.Reason) {
-	g.mutex.Lock()
+	g.mu.Lock()
 	now := g.config.Now()
 	if reason := g.mayEnter(now, r); reason != "" {
-		g.mutex.Unlock()
+		g.mu.Unlock()
 		return admittance{}, reason
 	}
 	if g.running < g.backend.Capacity && len(g.queue) == 0 {
 		granted := g.grant(now, r.work)
-		g.mutex.Unlock()
+		g.mu.Unlock()
 		return granted, ""
 	}
 	w := r.waiter()
 	if g.expectedWait(w) > r.wait {
-		g.mutex.Unlock()
+		g.mu.Unlock()
 		return admittance{}, exchange.ReasonFull
 	}
 	g.queue.add(w)
-	g.mutex.Unlock()
+	g.mu.Unlock()
 	return g.await(ctx, w, r)
 }
 
 // expectBody returns why a call's body need not be sent, or counts it as on its way: there is
 // no slot for it in the time that it may wait.
 func (g *Gate) expectBody(r request) exchange.Reason {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if reason := g.mayEnter(g.config.Now(), r); reason != "" {
 		return reason
 	}
@@ -154,8 +154,8 @@
 
 // bodyReceived ends what expectBody began.
 func (g *Gate) bodyReceived() {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.receiving--
 }
 
@@ -217,9 +217,9 @@
 			waiting = false
 		}
 	}
-	g.mutex.Lock()
+	g.mu.Lock()
 	stillWaiting := g.queue.remove(w)
-	g.mutex.Unlock()
+	g.mu.Unlock()
 	if stillWaiting {
 		return admittance{}, reason
 	}
@@ -238,8 +238,8 @@
 // hopeful reports whether a waiter can still expect to be admitted in the time that is
 // left: if not, it is better told now than later.
 func (g *Gate) hopeful(w *waiter, left time.Duration) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return time.Duration(hopeMargin*float64(g.expectedWait(w))) <= left
 }
 
@@ -253,16 +253,16 @@
 // hung reports whether a call that ended without an answer had its whole time, and enough
 // of it at the back end, so that it was the back end that did not answer.
 func (g *Gate) hung(a admittance, deadline time.Duration) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := g.config.Now()
 	return now >= deadline && now-a.at >= hangServices*g.serviceTime()
 }
 
 // release gives a slot back, and to the next waiter.
 func (g *Gate) release(a admittance, end ending) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if a.generation != g.generation {
 		return
 	}
@@ -290,8 +290,8 @@
 
 // markDown notes that the back end took no connection.
 func (g *Gate) markDown(a admittance) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if a.generation == g.generation {
 		g.downUntil = g.config.Now() + downPause
 	}
@@ -299,8 +299,8 @@
 
 // Report describes the load.
 func (g *Gate) Report() exchange.Report {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
 		Service: g.service, Failing: g.health.failing(g.config.Now()),
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -65,7 +65,7 @@
 	transport *http.Transport
 	inbound   *inbound
 
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	backend Backend
 	present bool
 	// left is the last back end that has left for good.
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -128,14 +128,14 @@
 	for calls.Load() < 1 {
 		time.Sleep(time.Millisecond)
 	}
-	var mutex sync.Mutex
+	var mu sync.Mutex
 	var order []string
 	for _, waiter := range [][]string{{"low", "2", "900"}, {"high late", "1", "900"}, {"high soon", "1", "800"}} {
 		group.Go(func() {
 			g.Do(newCall(t, "GET", waiter[0], exchange.HeaderPriority, waiter[1], "Left-Ms", waiter[2], exchange.HeaderWait, "700")).Body.Close()
-			mutex.Lock()
+			mu.Lock()
 			order = append(order, waiter[0])
-			mutex.Unlock()
+			mu.Unlock()
 		})
 	}
 	for g.Report().Queued < 3 {
--- a/pkg/gate/inbound.go
+++ b/pkg/gate/inbound.go
@@ -74,7 +74,7 @@
 
 // expectedWork is how long the back end takes for a call.
 func (g *Gate) expectedWork() time.Duration {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return g.serviceTime()
 }
--- a/pkg/gate/pace.go
+++ b/pkg/gate/pace.go
@@ -38,7 +38,7 @@
 
 // paced is how long the back end is expected to take for a call.
 func (g *Gate) paced(expected time.Duration) time.Duration {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return g.pace.of(expected)
 }
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -33,7 +33,7 @@
 	writer *lineWriter
 	now    func() time.Time
 
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	second int64
 	counts map[string]int
 }
@@ -52,8 +52,8 @@
 // Log implements log.Logger. The first key must be "event" for the line to be bounded by
 // its kind.
 func (l *Logger) Log(keyvals ...any) error {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if second := l.now().Unix(); second != l.second {
 		l.reportLeftOut()
 		l.second = second
@@ -89,9 +89,9 @@
 
 // Close writes what is left out and still buffered, as far as the reader takes it.
 func (l *Logger) Close() {
-	l.mutex.Lock()
+	l.mu.Lock()
 	l.reportLeftOut()
-	l.mutex.Unlock()
+	l.mu.Unlock()
 	l.writer.close()
 }
 
--- a/pkg/logging/logging_test.go
+++ b/pkg/logging/logging_test.go
@@ -12,13 +12,13 @@
 )
 
 type safeBuffer struct {
-	mutex sync.Mutex
+	mu sync.Mutex
 	bytes.Buffer
 }
 
 func (b *safeBuffer) Write(data []byte) (int, error) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return b.Buffer.Write(data)
 }
 
--- a/pkg/proxy/keeper.go
+++ b/pkg/proxy/keeper.go
@@ -33,7 +33,7 @@
 type Keeper struct {
 	config KeeperConfig
 
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	holder *distribution.Holder
 	// open is set once the held state may be served.
 	open bool
@@ -71,22 +71,22 @@
 
 // Start puts a configuration from disk in force.
 func (k *Keeper) Start() {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.publish()
 }
 
 // Position implements stream.Target.
 func (k *Keeper) Position() distribution.Position {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	return k.holder.State().Position()
 }
 
 // Apply implements stream.Target.
 func (k *Keeper) Apply(update *distribution.Update) error {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	before := k.holder.State()
 	if err := k.holder.Apply(update); err != nil {
 		return err
@@ -105,16 +105,16 @@
 // Current implements stream.Target. A higher revision alone changes nothing that is
 // in force and need not be durable: a lower one is only a longer resume.
 func (k *Keeper) Current(revision uint64) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.holder.Current(revision)
 }
 
 // Confirmed takes in that the state was current at a moment on the process's clock,
 // which starts with the process: whatever an earlier life held is included.
 func (k *Keeper) Confirmed(time.Duration) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if k.open {
 		return
 	}
@@ -124,8 +124,8 @@
 
 // Serving reports whether a configuration is in force.
 func (k *Keeper) Serving() bool {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	return k.open && k.holder.State().Active != nil
 }
 
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -63,7 +63,7 @@
 type Registry struct {
 	config Config
 
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	current map[string]*member
 	ended   []string
 }
@@ -81,9 +81,9 @@
 
 // Take takes in a heartbeat.
 func (r *Registry) Take(h Heartbeat) {
-	r.mutex.Lock()
+	r.mu.Lock()
 	changed := r.take(h)
-	r.mutex.Unlock()
+	r.mu.Unlock()
 	if !changed {
 		return
 	}
@@ -121,7 +121,7 @@
 
 // Leave takes in that a back end has left.
 func (r *Registry) Leave(id string) {
-	r.mutex.Lock()
+	r.mu.Lock()
 	held, found := r.current[id]
 	if !found {
 		held = &member{heartbeat: Heartbeat{ID: id, Service: r.config.Service}}
@@ -138,7 +138,7 @@
 		r.ended = r.ended[1:]
 	}
 	left := held.heartbeat
-	r.mutex.Unlock()
+	r.mu.Unlock()
 	if already {
 		return
 	}
@@ -171,8 +171,8 @@
 // Announcements returns the back ends that the control plane is not known to show as they
 // are.
 func (r *Registry) Announcements() []distribution.Endpoint {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var all []distribution.Endpoint
 	for _, held := range r.current {
 		if !held.known && held.heartbeat.Service != "" {
@@ -193,8 +193,8 @@
 // Observe takes in the state that the control plane shows. Before the first heartbeat the
 // node knows its back end from there.
 func (r *Registry) Observe(table distribution.EndpointTable) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for id, held := range r.current {
 		shown, found := table[held.heartbeat.Service][id]
 		wanted := r.endpoint(held.heartbeat).State
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -49,7 +49,7 @@
 	traffic  *metrics.Traffic
 	reports  *reportQueue
 
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	holder *distribution.Holder
 }
 
@@ -109,15 +109,15 @@
 
 // Position implements stream.Target.
 func (s *Server) Position() distribution.Position {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.holder.State().Position()
 }
 
 // Apply implements stream.Target: the checked state goes to the nodes.
 func (s *Server) Apply(update *distribution.Update) error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.holder.Apply(update); err != nil {
 		return err
 	}
@@ -127,8 +127,8 @@
 
 // Current implements stream.Target.
 func (s *Server) Current(revision uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if revision > s.holder.State().Revision {
 		s.holder.Current(revision)
 		s.hub.SetState(s.holder.State())
--- a/pkg/relay/reports.go
+++ b/pkg/relay/reports.go
@@ -8,7 +8,7 @@
 
 // reportQueue holds the newest report of each node until the next ping takes them.
 type reportQueue struct {
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	reports map[string]protocol.NodeReport
 	server  string
 }
@@ -18,14 +18,14 @@
 }
 
 func (q *reportQueue) add(report protocol.NodeReport) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	q.reports[report.Node] = report
 }
 
 func (q *reportQueue) take() []protocol.NodeReport {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	var taken []protocol.NodeReport
 	for _, report := range q.reports {
 		taken = append(taken, report)
@@ -35,15 +35,15 @@
 }
 
 func (q *reportQueue) drop() {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	clear(q.reports)
 }
 
 // changedServer notes which server the reports go to.
 func (q *reportQueue) changedServer(server string) bool {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	changed := q.server != server
 	q.server = server
 	return changed
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -32,7 +32,7 @@
 type Budget struct {
 	config Config
 
-	mutex     sync.Mutex
+	mu        sync.Mutex
 	balance   float64
 	updatedAt time.Duration
 }
@@ -44,15 +44,15 @@
 
 // Attempt notes a first attempt.
 func (b *Budget) Attempt(now time.Duration) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.earn(now, b.config.Ratio)
 }
 
 // Withdraw reports whether a retry may be made, and pays for it.
 func (b *Budget) Withdraw(now time.Duration) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.earn(now, 0)
 	if b.balance < 1 {
 		return false
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -65,9 +65,9 @@
 	selector *Selector
 
 	// seeds are the servers of the settings, which servers' own lists are added to.
-	seedsMutex sync.Mutex
-	seeds      []Candidate
-	learned    []protocol.Server
+	seedsMu sync.Mutex
+	seeds   []Candidate
+	learned []protocol.Server
 
 	confirmedAt atomic.Int64
 	// soon holds at most one wish for an early ping.
@@ -99,8 +99,8 @@
 
 // SetSeeds replaces the servers of the settings.
 func (c *Client) SetSeeds(seeds []Candidate) {
-	c.seedsMutex.Lock()
-	defer c.seedsMutex.Unlock()
+	c.seedsMu.Lock()
+	defer c.seedsMu.Unlock()
 	c.seeds = seeds
 	c.offerCandidates()
 }
@@ -110,8 +110,8 @@
 	if len(servers) == 0 {
 		return
 	}
-	c.seedsMutex.Lock()
-	defer c.seedsMutex.Unlock()
+	c.seedsMu.Lock()
+	defer c.seedsMu.Unlock()
 	c.learned = servers
 	c.offerCandidates()
 }
@@ -191,7 +191,7 @@
 	client *Client
 	conn   *wire.Conn
 
-	mutex        sync.Mutex
+	mu           sync.Mutex
 	subscription *Subscription
 }
 
@@ -266,9 +266,9 @@
 }
 
 func (s *session) sendPing() error {
-	s.mutex.Lock()
+	s.mu.Lock()
 	ping := s.subscription.Ping(s.client.config.Now(), s.client.target.Position())
-	s.mutex.Unlock()
+	s.mu.Unlock()
 	if s.client.config.TakeReports != nil {
 		ping.Reports = s.client.config.TakeReports()
 	}
@@ -325,9 +325,9 @@
 	}
 	c := s.client
 	c.learnServers(pong.Servers)
-	s.mutex.Lock()
+	s.mu.Lock()
 	at, confirmed, err := s.subscription.TakePong(pong, c.target)
-	s.mutex.Unlock()
+	s.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("from %s: %w", s.conn.Peer(), err)
 	}
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -38,7 +38,7 @@
 type Hub struct {
 	config HubConfig
 
-	mutex       sync.Mutex
+	mu          sync.Mutex
 	planner     *distribution.Planner
 	admission   *admission
 	subscribers map[*subscriber]bool
@@ -57,8 +57,8 @@
 
 // SetState moves to a newer state and wakes all subscribers.
 func (h *Hub) SetState(state *distribution.State) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.planner.SetState(state)
 	for s := range h.subscribers {
 		s.wake()
@@ -67,22 +67,22 @@
 
 // Revision returns the revision served.
 func (h *Hub) Revision() uint64 {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	return h.planner.State().Revision
 }
 
 // Subscribers returns how many subscriptions are open.
 func (h *Hub) Subscribers() int {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	return len(h.subscribers)
 }
 
 // Reports returns what the open subscriptions hold.
 func (h *Hub) Reports() []protocol.NodeReport {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	reports := make([]protocol.NodeReport, 0, len(h.subscribers))
 	for s := range h.subscribers {
 		reports = append(reports, s.report(true))
@@ -92,8 +92,8 @@
 
 // Stop refuses new subscribers and ends the open ones; they go elsewhere.
 func (h *Hub) Stop() {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.stopping = true
 	for s := range h.subscribers {
 		s.cancel()
@@ -161,8 +161,8 @@
 }
 
 func (h *Hub) refuse() (protocol.Refusal, bool) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.stopping {
 		return protocol.Refusal{Reason: protocol.ReasonStopping, Message: "shutting down"}, true
 	}
@@ -174,24 +174,24 @@
 }
 
 func (h *Hub) add(s *subscriber) {
-	h.mutex.Lock()
+	h.mu.Lock()
 	h.subscribers[s] = true
-	h.mutex.Unlock()
+	h.mu.Unlock()
 	h.tellReport(s, true)
 }
 
 func (h *Hub) remove(s *subscriber) {
-	h.mutex.Lock()
+	h.mu.Lock()
 	delete(h.subscribers, s)
-	h.mutex.Unlock()
+	h.mu.Unlock()
 	h.tellReport(s, false)
 }
 
 func (h *Hub) tellReport(s *subscriber, connected bool) {
 	if h.config.OnReport != nil {
-		h.mutex.Lock()
+		h.mu.Lock()
 		report := s.report(connected)
-		h.mutex.Unlock()
+		h.mu.Unlock()
 		h.config.OnReport(report)
 	}
 }
@@ -223,9 +223,9 @@
 }
 
 func (h *Hub) takePing(s *subscriber, ping protocol.Ping) {
-	h.mutex.Lock()
+	h.mu.Lock()
 	changed := s.session.TakePing(ping)
-	h.mutex.Unlock()
+	h.mu.Unlock()
 	s.wake()
 	if confirmedAt, confirmed := h.config.ConfirmedAt(); h.config.WantFresh != nil && (!confirmed || confirmedAt < s.openedAt) {
 		h.config.WantFresh()
@@ -246,9 +246,9 @@
 
 // takeHeld notes what a subscriber holds and passes on a change of versions.
 func (h *Hub) takeHeld(s *subscriber, held distribution.Position) {
-	h.mutex.Lock()
+	h.mu.Lock()
 	changed := s.session.TakeHeld(held)
-	h.mutex.Unlock()
+	h.mu.Unlock()
 	if changed {
 		h.tellReport(s, true)
 	}
@@ -270,9 +270,9 @@
 
 // sendDue sends the update that is due, then the pong that is owed.
 func (h *Hub) sendDue(s *subscriber) error {
-	h.mutex.Lock()
+	h.mu.Lock()
 	update, pong, err := s.session.Due(h.planner, h.freshness())
-	h.mutex.Unlock()
+	h.mu.Unlock()
 	if err != nil {
 		return err
 	}
--- a/pkg/stream/hub_test.go
+++ b/pkg/stream/hub_test.go
@@ -19,7 +19,7 @@
 	hub  *Hub
 	conn *wire.Conn
 
-	mutex       sync.Mutex
+	mu          sync.Mutex
 	confirmedAt time.Duration
 	confirmed   bool
 	servers     []protocol.Server
@@ -38,18 +38,18 @@
 		Name: "one", SilenceTimeout: pipeTimeout, Admission: AdmissionConfig{PerSecond: 10, Burst: 10},
 		Now: func() time.Duration { return hubNow },
 		ConfirmedAt: func() (time.Duration, bool) {
-			f.mutex.Lock()
-			defer f.mutex.Unlock()
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			return f.confirmedAt, f.confirmed
 		},
 		Servers: func() []protocol.Server {
-			f.mutex.Lock()
-			defer f.mutex.Unlock()
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			return f.servers
 		},
 		OnAnnounce: func(endpoints []distribution.Endpoint) {
-			f.mutex.Lock()
-			defer f.mutex.Unlock()
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			f.announced = append(f.announced, endpoints...)
 		},
 	}, &distribution.State{})
@@ -64,8 +64,8 @@
 }
 
 func (f *hubFixture) set(confirmedAt time.Duration, confirmed bool, servers ...protocol.Server) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.confirmedAt, f.confirmed, f.servers = confirmedAt, confirmed, servers
 }
 
@@ -125,8 +125,8 @@
 	f.receive(t, protocol.KindWelcome, &welcome)
 	endpoint := distribution.Endpoint{Service: "s", ID: "a", Incarnation: 1, Gate: "10.0.0.1:9"}
 	f.ping(t, protocol.Ping{Sequence: 1, Announcements: []distribution.Endpoint{endpoint}})
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	is.Equal(f.announced, []distribution.Endpoint{endpoint})
 }
 
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -75,7 +75,7 @@
 // Selector decides which server a client tries and when. It does no I/O. It is safe for
 // concurrent use.
 type Selector struct {
-	mutex      sync.Mutex
+	mu         sync.Mutex
 	config     SelectorConfig
 	candidates []candidate
 	current    int
@@ -111,8 +111,8 @@
 // Offer replaces the candidates. What is thought of those that stay is kept, and the
 // current one stays until it fails.
 func (s *Selector) Offer(candidates []Candidate) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	before := s.candidates
 	current := before[s.current]
 	s.candidates = s.ordered(candidates)
@@ -140,8 +140,8 @@
 // Next returns the server to try and how long to wait before: the first one that is
 // not known to be bad, or the one that has been bad for longest.
 func (s *Selector) Next(now time.Duration) (Candidate, time.Duration) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.sameAgain {
 		s.current = s.best(now)
 	}
@@ -166,8 +166,8 @@
 // retryAfter is the server's wish, zero if it gave none; the same server is tried
 // again then.
 func (s *Selector) Failed(now, retryAfter time.Duration) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if retryAfter > 0 {
 		s.sameAgain = true
 		s.notBefore = now + s.jitter(retryAfter)
@@ -215,8 +215,8 @@
 // Heard notes a Pong. It reports whether to leave the server: it is stale, and another
 // is not known to be, or it is behind.
 func (s *Selector) Heard(now time.Duration, standing Standing) (leave bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if standing.Confirmed && !standing.Behind && standing.Stale <= s.config.StaleLimit {
 		s.failures = 0
 		s.candidates[s.current].badUntil = -1
--- a/pkg/wire/conn.go
+++ b/pkg/wire/conn.go
@@ -53,7 +53,7 @@
 	received bytes.Buffer
 	decoder  *gob.Decoder
 
-	sendMutex    sync.Mutex
+	sendMu       sync.Mutex
 	encoded      bytes.Buffer
 	encoder      *gob.Encoder
 	writeTimeout time.Duration
@@ -81,8 +81,8 @@
 
 // Send writes one value within the write timeout.
 func (c *Conn) Send(kind Kind, value any) error {
-	c.sendMutex.Lock()
-	defer c.sendMutex.Unlock()
+	c.sendMu.Lock()
+	defer c.sendMu.Unlock()
 	c.encoded.Reset()
 	if err := c.encoder.Encode(value); err != nil {
 		return fmt.Errorf("encode frame to %s: %w", c.Peer(), err)
--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -187,7 +187,7 @@
 	var flapping sync.WaitGroup
 	flapping.Go(func() { flap(network, stop) })
 
-	var mutex sync.Mutex
+	var mu sync.Mutex
 	winners := map[uint64]string{}
 	var group sync.WaitGroup
 	for racer := range 3 {
@@ -199,12 +199,12 @@
 					t.Errorf("%s: %v", secret, err)
 					return
 				}
-				mutex.Lock()
+				mu.Lock()
 				if other, taken := winners[version]; taken {
 					t.Errorf("version %d was won by %s and by %s", version, other, secret)
 				}
 				winners[version] = secret
-				mutex.Unlock()
+				mu.Unlock()
 			}
 		})
 	}
