--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/deflate"
 	"bramblelift/pkg/distribution"
 
 	"github.com/matryer/is"
@@ -136,12 +137,15 @@
 		tree, err := bundle.NewTree(content)
 		is.NoErr(err)
 		request := c.NewCreate(uint64(variant), content, tree.Root())
-		data, err := Command{Create: request}.Encode()
+		record, err := Command{Create: request}.Encode()
+		is.NoErr(err)
+		document, err := deflate.UnpackRecord(record, maxRecord)
 		is.NoErr(err)
 		if variant == 0 {
-			first = len(data)
+			first = len(document)
+			is.True(len(record) < first/5) // and compressed besides
 		}
-		later = len(data)
+		later = len(document)
 		result := c.Apply(Command{Create: request})
 		is.Equal(code(result), Code(""))
 		is.Equal(*c.Versions[result.Version.Version].Content, content)
@@ -149,10 +153,13 @@
 		c.Apply(roll("", result.Version.Version))
 	}
 	is.True(later < first/50)
-	data, err := c.Snapshot()
+	record, err := c.Snapshot()
 	is.NoErr(err)
-	is.True(len(data) < 2*first) // one whole content and the deltas
-	restored, err := Restore(data)
+	document, err := deflate.UnpackRecord(record, maxRecord)
+	is.NoErr(err)
+	is.True(len(document) < 2*first) // one whole content and the deltas
+	is.True(len(record) < len(document)/5)
+	restored, err := Restore(record)
 	is.NoErr(err)
 	is.Equal(stateOf(restored), stateOf(c))
 }
--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -5,13 +5,19 @@
 	"fmt"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/deflate"
 	"bramblelift/pkg/distribution"
 )
 
+// maxRecord bounds a command or a snapshot in bytes once it is expanded; it is as large as the
+// largest frame between replicas.
+const maxRecord = 64 << 20
+
 // Command is one entry of the replicated log; just one of the pointers is set.
 //
 // Commands are written as JSON: they stand alone on disk for as long as the log does,
-// where a gob stream would repeat its type description in every entry.
+// where a gob stream would repeat its type description in every entry. Large ones are
+// compressed once, when they are proposed: every replica gets, holds and keeps them so.
 type Command struct {
 	// OperationID is drawn by the operator's client and makes a resend harmless.
 	OperationID string `json:"operation_id,omitempty"`
@@ -70,11 +76,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
-	return data, nil
+	return deflate.PackRecord(data)
 }
 
 // DecodeCommand reads log data.
-func DecodeCommand(data []byte) (Command, error) {
+func DecodeCommand(record []byte) (Command, error) {
+	data, err := deflate.UnpackRecord(record, maxRecord)
+	if err != nil {
+		return Command{}, fmt.Errorf("decode command: %w", err)
+	}
 	var command Command
 	if err := json.Unmarshal(data, &command); err != nil {
 		return Command{}, fmt.Errorf("decode command: %w", err)
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/deflate"
 	"bramblelift/pkg/distribution"
 )
 
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("snapshot catalog: %w", err)
 	}
-	return data, nil
+	return deflate.PackRecord(data)
 }
 
 // allContents returns every content held anywhere, by version.
@@ -118,11 +119,15 @@
 }
 
 // Restore returns the catalog of a snapshot; empty data gives an empty catalog.
-func Restore(data []byte) (*Catalog, error) {
+func Restore(record []byte) (*Catalog, error) {
 	c := New()
-	if len(data) == 0 {
+	if len(record) == 0 {
 		return c, nil
 	}
+	data, err := deflate.UnpackRecord(record, maxRecord)
+	if err != nil {
+		return nil, fmt.Errorf("restore catalog: %w", err)
+	}
 	var saved savedCatalog
 	if err := json.Unmarshal(data, &saved); err != nil {
 		return nil, fmt.Errorf("restore catalog: %w", err)
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -277,7 +277,7 @@
 		return err
 	}
 	if update != nil {
-		if err := s.conn.Send(protocol.KindUpdate, update); err != nil {
+		if err := s.conn.SendCompressed(protocol.KindUpdate, update); err != nil {
 			return err
 		}
 	}
