A node moves to a replica of its own zone once it knows one

Cause: nodes start at the three seeds and stayed there for good: with 280 nodes three replicas served all subscriptions, and nearly all of it crossed zones. Servers were learned, but used after a failure only.

Now a node that is at a server of another zone leaves it for one of its own that has been well for 10 s or is new, about a second after it knows one (jittered: when a cluster starts, voters become known one by one).

Ruled out: a limit of subscribers a replica (turns nodes away while the others are not known yet), moving at once (the first voter of a zone gets all of it).

--- a/pkg/sim/subscribe.go
+++ b/pkg/sim/subscribe.go
@@ -205,5 +205,18 @@
 	}
 	if s.selector.Heard(s.process.clock(), stream.Standing{Confirmed: confirmed, Stale: pong.Stale, Behind: pong.Revision < s.target.Position().Revision}) {
 		s.lost(conn)
+		return
+	}
+	if s.selector.Nearer(s.process.clock()) {
+		s.moveNearer(conn)
 	}
 }
+
+// moveNearer goes to a server of the own zone.
+func (s *subscriber) moveNearer(conn *connection) {
+	conn.closeBy(s.process)
+	s.process.world.log("%s moves to a server of its zone", s.process.name)
+	s.conn = nil
+	s.selector.Move(s.process.clock())
+	s.tryNext()
+}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -162,6 +162,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errNearerServer) {
+			c.selector.Move(c.config.Now())
+			c.config.Logger.Log("event", "subscription_moves", "server", candidate.Address, "reason", err)
+			continue
+		}
 		c.selector.Failed(c.config.Now(), retryAfter(err))
 		c.config.Logger.Log("event", "subscription_ended", "server", candidate.Address, "error", err)
 	}
@@ -338,6 +343,9 @@
 	if c.selector.Heard(c.config.Now(), standing) {
 		return fmt.Errorf("server %s is stale (confirmed=%t stale=%s behind=%t)", s.conn.Peer(), confirmed, pong.Stale, standing.Behind)
 	}
+	if c.selector.Nearer(c.config.Now()) {
+		return errNearerServer
+	}
 	return nil
 }
 
--- /dev/null
+++ b/pkg/stream/nearer.go
@@ -0,0 +1,63 @@
+package stream
+
+import (
+	"errors"
+	"time"
+)
+
+const (
+	// nearDelay is for how long servers of the own zone are known before a client moves to
+	// one: in a cluster that just starts they become known one by one, and the first must
+	// not get all clients of its zone.
+	nearDelay = time.Second
+	// nearMemory is after how long a server of the own zone that was left counts as well
+	// again: most faults pass within it, and a return to one that did not costs the time
+	// until that is noticed.
+	nearMemory = 10 * time.Second
+)
+
+// errNearerServer ends a subscription for one at a server of the own zone.
+var errNearerServer = errors.New("a server of the own zone is there")
+
+// Nearer reports whether the client should leave its server for one of its own zone. Clients
+// start at the servers of their settings, and go wherever they can when those of their zone
+// fail; without this they would stay there, the load would stay with few servers, and all of
+// it would cross zones. Move must follow.
+func (s *Selector) Nearer(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.candidates[s.current].Near || s.nearest(now) < 0 {
+		s.moveAt = 0
+		return false
+	}
+	if s.moveAt == 0 {
+		s.moveAt = now + s.jitter(nearDelay)
+	}
+	return now >= s.moveAt
+}
+
+// Move makes a server of the own zone the next one to try, at once.
+func (s *Selector) Move(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moveAt = 0
+	nearest := s.nearest(now)
+	if nearest < 0 {
+		return
+	}
+	s.current = nearest
+	s.sameAgain = true
+	s.notBefore = now
+}
+
+// nearest returns a server of the own zone that has been well for nearMemory, -1 if there is
+// none; the mutex is held.
+func (s *Selector) nearest(now time.Duration) int {
+	for i, c := range s.candidates {
+		wellSince := c.badUntil
+		if c.Near && (wellSince < 0 || wellSince+nearMemory <= now) {
+			return i
+		}
+	}
+	return -1
+}
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -81,8 +81,11 @@
 	current    int
 	failures   int
 	notBefore  time.Duration
-	// sameAgain is set when the current server asked to be tried again.
+	// sameAgain is set when the current server is the next one to try, because it asked for
+	// that or was chosen by Move.
 	sameAgain bool
+	// moveAt is when to leave for a server of the own zone, zero if there is none to go to.
+	moveAt time.Duration
 }
 
 // NewSelector orders the candidates: near ones first, each kind shuffled so that
