--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -9,7 +9,6 @@
 
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/catalog"
-	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/operator"
 	"bramblelift/pkg/settings"
 )
@@ -22,8 +21,6 @@
 	// pause between two looks; callers go elsewhere after a second.
 	leaseWait = 700 * time.Millisecond
 	leasePoll = 20 * time.Millisecond
-	// announceTimeout bounds the commit of announced back ends; they are announced again.
-	announceTimeout = 2 * time.Second
 )
 
 // Publication is a version that an operator makes, signs off and rolls in one act.
@@ -146,44 +143,3 @@
 func newInterfaceServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: interfaceHeaderTimeout, IdleTimeout: interfaceIdleTimeout}
 }
-
-// takeAnnouncements takes in back ends that nodes announce. They come again until the
-// state shows them, so that one too many may be dropped.
-func (s *Server) takeAnnouncements(endpoints []distribution.Endpoint) {
-	select {
-	case s.announced <- endpoints:
-	default:
-	}
-}
-
-// proposeAnnounced has announced back ends agreed on, here or at the leader.
-func (s *Server) proposeAnnounced(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case endpoints := <-s.announced:
-			s.proposeNews(ctx, endpoints)
-		}
-	}
-}
-
-// proposeNews proposes what of the announcements is news.
-func (s *Server) proposeNews(ctx context.Context, endpoints []distribution.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	var news []distribution.Endpoint
-	leading := false
-	err := s.inspect(ctx, func(now time.Duration) {
-		node := s.replica.Node()
-		leading = node.LeaseValid(now)
-		news = s.replica.State().Endpoints.News(endpoints)
-		if !leading && node.Leader() != node.ID() && len(news) > 0 {
-			s.peers.announce(node.Leader(), news)
-		}
-	})
-	if err != nil || !leading || len(news) == 0 {
-		return
-	}
-	s.proposeEndpoints(ctx, news)
-}
--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -14,13 +14,10 @@
 	"github.com/matryer/is"
 )
 
-// A stop must close the listener however the goroutines fall. Run could call the closing
-// off before it began, and then waited for its own listener for ever; that was rare, so
-// this is many stops, not a proof.
-func TestStopAlwaysEnds(t *testing.T) {
-	is := is.New(t)
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	config := settings.Control{
+// singleReplica are the settings of a replica that is the only one.
+func singleReplica(t *testing.T) settings.Control {
+	t.Helper()
+	return settings.Control{
 		Common: settings.Common{
 			Cluster: "c", Name: "one", AdminListen: "127.0.0.1:0",
 			ApprovalKeys: []string{base64.StdEncoding.EncodeToString(make([]byte, 32))},
@@ -28,6 +25,15 @@
 		Data: filepath.Join(t.TempDir(), "data"), Listen: "127.0.0.1:0",
 		Replicas: []settings.Peer{{Name: "one", Address: "127.0.0.1:1"}},
 	}
+}
+
+// A stop must close the listener however the goroutines fall. Run could call the closing
+// off before it began, and then waited for its own listener for ever; that was rare, so
+// this is many stops, not a proof.
+func TestStopAlwaysEnds(t *testing.T) {
+	is := is.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	config := singleReplica(t)
 	is.NoErr(config.Check())
 	is.NoErr(Init(config))
 	for range 40 {
