Large updates are encoded and compressed once for all nodes at one position; a node goes to its zone before it is sent anything

Nodes also took that first state from a seed of another zone before they left it.

Now the planner keeps the packed form beside the update, and a node that the Welcome shows a server of its zone goes there at once; the hub sends nothing before a subscriber's first ping. Compression in pkg/wire is taken out again: nothing uses it.

TestSubscriptionMovesOverConnections seen failing first (the far server sent an update to a node that went on).

--- a/pkg/bundle/delta.go
+++ b/pkg/bundle/delta.go
@@ -24,9 +24,12 @@
 }
 
 // Empty reports whether the delta changes no resource.
-func (d Delta) Empty() bool {
-	return len(d.Routes)+len(d.RemovedRoutes)+len(d.Services)+len(d.RemovedServices)+
-		len(d.Secrets)+len(d.RemovedSecrets) == 0
+func (d Delta) Empty() bool { return d.Items() == 0 }
+
+// Items counts the resources that the delta changes.
+func (d Delta) Items() int {
+	return len(d.Routes) + len(d.RemovedRoutes) + len(d.Services) + len(d.RemovedServices) +
+		len(d.Secrets) + len(d.RemovedSecrets)
 }
 
 // Apply returns the content that the delta makes of c. c stays as it is.
--- a/pkg/distribution/update.go
+++ b/pkg/distribution/update.go
@@ -52,6 +52,8 @@
 	// scopes caches the content of a version for a group.
 	scopes  map[scopeKey]*bundle.Content
 	updates map[updateKey]*Update
+	// packed holds the packed forms of updates.
+	packed map[*Update]*PackedUpdate
 	hasher  *bundle.Hasher
 }
 
@@ -79,6 +81,7 @@
 func (p *Planner) SetState(state *State) {
 	p.state = state
 	p.updates = map[updateKey]*Update{}
+	p.packed = map[*Update]*PackedUpdate{}
 	for version := range p.trees {
 		if state.bundleOf(version) == nil {
 			delete(p.trees, version)
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -32,6 +32,7 @@
 	KindRaft
 	KindJoin
 	KindAnnounce
+	KindPackedUpdate
 )
 
 // KindName returns the name of a kind as metrics show it.
@@ -39,7 +40,7 @@
 	names := map[wire.Kind]string{
 		KindHello: "hello", KindWelcome: "welcome", KindRefusal: "refusal",
 		KindUpdate: "update", KindPing: "ping", KindPong: "pong", KindAck: "ack",
-		KindRaft: "raft", KindJoin: "join", KindAnnounce: "announce",
+		KindRaft: "raft", KindJoin: "join", KindAnnounce: "announce", KindPackedUpdate: "packed-update",
 	}
 	if name, found := names[kind]; found {
 		return name
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -221,6 +221,9 @@
 		return err
 	}
 	c.learnServers(welcome.Servers)
+	if c.selector.NearerAtOnce(c.config.Now()) {
+		return errNearerServer
+	}
 	c.resync = false
 	c.server.Store(&address)
 	c.config.Logger.Log("event", "subscribed", "server", address, "revision", hello.Position.Revision)
@@ -292,6 +295,8 @@
 		switch kind {
 		case protocol.KindUpdate:
 			err = s.takeUpdate()
+		case protocol.KindPackedUpdate:
+			err = s.takePackedUpdate()
 		case protocol.KindPong:
 			err = s.takePong()
 		case protocol.KindRefusal:
@@ -310,9 +315,25 @@
 	if err := s.conn.Decode(&update); err != nil {
 		return err
 	}
+	return s.apply(&update)
+}
+
+func (s *session) takePackedUpdate() error {
+	var packed distribution.PackedUpdate
+	if err := s.conn.Decode(&packed); err != nil {
+		return err
+	}
+	update, err := packed.Unpack()
+	if err != nil {
+		return fmt.Errorf("from %s: %w", s.conn.Peer(), err)
+	}
+	return s.apply(update)
+}
+
+func (s *session) apply(update *distribution.Update) error {
 	target := s.client.target
 	before := target.Position()
-	if err := target.Apply(&update); err != nil {
+	if err := target.Apply(update); err != nil {
 		s.client.resync = true
 		return fmt.Errorf("apply update from %s: %w", s.conn.Peer(), err)
 	}
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -147,7 +147,8 @@
 	}
 	h.add(s)
 	defer h.remove(s)
-	s.wake()
+	// Nothing is sent before the first ping: a subscriber that the Welcome shows a nearer server
+	// goes there instead.
 
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -272,14 +273,16 @@
 func (h *Hub) sendDue(s *subscriber) error {
 	h.mu.Lock()
 	update, pong, err := s.session.Due(h.planner, h.freshness())
+	var packed *distribution.PackedUpdate
+	if err == nil && update != nil && update.Large() {
+		packed, err = h.planner.Packed(update)
+	}
 	h.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	if update != nil {
-		if err := s.conn.SendCompressed(protocol.KindUpdate, update); err != nil {
-			return err
-		}
+	if err := s.sendUpdate(update, packed); err != nil {
+		return err
 	}
 	if pong == nil {
 		return nil
@@ -291,6 +294,17 @@
 	return s.conn.Send(protocol.KindPong, pong)
 }
 
+// sendUpdate sends an update, packed if it is large; nil for none.
+func (s *subscriber) sendUpdate(update *distribution.Update, packed *distribution.PackedUpdate) error {
+	switch {
+	case packed != nil:
+		return s.conn.Send(protocol.KindPackedUpdate, packed)
+	case update != nil:
+		return s.conn.Send(protocol.KindUpdate, update)
+	}
+	return nil
+}
+
 func (h *Hub) servers() []protocol.Server {
 	if h.config.Servers == nil {
 		return nil
--- a/pkg/stream/nearer.go
+++ b/pkg/stream/nearer.go
@@ -36,6 +36,15 @@
 	return now >= s.moveAt
 }
 
+// NearerAtOnce is Nearer for a client that has just opened a subscription and was sent nothing
+// yet: after a loss of everything the servers of the settings would send their first state to
+// all clients, while those of each zone stand by.
+func (s *Selector) NearerAtOnce(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.candidates[s.current].Near && s.nearest(now) >= 0
+}
+
 // Move makes a server of the own zone the next one to try, at once.
 func (s *Selector) Move(now time.Duration) {
 	s.mu.Lock()
--- a/pkg/stream/nearer_test.go
+++ b/pkg/stream/nearer_test.go
@@ -62,71 +62,99 @@
 func (h *holding) Apply(update *distribution.Update) error { h.revision.Store(update.To); return nil }
 func (h *holding) Current(revision uint64)                 { h.revision.Store(revision) }
 
-// serveHub serves a hub on loopback and counts its subscribers' openings.
-func serveHub(t *testing.T, ctx context.Context, servers func() []protocol.Server) (address string, opened *atomic.Int64) {
+// testHub is a hub that is served on loopback.
+type testHub struct {
+	address string
+	// opened counts subscriptions, updates what was sent to them.
+	opened, updates atomic.Int64
+}
+
+func (h *testHub) observe(kind wire.Kind, direction wire.Direction, _ int) {
+	if direction == wire.Sent && (kind == protocol.KindUpdate || kind == protocol.KindPackedUpdate) {
+		h.updates.Add(1)
+	}
+}
+
+func (h *testHub) accept(ctx context.Context, listener net.Listener, hub *Hub) {
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go h.serve(ctx, wire.NewConn(raw, wire.DefaultMaxFrame, pipeTimeout, h.observe), hub)
+	}
+}
+
+func (h *testHub) serve(ctx context.Context, conn *wire.Conn, hub *Hub) {
+	defer conn.Close()
+	hello, err := protocol.Accept(conn, "test", pipeTimeout)
+	if err != nil {
+		return
+	}
+	h.opened.Add(1)
+	_ = hub.Serve(ctx, conn, hello)
+}
+
+// startHub serves a hub until the test ends.
+func startHub(t *testing.T, ctx context.Context, servers func() []protocol.Server) *testHub {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { listener.Close() })
 	started := time.Now()
+	h := &testHub{address: listener.Addr().String()}
 	hub := NewHub(HubConfig{
 		SilenceTimeout: pipeTimeout, Admission: AdmissionConfig{PerSecond: 100, Burst: 100},
 		Now:         func() time.Duration { return time.Since(started) },
 		ConfirmedAt: func() (time.Duration, bool) { return time.Since(started), true },
 		Servers:     servers,
-	}, &distribution.State{Revision: 1})
-	opened = &atomic.Int64{}
-	go func() {
-		for {
-			raw, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				conn := wire.NewConn(raw, wire.DefaultMaxFrame, pipeTimeout, nil)
-				defer conn.Close()
-				hello, err := protocol.Accept(conn, "test", pipeTimeout)
-				if err != nil {
-					return
-				}
-				opened.Add(1)
-				_ = hub.Serve(ctx, conn, hello)
-			}()
-		}
-	}()
-	return listener.Addr().String(), opened
+	}, &distribution.State{Revision: 1, Endpoints: distribution.EndpointTable{}})
+	go h.accept(ctx, listener, hub)
+	return h
 }
 
-// The move through real connections: the client learns of the server of its zone from the one
-// that it is at, and goes there.
-func TestSubscriptionMovesOverConnections(t *testing.T) {
-	is := is.New(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	var known []protocol.Server
-	servers := func() []protocol.Server { return known }
-	far, openedFar := serveHub(t, ctx, servers)
-	near, openedNear := serveHub(t, ctx, servers)
-	known = []protocol.Server{{Address: far, Zone: "other"}, {Address: near, Zone: "own"}}
+// subscribeTo runs a client of the zone "own" that knows one server, until the test ends.
+func subscribeTo(t *testing.T, ctx context.Context, server string) *Client {
+	t.Helper()
 	started := time.Now()
 	client, err := NewClient(ClientConfig{
 		Hello:    protocol.Hello{ClusterID: "test", Role: protocol.RoleNode, Name: "node", Zone: "own"},
 		Selector: DefaultSelectorConfig(), PingInterval: 20 * time.Millisecond,
 		SilenceTimeout: pipeTimeout, DialTimeout: pipeTimeout,
 		Logger: log.NewNopLogger(), Now: func() time.Duration { return time.Since(started) },
-	}, &holding{}, []Candidate{{Address: far}})
-	is.NoErr(err)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		client.Run(ctx)
-	}()
-	for client.Server() != near && time.Since(started) < 10*time.Second {
+	}, &holding{}, []Candidate{{Address: server}})
+	is.New(t).NoErr(err)
+	go client.Run(ctx)
+	return client
+}
+
+func awaitServer(client *Client, address string) {
+	for deadline := time.Now().Add(10 * time.Second); client.Server() != address && time.Now().Before(deadline); {
 		time.Sleep(5 * time.Millisecond)
 	}
-	is.Equal(client.Server(), near)
-	is.Equal(openedFar.Load(), int64(1))
-	is.Equal(openedNear.Load(), int64(1))
-	cancel()
-	<-done
+}
+
+// The moves through real connections: a client that learns of a server of its zone later, and
+// one that is told when it opens its subscription, which gets nothing from the first server.
+func TestSubscriptionMovesOverConnections(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var known atomic.Pointer[[]protocol.Server]
+	known.Store(&[]protocol.Server{})
+	servers := func() []protocol.Server { return *known.Load() }
+	far, near := startHub(t, ctx, servers), startHub(t, ctx, servers)
+	early := subscribeTo(t, ctx, far.address)
+	awaitServer(early, far.address)
+	is.Equal(early.Server(), far.address)
+	known.Store(&[]protocol.Server{{Address: far.address, Zone: "other"}, {Address: near.address, Zone: "own"}})
+	awaitServer(early, near.address)
+	is.Equal(early.Server(), near.address)
+	sent := far.updates.Load()
+	late := subscribeTo(t, ctx, far.address)
+	awaitServer(late, near.address)
+	is.Equal(late.Server(), near.address)
+	is.Equal(far.opened.Load(), int64(2))
+	is.Equal(far.updates.Load(), sent)
+	is.Equal(near.opened.Load(), int64(2))
 }
--- a/pkg/wire/conn.go
+++ b/pkg/wire/conn.go
@@ -2,9 +2,9 @@
 // in frames of bounded size over one TCP connection.
 //
 // A frame is a length (unsigned varint), a kind (one byte) and a piece of the
-// connection's gob stream, compressed if the kind says so. One long-lived encoder a connection
-// sends each type's description once. The length is checked before anything is decoded; a bad
-// frame ends its connection and nothing else.
+// connection's gob stream. One long-lived encoder a connection sends each type's
+// description once. The length is checked before anything is decoded; a bad frame
+// ends its connection and nothing else.
 package wire
 
 import (
@@ -18,8 +18,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"bramblelift/pkg/deflate"
 )
 
 // DefaultMaxFrame bounds a frame in bytes; the largest ones carry snapshots.
@@ -28,12 +26,9 @@
 // ErrFrameTooLarge: the peer announced a frame beyond the bound.
 var ErrFrameTooLarge = errors.New("frame exceeds the bound")
 
-// Kind tells the type of a frame's value; it is below compressedFlag.
+// Kind tells the type of a frame's value.
 type Kind uint8
 
-// compressedFlag is set in the kind of a frame whose body is compressed.
-const compressedFlag Kind = 0x80
-
 // Direction tells whether a frame was sent or received.
 type Direction string
 
@@ -85,29 +80,16 @@
 func (c *Conn) Close() error { return c.conn.Close() }
 
 // Send writes one value within the write timeout.
-func (c *Conn) Send(kind Kind, value any) error { return c.send(kind, value, false) }
-
-// SendCompressed is Send for values that may be large and repeat themselves.
-func (c *Conn) SendCompressed(kind Kind, value any) error { return c.send(kind, value, true) }
-
-func (c *Conn) send(kind Kind, value any, compress bool) error {
+func (c *Conn) Send(kind Kind, value any) error {
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
 	c.encoded.Reset()
 	if err := c.encoder.Encode(value); err != nil {
 		return fmt.Errorf("encode frame to %s: %w", c.Peer(), err)
 	}
-	body := c.encoded.Bytes()
-	if compress && len(body) >= deflate.MinSize {
-		compressed, err := deflate.Compress(body)
-		if err != nil {
-			return fmt.Errorf("encode frame to %s: %w", c.Peer(), err)
-		}
-		kind, body = kind|compressedFlag, compressed
-	}
-	frame := binary.AppendUvarint(nil, uint64(len(body)))
+	frame := binary.AppendUvarint(nil, uint64(c.encoded.Len()))
 	frame = append(frame, byte(kind))
-	frame = append(frame, body...)
+	frame = append(frame, c.encoded.Bytes()...)
 	if c.encoded.Cap() > readBufferSize*16 {
 		c.shrink()
 	}
@@ -117,7 +99,7 @@
 	if _, err := c.conn.Write(frame); err != nil {
 		return fmt.Errorf("write frame to %s: %w", c.Peer(), err)
 	}
-	c.tell(kind&^compressedFlag, Sent, len(frame))
+	c.tell(kind, Sent, len(frame))
 	return nil
 }
 
@@ -143,11 +125,10 @@
 	if length == 0 || length > uint64(c.maxFrame) {
 		return 0, fmt.Errorf("frame of %d bytes from %s, at most %d: %w", length, c.Peer(), c.maxFrame, ErrFrameTooLarge)
 	}
-	head, err := c.reader.ReadByte()
+	kind, err := c.reader.ReadByte()
 	if err != nil {
 		return 0, fmt.Errorf("read frame kind from %s: %w", c.Peer(), err)
 	}
-	kind := Kind(head) &^ compressedFlag
 	c.received.Reset()
 	if c.received.Cap() > readBufferSize*16 {
 		c.received = bytes.Buffer{}
@@ -155,24 +136,8 @@
 	if _, err := io.CopyN(&c.received, c.reader, int64(length)); err != nil {
 		return 0, fmt.Errorf("read frame body from %s: %w", c.Peer(), err)
 	}
-	if Kind(head)&compressedFlag != 0 {
-		if err := c.expandReceived(); err != nil {
-			return 0, fmt.Errorf("read frame from %s: %w", c.Peer(), err)
-		}
-	}
-	c.tell(kind, Received, int(length)+1+uvarintSize(length))
-	return kind, nil
-}
-
-// expandReceived replaces the compressed body of the frame just received.
-func (c *Conn) expandReceived() error {
-	body, err := deflate.Expand(c.received.Bytes(), c.maxFrame)
-	if err != nil {
-		return err
-	}
-	c.received.Reset()
-	c.received.Write(body)
-	return nil
+	c.tell(Kind(kind), Received, int(length)+1+uvarintSize(length))
+	return Kind(kind), nil
 }
 
 // Decode decodes the value of the frame just received.
--- a/pkg/wire/conn_test.go
+++ b/pkg/wire/conn_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	"bramblelift/pkg/deflate"
-
 	"github.com/matryer/is"
 )
 
@@ -66,58 +64,6 @@
 	is.Equal(sent, received)
 }
 
-// A large frame is a fraction of its size on the wire, small ones around it are as before, and
-// the bytes that are counted are those of the wire.
-func TestLargeFramesAreCompressed(t *testing.T) {
-	is := is.New(t)
-	left, right := net.Pipe()
-	defer left.Close()
-	defer right.Close()
-	sent, received := 0, 0
-	const limit = 1 << 20
-	sender := NewConn(left, limit, time.Second, func(kind Kind, _ Direction, size int) {
-		is.Equal(kind, testKind)
-		sent += size
-	})
-	receiver := NewConn(right, limit, time.Second, func(_ Kind, _ Direction, size int) { received += size })
-	large := message{Name: "large"}
-	for range 2000 {
-		large.Lines = append(large.Lines, "a route that looks much like the next one")
-	}
-	want := []message{{Name: "small"}, large, {Name: "last"}}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for _, m := range want {
-			_ = sender.SendCompressed(testKind, m)
-		}
-	}()
-	for _, m := range want {
-		kind, err := receiver.Receive(time.Second)
-		is.NoErr(err)
-		is.Equal(kind, testKind)
-		var got message
-		is.NoErr(receiver.Decode(&got))
-		is.Equal(got, m)
-	}
-	<-done
-	is.Equal(sent, received)
-	is.True(sent < 10_000) // 84 KB uncompressed
-}
-
-// A frame that would expand beyond the bound ends its connection.
-func TestCompressedFrameIsBounded(t *testing.T) {
-	is := is.New(t)
-	left, right := net.Pipe()
-	defer left.Close()
-	defer right.Close()
-	sender := NewConn(left, 1<<20, time.Second, nil)
-	receiver := NewConn(right, testLimit, time.Second, nil)
-	go func() { _ = sender.SendCompressed(testKind, message{Name: string(make([]byte, 2*testLimit))}) }()
-	_, err := receiver.Receive(time.Second)
-	is.True(errors.Is(err, deflate.ErrTooLarge))
-}
-
 func TestBadFramesAreRefused(t *testing.T) {
 	huge := append(binary.AppendUvarint(nil, testLimit+1), byte(testKind))
 	for name, test := range map[string]struct {
