--- a/pkg/bundle/delta.go
+++ b/pkg/bundle/delta.go
@@ -45,17 +45,26 @@
 	return next
 }
 
+// diffByName walks two lists that are sorted by name side by side.
 func diffByName[T any](old, next []T, name func(T) string, equal func(a, b *T) bool) (changed []T, removed []string) {
-	for _, item := range next {
-		before, found := findByName(old, name(item), name)
-		if !found || !equal(&before, &item) {
-			changed = append(changed, item)
+	at := 0
+	for i := range next {
+		wanted := name(next[i])
+		for at < len(old) && name(old[at]) < wanted {
+			removed = append(removed, name(old[at]))
+			at++
 		}
-	}
-	for _, item := range old {
-		if _, found := findByName(next, name(item), name); !found {
-			removed = append(removed, name(item))
+		if at < len(old) && name(old[at]) == wanted {
+			if !equal(&old[at], &next[i]) {
+				changed = append(changed, next[i])
+			}
+			at++
+			continue
 		}
+		changed = append(changed, next[i])
+	}
+	for ; at < len(old); at++ {
+		removed = append(removed, name(old[at]))
 	}
 	return changed, removed
 }
@@ -66,26 +75,23 @@
 	if len(changed) == 0 && len(removed) == 0 {
 		return items
 	}
-	gone := map[string]bool{}
-	for _, r := range removed {
-		gone[r] = true
-	}
-	for _, item := range changed {
-		gone[name(item)] = true
-	}
 	changed = sortedBy(changed, name)
+	removed = slices.Sorted(slices.Values(removed))
 	result := make([]T, 0, len(items)+len(changed))
-	for _, item := range items {
-		if gone[name(item)] {
-			continue
+	for i := range items {
+		held := name(items[i])
+		for len(changed) > 0 && name(changed[0]) < held {
+			result = append(result, changed[0])
+			changed = changed[1:]
+		}
+		for len(removed) > 0 && removed[0] < held {
+			removed = removed[1:]
 		}
-		before := slices.IndexFunc(changed, func(c T) bool { return name(c) > name(item) })
-		if before < 0 {
-			before = len(changed)
+		replaced := len(changed) > 0 && name(changed[0]) == held
+		gone := len(removed) > 0 && removed[0] == held
+		if !replaced && !gone {
+			result = append(result, items[i])
 		}
-		result = append(result, changed[:before]...)
-		changed = changed[before:]
-		result = append(result, item)
 	}
 	result = append(result, changed...)
 	if len(result) == 0 {
--- a/pkg/catalog/large_test.go
+++ b/pkg/catalog/large_test.go
@@ -53,12 +53,44 @@
 	commands := publications(b, 2300, 40)
 	b.ResetTimer()
 	for range b.N {
-		c := New()
-		for _, command := range commands {
-			if refused := c.Apply(command).Error; refused != nil {
-				b.Fatal(refused)
-			}
-		}
+		applied(b, commands)
 	}
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*len(commands)), "µs/version")
 }
+
+// BenchmarkSnapshot saves a catalog of many versions of a large bundle, as a replica does to
+// shorten its log.
+func BenchmarkSnapshot(b *testing.B) {
+	c := applied(b, publications(b, 2300, 100))
+	for b.Loop() {
+		if _, err := c.Snapshot(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRestore reads it back, as a replica does when it starts.
+func BenchmarkRestore(b *testing.B) {
+	data, err := applied(b, publications(b, 2300, 100)).Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(data)), "bytes")
+	for b.Loop() {
+		if _, err := Restore(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// applied returns the catalog that commands make.
+func applied(tb testing.TB, commands []Command) *Catalog {
+	tb.Helper()
+	c := New()
+	for _, command := range commands {
+		if refused := c.Apply(command).Error; refused != nil {
+			tb.Fatal(refused)
+		}
+	}
+	return c
+}
