--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -71,6 +71,7 @@
 	joins   map[string]joinRequest
 	// compactedSize is the size of the log right after the last compaction.
 	compactedSize int64
+	replay        replayWork
 	// addresses are where replicas said they are; see Learn.
 	addresses map[raft.ReplicaID]string
 	// unsaved are effects that the disk did not take yet. Until it does the replica
@@ -191,14 +192,14 @@
 		}
 		r.node.Persisted(effects)
 		output.Messages = append(output.Messages, effects.Messages...)
-		if err := r.apply(effects, &output); err != nil {
+		if err := r.apply(now, effects, &output); err != nil {
 			return Output{}, err
 		}
 	}
 	if r.node.Role() != raft.Leader {
 		r.abandonWaiting(&output)
 	}
-	if err := r.compactIfDue(); err != nil {
+	if err := r.compactIfDue(now); err != nil {
 		return Output{}, err
 	}
 	output.StateChanged = r.catalog.State().Revision != before
@@ -218,7 +219,7 @@
 	return effects
 }
 
-func (r *Replica) apply(effects raft.Effects, output *Output) error {
+func (r *Replica) apply(now time.Duration, effects raft.Effects, output *Output) error {
 	if effects.Snapshot != nil {
 		restored, err := catalog.Restore(effects.Snapshot.Data)
 		if err != nil {
@@ -226,9 +227,10 @@
 		}
 		r.catalog = restored
 		r.applied = effects.Snapshot.Index
+		r.replay = replayWork{}
 	}
 	for _, entry := range effects.Committed {
-		if err := r.applyEntry(entry, output); err != nil {
+		if err := r.applyEntry(now, entry, output); err != nil {
 			return fmt.Errorf("apply entry %d: %w", entry.Index, err)
 		}
 	}
@@ -236,7 +238,7 @@
 	return nil
 }
 
-func (r *Replica) applyEntry(entry raft.Entry, output *Output) error {
+func (r *Replica) applyEntry(now time.Duration, entry raft.Entry, output *Output) error {
 	r.applied = entry.Index
 	var result catalog.Result
 	if entry.Kind == raft.EntryCommand && len(entry.Data) > 0 {
@@ -245,6 +247,7 @@
 			return err
 		}
 		result = r.catalog.Apply(command)
+		r.replay.note(now, command)
 	}
 	proposal, found := r.waiting[entry.Index]
 	if !found {
@@ -268,20 +271,24 @@
 }
 
 // compactionDue reports whether the log holds enough entries or bytes after its
-// snapshot.
-func (r *Replica) compactionDue() bool {
+// snapshot, or it is quiet and a restart would have much to apply again.
+func (r *Replica) compactionDue(now time.Duration) bool {
 	if r.applied <= r.node.SnapshotIndex() {
 		return false
 	}
+	if r.replay.compactionDue(now, r.node.ID()) {
+		return true
+	}
 	entries := r.applied - r.node.SnapshotIndex()
 	grown := r.storage.Size() - r.compactedSize
 	return entries >= r.config.CompactAfter || (r.config.CompactBytes > 0 && grown >= r.config.CompactBytes)
 }
 
-func (r *Replica) compactIfDue() error {
-	if !r.compactionDue() {
+func (r *Replica) compactIfDue(now time.Duration) error {
+	if !r.compactionDue(now) {
 		return nil
 	}
+	r.replay = replayWork{}
 	data, err := r.catalog.Snapshot()
 	if err != nil {
 		return fmt.Errorf("compact: %w", err)
