Nodes find their servers sooner after a loss of power; admission counts those that stay

Cause: when power returns everywhere, nodes start 0.4 s before control. And a replica takes on 50 subscribers at once and 50 a second: of 280 nodes that ask three seeds where to go, 43 at each would have been told to come back later.

Now a client's first six unanswered dials in a row have 150 ms, later ones the time of the settings; and a subscriber counts at its first ping, which one that is sent on never makes.

Ruled out: dialling all seeds at once (three times the connections to the same three machines).

TestRedirectedClientsNeedNoAdmission seen failing with the check at the opening.

--- a/pkg/distribution/update.go
+++ b/pkg/distribution/update.go
@@ -54,7 +54,7 @@
 	updates map[updateKey]*Update
 	// packed holds the packed forms of updates.
 	packed map[*Update]*PackedUpdate
-	hasher  *bundle.Hasher
+	hasher *bundle.Hasher
 }
 
 type scopeKey struct {
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -56,6 +56,11 @@
 	firstPingInterval = 150 * time.Millisecond
 	// minPingGap is between a ping and an early one.
 	minPingGap = 50 * time.Millisecond
+	// quickDials dials in a row have no more time than quickDialTimeout, twice a round trip
+	// between regions 35 ms apart. They last about as long as control takes to be back after
+	// a loss of everything.
+	quickDials       = 6
+	quickDialTimeout = 150 * time.Millisecond
 )
 
 // Client keeps one subscription alive.
@@ -75,6 +80,8 @@
 	// resync asks the next server for everything, after an update that did not fit.
 	resync bool
 	server atomic.Pointer[string]
+	// failedDials counts the dials that failed one after the other.
+	failedDials int
 }
 
 // NewClient returns a client for the given servers.
@@ -200,12 +207,24 @@
 	subscription *Subscription
 }
 
+// dialTimeout is short at first: a machine that has just been without power says nothing, and a
+// server that comes back meanwhile is found at the next try only. A network that takes longer is
+// given the whole time then.
+func (c *Client) dialTimeout() time.Duration {
+	if c.failedDials < quickDials {
+		return min(quickDialTimeout, c.config.DialTimeout)
+	}
+	return c.config.DialTimeout
+}
+
 func (c *Client) subscribe(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: c.config.DialTimeout}
+	dialer := net.Dialer{Timeout: c.dialTimeout()}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		c.failedDials++
 		return fmt.Errorf("dial %s: %w", address, err)
 	}
+	c.failedDials = 0
 	conn := wire.NewConn(raw, wire.DefaultMaxFrame, c.config.SilenceTimeout, c.config.Observe)
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -110,8 +110,10 @@
 	// wakeup holds at most one token: there is something to do.
 	wakeup chan struct{}
 
-	// session is guarded by the hub's mutex.
-	session *Session
+	// session and admitted are guarded by the hub's mutex. Nothing is sent to a subscriber that
+	// is not admitted.
+	session  *Session
+	admitted bool
 	// toldServers is what the subscriber was last told; only the writer uses it.
 	toldServers []protocol.Server
 }
@@ -132,7 +134,7 @@
 
 // Serve runs one subscription until the connection ends. The Hello was read already.
 func (h *Hub) Serve(ctx context.Context, conn *wire.Conn, hello protocol.Hello) error {
-	if refusal, refused := h.refuse(); refused {
+	if refusal, refused := h.refuseStopping(); refused {
 		return protocol.Refuse(conn, refusal)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -161,16 +163,28 @@
 	return err
 }
 
-func (h *Hub) refuse() (protocol.Refusal, bool) {
+func (h *Hub) refuseStopping() (protocol.Refusal, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.stopping {
 		return protocol.Refusal{Reason: protocol.ReasonStopping, Message: "shutting down"}, true
 	}
+	return protocol.Refusal{}, false
+}
+
+// refuseBusy takes a subscriber on at its first ping, unless too many came at once: one that only
+// asks where to go costs next to nothing, and must not keep others waiting.
+func (h *Hub) refuseBusy(s *subscriber) (protocol.Refusal, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.admitted {
+		return protocol.Refusal{}, false
+	}
 	admitted, retryAfter := h.admission.admit(h.config.Now())
 	if !admitted {
 		return protocol.Refusal{Reason: protocol.ReasonBusy, Message: "too many subscribers at once", RetryAfter: retryAfter}, true
 	}
+	s.admitted = true
 	return protocol.Refusal{}, false
 }
 
@@ -210,6 +224,9 @@
 			if err := s.conn.Decode(&ping); err != nil {
 				return err
 			}
+			if refusal, refused := h.refuseBusy(s); refused {
+				return protocol.Refuse(s.conn, refusal)
+			}
 			h.takePing(s, ping)
 		case protocol.KindAck:
 			var ack protocol.Ack
@@ -272,6 +289,10 @@
 // sendDue sends the update that is due, then the pong that is owed.
 func (h *Hub) sendDue(s *subscriber) error {
 	h.mu.Lock()
+	if !s.admitted {
+		h.mu.Unlock()
+		return nil
+	}
 	update, pong, err := s.session.Due(h.planner, h.freshness())
 	var packed *distribution.PackedUpdate
 	if err == nil && update != nil && update.Large() {
--- a/pkg/stream/nearer_test.go
+++ b/pkg/stream/nearer_test.go
@@ -158,3 +158,53 @@
 	is.Equal(far.updates.Load(), sent)
 	is.Equal(near.opened.Load(), int64(2))
 }
+
+// A herd that is only told where to go must not use up the places of those that stay, nor be told
+// to come back later.
+func TestRedirectedClientsNeedNoAdmission(t *testing.T) {
+	is := is.New(t)
+	f := newHubFixture(t)
+	f.hub.admission = newAdmission(AdmissionConfig{PerSecond: 0.001, Burst: 1})
+	var welcome protocol.Welcome
+	f.receive(t, protocol.KindWelcome, &welcome)
+	for range 50 {
+		near, far := net.Pipe()
+		go func() {
+			_ = f.hub.Serve(context.Background(), wire.NewConn(far, wire.DefaultMaxFrame, pipeTimeout, nil),
+				protocol.Hello{Name: "passing", Role: protocol.RoleNode})
+		}()
+		conn := wire.NewConn(near, wire.DefaultMaxFrame, pipeTimeout, nil)
+		kind, err := conn.Receive(pipeTimeout)
+		is.NoErr(err)
+		is.Equal(kind, protocol.KindWelcome)
+		conn.Close()
+	}
+	is.Equal(f.ping(t, protocol.Ping{Sequence: 1}).Sequence, uint64(1)) // the place is still there
+	late, far := net.Pipe()
+	defer late.Close()
+	go func() {
+		_ = f.hub.Serve(context.Background(), wire.NewConn(far, wire.DefaultMaxFrame, pipeTimeout, nil),
+			protocol.Hello{Name: "late", Role: protocol.RoleNode})
+	}()
+	conn := wire.NewConn(late, wire.DefaultMaxFrame, pipeTimeout, nil)
+	_, err := conn.Receive(pipeTimeout)
+	is.NoErr(err)
+	is.NoErr(conn.Decode(&welcome))
+	is.NoErr(conn.Send(protocol.KindPing, protocol.Ping{Sequence: 1}))
+	kind, err := conn.Receive(pipeTimeout)
+	is.NoErr(err)
+	is.Equal(kind, protocol.KindRefusal) // but only one
+}
+
+// A node that starts before its servers have power finds them soon after they have it: dials that
+// nobody answers are given up quickly at first, and given more time if none succeeds.
+func TestUnansweredDialsAreGivenUpQuicklyAtFirst(t *testing.T) {
+	is := is.New(t)
+	c := &Client{config: ClientConfig{DialTimeout: 400 * time.Millisecond}}
+	is.Equal(c.dialTimeout(), quickDialTimeout)
+	c.failedDials = quickDials
+	is.Equal(c.dialTimeout(), 400*time.Millisecond)
+	c.config.DialTimeout = 100 * time.Millisecond
+	c.failedDials = 0
+	is.Equal(c.dialTimeout(), 100*time.Millisecond) // never more than the settings say
+}
