--- a/pkg/replica/replay_test.go
+++ b/pkg/replica/replay_test.go
@@ -39,3 +39,19 @@
 	w.versions--
 	is.True(!w.compactionDue(time.Hour, 0))
 }
+
+// BenchmarkRestartAfterSnapshot is BenchmarkRestart of a replica that was quiet before it stopped.
+func BenchmarkRestartAfterSnapshot(b *testing.B) {
+	files := writeVersions(b)
+	r := openLeading(b, files)
+	_, err := r.Flush(time.Minute + replayQuiet + replaySpread)
+	must(b, err)
+	must(b, r.Close())
+	for b.Loop() {
+		r := openLeading(b, files)
+		if r.Catalog().HeadVersion() != restartVersions {
+			b.Fatalf("head is %d", r.Catalog().HeadVersion())
+		}
+		must(b, r.Close())
+	}
+}
