Contents that are kept are bounded by their size

Cause: the contents of the newest 64 versions were kept whatever their size: at 2,300 routes some 40 MB of each replica, and 64 differences to apply at each restart.

Now they are kept while they have 24,000 items together, the newest 8 in any case; small bundles keep 64 as before. All replicas decide alike, from the contents alone.

Test seen failing (30 for 10).

--- a/pkg/bundle/content.go
+++ b/pkg/bundle/content.go
@@ -211,6 +211,9 @@
 	}
 }
 
+// Items counts the routes, services and secrets.
+func (c Content) Items() int { return len(c.Routes) + len(c.Services) + len(c.Secrets) }
+
 // Service returns the named service.
 func (c Content) Service(name string) (Service, bool) {
 	return findByName(c.Services, name, serviceName)
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -16,8 +16,13 @@
 const (
 	// RememberedOperations is how many operations back a resend is recognised.
 	RememberedOperations = 4096
-	// keptContents is how many of the newest versions keep their content.
-	keptContents = 64
+	// keptContents is how many of the newest versions keep their content at most, and
+	// keptItems how many routes, services and secrets their contents may have together before
+	// older ones lose it; minKeptContents always keep it. A route takes some 300 bytes: 64
+	// contents of 2,300 routes were 40 MB of each replica, and half of the time of a restart.
+	keptContents    = 64
+	minKeptContents = 8
+	keptItems       = 24_000
 	// keptVersions is how many of the newest versions are listed at all.
 	keptVersions = 4096
 )
@@ -302,13 +307,17 @@
 // forgetOldVersions drops contents, and later whole records, of superseded versions.
 func (c *Catalog) forgetOldVersions() {
 	numbers := slices.Sorted(maps.Keys(c.Versions))
-	for i, number := range numbers {
+	items := 0
+	for newer := range numbers {
+		number := numbers[len(numbers)-1-newer]
 		old := c.Versions[number]
+		if old.Content != nil {
+			items += old.Content.Items()
+		}
 		if old.Status != StatusSuperseded {
 			continue
 		}
-		newer := len(numbers) - 1 - i
-		if newer >= keptContents {
+		if newer >= keptContents || (newer >= minKeptContents && items > keptItems) {
 			old.Content = nil
 		}
 		if newer >= keptVersions {
--- a/pkg/catalog/large_test.go
+++ b/pkg/catalog/large_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"bramblelift/pkg/bundle"
+
+	"github.com/matryer/is"
 )
 
 // largeContent is a bundle with many routes.
@@ -94,3 +96,20 @@
 	}
 	return c
 }
+
+// Old contents of a large bundle must not fill a replica's memory: those that are kept are bounded
+// by what they hold together, and by their number if they are small.
+func TestKeptContentsAreBoundedBySize(t *testing.T) {
+	is := is.New(t)
+	kept := func(routes, versions int) (count int) {
+		for _, version := range applied(t, publications(t, routes, versions)).Versions {
+			if version.Content != nil {
+				count++
+			}
+		}
+		return count
+	}
+	is.Equal(kept(2300, 30), 10) // 10 x 2,302 items
+	is.Equal(kept(6000, 12), minKeptContents)
+	is.Equal(kept(10, 80), keptContents)
+}
--- a/pkg/distribution/packed_test.go
+++ b/pkg/distribution/packed_test.go
@@ -99,3 +99,16 @@
 		}
 	}
 }
+
+// BenchmarkFirstState is what the first state costs a node besides unpacking it.
+func BenchmarkFirstState(b *testing.B) {
+	update, err := NewPlanner(stateOfRoutes(b, 2400)).Plan("shop", Position{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if err := NewHolder("shop", anyApproval{}, nil).Apply(update); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
