--- a/pkg/forward/work.go
+++ b/pkg/forward/work.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// workWeight is how much each newer answer counts in a route's service time.
+// workWeight is how much each newer answer counts in a route's service time, once there were so
+// many that it is less than an equal share.
 const workWeight = 0.05
 
 // workTimes remembers how long the calls of each route take at back ends, without waiting,
@@ -18,6 +19,8 @@
 type routeWork struct {
 	work   time.Duration
 	answer float64
+	// count is how many answers there were.
+	count int
 }
 
 func newWorkTimes() *workTimes { return &workTimes{routes: map[string]routeWork{}} }
@@ -36,13 +39,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	held, found := w.routes[route]
-	if !found {
-		w.routes[route] = routeWork{work: work, answer: float64(answer)}
-		return
-	}
-	held.work += time.Duration(workWeight * float64(work-held.work))
-	held.answer += workWeight * (float64(answer) - held.answer)
+	held := w.routes[route]
+	held.count++
+	// The first answers count alike: with workWeight alone the very first one, which may be of a
+	// cold back end, would stand for seconds.
+	weight := max(workWeight, 1/float64(held.count))
+	held.work += time.Duration(weight * float64(work-held.work))
+	held.answer += weight * (float64(answer) - held.answer)
 	w.routes[route] = held
 }
 
