--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -42,7 +42,9 @@
 	table.Flush()
 }
 
-type proxiesCommand struct{}
+type proxiesCommand struct {
+	Zones bool `long:"zones" description:"one line a zone and version in place of one a node"`
+}
 
 // Execute implements flags.Commander.
 func (c *proxiesCommand) Execute([]string) error { return nil }
@@ -52,6 +54,10 @@
 	if err != nil {
 		return err
 	}
+	if c.Zones {
+		zones := zoneSummary(nodes)
+		return s.print(zones, func() { printZones(s, zones) })
+	}
 	return s.print(nodes, func() {
 		table := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(table, "NODE\tGROUP\tZONE\tACTIVE\tSTAGED\tREVISION\tCONNECTED\tHEARD")
@@ -75,7 +81,7 @@
 		}
 		for _, node := range nodes {
 			held, found := newest[node.Name]
-			if !found || node.HeardMillis > held.HeardMillis {
+			if !found || supersedes(node, held) {
 				newest[node.Name] = node
 			}
 		}
