A client opens its subscription at a nearer server before it leaves the one it has

The first ping now says where a subscription begins, since the client may have moved on since its Hello.

--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -79,10 +79,10 @@
 	// soon holds at most one wish for an early ping.
 	soon chan struct{}
 	// resync asks the next server for everything, after an update that did not fit.
-	resync bool
+	resync atomic.Bool
 	server atomic.Pointer[string]
 	// failedDials counts the dials that failed one after the other.
-	failedDials int
+	failedDials atomic.Int32
 }
 
 // NewClient returns a client for the given servers.
@@ -160,23 +160,55 @@
 
 // Run keeps subscribing until the context ends.
 func (c *Client) Run(ctx context.Context) {
+	var successor *session
 	for ctx.Err() == nil {
-		candidate, wait := c.selector.Next(c.config.Now())
-		if !sleep(ctx, wait) {
-			return
+		s, err := successor, error(nil)
+		if s == nil {
+			s, err = c.openNext(ctx)
 		}
-		err := c.subscribe(ctx, candidate.Address)
-		c.server.Store(nil)
-		if ctx.Err() != nil {
-			return
+		successor = nil
+		if err == nil {
+			err = s.run(ctx)
+			successor = s.successor
+			c.server.Store(nil)
 		}
-		if errors.Is(err, errNearerServer) {
-			c.selector.Move(c.config.Now())
-			c.config.Logger.Log("event", "subscription_moves", "server", candidate.Address, "reason", err)
-			continue
+		if ctx.Err() == nil {
+			c.noteEnd(s, err)
 		}
-		c.selector.Failed(c.config.Now(), retryAfter(err))
-		c.config.Logger.Log("event", "subscription_ended", "server", candidate.Address, "error", err)
+	}
+	successor.close()
+}
+
+// openNext opens a subscription at the server that the selector names, when it says.
+func (c *Client) openNext(ctx context.Context) (*session, error) {
+	candidate, wait := c.selector.Next(c.config.Now())
+	if !sleep(ctx, wait) {
+		return nil, ctx.Err()
+	}
+	s, err := c.open(ctx, candidate.Address)
+	if err == nil && c.selector.NearerAtOnce(c.config.Now()) {
+		s.close()
+		err = errNearerServer
+	}
+	if err != nil {
+		return &session{address: candidate.Address}, err
+	}
+	return s, nil
+}
+
+// noteEnd tells the selector how a subscription, or the attempt to open one, ended.
+func (c *Client) noteEnd(s *session, err error) {
+	now := c.config.Now()
+	switch {
+	case s.successor != nil:
+		c.selector.MovedTo(s.successor.address)
+		c.config.Logger.Log("event", "subscription_moves", "server", s.address, "to", s.successor.address, "reason", errNearerServer)
+	case errors.Is(err, errNearerServer):
+		c.selector.Move(now)
+		c.config.Logger.Log("event", "subscription_moves", "server", s.address, "reason", err)
+	default:
+		c.selector.Failed(now, retryAfter(err))
+		c.config.Logger.Log("event", "subscription_ended", "server", s.address, "error", err)
 	}
 }
 
@@ -201,65 +233,109 @@
 
 // session is one open subscription of a client.
 type session struct {
-	client *Client
-	conn   *wire.Conn
+	client  *Client
+	address string
+	conn    *wire.Conn
 	// openedAt is on the client's clock.
 	openedAt time.Duration
+	// cancel ends the session, work counts its goroutines.
+	cancel context.CancelFunc
+	work   sync.WaitGroup
 
 	mu           sync.Mutex
 	subscription *Subscription
+	// opening is set while a subscription at a nearer server is being opened. successor is that
+	// subscription once it stands; it is final when run has returned.
+	opening   bool
+	successor *session
 }
 
 // dialTimeout is short at first: a machine that has just been without power says nothing, and a
 // server that comes back meanwhile is found at the next try only. A network that takes longer is
 // given the whole time then.
 func (c *Client) dialTimeout() time.Duration {
-	if c.failedDials < quickDials {
+	if c.failedDials.Load() < quickDials {
 		return min(quickDialTimeout, c.config.DialTimeout)
 	}
 	return c.config.DialTimeout
 }
 
-func (c *Client) subscribe(ctx context.Context, address string) error {
+// open dials a server and performs the handshake.
+func (c *Client) open(ctx context.Context, address string) (*session, error) {
 	dialer := net.Dialer{Timeout: c.dialTimeout()}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		c.failedDials++
-		return fmt.Errorf("dial %s: %w", address, err)
+		c.failedDials.Add(1)
+		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	c.failedDials = 0
+	c.failedDials.Store(0)
 	conn := wire.NewConn(raw, wire.DefaultMaxFrame, c.config.SilenceTimeout, c.config.Observe)
-	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 
 	hello := c.config.Hello
 	hello.Position = c.target.Position()
-	if c.resync {
+	if c.resync.Load() {
 		hello.Position = distribution.Position{}
 	}
 	welcome, err := protocol.Open(conn, hello, c.config.SilenceTimeout)
 	if err != nil {
-		return err
+		conn.Close()
+		return nil, err
 	}
 	c.learnServers(welcome.Servers)
-	if c.selector.NearerAtOnce(c.config.Now()) {
-		return errNearerServer
-	}
-	c.resync = false
-	c.server.Store(&address)
-	c.config.Logger.Log("event", "subscribed", "server", address, "revision", hello.Position.Revision)
-
-	s := &session{client: c, conn: conn, openedAt: c.config.Now(), subscription: NewSubscription()}
-	ctx, cancel := context.WithCancel(ctx)
-	var group sync.WaitGroup
-	defer group.Wait()
-	defer cancel()
-	group.Go(func() {
-		defer conn.Close()
+	return &session{client: c, address: address, conn: conn, openedAt: c.config.Now(), subscription: NewSubscription()}, nil
+}
+
+// close ends a session that was not run; nil is none.
+func (s *session) close() {
+	if s != nil {
+		s.conn.Close()
+	}
+}
+
+// run keeps the subscription until it ends, and returns why.
+func (s *session) run(ctx context.Context) error {
+	c := s.client
+	ctx, s.cancel = context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { s.conn.Close() })
+	defer stop()
+	c.resync.Store(false)
+	c.server.Store(&s.address)
+	c.config.Logger.Log("event", "subscribed", "server", s.address, "revision", c.target.Position().Revision)
+	defer s.work.Wait()
+	defer s.cancel()
+	s.work.Go(func() {
+		defer s.conn.Close()
 		s.ping(ctx)
 	})
-	return s.read()
+	return s.read(ctx)
+}
+
+// openNearer opens a subscription at a server of the own zone while this one goes on, which ends
+// once the other stands: a client without any would miss versions for as long as it dials.
+func (s *session) openNearer(ctx context.Context) {
+	c := s.client
+	candidate, known := c.selector.Nearest(c.config.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !known || s.opening {
+		return
+	}
+	s.opening = true
+	s.work.Go(func() {
+		next, err := c.open(ctx, candidate.Address)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.opening = false
+		if err != nil {
+			c.selector.NearestFailed(c.config.Now(), candidate.Address)
+			c.config.Logger.Log("event", "subscription_stays", "server", s.address, "tried", candidate.Address, "error", err)
+			return
+		}
+		s.successor = next
+		s.cancel()
+	})
 }
 
 // ping keeps both sides sure that the other lives. Intervals are jittered so that
@@ -308,7 +384,7 @@
 	return s.conn.Send(protocol.KindPing, ping)
 }
 
-func (s *session) read() error {
+func (s *session) read(ctx context.Context) error {
 	for {
 		kind, err := s.conn.Receive(s.client.config.SilenceTimeout)
 		if err != nil {
@@ -320,7 +396,7 @@
 		case protocol.KindPackedUpdate:
 			err = s.takePackedUpdate()
 		case protocol.KindPong:
-			err = s.takePong()
+			err = s.takePong(ctx)
 		case protocol.KindRefusal:
 			err = protocol.ReceiveRefusal(s.conn)
 		default:
@@ -356,7 +432,7 @@
 	target := s.client.target
 	before := target.Position()
 	if err := target.Apply(update); err != nil {
-		s.client.resync = true
+		s.client.resync.Store(true)
 		return fmt.Errorf("apply update from %s: %w", s.conn.Peer(), err)
 	}
 	after := target.Position()
@@ -366,7 +442,7 @@
 	return nil
 }
 
-func (s *session) takePong() error {
+func (s *session) takePong(ctx context.Context) error {
 	var pong protocol.Pong
 	if err := s.conn.Decode(&pong); err != nil {
 		return err
@@ -391,7 +467,7 @@
 		return fmt.Errorf("server %s is stale (confirmed=%t stale=%s behind=%t)", s.conn.Peer(), confirmed, pong.Stale, standing.Behind)
 	}
 	if c.selector.Nearer(c.config.Now()) {
-		return errNearerServer
+		s.openNearer(ctx)
 	}
 	return nil
 }
--- a/pkg/stream/nearer.go
+++ b/pkg/stream/nearer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -22,7 +23,7 @@
 // Nearer reports whether the client should leave its server for one of its own zone. Clients
 // start at the servers of their settings, and go wherever they can when those of their zone
 // fail; without this they would stay there, the load would stay with few servers, and all of
-// it would cross zones. Move must follow.
+// it would cross zones. MovedTo or NearestFailed must follow.
 func (s *Selector) Nearer(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -59,6 +60,43 @@
 	s.notBefore = now
 }
 
+// Nearest returns the server of the own zone to go to, false if there is none.
+func (s *Selector) Nearest(now time.Duration) (Candidate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nearest := s.nearest(now)
+	if nearest < 0 {
+		return Candidate{}, false
+	}
+	return s.candidates[nearest].Candidate, true
+}
+
+// MovedTo notes that a subscription at another server stands.
+func (s *Selector) MovedTo(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moveAt = 0
+	if moved := s.index(address); moved >= 0 {
+		s.current = moved
+	}
+}
+
+// NearestFailed notes that no subscription could be opened at a server of the own zone while the
+// current one goes on.
+func (s *Selector) NearestFailed(now time.Duration, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moveAt = 0
+	if failed := s.index(address); failed >= 0 {
+		s.candidates[failed].badUntil = now + s.jitter(s.config.BadMemory)
+	}
+}
+
+// index returns where a server stands among the candidates, -1 if it is none; the mutex is held.
+func (s *Selector) index(address string) int {
+	return slices.IndexFunc(s.candidates, func(c candidate) bool { return c.Address == address })
+}
+
 // nearest returns a server of the own zone that has been well for nearMemory, -1 if there is
 // none; the mutex is held.
 func (s *Selector) nearest(now time.Duration) int {
--- a/pkg/stream/nearer_test.go
+++ b/pkg/stream/nearer_test.go
@@ -202,10 +202,10 @@
 	is := is.New(t)
 	c := &Client{config: ClientConfig{DialTimeout: 400 * time.Millisecond}}
 	is.Equal(c.dialTimeout(), quickDialTimeout)
-	c.failedDials = quickDials
+	c.failedDials.Store(quickDials)
 	is.Equal(c.dialTimeout(), 400*time.Millisecond)
 	c.config.DialTimeout = 100 * time.Millisecond
-	c.failedDials = 0
+	c.failedDials.Store(0)
 	is.Equal(c.dialTimeout(), 100*time.Millisecond) // never more than the settings say
 }
 
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -126,7 +125,7 @@
 			}
 		}
 	}
-	s.current = slices.IndexFunc(s.candidates, func(c candidate) bool { return c.Address == current.Address })
+	s.current = s.index(current.Address)
 	if s.current < 0 {
 		s.current = len(s.candidates)
 		s.candidates = append(s.candidates, current)
--- a/pkg/stream/session.go
+++ b/pkg/stream/session.go
@@ -25,6 +25,8 @@
 	told distribution.Position
 	// held is what it last said to hold.
 	held distribution.Position
+	// opened is set once the first ping has come; nothing is sent before.
+	opened bool
 	// pong is the sequence to answer, if owed.
 	pong uint64
 	owed bool
@@ -40,6 +42,11 @@
 
 // TakePing notes a ping; it reports whether the versions held have changed.
 func (s *Session) TakePing(ping protocol.Ping) (changed bool) {
+	if !s.opened && s.told != (distribution.Position{}) {
+		// The subscriber may have moved on since its Hello: it still heard another server.
+		s.told = ping.Position
+	}
+	s.opened = true
 	s.pong = ping.Sequence
 	s.owed = true
 	return s.TakeHeld(ping.Position)
