--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -32,6 +32,9 @@
 	idleTimeout      = 30 * time.Second
 	saturatedRetry   = time.Second
 	unavailableRetry = 2 * time.Second
+	// doubtRetry is when to come back to a node that is not sure of its configuration: about
+	// as long as a change of its server takes.
+	doubtRetry = 300 * time.Millisecond
 )
 
 // Config sets up a Handler.
@@ -56,6 +59,11 @@
 	// StopsAt, if set, returns when the process ends, zero if it does not: calls that
 	// might last longer are refused.
 	StopsAt func() time.Duration
+	// ConfirmedAt, if set, returns up to when the table is known to hold everything accepted, false
+	// if that was never known. StaleLimit is how long ago that may be for a path that the table
+	// does not take to be refused for good.
+	ConfirmedAt func() (time.Duration, bool)
+	StaleLimit  time.Duration
 	// Pacer, if set, spreads large bodies over time.
 	Pacer *exchange.Pacer
 	// OnAttempt, if set, is told of each attempt through a gate.
@@ -280,7 +288,7 @@
 	c.version = current.table.Version
 	route, found := current.table.Match(c.request.Host, c.request.URL.Path)
 	if !found {
-		return &Refusal{Outcome: NotRun, Step: "route", Reason: "no route takes this path", Status: http.StatusNotFound}
+		return c.handler.noRoute()
 	}
 	c.route = route
 	c.target = route.Pick(rand.Float64())
@@ -313,6 +321,21 @@
 	return c.attemptUntilDone(ctx)
 }
 
+// noRoute refuses a call that no route takes. A node that has not heard for a while whether its
+// configuration is the newest cannot say that there is none: the caller is to ask again.
+func (h *Handler) noRoute() *Refusal {
+	refusal := &Refusal{Outcome: NotRun, Step: "route", Reason: "no route takes this path", Status: http.StatusNotFound}
+	if h.config.ConfirmedAt == nil {
+		return refusal
+	}
+	at, confirmed := h.config.ConfirmedAt()
+	if stale := h.config.Now() - at; !confirmed || stale > h.config.StaleLimit {
+		refusal.Status, refusal.RetryAfter, refusal.Fractions = http.StatusServiceUnavailable, doubtRetry, true
+		refusal.Reason = fmt.Sprintf("no route takes this path (confirmed=%t stale=%s)", confirmed, stale.Round(time.Millisecond))
+	}
+	return refusal
+}
+
 // bodyTooLarge refuses a body beyond the bound, zero for none, and keeps one without a
 // length from growing beyond it.
 func (c *call) bodyTooLarge(limit int64) *Refusal {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -187,6 +187,7 @@
 		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: s.observer.call,
 		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
 		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
+		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() }, StaleLimit: time.Duration(s.settings.StaleLimit),
 	}
 	if s.settings.LinkMegabits > 0 {
 		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, s.clock.Now)
