Large bodies get what all else leaves of a gate's link, measured by counting its bytes

Bodies cannot be packed (they grow by 10 bytes), callers send theirs whole whatever the receive buffer (8 kB or not: all of 148 kB was there 300 ms later). Now the link's bytes are counted by peer and direction (pkg/link), and bodies get 0.8 of its rate less what else comes in.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/link"
 	"bramblelift/pkg/settings"
 	"bramblelift/pkg/wire"
 )
@@ -41,8 +42,10 @@
 	Now func() time.Duration
 	// OnCall, if set, is told how each call ended.
 	OnCall func(Call)
-	// LinkBits is the rate of the machine's link in bits a second, zero for no bound.
+	// LinkBits is the rate of the machine's link in bits a second, zero for no bound. Link counts
+	// what crosses it; nil counts nothing.
 	LinkBits float64
+	Link     *link.Meter
 }
 
 // Call describes a finished call, for logs and metrics.
@@ -86,7 +89,7 @@
 // New returns a gate without a back end.
 func New(config Config) *Gate {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
-	return &Gate{config: config, inbound: newInbound(config.LinkBits), transport: &http.Transport{
+	return &Gate{config: config, inbound: newInbound(config.LinkBits, config.Link.UnaskedRate), transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 		ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
@@ -143,6 +146,7 @@
 		call.Reason, call.Err = exchange.ReasonBroken, err
 		return g.refuse(&call, http.StatusBadGateway, exchange.NotRun)
 	}
+	g.config.Link.BodyReceived(r.ContentLength)
 	// It is here now: to send it elsewhere would cost more than to wait for the next slot.
 	wanted.wait = max(wanted.wait, (wanted.deadline-g.config.Now())/receivedWaitShare)
 	wanted.early = max(wanted.early, wanted.wait)
--- a/pkg/gate/inbound.go
+++ b/pkg/gate/inbound.go
@@ -6,10 +6,16 @@
 )
 
 const (
-	// inboundShare of the link's rate is for large bodies from other nodes. Calls without
+	// inboundShare of the link's rate is at most for large bodies from other nodes. Calls without
 	// one, answers, heartbeats and configuration come over the same link and must not wait
 	// behind them.
 	inboundShare = 0.7
+	// usableShare of the link's rate is for all that comes in, so bodies get what is left of it:
+	// beyond it small messages wait several times as long as they take. Packets' own heads are
+	// not counted.
+	usableShare = 0.8
+	// minInboundShare is left for bodies whatever else comes in.
+	minInboundShare = 0.1
 	// inboundSlack is for how long a large body may wait for the link though its sender asked
 	// to be taken at once: about as long as another one takes.
 	inboundSlack = 100 * time.Millisecond
@@ -22,25 +28,34 @@
 // send. Each gets its time one after the other; what would come too late is told so before it is
 // sent, and costs the link nothing. It is safe for concurrent use; nil is a link without bound.
 type inbound struct {
-	// rate is in bytes a second.
+	// rate is the link's in bytes a second.
 	rate float64
+	// others returns at what rate all else comes in.
+	others func(now time.Duration) float64
 
 	mu sync.Mutex
 	// free is when all that was promised has come.
 	free time.Duration
 }
 
-// newInbound returns the share of a link of so many bits a second, nil for no bound.
-func newInbound(bitsPerSecond float64) *inbound {
+// newInbound returns the share of a link of so many bits a second, nil for no bound. others returns
+// how many bytes a second come in beside the large bodies.
+func newInbound(bitsPerSecond float64, others func(now time.Duration) float64) *inbound {
 	if bitsPerSecond <= 0 {
 		return nil
 	}
-	return &inbound{rate: inboundShare * bitsPerSecond / 8}
+	return &inbound{rate: bitsPerSecond / 8, others: others}
 }
 
-// takes is how long a body keeps the link busy.
-func (l *inbound) takes(size int64) time.Duration {
-	return time.Duration(float64(size) / l.rate * float64(time.Second))
+// room is how many bytes a second of large bodies the link has room for.
+func (l *inbound) room(now time.Duration) float64 {
+	left := usableShare*l.rate - l.others(now)
+	return min(inboundShare*l.rate, max(minInboundShare*l.rate, left))
+}
+
+// takes is how long a body keeps its share of the link busy.
+func (l *inbound) takes(now time.Duration, size int64) time.Duration {
+	return time.Duration(float64(size) / l.room(now) * float64(time.Second))
 }
 
 // reserve gives a body its time on the link and returns when it may come, false if that is later
@@ -55,7 +70,7 @@
 	if due-now > patience {
 		return 0, false
 	}
-	l.free = due + l.takes(size)
+	l.free = due + l.takes(now, size)
 	return due, true
 }
 
@@ -69,7 +84,7 @@
 		return max(inboundSlack, r.wait)
 	}
 	work := time.Duration(inboundMargin * float64(max(r.work, g.expectedWork())))
-	return max(inboundSlack, r.targetLeft-work-g.inbound.takes(size))
+	return max(inboundSlack, r.targetLeft-work-g.inbound.takes(g.config.Now(), size))
 }
 
 // expectedWork is how long the back end takes for a call.
--- a/pkg/gate/inbound_test.go
+++ b/pkg/gate/inbound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,10 +13,24 @@
 	"github.com/matryer/is"
 )
 
+func nothing(time.Duration) float64 { return 0 }
+
+// Bodies get what all else leaves of the link: callers' own uploads and small messages come whether
+// there is room or not.
+func TestBodiesGetWhatIsLeftOfTheLink(t *testing.T) {
+	is := is.New(t)
+	others := 0.0
+	l := newInbound(8e6, func(time.Duration) float64 { return others })
+	for _, c := range []struct{ others, room float64 }{{0, 700_000}, {300_000, 500_000}, {600_000, 200_000}, {790_000, 100_000}, {2e6, 100_000}} {
+		others = c.others
+		is.Equal(math.Round(l.room(0)), c.room)
+	}
+}
+
 func TestBodiesGetTheLinkOneAfterTheOther(t *testing.T) {
 	is := is.New(t)
-	l := newInbound(8e6) // a megabyte a second
-	first := l.takes(70_000)
+	l := newInbound(8e6, nothing) // a megabyte a second
+	first := l.takes(0, 70_000)
 	is.Equal(first, 100*time.Millisecond) // at the share for bodies
 	due, ok := l.reserve(0, 70_000, 0)
 	is.True(ok)
--- /dev/null
+++ b/pkg/link/meter_test.go
@@ -0,0 +1,71 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestBytesAreCountedByPeerAndDirection(t *testing.T) {
+	is := is.New(t)
+	var m Meter
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := m.Listener(Callers, inner)
+	defer l.Close()
+	dial := m.Dialer(Nodes, (&net.Dialer{}).DialContext)
+	client, err := dial(context.Background(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	server, err := l.Accept()
+	is.NoErr(err)
+	defer server.Close()
+	_, err = client.Write([]byte("twelve bytes"))
+	is.NoErr(err)
+	is.NoErr(client.(interface{ CloseWrite() error }).CloseWrite())
+	data, err := io.ReadAll(server) // ends: the sending direction was closed
+	is.NoErr(err)
+	is.Equal(string(data), "twelve bytes")
+	is.Equal(m.Sent(Nodes), int64(12))
+	is.Equal(m.Received(Callers), int64(12))
+	is.Equal(m.Sent(Callers)+m.Received(Nodes)+m.Received(Control), int64(0))
+	_, err = dial(context.Background(), "tcp", "127.0.0.1:1")
+	is.True(err != nil)
+}
+
+func TestRateLeavesOutBodiesThatWereAskedFor(t *testing.T) {
+	is := is.New(t)
+	var m Meter
+	for i := range 50 { // ten seconds of 100,000 bytes a second, half of them bodies
+		m.received[Nodes].Add(20_000)
+		m.BodyReceived(10_000)
+		m.UnaskedRate(time.Duration(i+1) * 200 * time.Millisecond)
+	}
+	rate := m.UnaskedRate(10 * time.Second)
+	is.True(rate > 49_900 && rate < 50_100)
+	m.received[Callers].Add(1 << 20)
+	is.Equal(m.UnaskedRate(10*time.Second+rateInterval/2), rate) // too soon to say
+	is.True(m.UnaskedRate(11*time.Second) > rate)
+	is.True(m.UnaskedRate(30*time.Second) < 100) // it was long ago
+	var none *Meter
+	none.BodyReceived(1)
+	is.Equal(none.UnaskedRate(time.Second), 0.0)
+}
+
+func TestLoadIsOfTheBusierDirection(t *testing.T) {
+	is := is.New(t)
+	m := NewMeter(8e6) // a megabyte a second
+	is.Equal(m.Load(time.Second), 0.0)
+	m.received[Callers].Add(200_000)
+	m.sent[Nodes].Add(300_000)
+	m.sent[Control].Add(100_000)
+	load := m.Load(21 * time.Second)
+	is.True(load > 0.019 && load < 0.021) // 400 kB in 20 s
+	is.Equal(NewMeter(0).Load(time.Second), 0.0)
+	var none *Meter
+	is.Equal(none.Load(time.Second), 0.0)
+}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -37,8 +37,10 @@
 	PingInterval   time.Duration
 	SilenceTimeout time.Duration
 	DialTimeout    time.Duration
-	Observe        wire.Observer
-	Logger         log.Logger
+	// Wrap, if set, wraps each connection, for example to count its bytes.
+	Wrap    func(net.Conn) net.Conn
+	Observe wire.Observer
+	Logger  log.Logger
 	// Now reads the process's monotonic clock.
 	Now func() time.Duration
 	// OnConfirmed, if set, is told each later moment up to which the target is
@@ -269,6 +271,9 @@
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	c.failedDials.Store(0)
+	if c.config.Wrap != nil {
+		raw = c.config.Wrap(raw)
+	}
 	conn := wire.NewConn(raw, wire.DefaultMaxFrame, c.config.SilenceTimeout, c.config.Observe)
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
