On a busy link calls wait at the gate they ask, and what is refused anyway is not asked for

Now, while the node's link is loaded above 0.35, a call may wait at the first gate (its own for a quarter of the target), goes on to at most two more of any zone, and a throttle drops asks in proportion to what was refused lately (client-side throttling of Beyer and others); what is dropped gets its 503 at once. On free links the search is as before.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -67,9 +67,11 @@
 	// Repeatable is set if another back end may run the call after one that failed.
 	Repeatable bool
 	// OwnWork is up to which service time the back end beside the node is preferred to all
-	// others while it has a free slot; zero for not at all. Its load is known exactly, and
-	// the call takes no further hop.
+	// others; zero for not at all. Its load is known exactly, and the call takes no further
+	// hop.
 	OwnWork time.Duration
+	// OwnWait is for how long it may wait there, zero for not at all.
+	OwnWait time.Duration
 }
 
 // failureCost is what a certain failure of the call adds to a score, in service times.
@@ -91,7 +93,7 @@
 		return nil, 0, ErrNoEndpoint
 	}
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
-		return p.acquired(own), 0, nil
+		return p.acquired(own), r.OwnWait, nil
 	}
 	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
 	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return !r.staysLocal(e, rating) })
--- /dev/null
+++ b/pkg/forward/busy_test.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/link"
+
+	"github.com/matryer/is"
+)
+
+// onBusyLink gives a node a link that its first calls fill for the rest of the test.
+func onBusyLink(cfg *Config) { cfg.Link = link.NewMeter(8) }
+
+// fillLink makes the calls that fill it, and waits until that was measured.
+func fillLink(t *testing.T, n *gatedNode) {
+	t.Helper()
+	n.call(t, "GET", "/safe/x", "")
+	time.Sleep(150 * time.Millisecond)
+	n.call(t, "GET", "/safe/x", "")
+}
+
+// On a busy link a call waits at the gate that is asked; on a free one gates are first asked for a
+// free slot.
+func TestCallsWaitAtTheFirstGateOnABusyLink(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Config)
+		waits  bool
+	}{"busy": {onBusyLink, true}, "free": {func(*Config) {}, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var wait atomic.Int64
+			gate, _ := standInGate(t, func(w http.ResponseWriter, r *http.Request) {
+				millis, _ := strconv.ParseInt(r.Header.Get(exchange.HeaderWait), 10, 64)
+				wait.Store(millis)
+				serving(w, r)
+			})
+			n := newGatedNodeWith(t, c.change, []string{"other"}, gate)
+			fillLink(t, n)
+			n.call(t, "GET", "/safe/x", "")
+			is.Equal(wait.Load() > 0, c.waits)
+		})
+	}
+}
+
+// While gates refuse nearly everything, most calls are refused at once without a message: they
+// would only fill the link. Some still ask, so that room is found when there is any.
+func TestRefusedCallsDoNotFillABusyLink(t *testing.T) {
+	is := is.New(t)
+	var full atomic.Bool
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if full.Load() {
+			refusing(exchange.ReasonFull, NotRun)(w, r)
+			return
+		}
+		serving(w, r)
+	}
+	var gates []string
+	var asked []*atomic.Int64
+	for range 5 {
+		gate, calls := standInGate(t, answer)
+		gates, asked = append(gates, gate), append(asked, calls)
+	}
+	n := newGatedNodeWith(t, onBusyLink, slices.Repeat([]string{"z"}, len(gates)), gates...)
+	fillLink(t, n)
+	full.Store(true)
+	before := total(asked)
+	const calls = 100
+	for range calls {
+		began := time.Now()
+		response := n.call(t, "GET", "/safe/x", "")
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(outcome(response), string(NotRun))
+		is.True(response.Header.Get("Retry-After") != "")
+		is.True(time.Since(began) < 100*time.Millisecond)
+	}
+	asks := total(asked) - before
+	is.True(asks > 0)
+	is.True(asks < calls/2)
+	full.Store(false)
+	served := 0
+	for range 100 {
+		time.Sleep(30 * time.Millisecond)
+		if n.call(t, "GET", "/safe/x", "").StatusCode == http.StatusOK {
+			served++
+		}
+	}
+	is.True(served > 50)
+}
+
+func total(counts []*atomic.Int64) int64 {
+	sum := int64(0)
+	for _, n := range counts {
+		sum += n.Load()
+	}
+	return sum
+}
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"errors"
+	"slices"
 	"time"
 
 	"bramblelift/pkg/balancer"
@@ -10,6 +12,15 @@
 const (
 	// freeTries is how many gates are asked for a free slot before the call waits at one.
 	freeTries = 3
+	// busyLink is from which load of the node's link on an ask is dear. At this load a message
+	// waits about half as long as the link takes for a large body.
+	busyLink = 0.35
+	// maxFull is how many gates may say that they are full on a busy link before the call is
+	// refused.
+	maxFull = 3
+	// ownWaitShare of the time left until the target latency is what a call may wait at the gate
+	// beside the node. A refusal within a quarter of that time leaves the caller time to try again.
+	ownWaitShare = 4
 	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
 	minServiceLeft = 5 * time.Millisecond
 	// A call waits in its own zone if it is expected to be answered within its target
@@ -39,15 +50,33 @@
 	bodyShare = 3
 )
 
-// choose picks the next gate and how long the call may wait there: not at all while
-// another may have a free slot.
+// errAllFull: several gates in a row had no room for the call in its time.
+var errAllFull = errors.New("the back ends are full")
+
+// choose picks the next gate and how long the call may wait there. How it searches depends on what
+// an ask costs.
 func (g *gatedCall) choose(now time.Duration) (*balancer.Ticket, time.Duration, error) {
+	g.linkBusy = g.handler.config.Link.Load(now) > busyLink
+	if g.linkBusy {
+		return g.chooseOnBusyLink(now)
+	}
+	return g.chooseFree(now)
+}
+
+// gateRequest is what both searches have in common.
+func (g *gatedCall) gateRequest(now time.Duration) balancer.GateRequest {
 	request := balancer.GateRequest{LeftOut: g.done, Patience: g.patience(now), Repeatable: g.safe}
 	if g.tries == 0 {
 		request.OwnWork = g.ownWork(now)
 	}
-	if len(g.full) == 0 || (g.tries < maxGateTries && len(g.full) < freeTries) {
-		request.LeftOut = append(append([]string(nil), g.done...), g.full...)
+	return request
+}
+
+// chooseFree asks several gates for a free slot, and lets the call wait only when they had none.
+func (g *gatedCall) chooseFree(now time.Duration) (*balancer.Ticket, time.Duration, error) {
+	request := g.gateRequest(now)
+	if len(g.full) < freeTries && g.tries < maxGateTries {
+		request.LeftOut = slices.Concat(g.done, g.full)
 		request.LocalWait = g.localWait(now)
 		request.AskLocal = g.body.Size() > largeBody
 		ticket, wait, err := g.service.pool.AcquireGate(now, request)
@@ -61,6 +90,39 @@
 	return ticket, request.Patience, err
 }
 
+// chooseOnBusyLink lets the call wait where it is expected to be done first: each ask takes room
+// on a link that has little, and comes back late. Only what a gate says that it cannot serve in
+// time goes on to another, of any zone.
+func (g *gatedCall) chooseOnBusyLink(now time.Duration) (*balancer.Ticket, time.Duration, error) {
+	if len(g.full) >= maxFull || g.lastChance {
+		return nil, 0, errAllFull
+	}
+	request := g.gateRequest(now)
+	request.LeftOut = slices.Concat(g.done, g.full)
+	request.OwnWait = g.ownWait(now, request.Patience)
+	request.AskLocal = g.body.Size() > largeBody
+	if len(g.full) == 0 {
+		request.LocalWait = g.localWait(now)
+	}
+	ticket, wait, err := g.service.pool.AcquireGate(now, request)
+	if err != nil && len(g.full) > 0 {
+		return nil, 0, errAllFull
+	}
+	if ticket != nil && !g.besideNode(ticket) {
+		wait = request.Patience
+	}
+	return ticket, wait, err
+}
+
+// ownWait is how long the call may wait at the gate beside the node before others are asked: that
+// costs no message, and a large body does not cross the link again.
+func (g *gatedCall) ownWait(now, patience time.Duration) time.Duration {
+	if g.body.Size() > largeBody || g.route.TargetLatency == 0 {
+		return patience
+	}
+	return min(patience, max(0, g.targetLeft(now)/ownWaitShare))
+}
+
 // targetLeft is what is left of the route's target latency since the caller first tried, negative
 // if that has passed.
 func (g *gatedCall) targetLeft(now time.Duration) time.Duration {
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -12,6 +12,7 @@
 
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/link"
 	"bramblelift/pkg/wire"
 )
 
@@ -31,13 +32,13 @@
 	earlyShare = 5
 )
 
-func newGateTransport() *http.Transport {
+func newGateTransport(meter *link.Meter) *http.Transport {
 	dialer := net.Dialer{
 		Timeout: gateDialTimeout, Control: wire.SetUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
+		DialContext: meter.Dialer(link.Nodes, dialer.DialContext), DisableCompression: true,
 		MaxIdleConnsPerHost: gateConnections, IdleConnTimeout: gateIdleTimeout,
 		ExpectContinueTimeout: gateExpectTimeout,
 		ReadBufferSize:        gateBuffer, WriteBufferSize: gateBuffer,
@@ -72,7 +73,7 @@
 // exchange sends the call to a gate.
 func (g *gatedCall) exchange(ctx context.Context, ticket *balancer.Ticket, wait time.Duration) (*http.Response, *gateFailure) {
 	request := g.outgoingGate(ticket, wait)
-	if ticket.Address == g.handler.config.GateAddress && g.handler.config.Gate != nil {
+	if g.besideNode(ticket) && g.handler.config.Gate != nil {
 		return g.readGate(ticket, g.handler.config.Gate(request.WithContext(ctx)))
 	}
 	var connected atomic.Bool
@@ -138,7 +139,7 @@
 	g.body.Attach(request, incoming.ContentLength)
 	if g.body.Size() > largeBody {
 		request.Header.Set("Expect", "100-continue")
-		if ticket.Address != g.handler.config.GateAddress {
+		if !g.besideNode(ticket) {
 			request.Body = g.handler.config.Pacer.Body(request.Body, g.body.Size(), g.bodyTime())
 		}
 	}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/retry"
 )
 
 // Bounds of calls through gates.
@@ -38,10 +40,13 @@
 	// are, zero if not known.
 	work        time.Duration
 	answerBytes int
-	// last is why the latest gate refused.
-	last exchange.Reason
 	// lastChance is set once the call was let wait at a gate after others were full.
 	lastChance bool
+	// linkBusy is set while asks are dear; throttle, the route's, bounds them then.
+	linkBusy bool
+	throttle *retry.Throttle
+	// last is why the latest gate refused.
+	last exchange.Reason
 	// held is a back end's failure that another attempt may yet make good, nil for none.
 	held *http.Response
 }
@@ -55,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
 	defer cancel()
 	c.service.budget.Attempt(c.started)
-	g := &gatedCall{call: c, body: body}
+	g := &gatedCall{call: c, body: body, throttle: c.handler.asks.of(c.route.Name)}
 	for {
 		refusal, again := g.tryOne(ctx)
 		if !again {
@@ -87,8 +92,13 @@
 	if err != nil {
 		return g.giveUp("choose back end", fmt.Sprintf("service %s: %v (%s)", g.target, err, g.last)), false
 	}
+	if !g.mayAsk(ticket, now) {
+		ticket.Done(now, balancer.Canceled)
+		return g.giveUp("throttle", fmt.Sprintf("service %s: most calls of the route were refused lately", g.target)), false
+	}
 	g.tries++
 	response, failure := g.exchange(ctx, ticket, wait)
+	g.noteAsked(ticket, failure)
 	if failure == nil {
 		g.attempts++
 		if exchange.ServerFailed(response.StatusCode) && g.mayMakeGood(ctx, ticket, response) {
@@ -112,15 +122,37 @@
 	return g.giveUp(failure.step(), failure.text()), false
 }
 
+// mayAsk reports whether a gate is worth asking: while most gates have no room for the route's calls,
+// asking them only fills the link. The gate beside the node costs no message and is always asked.
+func (g *gatedCall) mayAsk(ticket *balancer.Ticket, now time.Duration) bool {
+	return !g.linkBusy || g.besideNode(ticket) || g.throttle.Allow(now, rand.Float64())
+}
+
+// noteAsked takes in whether the gate had room.
+func (g *gatedCall) noteAsked(ticket *balancer.Ticket, failure *gateFailure) {
+	switch {
+	case !g.linkBusy || g.besideNode(ticket):
+	case failure == nil || failure.reason.Reached():
+		g.throttle.Granted(g.now())
+	case !failure.reason.Busy():
+		g.throttle.Withdrawn(g.now())
+	}
+}
+
+// besideNode reports whether a ticket is for the gate beside the node.
+func (g *gatedCall) besideNode(ticket *balancer.Ticket) bool {
+	return ticket.Address == g.handler.config.GateAddress
+}
+
 // learn keeps what a failure says of the gate.
 func (g *gatedCall) learn(ticket *balancer.Ticket, failure *gateFailure) {
 	now := g.now()
 	learned := balancer.Canceled
 	switch failure.reason {
 	case exchange.ReasonFull, exchange.ReasonLink:
-		// The gate beside the node was asked for a free slot only, at no cost: the call
+		// The gate beside the node was asked for a short wait only, at no cost: the call
 		// may still wait there.
-		if g.tries > 1 || ticket.Address != g.handler.config.GateAddress {
+		if g.tries > 1 || !g.besideNode(ticket) {
 			g.full = ticket.LeftOut(g.full)
 		}
 	case exchange.ReasonUnreachable:
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -15,6 +15,7 @@
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/link"
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/retry"
 	"bramblelift/pkg/routing"
@@ -64,6 +65,8 @@
 	// does not take to be refused for good.
 	ConfirmedAt func() (time.Duration, bool)
 	StaleLimit  time.Duration
+	// Link, if set, counts the bytes of connections to gates.
+	Link *link.Meter
 	// Pacer, if set, spreads large bodies over time.
 	Pacer *exchange.Pacer
 	// OnAttempt, if set, is told of each attempt through a gate.
@@ -126,6 +129,8 @@
 	mu     sync.Mutex
 	gates  *http.Transport
 	work   *workTimes
+	// asks bounds by route what gates are asked for that they refuse.
+	asks *routeThrottles
 	// patience tells callers that come back from new ones.
 	patience *patiences
 }
@@ -135,7 +140,7 @@
 	if config.Headers.Deadline == "" {
 		config.Headers.Deadline = exchange.HeaderTimeout
 	}
-	h := &Handler{config: config, gates: newGateTransport(), work: newWorkTimes(), patience: newPatiences()}
+	h := &Handler{config: config, gates: newGateTransport(config.Link), work: newWorkTimes(), asks: newRouteThrottles(), patience: newPatiences()}
 	return h
 }
 
@@ -155,6 +160,7 @@
 	}
 	h.view.Store(next)
 	h.work.keep(table.Has)
+	h.asks.keep(table.Has)
 	h.patience.keep(table.Has)
 	h.closeUnused(old, next)
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -9,6 +9,7 @@
 
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/gate"
+	"bramblelift/pkg/link"
 	"bramblelift/pkg/registration"
 	"bramblelift/pkg/wire"
 )
@@ -18,7 +19,7 @@
 	if s.settings.GateListen == "" {
 		return nil
 	}
-	s.gate = gate.New(gate.Config{Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall, LinkBits: s.settings.LinkMegabits * megabit})
+	s.gate = gate.New(gate.Config{Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall, LinkBits: s.settings.LinkMegabits * megabit, Link: s.link})
 	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.registry = registration.New(registration.Config{
 		Gate: s.gate, GateAddress: s.settings.GateAdvertise, Service: s.settings.Service,
@@ -76,7 +77,7 @@
 // serveGate answers other nodes and the deployment's interface.
 func (s *Server) serveGate(group *sync.WaitGroup) {
 	if s.gateServer != nil {
-		group.Go(func() { s.noteServed("gate", s.gateServer.Serve(s.gateListener)) })
+		group.Go(func() { s.noteServed("gate", s.gateServer.Serve(s.link.Listener(link.Nodes, s.gateListener))) })
 	}
 	if s.interfaceListener != nil {
 		group.Go(func() { s.noteServed("interface", http.Serve(s.interfaceListener, s.interfaceHandler)) })
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -6,6 +6,7 @@
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/forward"
 	"bramblelift/pkg/gate"
+	"bramblelift/pkg/link"
 
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -66,6 +67,18 @@
 	gauge("bramblelift_gate_failing_ratio", "Share of the latest calls that the back end failed.", func(r exchange.Report) float64 { return r.Failing })
 }
 
+// watchLink shows the bytes that cross the machine's link.
+func (o *observer) watchLink(registry prometheus.Registerer, m *link.Meter) {
+	for _, peer := range []link.Peer{link.Callers, link.Nodes, link.Control} {
+		for direction, read := range map[string]func(link.Peer) int64{"received": m.Received, "sent": m.Sent} {
+			registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+				Name: "bramblelift_link_bytes_total", Help: "Bytes of connections by who is at the other end; those of the back end beside the node count as callers'.",
+				ConstLabels: prometheus.Labels{"peer": peer.String(), "direction": direction},
+			}, func() float64 { return float64(read(peer)) }))
+		}
+	}
+}
+
 // endAnswered names calls that a back end answered.
 const endAnswered = "answered"
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/forward"
 	"bramblelift/pkg/gate"
+	"bramblelift/pkg/link"
 	"bramblelift/pkg/metrics"
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/protocol"
@@ -66,6 +67,7 @@
 	callers  *pipeline.Server
 	listener net.Listener
 	admin    *admin.Service
+	link     *link.Meter
 	calls    callsUnderWay
 	stopping atomic.Bool
 	failure  chan error
@@ -89,7 +91,7 @@
 //
 // newInterface, if set, makes the handler of settings.InterfaceListen.
 func New(config settings.Proxy, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
-	s := &Server{settings: config, logger: logger, clock: clock.New(), failure: make(chan error, 1)}
+	s := &Server{settings: config, logger: logger, clock: clock.New(), link: link.NewMeter(config.LinkMegabits * megabit), failure: make(chan error, 1)}
 	if err := s.openKeeper(); err != nil {
 		return nil, err
 	}
@@ -102,6 +104,7 @@
 		return nil, err
 	}
 	s.observer = newObserver(s.admin.Registry, logger)
+	s.observer.watchLink(s.admin.Registry, s.link)
 	if err := s.openGate(); err != nil {
 		return nil, err
 	}
@@ -146,8 +149,8 @@
 }
 
 func (s *Server) newClient() error {
-	link := &metrics.Link{}
-	link.Set(metrics.LinkRelay)
+	peer := &metrics.Link{}
+	peer.Set(metrics.LinkRelay)
 	var err error
 	s.client, err = stream.NewClient(stream.ClientConfig{
 		Hello: protocol.Hello{
@@ -158,7 +161,8 @@
 		PingInterval:   time.Duration(s.settings.PingInterval),
 		SilenceTimeout: time.Duration(s.settings.SilenceTimeout),
 		DialTimeout:    dialTimeout,
-		Observe:        metrics.NewTraffic(s.admin.Registry).Observe(link),
+		Wrap:           func(conn net.Conn) net.Conn { return s.link.Conn(link.Control, conn) },
+		Observe:        metrics.NewTraffic(s.admin.Registry).Observe(peer),
 		Logger:         s.logger,
 		Now:            s.clock.Elapsed,
 		OnConfirmed:    s.keeper.Confirmed,
@@ -186,6 +190,7 @@
 		Node: s.settings.Name, Zone: s.settings.Zone, Now: s.clock.Elapsed,
 		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: s.observer.call,
 		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
+		Link:    s.link,
 		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
 		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() }, StaleLimit: time.Duration(s.settings.StaleLimit),
 	}
@@ -214,7 +219,7 @@
 		}
 	})
 	served := make(chan error, 1)
-	group.Go(func() { served <- s.callers.Serve(s.listener) })
+	group.Go(func() { served <- s.callers.Serve(s.link.Listener(link.Callers, s.listener)) })
 	s.serveGate(&group)
 	select {
 	case <-ctx.Done():
