--- a/pkg/gate/inbound.go
+++ b/pkg/gate/inbound.go
@@ -10,15 +10,15 @@
 	// one, answers, heartbeats and configuration come over the same link and must not wait
 	// behind them.
 	inboundShare = 0.7
-	// usableShare of the link's rate is for all that comes in, so bodies get what is left of it:
-	// beyond it small messages wait several times as long as they take. Packets' own heads are
-	// not counted.
-	usableShare = 0.8
+	// usableShare of the link's rate is for all that comes in, so bodies get what is left of it.
+	// Packets' own heads are not counted.
+	usableShare = 0.9
 	// minInboundShare is left for bodies whatever else comes in.
 	minInboundShare = 0.1
 	// inboundSlack is for how long a large body may wait for the link though its sender asked
-	// to be taken at once: about as long as another one takes.
-	inboundSlack = 100 * time.Millisecond
+	// to be taken at once, or though it will be late: about as long as another one takes on a
+	// link that is not overloaded.
+	inboundSlack = 300 * time.Millisecond
 	// inboundMargin is how much longer than expected the work may take for a body that waits
 	// for the link to be in time.
 	inboundMargin = 1.3
