--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -42,7 +42,8 @@
 	answerBytes int
 	// lastChance is set once the call was let wait at a gate after others were full.
 	lastChance bool
-	// linkBusy is set while asks are dear; throttle, the route's, bounds them then.
+	// linkBusy is set while asks are dear; throttle, that of the route's calls to the service,
+	// bounds them then.
 	linkBusy bool
 	throttle *retry.Throttle
 	// last is why the latest gate refused.
@@ -60,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
 	defer cancel()
 	c.service.budget.Attempt(c.started)
-	g := &gatedCall{call: c, body: body, throttle: c.handler.asks.of(c.route.Name)}
+	g := &gatedCall{call: c, body: body, throttle: c.handler.asks.of(c.route.Name, c.target)}
 	for {
 		refusal, again := g.tryOne(ctx)
 		if !again {
@@ -94,7 +95,7 @@
 	}
 	if !g.mayAsk(ticket, now) {
 		ticket.Done(now, balancer.Canceled)
-		return g.giveUp("throttle", fmt.Sprintf("service %s: most calls of the route were refused lately", g.target)), false
+		return g.giveUp("throttle", g.throttled(now)), false
 	}
 	g.tries++
 	response, failure := g.exchange(ctx, ticket, wait)
@@ -128,6 +129,13 @@
 	return !g.linkBusy || g.besideNode(ticket) || g.throttle.Allow(now, rand.Float64())
 }
 
+// throttled says why a gate was not asked.
+func (g *gatedCall) throttled(now time.Duration) string {
+	asked, granted := g.throttle.Counts(now)
+	return fmt.Sprintf("service %s: gates refuse most calls of the route (asked=%.1f granted=%.1f link_load=%.2f last=%s)",
+		g.target, asked, granted, g.handler.config.Link.Load(now), g.last)
+}
+
 // noteAsked takes in whether the gate had room.
 func (g *gatedCall) noteAsked(ticket *balancer.Ticket, failure *gateFailure) {
 	switch {
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -129,8 +129,8 @@
 	mu     sync.Mutex
 	gates  *http.Transport
 	work   *workTimes
-	// asks bounds by route what gates are asked for that they refuse.
-	asks *routeThrottles
+	// asks bounds what gates are asked for that they refuse.
+	asks *throttles
 	// patience tells callers that come back from new ones.
 	patience *patiences
 }
@@ -140,7 +140,7 @@
 	if config.Headers.Deadline == "" {
 		config.Headers.Deadline = exchange.HeaderTimeout
 	}
-	h := &Handler{config: config, gates: newGateTransport(config.Link), work: newWorkTimes(), asks: newRouteThrottles(), patience: newPatiences()}
+	h := &Handler{config: config, gates: newGateTransport(config.Link), work: newWorkTimes(), asks: newThrottles(), patience: newPatiences()}
 	return h
 }
 
--- a/pkg/forward/patience.go
+++ b/pkg/forward/patience.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -68,9 +69,5 @@
 func (p *patiences) keep(known func(route string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for route := range p.routes {
-		if !known(route) {
-			delete(p.routes, route)
-		}
-	}
+	maps.DeleteFunc(p.routes, func(route string, _ *routePatience) bool { return !known(route) })
 }
--- a/pkg/forward/throttles.go
+++ b/pkg/forward/throttles.go
@@ -1,40 +1,44 @@
 package forward
 
 import (
+	"maps"
 	"sync"
 
 	"bramblelift/pkg/retry"
 )
 
-// routeThrottles holds a throttle for each route that calls came to: calls of one route have the
-// same rank and about the same work, so gates that refuse one refuse most.
-type routeThrottles struct {
-	mu     sync.Mutex
-	routes map[string]*retry.Throttle
+// throttleKey names calls that gates refuse alike: those of one route have the same rank and about
+// the same work, and each service that takes a part of the route has room of its own.
+type throttleKey struct {
+	route   string
+	service string
 }
 
-func newRouteThrottles() *routeThrottles {
-	return &routeThrottles{routes: map[string]*retry.Throttle{}}
+// throttles holds the throttles of all routes that calls came to.
+type throttles struct {
+	mu   sync.Mutex
+	held map[throttleKey]*retry.Throttle
 }
 
-func (t *routeThrottles) of(route string) *retry.Throttle {
+func newThrottles() *throttles {
+	return &throttles{held: map[throttleKey]*retry.Throttle{}}
+}
+
+func (t *throttles) of(route, service string) *retry.Throttle {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held := t.routes[route]
-	if held == nil {
-		held = &retry.Throttle{}
-		t.routes[route] = held
+	key := throttleKey{route: route, service: service}
+	throttle := t.held[key]
+	if throttle == nil {
+		throttle = &retry.Throttle{}
+		t.held[key] = throttle
 	}
-	return held
+	return throttle
 }
 
 // keep forgets the routes that a table no longer has.
-func (t *routeThrottles) keep(known func(route string) bool) {
+func (t *throttles) keep(known func(route string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for route := range t.routes {
-		if !known(route) {
-			delete(t.routes, route)
-		}
-	}
+	maps.DeleteFunc(t.held, func(key throttleKey, _ *retry.Throttle) bool { return !known(key.route) })
 }
--- a/pkg/forward/work.go
+++ b/pkg/forward/work.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -53,9 +54,5 @@
 func (w *workTimes) keep(known func(route string) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for route := range w.routes {
-		if !known(route) {
-			delete(w.routes, route)
-		}
-	}
+	maps.DeleteFunc(w.routes, func(route string, _ routeWork) bool { return !known(route) })
 }
--- a/pkg/retry/throttle.go
+++ b/pkg/retry/throttle.go
@@ -56,6 +56,14 @@
 	t.asked = max(t.granted, t.asked-1)
 }
 
+// Counts returns how much was asked and granted lately, as the throttle weighs it.
+func (t *Throttle) Counts(now time.Duration) (asked, granted float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	return t.asked, t.granted
+}
+
 func (t *Throttle) forget(now time.Duration) {
 	kept := math.Exp2(-float64(max(0, now-t.at)) / float64(throttleHalfLife))
 	t.asked *= kept
