Calls on a busy link tell of their sender's free slots, which go first while calls are refused

A node hears of gates by the answers of those that it chose, so of the idle ones least; and it takes a faster back end with a queue for the better one, which is right for the call and wastes a slot for the rest. Now each call to another node carries the report of the back end beside its sender while that has a free slot (some 45 bytes, on busy links only), and once a tenth of a route's asks are refused a slot known to be free goes before a faster back end, if the call will not be late there.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -72,6 +72,9 @@
 	OwnWork time.Duration
 	// OwnWait is for how long it may wait there, zero for not at all.
 	OwnWait time.Duration
+	// FreeWork, if not zero, prefers back ends that are known to have a free slot and whose
+	// service time is no more than that, wherever they are and however much slower than others.
+	FreeWork time.Duration
 }
 
 // failureCost is what a certain failure of the call adds to a score, in service times.
@@ -96,6 +99,9 @@
 		return p.acquired(own), r.OwnWait, nil
 	}
 	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
+	if free := p.freeGate(candidates, rating, r.FreeWork); free != nil {
+		return p.acquired(free), r.Patience, nil
+	}
 	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return !r.staysLocal(e, rating) })
 	wait := r.LocalWait
 	best := p.bestGate(local, rating)
@@ -133,6 +139,19 @@
 	return nil
 }
 
+// freeGate returns the best of the candidates that lately said that they have a free slot, nil if
+// none did.
+func (p *Pool) freeGate(candidates []*endpoint, rating gateRating, work time.Duration) *endpoint {
+	if work <= 0 {
+		return nil
+	}
+	free := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool {
+		known := e.gate.reported && rating.now-e.gate.at <= reportMemory
+		return !known || e.gateLoad(rating.now) >= e.gateCapacity() || e.gate.report.Service > work
+	})
+	return p.bestGate(free, rating)
+}
+
 // bestGate returns the candidate of the least score, nil if there is none.
 func (p *Pool) bestGate(candidates []*endpoint, rating gateRating) *endpoint {
 	var best *endpoint
@@ -258,6 +277,20 @@
 	t.endpoint.gate = gateView{report: report, at: now, reported: true}
 }
 
+// HearOf takes in a report of a back end that did not come with its answer; false if the pool does
+// not have it.
+func (p *Pool) HearOf(now time.Duration, id string, report exchange.Report) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.endpoints {
+		if e.target.ID == id {
+			e.gate = gateView{report: report, at: now, reported: true}
+			return true
+		}
+	}
+	return false
+}
+
 // Avoid leaves the back end out for a while, unless too few would remain.
 func (t *Ticket) Avoid(now, pause time.Duration) {
 	t.pool.mu.Lock()
--- a/pkg/balancer/gated_test.go
+++ b/pkg/balancer/gated_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/routing"
 
 	"github.com/matryer/is"
@@ -53,3 +54,25 @@
 	p.endpoints[2].gate = gateView{} // nothing was heard of it yet
 	is.True(chosen(t, p, 0, 9, GateRequest{LocalWait: time.Second})["c"] >= 2)
 }
+
+// While calls are refused a slot that is known to be free goes before a faster back end, unless the
+// call would be late there.
+func TestFreeSlotGoesBeforeAFasterBackEnd(t *testing.T) {
+	is := is.New(t)
+	const now = time.Second
+	pool := func() *Pool {
+		p := gatedPool(t, []string{"z", "z", "other"}, nil)
+		for _, e := range p.endpoints {
+			e.gate.report.Running, e.gate.at = e.gate.report.Capacity, now
+		}
+		is.True(p.HearOf(now, "c", exchange.Report{Running: 1, Capacity: 4, Service: 300 * time.Millisecond}))
+		is.True(!p.HearOf(now, "unknown", exchange.Report{}))
+		return p
+	}
+	request := GateRequest{LocalWait: time.Second, FreeWork: 400 * time.Millisecond}
+	is.Equal(chosen(t, pool(), now, 1, request)["c"], 1)
+	request.FreeWork = 200 * time.Millisecond
+	is.Equal(chosen(t, pool(), now, 1, request)["c"], 0)
+	request.FreeWork = 400 * time.Millisecond
+	is.Equal(chosen(t, pool(), now+2*reportMemory, 1, request)["c"], 0) // that was too long ago
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -43,6 +43,9 @@
 	// HeaderFailing is the Failing of a gate's Report in thousandths, if it is not 0. Nodes
 	// that do not know it read the rest of the report.
 	HeaderFailing = "Gate-Failing"
+	// HeaderSender is the ID and the Report of the back end beside the node that sends a call,
+	// while that has free slots: who hears of it may give it calls.
+	HeaderSender = "Gate-Sender"
 	// HeaderWork is how many microseconds a call took at the back end.
 	HeaderWork = "Gate-Work-Us"
 	// HeaderReason is why a gate refused, one of the Reason constants.
@@ -52,7 +55,7 @@
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
-	HeaderExpectedWork, HeaderEarly, HeaderTarget,
+	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
@@ -173,6 +176,28 @@
 	}, true
 }
 
+// Sender is the back end beside the node that sends a call, as HeaderSender carries it.
+type Sender struct {
+	ID     string
+	Report Report
+}
+
+// senderSeparator stands between the ID and the report.
+const senderSeparator = "="
+
+// String returns the sender as HeaderSender carries it.
+func (s Sender) String() string { return s.ID + senderSeparator + s.Report.String() }
+
+// ParseSender reads a HeaderSender.
+func ParseSender(text string) (Sender, bool) {
+	id, report, found := strings.Cut(text, senderSeparator)
+	if !found || id == "" {
+		return Sender{}, false
+	}
+	parsed, ok := ParseReport(report)
+	return Sender{ID: id, Report: parsed}, ok
+}
+
 // ReadMillis reads a header of whole milliseconds; false if it is not set or unusable.
 func ReadMillis(header http.Header, name string) (time.Duration, bool) {
 	millis, err := strconv.ParseInt(header.Get(name), 10, 64)
--- a/pkg/forward/busy_test.go
+++ b/pkg/forward/busy_test.go
@@ -100,3 +100,29 @@
 	}
 	return sum
 }
+
+// Calls to other nodes tell of the back end beside their sender on a busy link only; what callers
+// claim of themselves is not passed on.
+func TestCallsTellOfTheirSendersBackEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Config)
+		told   string
+	}{"busy": {onBusyLink, "b1=0,0,4,0"}, "free": {func(*Config) {}, ""}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var told atomic.Pointer[string]
+			gate, _ := standInGate(t, func(w http.ResponseWriter, r *http.Request) {
+				text := r.Header.Get(exchange.HeaderSender)
+				told.Store(&text)
+				serving(w, r)
+			})
+			n := newGatedNodeWith(t, func(cfg *Config) {
+				c.change(cfg)
+				cfg.Sender = func() string { return "b1=0,0,4,0" }
+			}, []string{"other"}, gate)
+			fillLink(t, n)
+			n.call(t, "GET", "/safe/x", "", exchange.HeaderSender, "forged=0,0,4,0")
+			is.Equal(*told.Load(), c.told)
+		})
+	}
+}
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -21,6 +21,10 @@
 	// ownWaitShare of the time left until the target latency is what a call may wait at the gate
 	// beside the node. A refusal within a quarter of that time leaves the caller time to try again.
 	ownWaitShare = 4
+	// refusedBusy is from which share of refused asks on a slot that is free counts more than how
+	// fast its back end is; freeServices of that must fit into the time until the target.
+	refusedBusy  = 0.1
+	freeServices = 1.4
 	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
 	minServiceLeft = 5 * time.Millisecond
 	// A call waits in its own zone if it is expected to be answered within its target
@@ -104,6 +108,9 @@
 	if len(g.full) == 0 {
 		request.LocalWait = g.localWait(now)
 	}
+	if g.throttle.RefusedShare(now) > refusedBusy {
+		request.FreeWork = time.Duration(float64(g.targetLeft(now)) / freeServices)
+	}
 	ticket, wait, err := g.service.pool.AcquireGate(now, request)
 	if err != nil && len(g.full) > 0 {
 		return nil, 0, errAllFull
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -136,6 +136,9 @@
 		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.begun))
 	}
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(g.work.Microseconds(), 10))
+	if sender := g.sender(ticket); sender != "" {
+		request.Header.Set(exchange.HeaderSender, sender)
+	}
 	g.body.Attach(request, incoming.ContentLength)
 	if g.body.Size() > largeBody {
 		request.Header.Set("Expect", "100-continue")
@@ -148,3 +151,12 @@
 	}
 	return request
 }
+
+// sender is what the call says of the back end beside the node, empty for nothing. On a free link
+// gates are asked for free slots.
+func (g *gatedCall) sender(ticket *balancer.Ticket) string {
+	if g.handler.config.Sender == nil || !g.linkBusy || g.besideNode(ticket) {
+		return ""
+	}
+	return g.handler.config.Sender()
+}
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -57,6 +57,8 @@
 	// place of a connection there.
 	GateAddress string
 	Gate        func(*http.Request) *http.Response
+	// Sender, if set, returns what calls to other nodes say of the back end beside this one.
+	Sender func() string
 	// StopsAt, if set, returns when the process ends, zero if it does not: calls that
 	// might last longer are refused.
 	StopsAt func() time.Duration
@@ -454,3 +456,16 @@
 	}
 	return c.service.budget.Withdraw(c.handler.config.Now())
 }
+
+// HearOf takes in the report of a back end that came with a call from the node beside it.
+func (h *Handler) HearOf(id string, report exchange.Report) {
+	current := h.view.Load()
+	if current == nil {
+		return
+	}
+	for _, held := range current.services {
+		if held.pool.HearOf(h.config.Now(), id, report) {
+			return
+		}
+	}
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -46,6 +46,8 @@
 	// what crosses it; nil counts nothing.
 	LinkBits float64
 	Link     *link.Meter
+	// OnSender, if set, is told what a call says of the back end beside its sender.
+	OnSender func(id string, report exchange.Report)
 }
 
 // Call describes a finished call, for logs and metrics.
@@ -100,6 +102,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.hearSender(r.Header)
 	response := g.serve(r)
 	defer response.Body.Close()
 	exchange.Copy(w.Header(), response.Header)
--- /dev/null
+++ b/pkg/gate/sender.go
@@ -0,0 +1,30 @@
+package gate
+
+import (
+	"net/http"
+
+	"bramblelift/pkg/exchange"
+)
+
+// Sender returns what calls that leave the node say of the back end beside it, empty while that
+// has no free slot: nodes hear of full back ends often enough, by asking them.
+func (g *Gate) Sender() string {
+	g.mu.Lock()
+	id := g.backend.ID
+	free := g.present && !g.stopping && g.running < g.backend.Capacity && len(g.queue) == 0
+	g.mu.Unlock()
+	if !free {
+		return ""
+	}
+	return exchange.Sender{ID: id, Report: g.Report()}.String()
+}
+
+// hearSender takes in what a call says of the back end beside its sender.
+func (g *Gate) hearSender(header http.Header) {
+	if g.config.OnSender == nil {
+		return
+	}
+	if sender, ok := exchange.ParseSender(header.Get(exchange.HeaderSender)); ok {
+		g.config.OnSender(sender.ID, sender.Report)
+	}
+}
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/registration"
@@ -19,7 +20,11 @@
 	if s.settings.GateListen == "" {
 		return nil
 	}
-	s.gate = gate.New(gate.Config{Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall, LinkBits: s.settings.LinkMegabits * megabit, Link: s.link})
+	s.gate = gate.New(gate.Config{
+		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
+		LinkBits: s.settings.LinkMegabits * megabit, Link: s.link,
+		OnSender: func(id string, report exchange.Report) { s.handler.HearOf(id, report) },
+	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.registry = registration.New(registration.Config{
 		Gate: s.gate, GateAddress: s.settings.GateAdvertise, Service: s.settings.Service,
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -198,7 +198,7 @@
 		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, s.clock.Now)
 	}
 	if s.gate != nil {
-		config.GateAddress, config.Gate = s.settings.GateAdvertise, s.gate.Do
+		config.GateAddress, config.Gate, config.Sender = s.settings.GateAdvertise, s.gate.Do, s.gate.Sender
 		config.Retry = retry.Config{Ratio: s.settings.Retries.Ratio, Max: gatedRetryMax}
 	}
 	return config
--- a/pkg/retry/throttle.go
+++ b/pkg/retry/throttle.go
@@ -56,6 +56,12 @@
 	t.asked = max(t.granted, t.asked-1)
 }
 
+// RefusedShare returns which share of what was asked lately was refused, from 0 to 1.
+func (t *Throttle) RefusedShare(now time.Duration) float64 {
+	asked, granted := t.Counts(now)
+	return max(0, (asked-granted)/(asked+throttleFree))
+}
+
 // Counts returns how much was asked and granted lately, as the throttle weighs it.
 func (t *Throttle) Counts(now time.Duration) (asked, granted float64) {
 	t.mu.Lock()
