--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -277,18 +277,16 @@
 	t.endpoint.gate = gateView{report: report, at: now, reported: true}
 }
 
-// HearOf takes in a report of a back end that did not come with its answer; false if the pool does
-// not have it.
-func (p *Pool) HearOf(now time.Duration, id string, report exchange.Report) bool {
+// HearOf takes in a report of a back end that did not come with an answer. One that the pool does
+// not have is passed over: it may belong to another node's subset.
+func (p *Pool) HearOf(now time.Duration, sender exchange.Sender) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.endpoints {
-		if e.target.ID == id {
-			e.gate = gateView{report: report, at: now, reported: true}
-			return true
+		if e.target.ID == sender.ID {
+			e.gate = gateView{report: sender.Report, at: now, reported: true}
 		}
 	}
-	return false
 }
 
 // Avoid leaves the back end out for a while, unless too few would remain.
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -457,15 +457,9 @@
 	return c.service.budget.Withdraw(c.handler.config.Now())
 }
 
-// HearOf takes in the report of a back end that came with a call from the node beside it.
-func (h *Handler) HearOf(id string, report exchange.Report) {
-	current := h.view.Load()
-	if current == nil {
-		return
-	}
-	for _, held := range current.services {
-		if held.pool.HearOf(h.config.Now(), id, report) {
-			return
-		}
+// HearOf takes in the report of a service's back end that came with a call from the node beside it.
+func (h *Handler) HearOf(service string, sender exchange.Sender) {
+	if held := h.view.Load().service(service); held != nil {
+		held.pool.HearOf(h.config.Now(), sender)
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -46,8 +46,9 @@
 	// what crosses it; nil counts nothing.
 	LinkBits float64
 	Link     *link.Meter
-	// OnSender, if set, is told what a call says of the back end beside its sender.
-	OnSender func(id string, report exchange.Report)
+	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
+	// of that back end.
+	OnSender func(service string, sender exchange.Sender)
 }
 
 // Call describes a finished call, for logs and metrics.
--- a/pkg/gate/sender.go
+++ b/pkg/gate/sender.go
@@ -25,6 +25,6 @@
 		return
 	}
 	if sender, ok := exchange.ParseSender(header.Get(exchange.HeaderSender)); ok {
-		g.config.OnSender(sender.ID, sender.Report)
+		g.config.OnSender(header.Get(g.config.Headers.Caller), sender)
 	}
 }
