What the throttle calls refused is what was not granted yet: names and comments say so

Reading the change over: RefusedShare counts asks whose answers are still to come, so slow calls prefer free slots sooner than by refusals alone.

--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -21,9 +21,10 @@
 	// ownWaitShare of the time left until the target latency is what a call may wait at the gate
 	// beside the node. A refusal within a quarter of that time leaves the caller time to try again.
 	ownWaitShare = 4
-	// refusedBusy is from which share of refused asks on a slot that is free counts more than how
-	// fast its back end is; freeServices of that must fit into the time until the target.
-	refusedBusy  = 0.1
+	// scarceShare is from which share of asks on that were not granted, or not yet, a slot that
+	// is free counts more than how fast its back end is. Calls that wait or take long count, too.
+	scarceShare = 0.1
+	// freeServices of such a back end's service times must fit into the time until the target.
 	freeServices = 1.4
 	// minServiceLeft is kept of a call's time for its work when it waits at a gate.
 	minServiceLeft = 5 * time.Millisecond
@@ -108,7 +109,7 @@
 	if len(g.full) == 0 {
 		request.LocalWait = g.localWait(now)
 	}
-	if g.throttle.RefusedShare(now) > refusedBusy {
+	if g.throttle.NotGranted(now) > scarceShare {
 		request.FreeWork = time.Duration(float64(g.targetLeft(now)) / freeServices)
 	}
 	ticket, wait, err := g.service.pool.AcquireGate(now, request)
--- a/pkg/retry/throttle.go
+++ b/pkg/retry/throttle.go
@@ -56,8 +56,9 @@
 	t.asked = max(t.granted, t.asked-1)
 }
 
-// RefusedShare returns which share of what was asked lately was refused, from 0 to 1.
-func (t *Throttle) RefusedShare(now time.Duration) float64 {
+// NotGranted returns which share of what was asked lately was not granted, from 0 to 1: it was
+// refused, or the answer is still to come.
+func (t *Throttle) NotGranted(now time.Duration) float64 {
 	asked, granted := t.Counts(now)
 	return max(0, (asked-granted)/(asked+throttleFree))
 }
--- a/pkg/retry/throttle_test.go
+++ b/pkg/retry/throttle_test.go
@@ -38,6 +38,22 @@
 	is.True(play(&throttle, 30*time.Second, 4, always) > 300) // and finds out that there is room
 }
 
+// What was refused and what is still open are not told apart, but a few of them do not count.
+func TestNotGrantedIsTheShareWithoutAnAnswerOfRoom(t *testing.T) {
+	is := is.New(t)
+	var throttle Throttle
+	is.Equal(throttle.NotGranted(0), 0.0)
+	for range 10 {
+		is.True(throttle.Allow(0, 0.99))
+		throttle.Granted(0)
+	}
+	is.Equal(throttle.NotGranted(0), 0.0)
+	for range 6 {
+		is.True(throttle.Allow(0, 0.99))
+	}
+	is.Equal(throttle.NotGranted(0), 6/(16+throttleFree))
+}
+
 // An answer that says nothing of the servers' room does not count.
 func TestWithdrawnAsksDoNotCount(t *testing.T) {
 	is := is.New(t)
