Test of a shutdown waits until it has reached every connection

TestShutdownEndsIdleConnectionsAndAnswersTheOthers failed once in a run of all tests: second.Close was not set. Cause: Shutdown comes to connections one after the other, in the order of a map; once the two idle ones had ended the test let the busy one's calls go, though it may not have been reached yet. Assertions are as they were. The product is right either way: a connection without the word is closed while it rests, as a kept one may be.

--- a/pkg/pipeline/server_test.go
+++ b/pkg/pipeline/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 	is.True(idle.ended())
 	unused.Close()
 	idle.Close()
+	awaitDraining(t, s)
 	d.letGo("/1")
 	d.letGo("/2")
 	first, _ := busy.answer()
@@ -35,6 +37,23 @@
 	is.NoErr(<-ended)
 }
 
+// awaitDraining waits until a shutdown has reached each connection that is left: it comes to them one
+// after the other, in no order.
+func awaitDraining(t *testing.T, s *Server) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		left := slices.ContainsFunc(s.held(), func(c *conn) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return !c.closing
+		})
+		if !left {
+			return
+		}
+	}
+	t.Fatal("a connection was not told to close")
+}
+
 func TestShutdownGivesUpWithItsContext(t *testing.T) {
 	is := is.New(t)
 	d := newDesk()
