One formula of decay, the link's rate known to its meter only, a throttle looked up where it is used

Reading the change over: what counts half after a time was written out in the gate's health, the balancer, the throttle and the meter (clock.Kept now); the gate was given the link's rate beside the meter that knows it; each call looked up its throttle, which only busy links use; a gate's word of its back end took its lock twice; a server that failed was passed over by two copies of a line; so was a heard report. Nothing is decided otherwise. The tests of the gate's link name the meter in place of the rate; their assertions stand.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -1,10 +1,10 @@
 package balancer
 
 import (
-	"math"
 	"slices"
 	"time"
 
+	"bramblelift/pkg/clock"
 	"bramblelift/pkg/exchange"
 )
 
@@ -250,7 +250,7 @@
 	if e.gate.report.Failing == 0 {
 		return 0
 	}
-	return e.gate.report.Failing * math.Exp2(-float64(now-e.gate.at)/float64(failingMemory))
+	return e.gate.report.Failing * clock.Kept(now-e.gate.at, failingMemory)
 }
 
 // gateScore is about how long a call takes at the gate, with its wait and what its failure
@@ -270,11 +270,16 @@
 	return score / e.weight(now)
 }
 
+// heard takes in the newest report of the back end's gate.
+func (e *endpoint) heard(now time.Duration, report exchange.Report) {
+	e.gate = gateView{report: report, at: now, reported: true}
+}
+
 // ReportGate takes in a gate's report.
 func (t *Ticket) ReportGate(now time.Duration, report exchange.Report) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
-	t.endpoint.gate = gateView{report: report, at: now, reported: true}
+	t.endpoint.heard(now, report)
 }
 
 // HearOf takes in a report of a back end that did not come with an answer. One that the pool does
@@ -284,7 +289,7 @@
 	defer p.mu.Unlock()
 	for _, e := range p.endpoints {
 		if e.target.ID == sender.ID {
-			e.gate = gateView{report: sender.Report, at: now, reported: true}
+			e.heard(now, sender.Report)
 		}
 	}
 }
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -63,6 +63,7 @@
 func (g *gatedCall) choose(now time.Duration) (*balancer.Ticket, time.Duration, error) {
 	g.linkBusy = g.handler.config.Link.Load(now) > busyLink
 	if g.linkBusy {
+		g.throttle = g.handler.asks.of(g.route.Name, g.target)
 		return g.chooseOnBusyLink(now)
 	}
 	return g.chooseFree(now)
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -43,7 +43,7 @@
 	// lastChance is set once the call was let wait at a gate after others were full.
 	lastChance bool
 	// linkBusy is set while asks are dear; throttle, that of the route's calls to the service,
-	// bounds them then.
+	// bounds them then and is not used before.
 	linkBusy bool
 	throttle *retry.Throttle
 	// last is why the latest gate refused.
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
 	defer cancel()
 	c.service.budget.Attempt(c.started)
-	g := &gatedCall{call: c, body: body, throttle: c.handler.asks.of(c.route.Name, c.target)}
+	g := &gatedCall{call: c, body: body}
 	for {
 		refusal, again := g.tryOne(ctx)
 		if !again {
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -301,6 +301,11 @@
 func (g *Gate) Report() exchange.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.report()
+}
+
+// report is Report; the mutex is held.
+func (g *Gate) report() exchange.Report {
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
 		Service: g.service, Failing: g.health.failing(g.config.Now()),
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -42,10 +42,9 @@
 	Now func() time.Duration
 	// OnCall, if set, is told how each call ended.
 	OnCall func(Call)
-	// LinkBits is the rate of the machine's link in bits a second, zero for no bound. Link counts
-	// what crosses it; nil counts nothing.
-	LinkBits float64
-	Link     *link.Meter
+	// Link counts what crosses the machine's link and knows its capacity; nil is a link without
+	// bound.
+	Link *link.Meter
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
@@ -92,7 +91,7 @@
 // New returns a gate without a back end.
 func New(config Config) *Gate {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
-	return &Gate{config: config, inbound: newInbound(config.LinkBits, config.Link.UnaskedRate), transport: &http.Transport{
+	return &Gate{config: config, inbound: newInbound(config.Link.Capacity(), config.Link.UnaskedRate), transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 		ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
--- a/pkg/gate/health.go
+++ b/pkg/gate/health.go
@@ -1,8 +1,9 @@
 package gate
 
 import (
-	"math"
 	"time"
+
+	"bramblelift/pkg/clock"
 )
 
 const (
@@ -39,7 +40,7 @@
 }
 
 func (h *health) forget(now time.Duration) {
-	kept := math.Exp2(-float64(now-h.at) / float64(healthHalfLife))
+	kept := clock.Kept(now-h.at, healthHalfLife)
 	h.failed *= kept
 	h.total *= kept
 	h.at = now
--- a/pkg/gate/inbound.go
+++ b/pkg/gate/inbound.go
@@ -38,13 +38,13 @@
 	free time.Duration
 }
 
-// newInbound returns the share of a link of so many bits a second, nil for no bound. others returns
+// newInbound returns the share of a link of so many bytes a second, nil for no bound. others returns
 // how many bytes a second come in beside the large bodies.
-func newInbound(bitsPerSecond float64, others func(now time.Duration) float64) *inbound {
-	if bitsPerSecond <= 0 {
+func newInbound(rate float64, others func(now time.Duration) float64) *inbound {
+	if rate <= 0 {
 		return nil
 	}
-	return &inbound{rate: bitsPerSecond / 8, others: others}
+	return &inbound{rate: rate, others: others}
 }
 
 // room is how many bytes a second of large bodies the link has room for.
--- a/pkg/gate/inbound_test.go
+++ b/pkg/gate/inbound_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/link"
 
 	"github.com/matryer/is"
 )
@@ -20,7 +21,7 @@
 func TestBodiesGetWhatIsLeftOfTheLink(t *testing.T) {
 	is := is.New(t)
 	others := 0.0
-	l := newInbound(8e6, func(time.Duration) float64 { return others })
+	l := newInbound(1e6, func(time.Duration) float64 { return others })
 	for _, c := range []struct{ others, room float64 }{{0, 700_000}, {300_000, 600_000}, {600_000, 300_000}, {790_000, 110_000}, {2e6, 100_000}} {
 		others = c.others
 		is.Equal(math.Round(l.room(0)), c.room)
@@ -29,7 +30,7 @@
 
 func TestBodiesGetTheLinkOneAfterTheOther(t *testing.T) {
 	is := is.New(t)
-	l := newInbound(8e6, nothing) // a megabyte a second
+	l := newInbound(1e6, nothing) // a megabyte a second
 	first := l.takes(0, 70_000)
 	is.Equal(first, 100*time.Millisecond) // at the share for bodies
 	due, ok := l.reserve(0, 70_000, 0)
@@ -51,7 +52,7 @@
 
 func TestPatienceForTheLink(t *testing.T) {
 	is := is.New(t)
-	g := New(Config{Headers: testHeaders, Now: func() time.Duration { return 0 }, LinkBits: 8e6})
+	g := New(Config{Headers: testHeaders, Now: func() time.Duration { return 0 }, Link: link.NewMeter(8e6)})
 	const size = 70_000 // 100 ms
 	call := request{work: 100 * time.Millisecond, wait: 5 * time.Second, targeted: true, targetLeft: time.Second}
 	is.Equal(g.linkPatience(call, size), time.Second-130*time.Millisecond-100*time.Millisecond)
@@ -95,7 +96,7 @@
 	started := time.Now()
 	// A body takes twice as long of the link as one may wait in any case.
 	const takes = 2 * inboundSlack
-	g := New(Config{Headers: testHeaders, Now: func() time.Duration { return time.Since(started) }, LinkBits: 100_000 / takes.Seconds() / inboundShare * 8})
+	g := New(Config{Headers: testHeaders, Now: func() time.Duration { return time.Since(started) }, Link: link.NewMeter(100_000 / takes.Seconds() / inboundShare * 8)})
 	g.SetBackend(Backend{ID: "b1", Address: server.Listener.Addr().String(), Capacity: 4})
 	front := httptest.NewServer(g)
 	t.Cleanup(front.Close)
--- a/pkg/gate/sender.go
+++ b/pkg/gate/sender.go
@@ -10,13 +10,12 @@
 // has no free slot: nodes hear of full back ends often enough, by asking them.
 func (g *Gate) Sender() string {
 	g.mu.Lock()
-	id := g.backend.ID
+	defer g.mu.Unlock()
 	free := g.present && !g.stopping && g.running < g.backend.Capacity && len(g.queue) == 0
-	g.mu.Unlock()
 	if !free {
 		return ""
 	}
-	return exchange.Sender{ID: id, Report: g.Report()}.String()
+	return exchange.Sender{ID: g.backend.ID, Report: g.report()}.String()
 }
 
 // hearSender takes in what a call says of the back end beside its sender.
--- a/pkg/link/meter.go
+++ b/pkg/link/meter.go
@@ -5,11 +5,12 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bramblelift/pkg/clock"
 )
 
 // Peer is who is at the other end of a connection.
@@ -51,6 +52,14 @@
 // NewMeter returns a meter of a link of so many bits a second each way, zero if that is not known.
 func NewMeter(bitsPerSecond float64) *Meter { return &Meter{capacity: bitsPerSecond / 8} }
 
+// Capacity returns the link's in bytes a second each way, zero if it is not known.
+func (m *Meter) Capacity() float64 {
+	if m == nil {
+		return 0
+	}
+	return m.capacity
+}
+
 // Received returns the bytes that came from a kind of peer.
 func (m *Meter) Received(p Peer) int64 { return m.received[p].Load() }
 
@@ -109,7 +118,7 @@
 		return r.perSecond
 	}
 	measured := max(0, float64(count-r.count)/elapsed.Seconds())
-	r.perSecond += (1 - math.Exp2(-float64(elapsed)/float64(rateHalfLife))) * (measured - r.perSecond)
+	r.perSecond += (1 - clock.Kept(elapsed, rateHalfLife)) * (measured - r.perSecond)
 	r.read, r.count = now, count
 	return r.perSecond
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -22,7 +22,7 @@
 	}
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
-		LinkBits: s.settings.LinkMegabits * megabit, Link: s.link,
+		Link:     s.link,
 		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
--- a/pkg/retry/throttle.go
+++ b/pkg/retry/throttle.go
@@ -1,9 +1,10 @@
 package retry
 
 import (
-	"math"
 	"sync"
 	"time"
+
+	"bramblelift/pkg/clock"
 )
 
 const (
@@ -72,7 +73,7 @@
 }
 
 func (t *Throttle) forget(now time.Duration) {
-	kept := math.Exp2(-float64(max(0, now-t.at)) / float64(throttleHalfLife))
+	kept := clock.Kept(max(0, now-t.at), throttleHalfLife)
 	t.asked *= kept
 	t.granted *= kept
 	t.at = now
--- a/pkg/stream/nearer.go
+++ b/pkg/stream/nearer.go
@@ -88,7 +88,7 @@
 	defer s.mu.Unlock()
 	s.moveAt = 0
 	if failed := s.index(address); failed >= 0 {
-		s.candidates[failed].badUntil = now + s.jitter(s.config.BadMemory)
+		s.markBad(now, failed)
 	}
 }
 
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -175,7 +175,7 @@
 		s.notBefore = now + s.jitter(retryAfter)
 		return
 	}
-	s.markBad(now)
+	s.markBad(now, s.current)
 	pause := s.config.FirstBackoff
 	if !s.otherUsable(now) {
 		pause = min(s.config.MaxBackoff, s.config.FirstBackoff<<min(s.failures, maxDoublings))
@@ -186,8 +186,9 @@
 
 const maxDoublings = 16
 
-func (s *Selector) markBad(now time.Duration) {
-	s.candidates[s.current].badUntil = now + s.jitter(s.config.BadMemory)
+// markBad passes a candidate over for a while; the mutex is held.
+func (s *Selector) markBad(now time.Duration, candidate int) {
+	s.candidates[candidate].badUntil = now + s.jitter(s.config.BadMemory)
 }
 
 func (s *Selector) otherUsable(now time.Duration) bool {
@@ -238,6 +239,6 @@
 		s.candidates[s.current].badUntil = -1
 		return false
 	}
-	s.markBad(now)
+	s.markBad(now, s.current)
 	return s.otherUsable(now) || (standing.Behind && len(s.candidates) > 1)
 }
