Gates tell the end of a back end from a broken answer, and name the request by a fingerprint

A gate that loses an exchange looks once whether its back end still listens, on its own machine; refused is reason=ended, and the line carries a fingerprint of method, host, path and body. Calls that are answered pay nothing. No decision changes: ended is treated as broken was.

--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -48,6 +48,9 @@
 // Repeatable reports whether the body can be sent once more.
 func (b *Body) Repeatable() bool { return b.rest == nil || !b.read }
 
+// Data returns what is held of the body; it must not be changed.
+func (b *Body) Data() []byte { return b.data }
+
 // Size returns how much of the body is held.
 func (b *Body) Size() int { return len(b.data) }
 
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -100,13 +100,15 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonBroken: the exchange with the back end broke.
 	ReasonBroken Reason = "broken"
+	// ReasonEnded: the back end's process ended while it had the call.
+	ReasonEnded Reason = "ended"
 	// ReasonServerError: the back end answered that it failed.
 	ReasonServerError Reason = "server-error"
 )
 
 // Reached reports whether the back end may have received the call.
 func (r Reason) Reached() bool {
-	return r == ReasonDeclined || r == ReasonBroken || r == ReasonServerError
+	return r == ReasonDeclined || r == ReasonBroken || r == ReasonEnded || r == ReasonServerError
 }
 
 // Busy reports whether the gate may take the call a little later.
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -74,7 +74,7 @@
 func (g *gatedCall) exchange(ctx context.Context, ticket *balancer.Ticket, wait time.Duration) (*http.Response, *gateFailure) {
 	request := g.outgoingGate(ticket, wait)
 	if g.besideNode(ticket) && g.handler.config.Gate != nil {
-		return g.readGate(ticket, g.handler.config.Gate(request.WithContext(ctx)))
+		return g.readGate(ticket, g.handler.config.Gate(request.WithContext(ctx), g.body))
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -175,7 +175,7 @@
 		ticket.Leave()
 	case exchange.ReasonAbsent:
 		ticket.Avoid(now, absentPause)
-	case exchange.ReasonBroken:
+	case exchange.ReasonBroken, exchange.ReasonEnded:
 		if g.request.Context().Err() == nil && now < g.deadline {
 			learned = balancer.Failed
 		}
--- a/pkg/forward/gated_test.go
+++ b/pkg/forward/gated_test.go
@@ -320,7 +320,7 @@
 func TestOwnGateMayBeWaitedAt(t *testing.T) {
 	is := is.New(t)
 	var waits []string
-	own := func(r *http.Request) *http.Response {
+	own := func(r *http.Request, _ *exchange.Body) *http.Response {
 		waits = append(waits, r.Header.Get(exchange.HeaderWait))
 		recorder := httptest.NewRecorder()
 		if len(waits) == 1 {
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -54,9 +54,9 @@
 	// Service is the service that the node's own callers belong to.
 	Service string
 	// GateAddress is where this node's own gate listens, and Gate takes its calls in
-	// place of a connection there.
+	// place of a connection there, with what is held of their bodies.
 	GateAddress string
-	Gate        func(*http.Request) *http.Response
+	Gate        func(*http.Request, *exchange.Body) *http.Response
 	// Sender, if set, returns what calls to other nodes say of the back end beside this one.
 	Sender func() string
 	// StopsAt, if set, returns when the process ends, zero if it does not: calls that
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -18,6 +18,7 @@
 
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/link"
+	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/settings"
 	"bramblelift/pkg/wire"
 )
@@ -61,6 +62,8 @@
 	Service time.Duration
 	Report  exchange.Report
 	Backend string
+	// Fingerprint is that of a call under which the back end ended.
+	Fingerprint quarantine.Fingerprint
 }
 
 // Gate admits calls and sends them to the back end. It is safe for concurrent use, and an
@@ -117,12 +120,12 @@
 	if r.ContentLength >= largeBody {
 		return g.receiveFirst(r)
 	}
-	return g.do(r, func(request *http.Request) error {
+	return g.do(r, func(request *http.Request) (*exchange.Body, error) {
 		body, err := exchange.ReadBody(r)
 		if err == nil {
 			body.Attach(request, r.ContentLength)
 		}
-		return err
+		return body, err
 	})
 }
 
@@ -153,9 +156,9 @@
 	// It is here now: to send it elsewhere would cost more than to wait for the next slot.
 	wanted.wait = max(wanted.wait, (wanted.deadline-g.config.Now())/receivedWaitShare)
 	wanted.early = max(wanted.early, wanted.wait)
-	return g.admitAndSend(r, wanted, func(request *http.Request) error {
+	return g.admitAndSend(r, wanted, func(request *http.Request) (*exchange.Body, error) {
 		body.Attach(request, r.ContentLength)
-		return nil
+		return body, nil
 	})
 }
 
@@ -174,22 +177,25 @@
 	}
 }
 
-// Do sends one call to the back end and returns its answer, or the gate's own refusal,
-// which HeaderOutcome marks.
-func (g *Gate) Do(r *http.Request) *http.Response {
-	return g.do(r, func(request *http.Request) error {
+// Do sends one call, whose body r reads, to the back end and returns its answer, or the gate's
+// own refusal, which HeaderOutcome marks.
+func (g *Gate) Do(r *http.Request, body *exchange.Body) *http.Response {
+	return g.do(r, func(request *http.Request) (*exchange.Body, error) {
 		request.Body, request.ContentLength = r.Body, r.ContentLength
-		return nil
+		return body, nil
 	})
 }
 
+// attachBody gives a call's body to the request for the back end, and returns what is held of it.
+type attachBody func(*http.Request) (*exchange.Body, error)
+
 // do is Do with a body that attach gives to the request for the back end.
-func (g *Gate) do(r *http.Request, attach func(*http.Request) error) *http.Response {
+func (g *Gate) do(r *http.Request, attach attachBody) *http.Response {
 	return g.admitAndSend(r, g.read(r.Header, g.config.Now()), attach)
 }
 
 // admitAndSend waits for a slot, and sends the call to the back end or makes a refusal.
-func (g *Gate) admitAndSend(r *http.Request, wanted request, attach func(*http.Request) error) *http.Response {
+func (g *Gate) admitAndSend(r *http.Request, wanted request, attach attachBody) *http.Response {
 	arrived := g.config.Now()
 	granted, reason := g.admit(r.Context(), wanted)
 	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: reason, Waited: g.config.Now() - arrived}
@@ -222,12 +228,13 @@
 }
 
 // send exchanges the call with the back end and gives the slot back.
-func (g *Gate) send(r *http.Request, attach func(*http.Request) error, granted admittance, wanted request, call *Call) *http.Response {
+func (g *Gate) send(r *http.Request, attach attachBody, granted admittance, wanted request, call *Call) *http.Response {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), trace))
 	outgoing := g.outgoing(ctx, r, granted, wanted)
-	response, err := (*http.Response)(nil), attach(outgoing)
+	body, err := attach(outgoing)
+	var response *http.Response
 	if err == nil {
 		response, err = g.transport.RoundTrip(outgoing)
 	}
@@ -248,6 +255,9 @@
 	call.Service = g.config.Now() - granted.at
 	if err != nil {
 		cancel()
+		if connected.Load() && r.Context().Err() == nil && g.backendEnded(r.Context(), granted.backend, err) {
+			call.Reason, call.Fingerprint = exchange.ReasonEnded, quarantine.Of(r, body.Data())
+		}
 		return g.failed(call, granted, connected.Load(), r.Context(), wanted.deadline, err)
 	}
 	return g.answer(response, granted, call, cancel)
@@ -294,7 +304,9 @@
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	g.release(granted, ending{failed: ctx.Err() == nil || g.hung(granted, deadline)})
-	call.Reason = exchange.ReasonBroken
+	if call.Reason == "" {
+		call.Reason = exchange.ReasonBroken
+	}
 	return g.refuse(call, http.StatusBadGateway, exchange.Unknown)
 }
 
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -42,6 +42,9 @@
 	return request
 }
 
+// do sends a call of the node beside the gate; nothing of its body is held.
+func do(g *Gate, r *http.Request) *http.Response { return g.Do(r, &exchange.Body{}) }
+
 func reasonOf(response *http.Response) exchange.Reason {
 	return exchange.Reason(response.Header.Get(exchange.HeaderReason))
 }
@@ -101,12 +104,12 @@
 	g := gateTo(address, 2)
 	var group sync.WaitGroup
 	for range 2 {
-		group.Go(func() { g.Do(newCall(t, "GET", "a")).Body.Close() })
+		group.Go(func() { do(g, newCall(t, "GET", "a")).Body.Close() })
 	}
 	for calls.Load() < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	third := g.Do(newCall(t, "GET", "c")) // it may not wait
+	third := do(g, newCall(t, "GET", "c")) // it may not wait
 	is.Equal(third.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(third.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
 	is.Equal(reasonOf(third), exchange.ReasonFull)
@@ -124,7 +127,7 @@
 	address, release, calls := holdingBackend(t)
 	g := gateTo(address, 1)
 	var group sync.WaitGroup
-	group.Go(func() { g.Do(newCall(t, "GET", "first")).Body.Close() })
+	group.Go(func() { do(g, newCall(t, "GET", "first")).Body.Close() })
 	for calls.Load() < 1 {
 		time.Sleep(time.Millisecond)
 	}
@@ -132,7 +135,7 @@
 	var order []string
 	for _, waiter := range [][]string{{"low", "2", "900"}, {"high late", "1", "900"}, {"high soon", "1", "800"}} {
 		group.Go(func() {
-			g.Do(newCall(t, "GET", waiter[0], exchange.HeaderPriority, waiter[1], "Left-Ms", waiter[2], exchange.HeaderWait, "700")).Body.Close()
+			do(g, newCall(t, "GET", waiter[0], exchange.HeaderPriority, waiter[1], "Left-Ms", waiter[2], exchange.HeaderWait, "700")).Body.Close()
 			mu.Lock()
 			order = append(order, waiter[0])
 			mu.Unlock()
@@ -156,13 +159,13 @@
 	g := gateTo(address, 1)
 	var group sync.WaitGroup
 	group.Go(func() {
-		is.Equal(g.Do(newCall(t, "GET", "running")).StatusCode, http.StatusOK) // what runs is finished
+		is.Equal(do(g, newCall(t, "GET", "running")).StatusCode, http.StatusOK) // what runs is finished
 	})
 	for calls.Load() < 1 {
 		time.Sleep(time.Millisecond)
 	}
 	waiting := make(chan exchange.Reason, 1)
-	group.Go(func() { waiting <- reasonOf(g.Do(newCall(t, "GET", "waits", exchange.HeaderWait, "1000"))) })
+	group.Go(func() { waiting <- reasonOf(do(g, newCall(t, "GET", "waits", exchange.HeaderWait, "1000"))) })
 	for g.Report().Queued < 1 {
 		time.Sleep(time.Millisecond)
 	}
@@ -170,7 +173,7 @@
 	is.Equal(g.Report().Queued, 1) // the word of another one changes nothing
 	g.RemoveBackend("b1")
 	is.Equal(<-waiting, exchange.ReasonAbsent)
-	is.Equal(reasonOf(g.Do(newCall(t, "GET", "new", "Want", "b1"))), exchange.ReasonLeft)
+	is.Equal(reasonOf(do(g, newCall(t, "GET", "new", "Want", "b1"))), exchange.ReasonLeft)
 	close(release)
 	group.Wait()
 	is.Equal(calls.Load(), int64(1))
@@ -184,10 +187,10 @@
 		return true
 	})
 	g := gateTo(address, 2)
-	is.Equal(reasonOf(g.Do(newCall(t, "GET", "a", "Want", "b0"))), exchange.ReasonAbsent)
-	is.Equal(g.Do(newCall(t, "GET", "a", "Want", "b1")).StatusCode, http.StatusOK)
+	is.Equal(reasonOf(do(g, newCall(t, "GET", "a", "Want", "b0"))), exchange.ReasonAbsent)
+	is.Equal(do(g, newCall(t, "GET", "a", "Want", "b1")).StatusCode, http.StatusOK)
 	g.SetBackend(Backend{ID: "b2", Address: address, Capacity: 2})
-	is.Equal(reasonOf(g.Do(newCall(t, "GET", "a", "Want", "b1"))), exchange.ReasonLeft)
+	is.Equal(reasonOf(do(g, newCall(t, "GET", "a", "Want", "b1"))), exchange.ReasonLeft)
 	is.Equal(calls.Load(), int64(1))
 }
 
@@ -218,7 +221,7 @@
 			is := is.New(t)
 			address, calls := rawBackend(t, serve)
 			g := gateTo(address, 2)
-			response := g.Do(newCall(t, "POST", "a"))
+			response := do(g, newCall(t, "POST", "a"))
 			is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.Unknown))
 			is.Equal(response.StatusCode, http.StatusBadGateway)
 			is.Equal(reasonOf(response), exchange.ReasonBroken)
@@ -239,7 +242,7 @@
 	})
 	g := gateTo(address, 2)
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
-		response := g.Do(newCall(t, "GET", id))
+		response := do(g, newCall(t, "GET", id))
 		if response.Header.Get(exchange.HeaderOutcome) == "" {
 			is.Equal(response.Header.Get("Call-Id"), id)
 		}
@@ -252,7 +255,7 @@
 		write(conn, r.Header.Get("Call-Id"), "\r\nall of it")
 		return false
 	})
-	response := gateTo(address, 1).Do(newCall(t, "GET", "a"))
+	response := do(gateTo(address, 1), newCall(t, "GET", "a"))
 	data, err := io.ReadAll(response.Body)
 	is.NoErr(err)
 	is.Equal(string(data), "all of it")
@@ -265,7 +268,7 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
-	response := gateTo(address, 1).Do(newCall(t, "GET", "a"))
+	response := do(gateTo(address, 1), newCall(t, "GET", "a"))
 	is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
 	is.True(reasonOf(response).Reached())
 }
@@ -276,7 +279,7 @@
 	is.NoErr(err)
 	address := listener.Addr().String()
 	is.NoErr(listener.Close())
-	response := gateTo(address, 1).Do(newCall(t, "POST", "a"))
+	response := do(gateTo(address, 1), newCall(t, "POST", "a"))
 	is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
 	is.Equal(reasonOf(response), exchange.ReasonUnreachable)
 	is.True(!reasonOf(response).Reached())
@@ -294,9 +297,9 @@
 	}))
 	defer server.Close()
 	g := gateTo(server.Listener.Addr().String(), 1)
-	go g.Do(newCall(t, "GET", "a"))
+	go do(g, newCall(t, "GET", "a"))
 	is.True(<-left > 1900*time.Millisecond)
-	go g.Do(newCall(t, "GET", "b", exchange.HeaderWait, "1000"))
+	go do(g, newCall(t, "GET", "b", exchange.HeaderWait, "1000"))
 	is.True(<-left <= 1950*time.Millisecond)
 }
 
--- a/pkg/gate/health_test.go
+++ b/pkg/gate/health_test.go
@@ -33,7 +33,7 @@
 	g := gateTo(address, 4)
 	var report exchange.Report
 	for i := range 40 {
-		response := g.Do(newCall(t, "GET", fmt.Sprintf("c%d", i)))
+		response := do(g, newCall(t, "GET", fmt.Sprintf("c%d", i)))
 		report, _ = exchange.ReadReport(response.Header)
 		response.Body.Close()
 	}
@@ -91,7 +91,7 @@
 	ask := func(left string, patience time.Duration) exchange.Report {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		response := g.Do(newCall(t, "GET", "x", "Left-Ms", left).WithContext(ctx))
+		response := do(g, newCall(t, "GET", "x", "Left-Ms", left).WithContext(ctx))
 		report, _ := exchange.ReadReport(response.Header)
 		return report
 	}
--- a/pkg/gate/receive_test.go
+++ b/pkg/gate/receive_test.go
@@ -70,7 +70,7 @@
 	}()
 	<-body.started
 	is.Equal(g.Report().Queued, 1) // senders hear of it
-	small := g.Do(newCall(t, "GET", "small"))
+	small := do(g, newCall(t, "GET", "small"))
 	is.Equal(small.StatusCode, http.StatusOK)
 	small.Body.Close()
 	close(body.letGo)
