--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -130,6 +130,9 @@
 	case command.Endpoints != nil:
 		c.Distribution = c.Distribution.ChangeEndpoints(command.Endpoints.Changes)
 		return Result{Revision: c.Distribution.Revision}
+	case command.Suspects != nil:
+		c.Distribution = c.Distribution.ChangeSuspects(*command.Suspects)
+		return Result{Revision: c.Distribution.Revision}
 	default:
 		return c.refuse(CodeInvalidRequest, "empty command")
 	}
--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -7,6 +7,7 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/deflate"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/quarantine"
 )
 
 // maxRecord bounds a command or a snapshot in bytes once it is expanded; it is as large as the
@@ -30,6 +31,8 @@
 	Roll      *Roll      `json:"roll,omitempty"`
 	Publish   *Publish   `json:"publish,omitempty"`
 	Endpoints *Endpoints `json:"endpoints,omitempty"`
+	// Suspects takes in evidence of requests that end back ends, and verdicts on them.
+	Suspects *quarantine.Change `json:"suspects,omitempty"`
 }
 
 // Create makes a version, if the head still is what the operator saw.
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -9,6 +9,7 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/deflate"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/quarantine"
 )
 
 // savedCatalog is the form of a catalog in a snapshot. Consecutive bundles are nearly
@@ -47,6 +48,8 @@
 	Recent    []savedBundle              `json:"recent,omitempty"`
 	Endpoints distribution.EndpointTable `json:"endpoints,omitempty"`
 	Horizon   uint64                     `json:"horizon,omitempty"`
+	Suspects  *quarantine.Table          `json:"suspects,omitempty"`
+	Watchlist *quarantine.Watchlist      `json:"watchlist,omitempty"`
 }
 
 // Snapshot returns the whole catalog as data for Restore.
@@ -103,7 +106,7 @@
 func saveState(state *distribution.State) savedState {
 	saved := savedState{
 		Revision: state.Revision, Active: saveBundle(state.Active), Staged: saveBundle(state.Staged),
-		Endpoints: state.Endpoints, Horizon: state.Horizon,
+		Endpoints: state.Endpoints, Horizon: state.Horizon, Suspects: state.Suspects, Watchlist: state.Watchlist,
 	}
 	for _, signed := range state.Recent {
 		saved.Recent = append(saved.Recent, *saveBundle(signed))
@@ -164,7 +167,9 @@
 }
 
 func (c *Catalog) loadState(saved savedState, contents map[uint64]*bundle.Content) error {
-	state := &distribution.State{Revision: saved.Revision, Endpoints: saved.Endpoints, Horizon: saved.Horizon}
+	state := &distribution.State{
+		Revision: saved.Revision, Endpoints: saved.Endpoints, Horizon: saved.Horizon, Suspects: saved.Suspects, Watchlist: saved.Watchlist,
+	}
 	var err error
 	if state.Active, err = loadBundle(saved.Active, contents); err != nil {
 		return err
--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/protocol"
 )
 
 const (
@@ -19,6 +20,16 @@
 	announceSpacing = 100 * time.Millisecond
 )
 
+// takeAnnounced takes in what nodes announce.
+func (s *Server) takeAnnounced(announced protocol.Announce) {
+	if len(announced.Endpoints) > 0 {
+		s.takeAnnouncements(announced.Endpoints)
+	}
+	if announced.Evidence != nil && !announced.Evidence.Empty() {
+		s.takeEvidence(*announced.Evidence)
+	}
+}
+
 // takeAnnouncements takes in back ends that nodes announce. They come again until the
 // state shows them, so that one too many may be dropped.
 func (s *Server) takeAnnouncements(endpoints []distribution.Endpoint) {
@@ -45,7 +56,7 @@
 }
 
 // gather adds to a list what else comes within a time, or is there already.
-func gather(ctx context.Context, list []distribution.Endpoint, more <-chan []distribution.Endpoint, within time.Duration) []distribution.Endpoint {
+func gather[T any](ctx context.Context, list []T, more <-chan []T, within time.Duration) []T {
 	list = slices.Clone(list)
 	timer := time.NewTimer(max(0, within))
 	defer timer.Stop()
@@ -62,8 +73,8 @@
 }
 
 // queued returns what a channel holds at the moment.
-func queued(from <-chan []distribution.Endpoint) []distribution.Endpoint {
-	var list []distribution.Endpoint
+func queued[T any](from <-chan []T) []T {
+	var list []T
 	for {
 		select {
 		case next := <-from:
@@ -100,7 +111,7 @@
 		leading = node.LeaseValid(now)
 		news = s.replica.State().Endpoints.News(endpoints)
 		if !leading && node.Leader() != node.ID() && len(news) > 0 {
-			s.peers.announce(node.Leader(), news)
+			s.peers.announce(node.Leader(), protocol.Announce{Endpoints: news})
 		}
 	})
 	if err != nil || !leading || len(news) == 0 {
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/metrics"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/raft"
@@ -148,9 +147,9 @@
 	return conn, nil
 }
 
-// announce queues back ends for the leader. It runs in the driver's goroutine.
-func (p *peerSet) announce(leader raft.ReplicaID, endpoints []distribution.Endpoint) {
-	p.queue(leader, protocolFrame{kind: protocol.KindAnnounce, value: protocol.Announce{Endpoints: endpoints}})
+// announce queues what nodes announced for the leader. It runs in the driver's goroutine.
+func (p *peerSet) announce(leader raft.ReplicaID, announced protocol.Announce) {
+	p.queue(leader, protocolFrame{kind: protocol.KindAnnounce, value: announced})
 }
 
 // serveReplica takes in another replica's messages.
@@ -185,7 +184,7 @@
 			if err := conn.Decode(&frame); err != nil {
 				return err
 			}
-			s.takeAnnouncements(frame.Endpoints)
+			s.takeAnnounced(frame)
 		default:
 			return fmt.Errorf("from %s: kind %s: %w", conn.Peer(), protocol.KindName(kind), protocol.ErrUnexpected)
 		}
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -17,6 +17,7 @@
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/metrics"
 	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
 	"bramblelift/pkg/replica"
 	"bramblelift/pkg/settings"
@@ -73,8 +74,11 @@
 	pending       map[replica.ProposalID]chan<- replica.Completion
 	stalled       bool
 	announced     chan []distribution.Endpoint
-	known         atomic.Pointer[knownMembership]
-	seeds         atomic.Pointer[[]string]
+	evidence      chan []quarantine.Evidence
+	// suspicion holds at most one token: the suspects have changed.
+	suspicion chan struct{}
+	known     atomic.Pointer[knownMembership]
+	seeds     atomic.Pointer[[]string]
 
 	newInterface      func(*Server) http.Handler
 	interfaceListener net.Listener
@@ -101,6 +105,7 @@
 func New(config settings.Control, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
 	s := &Server{
 		newInterface: newInterface, announced: make(chan []distribution.Endpoint, inboxSize),
+		evidence: make(chan []quarantine.Evidence, inboxSize), suspicion: make(chan struct{}, 1),
 		settings: config, logger: logger, clock: clock.New(),
 		messages: make(chan received, inboxSize),
 		joins:    make(chan protocol.Join, inboxSize),
@@ -125,7 +130,7 @@
 		Admission: stream.AdmissionConfig{PerSecond: admissionRate, Burst: admissionBurst},
 		Now:       s.clock.Elapsed, ConfirmedAt: s.confirmed,
 		OnReport:   func(report protocol.NodeReport) { s.nodes.take(report, time.Now()) },
-		OnAnnounce: s.takeAnnouncements, Servers: s.servers,
+		OnAnnounce: s.takeAnnounced, Servers: s.servers,
 	}, s.replica.State())
 	if s.listener, err = wire.Listen(config.Listen); err != nil {
 		return nil, fmt.Errorf("listen for replicas and relays: %w", err)
@@ -199,6 +204,8 @@
 	})
 	group.Go(func() { s.pollPlatform(ctx) })
 	group.Go(func() { s.proposeAnnounced(ctx) })
+	group.Go(func() { s.proposeEvidence(ctx) })
+	group.Go(func() { s.judgeSuspects(ctx) })
 	group.Go(func() { s.serveInterface(ctx) })
 	err := s.drive(ctx)
 	s.peers.close()
@@ -279,6 +286,7 @@
 	}
 	if output.StateChanged {
 		s.hub.SetState(s.replica.State())
+		s.noteSuspects()
 	}
 	// Only after the hub has the state may it be called confirmed.
 	if at, confirmed := s.replica.Node().ConfirmedAt(s.clock.Elapsed()); confirmed {
--- /dev/null
+++ b/pkg/control/suspects.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/quarantine"
+)
+
+const (
+	// evidenceSpacing is between two commits of evidence. Nodes are to know a suspect well before
+	// the third back end has ended under it.
+	evidenceSpacing = 100 * time.Millisecond
+	// leadLook is how soon a replica that does not lead looks again whether it must judge.
+	leadLook = time.Second
+)
+
+// takeEvidence takes in what gates have seen of requests that end back ends. It comes again for
+// some seconds, so that some of it may be dropped.
+func (s *Server) takeEvidence(evidence quarantine.Evidence) {
+	select {
+	case s.evidence <- []quarantine.Evidence{evidence}:
+	default:
+		s.logger.Log("event", "evidence_dropped", "ends", len(evidence.Ends), "answers", len(evidence.Answers), "reason", "too much at once")
+	}
+}
+
+// proposeEvidence has evidence agreed on, here or at the leader. What comes soon after other
+// evidence is gathered.
+func (s *Server) proposeEvidence(ctx context.Context) {
+	var next time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case list := <-s.evidence:
+			var evidence quarantine.Evidence
+			for _, more := range gather(ctx, list, s.evidence, time.Until(next)) {
+				evidence = evidence.Join(more)
+			}
+			s.proposeNewEvidence(ctx, evidence)
+			next = time.Now().Add(evidenceSpacing)
+		}
+	}
+}
+
+// proposeNewEvidence proposes what of some evidence is news.
+func (s *Server) proposeNewEvidence(ctx context.Context, evidence quarantine.Evidence) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	leading := false
+	err := s.inspect(ctx, func(now time.Duration) {
+		node := s.replica.Node()
+		leading = node.LeaseValid(now)
+		evidence = s.replica.State().Suspects.News(evidence)
+		if !leading && node.Leader() != node.ID() && !evidence.Empty() {
+			s.peers.announce(node.Leader(), protocol.Announce{Evidence: &evidence})
+		}
+	})
+	if err != nil || !leading || evidence.Empty() {
+		return
+	}
+	s.proposeSuspects(ctx, quarantine.Change{Evidence: evidence})
+}
+
+func (s *Server) proposeSuspects(ctx context.Context, change quarantine.Change) {
+	_, err := s.propose(ctx, catalog.Command{Suspects: &change})
+	for _, end := range change.Evidence.Ends {
+		s.logger.Log("event", "backend_ended", "instance", end.Instance, "service", end.Way.Service, "caller", end.Way.Caller,
+			"fingerprint", end.Request.Short(), "error", err)
+	}
+	for _, answer := range change.Evidence.Answers {
+		s.logger.Log("event", "suspect_answered", "fingerprint", answer.Request.Short(), "service", answer.Way.Service,
+			"caller", answer.Way.Caller, "error", err)
+	}
+	for _, verdict := range change.Verdicts {
+		s.logger.Log("event", "quarantine", "fingerprint", verdict.Request.Short(), "ruling", string(verdict.Ruling), "error", err)
+	}
+}
+
+// noteSuspects wakes the judge if there are suspects. It runs in the driver's goroutine.
+func (s *Server) noteSuspects() {
+	if s.replica.State().Suspects.Empty() {
+		return
+	}
+	select {
+	case s.suspicion <- struct{}{}:
+	default:
+	}
+}
+
+// judgeSuspects decides on suspects for as long as this replica leads. It sleeps while there are
+// none.
+func (s *Server) judgeSuspects(ctx context.Context) {
+	judge := quarantine.NewJudge()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.suspicion:
+		case <-timer.C:
+		}
+		wait := s.judgeOnce(ctx, judge)
+		timer.Reset(wait)
+	}
+}
+
+// judgeOnce proposes the verdicts that are due, and returns when to look again.
+func (s *Server) judgeOnce(ctx context.Context, judge *quarantine.Judge) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	leading := false
+	var verdicts []quarantine.Verdict
+	var wait time.Duration
+	err := s.inspect(ctx, func(now time.Duration) {
+		leading = s.replica.Node().LeaseValid(now)
+		table := s.replica.State().Suspects
+		if !leading {
+			table = nil
+		}
+		verdicts, wait = judge.Due(now, table)
+		if !leading && !s.replica.State().Suspects.Empty() {
+			wait = leadLook
+		}
+	})
+	if err != nil {
+		return leadLook
+	}
+	if len(verdicts) > 0 {
+		s.proposeSuspects(ctx, quarantine.Change{Verdicts: verdicts})
+		wait = min(wait, evidenceSpacing)
+	}
+	return wait
+}
--- a/pkg/distribution/holder.go
+++ b/pkg/distribution/holder.go
@@ -94,6 +94,10 @@
 			return nil, err
 		}
 	}
+	next.Watchlist = h.state.Watchlist
+	if u.Watchlist != nil {
+		next.Watchlist = u.Watchlist
+	}
 	h.takeEndpoints(next, u)
 	if digest := next.Endpoints.digest(nil); digest != u.EndpointDigest {
 		return nil, fmt.Errorf("digest %x, expected %x: %w", digest, u.EndpointDigest, ErrEndpointDigest)
--- a/pkg/distribution/state.go
+++ b/pkg/distribution/state.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/quarantine"
 )
 
 // Bounds on history.
@@ -27,6 +28,10 @@
 	Endpoints EndpointTable    `json:"endpoints,omitempty"`
 	// Horizon is the revision up to which tombstones may have been forgotten.
 	Horizon uint64 `json:"horizon,omitempty"`
+	// Suspects are requests under which back ends ended; only replicas have them. Watchlist is what
+	// all holders know of them.
+	Suspects  *quarantine.Table     `json:"suspects,omitempty"`
+	Watchlist *quarantine.Watchlist `json:"watchlist,omitempty"`
 }
 
 // Position says how far a holder is.
@@ -92,6 +97,22 @@
 	return &next
 }
 
+// ChangeSuspects returns the state after evidence of requests that end back ends, or verdicts on
+// them; the state itself if they are no news.
+func (s *State) ChangeSuspects(change quarantine.Change) *State {
+	suspects := s.Suspects.With(change)
+	if suspects == s.Suspects {
+		return s
+	}
+	next := *s
+	next.Revision++
+	next.Suspects = suspects
+	if list := suspects.Watchlist(next.Revision); !list.Same(s.Watchlist) {
+		next.Watchlist = list
+	}
+	return &next
+}
+
 // forgetTombstones drops the older half of the tombstones once there are too many.
 func (s *State) forgetTombstones() {
 	var stamps []uint64
--- a/pkg/distribution/update.go
+++ b/pkg/distribution/update.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/quarantine"
 )
 
 // BundleUpdate brings one bundle, as a delta to one that the holder has.
@@ -35,11 +36,13 @@
 	Staged uint64
 	// EndpointDigest sums the endpoints that the holder has afterwards.
 	EndpointDigest uint64
+	// Watchlist replaces the holder's, nil if that is the newest.
+	Watchlist *quarantine.Watchlist
 }
 
 // Changes reports whether the update brings anything besides a higher revision.
 func (u *Update) Changes(p Position) bool {
-	return u.Reset || len(u.Endpoints) > 0 || len(u.Bundles) > 0 ||
+	return u.Reset || len(u.Endpoints) > 0 || len(u.Bundles) > 0 || u.Watchlist != nil ||
 		u.Active != p.Active || u.Staged != p.Staged
 }
 
@@ -118,6 +121,7 @@
 		Active: versionOf(p.state.Active), Staged: versionOf(p.state.Staged),
 		Reset: p.mustReset(group, position),
 	}
+	update.Watchlist = p.state.Watchlist.Since(position.Revision)
 	if err := p.planBundles(update, group, position); err != nil {
 		return nil, err
 	}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -102,6 +102,8 @@
 	ReasonBroken Reason = "broken"
 	// ReasonEnded: the back end's process ended while it had the call.
 	ReasonEnded Reason = "ended"
+	// ReasonQuarantined: back ends ended under the same request.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonServerError: the back end answered that it failed.
 	ReasonServerError Reason = "server-error"
 )
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -10,6 +10,7 @@
 
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/retry"
 )
 
@@ -58,6 +59,9 @@
 	if err != nil {
 		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: bodyStatus(err)}
 	}
+	if match := c.look(body.Data()); match.Standing == quarantine.Quarantined {
+		return quarantineRefusal(match)
+	}
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
 	defer cancel()
 	c.service.budget.Attempt(c.started)
@@ -198,7 +202,8 @@
 	}
 	if !failure.reason.Reached() {
 		waited := failure.reason.Busy() && g.lastChance
-		return !waited && failure.reason != exchange.ReasonDeadline
+		final := failure.reason == exchange.ReasonDeadline || failure.reason == exchange.ReasonQuarantined
+		return !waited && !final
 	}
 	if failure.outcome != NotRun && !g.safe {
 		return false
@@ -267,8 +272,12 @@
 	return true
 }
 
-// payRepeat draws one more arrival at a back end from the route's attempts and the budget.
+// payRepeat draws one more arrival at a back end from the route's attempts and the budget. A
+// suspect is not repeated: that might end one more back end.
 func (g *gatedCall) payRepeat() bool {
+	if g.look(g.body.Data()).Standing != quarantine.Unsuspected {
+		return false
+	}
 	limit := g.route.MaxAttempts
 	if limit == 0 {
 		limit = maxAttempts
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -17,6 +17,7 @@
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/pipeline"
+	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/retry"
 	"bramblelift/pkg/routing"
 	"bramblelift/pkg/settings"
@@ -71,6 +72,8 @@
 	Link *link.Meter
 	// Pacer, if set, spreads large bodies over time.
 	Pacer *exchange.Pacer
+	// Quarantine knows requests that must not reach back ends; nil knows none.
+	Quarantine *quarantine.Filter
 	// OnAttempt, if set, is told of each attempt through a gate.
 	OnAttempt func(Attempt)
 }
--- /dev/null
+++ b/pkg/forward/quarantine_test.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/quarantine"
+	"bramblelift/pkg/retry"
+
+	"github.com/matryer/is"
+)
+
+// suspect is a filter that knows one request: a POST of "fatal" to a path.
+func suspect(path string, quarantined bool, answered ...quarantine.Way) *quarantine.Filter {
+	request := httptest.NewRequest(http.MethodPost, "http://shop.example:80"+path, nil)
+	filter := &quarantine.Filter{}
+	filter.Set(&quarantine.Watchlist{Entries: []quarantine.Entry{
+		{Request: quarantine.Of(request, []byte("fatal")), Quarantined: quarantined, Answered: answered},
+	}})
+	return filter
+}
+
+// A request that is kept from back ends is refused at once, and truly: no gate is asked. One that
+// differs in its body only is served, and so is a way on which the request was answered.
+func TestQuarantinedRequestReachesNoGate(t *testing.T) {
+	for name, c := range map[string]struct {
+		answered []quarantine.Way
+		body     string
+		status   int
+	}{
+		"the request":              {nil, "fatal", http.StatusServiceUnavailable},
+		"another body":             {nil, "harmless", http.StatusOK},
+		"answered on this way":     {[]quarantine.Way{{Caller: "shop", Service: "s"}}, "fatal", http.StatusOK},
+		"answered on another only": {[]quarantine.Way{{Caller: "desk", Service: "s"}}, "fatal", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			gate, asked := standInGate(t, serving)
+			n := newGatedNodeWith(t, func(cfg *Config) { cfg.Quarantine = suspect("/safe/x", true, c.answered...) }, []string{"z"}, gate)
+			response := n.call(t, http.MethodPost, "/safe/x", c.body)
+			is.Equal(response.StatusCode, c.status)
+			if c.status == http.StatusOK {
+				return
+			}
+			is.Equal(asked.Load(), int64(0))
+			is.Equal(response.Header.Get(HeaderOutcome), string(NotRun))
+			is.True(response.Header.Get("Retry-After") != "")
+		})
+	}
+}
+
+// While it is open whether a request ends back ends, it gets one at a time: a repeat might end the
+// next one.
+func TestWatchedRequestIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	ending := refusing(exchange.ReasonEnded, Unknown)
+	first, firstAsked := standInGate(t, ending)
+	second, secondAsked := standInGate(t, ending)
+	n := newGatedNodeWith(t, func(cfg *Config) {
+		cfg.Retry = retry.Config{Max: 10}
+		cfg.Quarantine = suspect("/safe/x", false)
+	}, []string{"z", "z"}, first, second)
+	is.Equal(n.call(t, http.MethodPost, "/safe/x", "fatal").StatusCode, http.StatusBadGateway)
+	is.Equal(firstAsked.Load()+secondAsked.Load(), int64(1))
+	is.Equal(n.call(t, http.MethodPost, "/safe/x", "harmless").StatusCode, http.StatusBadGateway)
+	is.Equal(firstAsked.Load()+secondAsked.Load(), int64(3)) // any other call is
+}
+
+// A gate that knows more than the node ends the search: all other gates will know it, too.
+func TestQuarantineOfAGateIsFinal(t *testing.T) {
+	is := is.New(t)
+	first, firstAsked := standInGate(t, refusing(exchange.ReasonQuarantined, NotRun))
+	second, secondAsked := standInGate(t, refusing(exchange.ReasonQuarantined, NotRun))
+	n := newGatedNode(t, 1, first, second)
+	response := n.call(t, http.MethodPost, "/safe/x", "fatal")
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get(HeaderOutcome), string(NotRun))
+	is.Equal(firstAsked.Load()+secondAsked.Load(), int64(1))
+}
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -24,6 +24,7 @@
 type Backend struct {
 	// ID changes with each start of the back end.
 	ID       string
+	Service  string
 	Address  string
 	Capacity int
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -46,6 +46,12 @@
 	// Link counts what crosses the machine's link and knows its capacity; nil is a link without
 	// bound.
 	Link *link.Meter
+	// Quarantine knows requests that must not reach the back end; nil knows none.
+	Quarantine *quarantine.Filter
+	// OnEnded and OnAnswered, if set, are told when the back end ended while it had a call, and when
+	// it answered one that is watched.
+	OnEnded    func(quarantine.End)
+	OnAnswered func(quarantine.Answer)
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
@@ -62,7 +68,7 @@
 	Service time.Duration
 	Report  exchange.Report
 	Backend string
-	// Fingerprint is that of a call under which the back end ended.
+	// Fingerprint is that of a call under which this or other back ends ended.
 	Fingerprint quarantine.Fingerprint
 }
 
@@ -234,6 +240,11 @@
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), trace))
 	outgoing := g.outgoing(ctx, r, granted, wanted)
 	body, err := attach(outgoing)
+	if err == nil && g.quarantined(r, body, granted, call) {
+		cancel()
+		g.release(granted, ending{})
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
 	var response *http.Response
 	if err == nil {
 		response, err = g.transport.RoundTrip(outgoing)
@@ -256,10 +267,11 @@
 	if err != nil {
 		cancel()
 		if connected.Load() && r.Context().Err() == nil && g.backendEnded(r.Context(), granted.backend, err) {
-			call.Reason, call.Fingerprint = exchange.ReasonEnded, quarantine.Of(r, body.Data())
+			g.noteEnded(r, body, granted, call)
 		}
 		return g.failed(call, granted, connected.Load(), r.Context(), wanted.deadline, err)
 	}
+	g.noteAnswered(r, body, granted)
 	return g.answer(response, granted, call, cancel)
 }
 
--- /dev/null
+++ b/pkg/gate/quarantine.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"net/http"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/quarantine"
+)
+
+// look returns what is known of a call, and on which way it comes.
+func (g *Gate) look(r *http.Request, body *exchange.Body, granted admittance) (quarantine.Match, quarantine.Way) {
+	way := quarantine.Way{Caller: r.Header.Get(g.config.Headers.Caller), Service: granted.backend.Service}
+	return g.config.Quarantine.Look(r, body.Data(), way), way
+}
+
+// quarantined reports whether a call must not reach the back end. Callers' nodes look before they
+// send; this is the last look, after the call has waited, and for nodes that know less.
+func (g *Gate) quarantined(r *http.Request, body *exchange.Body, granted admittance, call *Call) bool {
+	match, _ := g.look(r, body, granted)
+	if match.Standing != quarantine.Quarantined {
+		return false
+	}
+	call.Reason, call.Fingerprint = exchange.ReasonQuarantined, match.Request
+	return true
+}
+
+// noteEnded takes in that the back end ended while it had a call. Only now is the call's
+// fingerprint worked out, so that calls which are answered pay nothing for it.
+func (g *Gate) noteEnded(r *http.Request, body *exchange.Body, granted admittance, call *Call) {
+	call.Reason, call.Fingerprint = exchange.ReasonEnded, quarantine.Of(r, body.Data())
+	if g.config.OnEnded == nil {
+		return
+	}
+	_, way := g.look(r, body, granted)
+	g.config.OnEnded(quarantine.End{Request: call.Fingerprint, Instance: granted.backend.ID, Way: way})
+}
+
+// noteAnswered takes in that the back end answered: whatever it says, it has outlived the call.
+func (g *Gate) noteAnswered(r *http.Request, body *exchange.Body, granted admittance) {
+	if g.config.OnAnswered == nil {
+		return
+	}
+	match, way := g.look(r, body, granted)
+	if match.Standing == quarantine.Unsuspected || match.Answered {
+		return
+	}
+	g.config.OnAnswered(quarantine.Answer{Request: match.Request, Way: way})
+}
--- /dev/null
+++ b/pkg/gate/quarantine_test.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/quarantine"
+
+	"github.com/matryer/is"
+)
+
+// callOf is a call of another node with a body.
+func callOf(t *testing.T, id, body string) *http.Request {
+	t.Helper()
+	call := newCall(t, "POST", id, "From", "shop")
+	call.Body, call.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	return call
+}
+
+func answering(conn net.Conn, request *http.Request, _ int64) bool {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nCall-Id: "+request.Header.Get("Call-Id")+"\r\nContent-Length: 2\r\n\r\nok")
+	return true
+}
+
+// What another node sends although it is in quarantine does not reach the back end, and leaves its
+// slot to others.
+func TestGateKeepsQuarantinedCallsFromItsBackEnd(t *testing.T) {
+	is := is.New(t)
+	address, calls := rawBackend(t, answering)
+	g := gateTo(address, 1)
+	g.config.Quarantine = &quarantine.Filter{}
+	g.config.Quarantine.Set(&quarantine.Watchlist{Entries: []quarantine.Entry{
+		{Request: quarantine.Of(callOf(t, "any", ""), []byte("fatal")), Quarantined: true},
+	}})
+	for range 3 {
+		response := g.serve(callOf(t, "a", "fatal"))
+		is.Equal(reasonOf(response), exchange.ReasonQuarantined)
+		is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
+	}
+	is.Equal(calls.Load(), int64(0))
+	is.Equal(g.serve(callOf(t, "b", "harmless")).StatusCode, http.StatusOK)
+	is.Equal(g.Report().Running, 0)
+}
+
+// The evidence that a gate gives: the end of its back end with each call that it had, and answers
+// to what is watched.
+func TestGateTellsWhatItHasSeenOfSuspects(t *testing.T) {
+	is := is.New(t)
+	way := quarantine.Way{Caller: "shop", Service: "orders"}
+	var ends []quarantine.End
+	var answers []quarantine.Answer
+	tell := func(g *Gate, address string) *Gate {
+		g.SetBackend(Backend{ID: "b2", Service: "orders", Address: address, Capacity: 1})
+		g.config.Quarantine = &quarantine.Filter{}
+		g.config.OnEnded = func(end quarantine.End) { ends = append(ends, end) }
+		g.config.OnAnswered = func(answer quarantine.Answer) { answers = append(answers, answer) }
+		return g
+	}
+	request := quarantine.Of(callOf(t, "any", ""), []byte("fatal"))
+	dying := tell(gateTo("", 1), dyingBackend(t, 1, true))
+	dying.serve(callOf(t, "a", "fatal"))
+	is.Equal(ends, []quarantine.End{{Request: request, Instance: "b2", Way: way}})
+
+	address, _ := rawBackend(t, answering)
+	g := tell(gateTo("", 1), address)
+	g.serve(callOf(t, "b", "fatal"))
+	is.Equal(len(answers), 0) // nobody asked
+	g.config.Quarantine.Set(&quarantine.Watchlist{Entries: []quarantine.Entry{{Request: request}}})
+	g.serve(callOf(t, "c", "harmless"))
+	is.Equal(len(answers), 0)
+	g.serve(callOf(t, "d", "fatal"))
+	is.Equal(answers, []quarantine.Answer{{Request: request, Way: way}})
+	g.config.Quarantine.Set(&quarantine.Watchlist{Entries: []quarantine.Entry{{Request: request, Answered: []quarantine.Way{way}}}})
+	g.serve(callOf(t, "e", "fatal"))
+	is.Equal(len(answers), 1) // that is known
+}
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -13,6 +13,7 @@
 
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
 	"bramblelift/pkg/wire"
 )
@@ -132,6 +133,9 @@
 	// Announcements are back ends that the subscriber answers for and that the state sent
 	// to it does not show as they are.
 	Announcements []distribution.Endpoint
+	// Evidence is what the subscriber's gate has seen of requests that end back ends, nil for
+	// nothing.
+	Evidence *quarantine.Evidence
 }
 
 // Pong answers a Ping.
@@ -175,9 +179,16 @@
 	Forwarded bool
 }
 
-// Announce passes announced back ends on to the leader.
+// Announce passes on to the leader what nodes announce: back ends, and evidence of requests that
+// end them.
 type Announce struct {
 	Endpoints []distribution.Endpoint
+	Evidence  *quarantine.Evidence
+}
+
+// Empty reports whether nothing is announced.
+func (a Announce) Empty() bool {
+	return len(a.Endpoints) == 0 && (a.Evidence == nil || a.Evidence.Empty())
 }
 
 // ErrUnexpected: the peer sent a frame that does not fit here.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"sync"
 
-	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/link"
+	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/registration"
 	"bramblelift/pkg/wire"
 )
@@ -22,10 +22,11 @@
 	}
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
-		Link:     s.link,
+		Link: s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
 		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
+	s.observer.watchQuarantine(s.admin.Registry, &s.quarantine, &s.suspects)
 	s.registry = registration.New(registration.Config{
 		Gate: s.gate, GateAddress: s.settings.GateAdvertise, Service: s.settings.Service,
 		Changed: func() { s.client.PingSoon() }, OnChange: s.noteBackend,
@@ -72,11 +73,16 @@
 	s.logger.Log("event", "backend", "instance", h.ID, "state", states[h.State], "sequence", h.Sequence, "capacity", h.Capacity)
 }
 
-func (s *Server) announcements() []distribution.Endpoint {
+// announce returns what the control plane is to hear with the next ping.
+func (s *Server) announce() protocol.Announce {
 	if s.registry == nil {
-		return nil
+		return protocol.Announce{}
+	}
+	announced := protocol.Announce{Endpoints: s.registry.Announcements()}
+	if evidence := s.suspects.Take(s.clock.Elapsed()); !evidence.Empty() {
+		announced.Evidence = &evidence
 	}
-	return s.registry.Announcements()
+	return announced
 }
 
 // serveGate answers other nodes and the deployment's interface.
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -7,6 +7,7 @@
 	"bramblelift/pkg/forward"
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/link"
+	"bramblelift/pkg/quarantine"
 
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -67,6 +68,19 @@
 	gauge("bramblelift_gate_failing_ratio", "Share of the latest calls that the back end failed.", func(r exchange.Report) float64 { return r.Failing })
 }
 
+// watchQuarantine shows how many requests are kept from back ends, and what evidence did not fit.
+func (o *observer) watchQuarantine(registry prometheus.Registerer, filter *quarantine.Filter, outbox *quarantine.Outbox) {
+	for _, standing := range []quarantine.Standing{quarantine.Watched, quarantine.Quarantined} {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramblelift_suspects", Help: "Requests under which back ends ended, by whether they are watched or kept from back ends.",
+			ConstLabels: prometheus.Labels{"standing": standing.String()},
+		}, func() float64 { return float64(filter.Count(standing)) }))
+	}
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "bramblelift_evidence_lost_total", Help: "Ends of back ends and answers to suspects that were not told, since too much waited.",
+	}, func() float64 { return float64(outbox.Lost()) }))
+}
+
 // watchLink shows the bytes that cross the machine's link.
 func (o *observer) watchLink(registry prometheus.Registerer, m *link.Meter) {
 	for _, peer := range []link.Peer{link.Callers, link.Nodes, link.Control} {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"bramblelift/pkg/metrics"
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/registration"
 	"bramblelift/pkg/retry"
 	"bramblelift/pkg/routing"
@@ -83,6 +84,10 @@
 	interfaceListener net.Listener
 	interfaceHandler  http.Handler
 	observer          *observer
+	// quarantine knows requests under which back ends ended, suspects is what this node's gate has
+	// seen of them.
+	quarantine quarantine.Filter
+	suspects   quarantine.Outbox
 	// table is the newest one; only putInForce uses it.
 	table *routing.Table
 }
@@ -166,7 +171,7 @@
 		Logger:         s.logger,
 		Now:            s.clock.Elapsed,
 		OnConfirmed:    s.keeper.Confirmed,
-		Announcements:  s.announcements,
+		Announce:       s.announce,
 	}, s.keeper, candidates(s.settings))
 	return err
 }
@@ -191,7 +196,7 @@
 		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: s.observer.call,
 		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
 		Link:    s.link,
-		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
+		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt, Quarantine: &s.quarantine,
 		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() }, StaleLimit: time.Duration(s.settings.StaleLimit),
 	}
 	if s.settings.LinkMegabits > 0 {
@@ -315,6 +320,7 @@
 
 // putInForce swaps the table that calls are answered by.
 func (s *Server) putInForce(state *distribution.State) {
+	s.watch(state.Watchlist, state.Revision)
 	table := routing.Next(s.table, state)
 	s.table = table
 	if s.registry != nil {
--- /dev/null
+++ b/pkg/quarantine/filter_test.go
@@ -0,0 +1,73 @@
+package quarantine
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func post(path string) *http.Request {
+	return httptest.NewRequest("POST", "http://shop.example"+path, nil)
+}
+
+func TestFilterKnowsSuspectsByBodyAndWay(t *testing.T) {
+	is := is.New(t)
+	var filter Filter
+	body := []byte("fatal")
+	is.Equal(filter.Look(post("/a"), body, shop), Match{})
+	is.Equal((*Filter)(nil).Look(post("/a"), body, shop), Match{})
+	fatal, watched := Of(post("/a"), body), Of(post("/b"), nil)
+	list := &Watchlist{Modified: 3, Entries: []Entry{{Request: fatal, Quarantined: true, Answered: []Way{desk}}, {Request: watched}}}
+	is.True(filter.Set(list))
+	is.Equal(filter.Set(&Watchlist{Modified: 4, Entries: list.Entries}), false) // it says the same
+	is.Equal(filter.Look(post("/a"), body, shop), Match{Standing: Quarantined, Request: fatal})
+	is.Equal(filter.Look(post("/a"), body, desk), Match{Standing: Watched, Request: fatal, Answered: true})
+	is.Equal(filter.Look(post("/a"), []byte("harmless"), shop), Match{})
+	is.Equal(filter.Look(post("/c"), body, shop), Match{})
+	is.Equal(filter.Look(post("/b"), nil, shop), Match{Standing: Watched, Request: watched})
+	is.Equal(filter.Count(Quarantined), 1)
+	is.True(filter.Set(nil)) // no suspects any more
+	is.Equal(filter.Look(post("/a"), body, shop), Match{})
+	is.Equal(filter.Set(&Watchlist{Modified: 9}), false)
+}
+
+func TestOutboxRepeatsForAWhile(t *testing.T) {
+	is := is.New(t)
+	var outbox Outbox
+	end := End{Request: "r", Instance: "i1", Way: shop}
+	is.True(outbox.Ended(end))
+	is.Equal(outbox.Ended(end), false)
+	is.True(outbox.Answered(Answer{Request: "s", Way: desk}))
+	both := Evidence{Ends: []End{end}, Answers: []Answer{{Request: "s", Way: desk}}}
+	// Nothing is lost while there is nobody to tell.
+	is.Equal(outbox.Take(time.Hour), both)
+	is.Equal(outbox.Take(time.Hour+resendTime-1), both)
+	is.True(outbox.Take(time.Hour + resendTime).Empty())
+	for i := range maxWaiting + 2 {
+		outbox.Ended(End{Request: "r", Instance: string(rune('a' + i))})
+	}
+	is.Equal(len(outbox.Take(0).Ends), maxWaiting)
+	is.Equal(outbox.Lost(), 2)
+}
+
+// BenchmarkLook is what calls pay that are no suspects: without any suspects, with some, and with
+// one of the same method, host and path.
+func BenchmarkLook(b *testing.B) {
+	suspect := func(path, body string) *Watchlist {
+		return &Watchlist{Entries: []Entry{{Request: Of(post(path), []byte(body)), Quarantined: true}}}
+	}
+	for name, list := range map[string]*Watchlist{"none": nil, "others": suspect("/fatal", ""), "same path": suspect("/innocent/x", "fatal")} {
+		b.Run(name, func(b *testing.B) {
+			var filter Filter
+			filter.Set(list)
+			call, body := post("/innocent/x"), make([]byte, 1024)
+			b.ReportAllocs()
+			for b.Loop() {
+				filter.Look(call, body, shop)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/quarantine/judge.go
@@ -0,0 +1,95 @@
+package quarantine
+
+import "time"
+
+const (
+	// answerTime is how long nodes have known a suspect, and none has seen an answer to it, before
+	// it is kept from back ends. A request that is at three back ends at once by chance comes often
+	// enough to be answered within it; a node knows a suspect within a tenth of it.
+	answerTime = time.Second
+	// firstTerm is how long a first quarantine lasts, maxTerm the longest: each after a trial is
+	// twice as long as the one before. So a request that stays fatal is tried ten times in the
+	// first day, and one that has become harmless, since its service was mended, is let through
+	// within the term.
+	firstTerm = 10 * time.Minute
+	maxTerm   = 4 * time.Hour
+	// forgetTime is after how long a suspect that is not in quarantine is forgotten.
+	forgetTime = 10 * time.Minute
+	// idleLook is how long a judge sleeps that has nothing to decide, more than any term.
+	idleLook = 24 * time.Hour
+)
+
+// term is how long the quarantine of a suspect lasts.
+func (s *Suspect) term() time.Duration {
+	term := firstTerm
+	for range s.Terms {
+		term = min(2*term, maxTerm)
+	}
+	return term
+}
+
+// Judge decides on suspects by how long it has known them as they are; the leader has one, which
+// begins anew with each leader. It is not safe for concurrent use.
+type Judge struct {
+	known map[Fingerprint]knownSuspect
+}
+
+// knownSuspect is since when a suspect has been shown or quarantined, and unchanged.
+type knownSuspect struct {
+	shown, quarantined          bool
+	changed                     uint64
+	since, shownAt, unchangedAt time.Duration
+}
+
+// NewJudge returns a judge that knows nothing.
+func NewJudge() *Judge { return &Judge{known: map[Fingerprint]knownSuspect{}} }
+
+// Due returns the verdicts that are due, and after how long to look again if nothing changes.
+func (j *Judge) Due(now time.Duration, table *Table) (verdicts []Verdict, wait time.Duration) {
+	wait = idleLook
+	known := make(map[Fingerprint]knownSuspect)
+	if table != nil {
+		for i := range table.Suspects {
+			s := &table.Suspects[i]
+			known[s.Request] = j.observe(now, s)
+			ruling, due := decide(s, known[s.Request])
+			if due > now {
+				wait = min(wait, due-now)
+				continue
+			}
+			verdicts = append(verdicts, Verdict{Request: s.Request, Ruling: ruling})
+		}
+	}
+	j.known = known
+	return verdicts, wait
+}
+
+// observe notes since when a suspect has been as it is.
+func (j *Judge) observe(now time.Duration, s *Suspect) knownSuspect {
+	k, found := j.known[s.Request]
+	if !found {
+		return knownSuspect{shown: s.shown(), quarantined: s.Quarantined, changed: s.Changed, since: now, shownAt: now, unchangedAt: now}
+	}
+	if s.shown() && !k.shown {
+		k.shownAt = now
+	}
+	if s.Quarantined != k.quarantined {
+		k.since = now
+	}
+	if s.Changed != k.changed {
+		k.unchangedAt = now
+	}
+	k.shown, k.quarantined, k.changed = s.shown(), s.Quarantined, s.Changed
+	return k
+}
+
+// decide returns the next ruling on a suspect and when it is due if nothing changes.
+func decide(s *Suspect, k knownSuspect) (Ruling, time.Duration) {
+	switch {
+	case s.Quarantined:
+		return Lift, k.since + s.term()
+	case s.counted() >= QuarantineEnds:
+		return Impose, k.shownAt + answerTime
+	}
+	return Forget, k.unchangedAt + forgetTime
+}
--- /dev/null
+++ b/pkg/quarantine/table_test.go
@@ -0,0 +1,183 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var (
+	shop = Way{Caller: "shop", Service: "orders"}
+	desk = Way{Caller: "desk", Service: "orders"}
+)
+
+func ended(request, instance string, way Way) Change {
+	return Change{Evidence: Evidence{Ends: []End{{Request: Fingerprint(request), Instance: instance, Way: way}}}}
+}
+
+func answered(request string, way Way) Change {
+	return Change{Evidence: Evidence{Answers: []Answer{{Request: Fingerprint(request), Way: way}}}}
+}
+
+func ruled(request string, ruling Ruling) Change {
+	return Change{Verdicts: []Verdict{{Request: Fingerprint(request), Ruling: ruling}}}
+}
+
+// after returns a table after changes.
+func after(t *Table, changes ...Change) *Table {
+	for _, change := range changes {
+		t = t.With(change)
+	}
+	return t
+}
+
+func entries(t *Table) []Entry { return t.Watchlist(1).Entries }
+
+func TestThreeEndsWithoutAnswerMayBringQuarantine(t *testing.T) {
+	is := is.New(t)
+	var table *Table
+	table = after(table, ended("r", "i1", shop))
+	is.Equal(len(entries(table)), 0) // what one back end had is mostly innocent
+	table = after(table, ended("r", "i1", desk))
+	is.Equal(len(entries(table)), 0) // one instance ends once
+	table = after(table, ended("r", "i2", desk), ruled("r", Impose))
+	is.Equal(entries(table), []Entry{{Request: "r"}}) // two do not suffice, whatever a leader has said
+	table = after(table, ended("r", "i3", shop))
+	is.Equal(entries(table), []Entry{{Request: "r"}}) // three do not suffice without a verdict
+	table = after(table, ruled("r", Impose))
+	is.Equal(entries(table), []Entry{{Request: "r", Quarantined: true}})
+}
+
+// Requests that come often are at work wherever a back end ends for another reason. An answer tells
+// them from those under which back ends end.
+func TestAnswerVoidsEndsOnItsWay(t *testing.T) {
+	is := is.New(t)
+	table := after(nil, ended("r", "i1", shop), ended("r", "i2", shop), ended("r", "i3", shop), answered("r", shop), ruled("r", Impose))
+	is.Equal(len(entries(table)), 0)
+	is.True(table.News(ended("r", "i3", shop).Evidence).Empty()) // what a gate repeats does not count anew
+	// On another way nothing is known, so the request is kept away there, and not here.
+	table = after(table, ended("r", "i4", desk), ended("r", "i5", desk), ended("r", "i6", desk), ruled("r", Impose))
+	is.Equal(entries(table), []Entry{{Request: "r", Quarantined: true, Answered: []Way{shop}}})
+	// One more end there makes the answer old.
+	table = after(table, ended("r", "i7", shop))
+	is.Equal(entries(table), []Entry{{Request: "r", Quarantined: true, Answered: []Way{}}})
+}
+
+// An answer to a call that was under way when its request was quarantined shows that this was wrong.
+func TestAnswerEndsQuarantineThatRestsOnItsWay(t *testing.T) {
+	is := is.New(t)
+	table := after(nil, ended("r", "i1", shop), ended("r", "i2", shop), ended("r", "i3", shop), ruled("r", Impose))
+	is.True(entries(table)[0].Quarantined)
+	is.Equal(len(entries(after(table, answered("r", shop)))), 0)
+}
+
+func TestLiftedQuarantineIsATrial(t *testing.T) {
+	is := is.New(t)
+	table := after(nil, ended("r", "i1", shop), ended("r", "i2", shop), ended("r", "i3", shop), ended("r", "i4", shop), ruled("r", Impose), ruled("r", Lift))
+	is.Equal(entries(table), []Entry{{Request: "r"}})
+	is.Equal(table.Suspects[0].Terms, 1)
+	is.Equal(table.Suspects[0].counted(), QuarantineEnds-1) // one more is enough
+	table = after(table, ended("r", "i5", shop), ruled("r", Impose))
+	is.True(entries(table)[0].Quarantined)
+}
+
+func TestTableIsBoundedAndKeepsWhatMatters(t *testing.T) {
+	is := is.New(t)
+	table := after(nil, ended("fatal", "i1", shop), ended("fatal", "i2", shop), ended("fatal", "i3", shop), ruled("fatal", Impose),
+		ended("twice", "i1", shop), ended("twice", "i2", shop))
+	for i := range 3 * maxSuspects {
+		table = after(table, ended(fmt.Sprintf("innocent-%d", i), "i9", shop))
+	}
+	is.Equal(len(table.Suspects), maxSuspects)
+	is.Equal(entries(table), []Entry{{Request: "fatal", Quarantined: true}, {Request: "twice"}})
+	for i := range 3 * maxEnds {
+		table = after(table, ended("fatal", fmt.Sprintf("j%d", i), shop), answered("fatal", Way{Caller: fmt.Sprint(i)}))
+	}
+	is.Equal(len(table.find("fatal").Ends), maxEnds)
+	is.Equal(len(table.find("fatal").Answered), maxWays)
+}
+
+// A replica that starts from a snapshot must come to the same table as one that has seen it all.
+func TestTableIsAFunctionOfItsChanges(t *testing.T) {
+	is := is.New(t)
+	first := after(nil, ended("r", "i1", shop), ended("r", "i2", desk), answered("r", shop))
+	saved, err := json.Marshal(first)
+	is.NoErr(err)
+	var restored *Table
+	is.NoErr(json.Unmarshal(saved, &restored))
+	changes := []Change{ended("r", "i3", desk), ended("s", "i3", desk), ended("r", "i4", desk), ruled("r", Impose), ruled("s", Forget)}
+	is.Equal(after(restored, changes...), after(first, changes...))
+	is.Equal(first, after(nil, ended("r", "i1", shop), ended("r", "i2", desk), answered("r", shop)))           // changes leave earlier tables as they were
+	is.Equal(after(first, ended("r", "i1", shop), answered("unknown", shop), ruled("unknown", Impose)), first) // no news
+}
+
+func TestJudgeWaitsForAnAnswer(t *testing.T) {
+	is := is.New(t)
+	judge := NewJudge()
+	table := after(nil, ended("r", "i1", shop), ended("r", "i2", shop), ended("r", "i3", shop))
+	verdicts, wait := judge.Due(0, table)
+	is.Equal(len(verdicts), 0)
+	is.Equal(wait, answerTime)
+	verdicts, _ = judge.Due(answerTime, after(table, answered("r", shop)))
+	is.Equal(len(verdicts), 0)
+	judge = NewJudge()
+	judge.Due(0, table)
+	verdicts, _ = judge.Due(answerTime, table)
+	is.Equal(verdicts, []Verdict{{Request: "r", Ruling: Impose}})
+}
+
+// A suspect that nodes have known for a while is decided on at its third end.
+func TestJudgeCountsFromWhenNodesKnew(t *testing.T) {
+	is := is.New(t)
+	judge := NewJudge()
+	table := after(nil, ended("r", "i1", shop), ended("r", "i2", shop))
+	judge.Due(0, table)
+	table = after(table, ended("r", "i3", shop))
+	verdicts, _ := judge.Due(answerTime, table)
+	is.Equal(verdicts, []Verdict{{Request: "r", Ruling: Impose}})
+}
+
+func TestTermsOfQuarantineGrow(t *testing.T) {
+	is := is.New(t)
+	judge := NewJudge()
+	table := after(nil, ended("r", "i1", shop), ended("r", "i2", shop), ended("r", "i3", shop), ruled("r", Impose))
+	now, instance := time.Duration(0), 3
+	var terms []time.Duration
+	for range 7 {
+		_, wait := judge.Due(now, table)
+		terms = append(terms, wait)
+		now += wait
+		verdicts, _ := judge.Due(now, table)
+		is.Equal(verdicts, []Verdict{{Request: "r", Ruling: Lift}})
+		table = after(table, Change{Verdicts: verdicts})
+		judge.Due(now, table)
+		instance++
+		table = after(table, ended("r", fmt.Sprintf("i%d", instance), shop))
+		now += answerTime
+		verdicts, _ = judge.Due(now, table)
+		is.Equal(verdicts, []Verdict{{Request: "r", Ruling: Impose}}) // one end is enough on trial
+		table = after(table, Change{Verdicts: verdicts})
+	}
+	is.Equal(terms[0], firstTerm)
+	is.Equal(terms[1], 2*firstTerm)
+	is.Equal(terms[6], maxTerm)
+	is.True(slices.IsSorted(terms))
+}
+
+func TestInnocentSuspectsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	judge := NewJudge()
+	table := after(nil, ended("r", "i1", shop))
+	_, wait := judge.Due(0, table)
+	is.Equal(wait, forgetTime)
+	verdicts, _ := judge.Due(forgetTime, table)
+	is.Equal(verdicts, []Verdict{{Request: "r", Ruling: Forget}})
+	is.True(after(table, Change{Verdicts: verdicts}).Empty())
+	verdicts, wait = judge.Due(forgetTime, nil)
+	is.Equal(len(verdicts), 0)
+	is.Equal(wait, idleLook)
+}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -48,8 +48,8 @@
 	OnConfirmed func(at time.Duration)
 	// TakeReports, if set, returns the reports to send with the next ping.
 	TakeReports func() []protocol.NodeReport
-	// Announcements, if set, returns the back ends to announce with the next ping.
-	Announcements func() []distribution.Endpoint
+	// Announce, if set, returns what to announce with the next ping.
+	Announce func() protocol.Announce
 }
 
 const (
@@ -383,8 +383,9 @@
 	if s.client.config.TakeReports != nil {
 		ping.Reports = s.client.config.TakeReports()
 	}
-	if s.client.config.Announcements != nil {
-		ping.Announcements = s.client.config.Announcements()
+	if s.client.config.Announce != nil {
+		announced := s.client.config.Announce()
+		ping.Announcements, ping.Evidence = announced.Endpoints, announced.Evidence
 	}
 	return s.conn.Send(protocol.KindPing, ping)
 }
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -28,8 +28,8 @@
 	WantFresh func()
 	// OnReport, if set, is told what subscribers report.
 	OnReport func(protocol.NodeReport)
-	// OnAnnounce, if set, is told the back ends that subscribers announce.
-	OnAnnounce func([]distribution.Endpoint)
+	// OnAnnounce, if set, is told what subscribers announce.
+	OnAnnounce func(protocol.Announce)
 	// Servers, if set, returns all servers that a subscriber may go to.
 	Servers func() []protocol.Server
 }
@@ -251,8 +251,9 @@
 	if changed {
 		h.tellReport(s, true)
 	}
-	if h.config.OnAnnounce != nil && len(ping.Announcements) > 0 {
-		h.config.OnAnnounce(ping.Announcements)
+	announced := protocol.Announce{Endpoints: ping.Announcements, Evidence: ping.Evidence}
+	if h.config.OnAnnounce != nil && !announced.Empty() {
+		h.config.OnAnnounce(announced)
 	}
 	if h.config.OnReport == nil {
 		return
--- a/pkg/stream/hub_test.go
+++ b/pkg/stream/hub_test.go
@@ -9,6 +9,7 @@
 
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/wire"
 
 	"github.com/matryer/is"
@@ -23,7 +24,7 @@
 	confirmedAt time.Duration
 	confirmed   bool
 	servers     []protocol.Server
-	announced   []distribution.Endpoint
+	announced   []protocol.Announce
 }
 
 const (
@@ -47,10 +48,10 @@
 			defer f.mu.Unlock()
 			return f.servers
 		},
-		OnAnnounce: func(endpoints []distribution.Endpoint) {
+		OnAnnounce: func(announced protocol.Announce) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			f.announced = append(f.announced, endpoints...)
+			f.announced = append(f.announced, announced)
 		},
 	}, &distribution.State{})
 	near, far := net.Pipe()
@@ -124,10 +125,11 @@
 	var welcome protocol.Welcome
 	f.receive(t, protocol.KindWelcome, &welcome)
 	endpoint := distribution.Endpoint{Service: "s", ID: "a", Incarnation: 1, Gate: "10.0.0.1:9"}
-	f.ping(t, protocol.Ping{Sequence: 1, Announcements: []distribution.Endpoint{endpoint}})
+	evidence := &quarantine.Evidence{Ends: []quarantine.End{{Request: "r", Instance: "i", Way: quarantine.Way{Caller: "c", Service: "s"}}}}
+	f.ping(t, protocol.Ping{Sequence: 1, Announcements: []distribution.Endpoint{endpoint}, Evidence: evidence})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	is.Equal(f.announced, []distribution.Endpoint{endpoint})
+	is.Equal(f.announced, []protocol.Announce{{Endpoints: []distribution.Endpoint{endpoint}, Evidence: evidence}})
 }
 
 // A client keeps the server it is at when the list changes, and knows the new ones.
