--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -129,18 +129,21 @@
 	return &t.Suspects[i]
 }
 
-// News returns what of some evidence the table does not have: gates repeat theirs.
+// News returns what of some evidence the table does not have, each once: gates repeat theirs.
 func (t *Table) News(evidence Evidence) Evidence {
 	var news Evidence
 	for _, end := range evidence.Ends {
+		same := func(e End) bool { return e.Request == end.Request && e.Instance == end.Instance }
 		held := t.find(end.Request)
-		if held == nil || !slices.ContainsFunc(held.Ends, func(e End) bool { return e.Instance == end.Instance }) {
+		known := held != nil && slices.ContainsFunc(held.Ends, same)
+		if !known && !slices.ContainsFunc(news.Ends, same) {
 			news.Ends = append(news.Ends, end)
 		}
 	}
 	for _, answer := range evidence.Answers {
 		held := t.find(answer.Request)
-		if held != nil && !slices.Contains(held.Answered, answer.Way) {
+		known := held == nil || slices.Contains(held.Answered, answer.Way)
+		if !known && !slices.Contains(news.Answers, answer) {
 			news.Answers = append(news.Answers, answer)
 		}
 	}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -52,6 +52,20 @@
 	is.Equal(entries(table), []Entry{{Request: "r", Quarantined: true}})
 }
 
+// A node repeats its evidence with each message; two repeats may come to the leader together.
+func TestRepeatedEvidenceCountsOnce(t *testing.T) {
+	is := is.New(t)
+	end := ended("r", "i1", shop).Evidence
+	table := after(nil, Change{Evidence: end.Join(end).Join(end)})
+	is.Equal(table.Suspects[0].counted(), 1)
+	is.Equal(len((*Table)(nil).News(end.Join(end)).Ends), 1)
+	both := ended("r", "i2", shop).Evidence
+	table = after(table, Change{Evidence: both})
+	answer := answered("r", shop).Evidence
+	is.Equal(len(table.News(answer.Join(answer)).Answers), 1)
+	is.Equal(len(after(table, Change{Evidence: answer.Join(answer)}).Suspects[0].Answered), 1)
+}
+
 // Requests that come often are at work wherever a back end ends for another reason. An answer tells
 // them from those under which back ends end.
 func TestAnswerVoidsEndsOnItsWay(t *testing.T) {
