--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -155,6 +155,16 @@
 	return status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout && status != http.StatusNotImplemented
 }
 
+// Outlived reports whether a status shows that the back end has run a call and outlived it. Some
+// refuse without a word about it, and an error may come before the work.
+func Outlived(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return status < http.StatusInternalServerError
+}
+
 // String returns the report as HeaderReport carries it.
 func (r Report) String() string {
 	return fmt.Sprintf("%d,%d,%d,%d", r.Running, r.Queued, r.Capacity, r.Service.Microseconds())
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -60,7 +60,7 @@
 			status: http.StatusServiceUnavailable, retryAfter: readRetryAfter(response.Header),
 		}
 	}
-	c.noteAnswered()
+	c.noteAnswered(response.StatusCode)
 	c.pass(ctx, ticket, response)
 	return nil
 }
--- a/pkg/forward/quarantine.go
+++ b/pkg/forward/quarantine.go
@@ -40,8 +40,8 @@
 }
 
 // noteAnswered tells that a back end without a gate answered, if the call is watched.
-func (c *call) noteAnswered() {
-	if c.handler.config.OnAnswered == nil {
+func (c *call) noteAnswered(status int) {
+	if c.handler.config.OnAnswered == nil || !exchange.Outlived(status) {
 		return
 	}
 	if match := c.look(c.body.buffered); match.Standing != quarantine.Unsuspected && !match.Answered {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -274,7 +274,7 @@
 		}
 		return g.failed(call, granted, connected.Load(), r.Context(), wanted.deadline, err)
 	}
-	g.noteAnswered(r, body, granted)
+	g.noteAnswered(r, body, granted, response.StatusCode)
 	return g.answer(response, granted, call, cancel)
 }
 
--- a/pkg/gate/quarantine.go
+++ b/pkg/gate/quarantine.go
@@ -35,9 +35,9 @@
 	g.config.OnEnded(quarantine.End{Request: call.Fingerprint, Instance: granted.backend.ID, Way: way})
 }
 
-// noteAnswered takes in that the back end answered: whatever it says, it has outlived the call.
-func (g *Gate) noteAnswered(r *http.Request, body *exchange.Body, granted admittance) {
-	if g.config.OnAnswered == nil {
+// noteAnswered takes in that the back end answered.
+func (g *Gate) noteAnswered(r *http.Request, body *exchange.Body, granted admittance, status int) {
+	if g.config.OnAnswered == nil || !exchange.Outlived(status) {
 		return
 	}
 	match, way := g.look(r, body, granted)
--- a/pkg/gate/quarantine_test.go
+++ b/pkg/gate/quarantine_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -78,3 +79,26 @@
 	g.serve(callOf(t, "e", "fatal"))
 	is.Equal(len(answers), 1) // that is known
 }
+
+// A refusal of the back end, or an error of its, does not show that it outlives the request: one
+// that has just started refuses what was meant for the instance before it, and would clear the
+// request under which that one ended.
+func TestOnlyAnAnswerClearsASuspect(t *testing.T) {
+	for status, clears := range map[int]bool{200: true, 204: true, 302: true, 400: true, 404: true,
+		408: false, 421: false, 429: false, 500: false, 503: false, 504: false} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			address, _ := rawBackend(t, func(conn net.Conn, request *http.Request, _ int64) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nCall-Id: %s\r\nContent-Length: 0\r\n\r\n", status, request.Header.Get("Call-Id"))
+				return true
+			})
+			g := gateTo(address, 1)
+			cleared := false
+			g.config.OnAnswered = func(quarantine.Answer) { cleared = true }
+			g.config.Quarantine = &quarantine.Filter{}
+			g.config.Quarantine.Set(&quarantine.Watchlist{Entries: []quarantine.Entry{{Request: quarantine.Of(callOf(t, "any", ""), []byte("fatal"))}}})
+			is.Equal(g.serve(callOf(t, "a", "fatal")).StatusCode, status)
+			is.Equal(cleared, clears)
+		})
+	}
+}
