--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -5,7 +5,8 @@
 const (
 	// answerTime is how long nodes have known a suspect, and none has seen an answer to it, before
 	// it is kept from back ends. A request that is at three back ends at once by chance comes often
-	// enough to be answered within it; a node knows a suspect within a tenth of it.
+	// enough to be answered within it: innocent ones that were at up to seven ends in nine seconds,
+	// of 13, never were.
 	answerTime = time.Second
 	// firstTerm is how long a first quarantine lasts, maxTerm the longest: each after a trial is
 	// twice as long as the one before. So a request that stays fatal is tried ten times in the
