Operators see suspects and let one through again; no entry that a replica of the earlier program would pass over

During an upgrade an earlier program would apply entries about suspects as nothing and count fewer revisions than the others from then on; replicas say in their hello that they know them, and a leader proposes none while a member has said it does not.

--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -105,6 +105,8 @@
 	CodeOperationReused Code = "operation-id-reused"
 	// CodeUnknownVersion: there is no such version, or not any more.
 	CodeUnknownVersion Code = "unknown-version"
+	// CodeUnknownSuspect: no request of that fingerprint is in quarantine.
+	CodeUnknownSuspect Code = "unknown-suspect"
 	// CodeNotApproved: the version has no approval yet.
 	CodeNotApproved Code = "not-approved"
 	// CodeSuperseded: a later version is in force already.
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -37,6 +37,8 @@
 	mux.HandleFunc("GET "+operator.PathStatus, s.handleStatus)
 	mux.HandleFunc("GET "+operator.PathNodes, s.handleNodes)
 	mux.HandleFunc("GET "+operator.PathDiff, s.handleDiff)
+	mux.HandleFunc("GET "+operator.PathSuspects, s.handleSuspects)
+	mux.HandleFunc("POST "+operator.PathSuspects+"/{fingerprint}/lift", s.handleLift)
 }
 
 func refuse(code catalog.Code, format string, values ...any) *catalog.OperationError {
@@ -57,6 +59,7 @@
 	catalog.CodeConflict:        http.StatusConflict,
 	catalog.CodeOperationReused: http.StatusConflict,
 	catalog.CodeUnknownVersion:  http.StatusNotFound,
+	catalog.CodeUnknownSuspect:  http.StatusNotFound,
 	catalog.CodeNotApproved:     http.StatusConflict,
 	catalog.CodeSuperseded:      http.StatusConflict,
 	catalog.CodeInvalidBundle:   http.StatusUnprocessableEntity,
--- a/pkg/control/suspects.go
+++ b/pkg/control/suspects.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
+	"bramblelift/pkg/raft"
 )
 
 const (
@@ -53,7 +55,7 @@
 	leading := false
 	err := s.inspect(ctx, func(now time.Duration) {
 		node := s.replica.Node()
-		leading = node.LeaseValid(now)
+		leading = node.LeaseValid(now) && s.suspectsKnownToAll()
 		evidence = s.replica.State().Suspects.News(evidence)
 		if !leading && node.Leader() != node.ID() && !evidence.Empty() {
 			s.peers.announce(node.Leader(), protocol.Announce{Evidence: &evidence})
@@ -62,11 +64,12 @@
 	if err != nil || !leading || evidence.Empty() {
 		return
 	}
-	s.proposeSuspects(ctx, quarantine.Change{Evidence: evidence})
+	_, _ = s.proposeSuspects(ctx, quarantine.Change{Evidence: evidence})
 }
 
-func (s *Server) proposeSuspects(ctx context.Context, change quarantine.Change) {
-	_, err := s.propose(ctx, catalog.Command{Suspects: &change})
+// proposeSuspects has a change of the suspects agreed on, and logs it. What failed comes again.
+func (s *Server) proposeSuspects(ctx context.Context, change quarantine.Change) (catalog.Result, error) {
+	result, err := s.propose(ctx, catalog.Command{Suspects: &change})
 	for _, end := range change.Evidence.Ends {
 		s.logger.Log("event", "backend_ended", "instance", end.Instance, "service", end.Way.Service, "caller", end.Way.Caller,
 			"fingerprint", end.Request.Short(), "error", err)
@@ -78,6 +81,27 @@
 	for _, verdict := range change.Verdicts {
 		s.logger.Log("event", "quarantine", "fingerprint", verdict.Request.Short(), "ruling", string(verdict.Ruling), "error", err)
 	}
+	return result, err
+}
+
+// noteProgram takes in whether another replica's program knows entries about suspects.
+func (s *Server) noteProgram(hello protocol.Hello) {
+	s.olderMu.Lock()
+	defer s.olderMu.Unlock()
+	if s.older[hello.Address] != hello.KnowsSuspects {
+		return
+	}
+	s.older[hello.Address] = !hello.KnowsSuspects
+	s.logger.Log("event", "replica_program", "replica", hello.Address, "knows_suspects", hello.KnowsSuspects)
+}
+
+// suspectsKnownToAll reports whether no replica is known to run an earlier program. It would pass
+// over entries about suspects, and from then on count fewer revisions than the others: nodes that
+// come to it from them would miss changes. It runs in the driver's goroutine.
+func (s *Server) suspectsKnownToAll() bool {
+	s.olderMu.Lock()
+	defer s.olderMu.Unlock()
+	return !slices.ContainsFunc(s.replica.Node().Membership().Members, func(m raft.Member) bool { return s.older[m.Address] })
 }
 
 // noteSuspects wakes the judge if there are suspects. It runs in the driver's goroutine.
@@ -131,7 +155,7 @@
 		return leadLook
 	}
 	if len(verdicts) > 0 {
-		s.proposeSuspects(ctx, quarantine.Change{Verdicts: verdicts})
+		_, _ = s.proposeSuspects(ctx, quarantine.Change{Verdicts: verdicts})
 		wait = min(wait, evidenceSpacing)
 	}
 	return wait
--- /dev/null
+++ b/pkg/control/suspects_operator.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/operator"
+	"bramblelift/pkg/quarantine"
+)
+
+func (s *Server) handleSuspects(w http.ResponseWriter, r *http.Request) {
+	list := operator.SuspectList{Suspects: []operator.Suspect{}}
+	err := s.readLeased(r.Context(), func(time.Duration) {
+		for _, suspect := range s.replica.State().Suspects.All() {
+			list.Suspects = append(list.Suspects, operator.Suspect{
+				Fingerprint: suspect.Request.Short(), Standing: suspect.Standing().String(), Ends: suspect.Ends, Terms: suspect.Terms,
+			})
+		}
+	})
+	answer(w, list, err)
+}
+
+func (s *Server) handleLift(w http.ResponseWriter, r *http.Request) {
+	result, err := s.lift(r.Context(), r.PathValue("fingerprint"))
+	answer(w, result, err)
+}
+
+// lift lets a quarantined request through again.
+func (s *Server) lift(ctx context.Context, fingerprint string) (catalog.Result, error) {
+	var verdicts []quarantine.Verdict
+	err := s.readLeased(ctx, func(time.Duration) {
+		for _, suspect := range s.replica.State().Suspects.All() {
+			if suspect.Quarantined && suspect.Request.Short() == fingerprint {
+				verdicts = append(verdicts, quarantine.Verdict{Request: suspect.Request, Ruling: quarantine.Lift})
+			}
+		}
+	})
+	if err != nil {
+		return catalog.Result{}, err
+	}
+	if len(verdicts) == 0 {
+		return catalog.Result{}, refuse(catalog.CodeUnknownSuspect, "no request with fingerprint %q is in quarantine", fingerprint)
+	}
+	return s.proposeSuspects(ctx, quarantine.Change{Verdicts: verdicts})
+}
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -117,7 +117,7 @@
 // beliefs are the events that change what a process believes.
 var beliefs = []string{
 	"started", "stopping", "stopped", "settings_reload", "backend", "version_in_force",
-	"subscribed", "subscription_ended", "subscription_moves", "subscription_stays", "lines_left_out", "lines_dropped",
+	"request_suspected", "subscribed", "subscription_ended", "subscription_moves", "subscription_stays", "lines_left_out", "lines_dropped",
 }
 
 // Find returns what the lines say of a request.
@@ -173,6 +173,7 @@
 	"choose back end":        "the node knew no back end that could take the call",
 	"gate":                   "no back end was reached: the gates that were asked refused the call, the reason is the last one's",
 	"throttle":               "no gate was asked (once more): nearly all had refused calls of the route, and the node's link was busy",
+	"quarantine":             "back ends ended while they had the same request, so it is kept from them: look for its fingerprint in the lines of control, backend_ended and quarantine, and in bramblectl suspects",
 	"exchange with back end": "a back end was reached and brought no whole answer of its own",
 }
 
--- a/pkg/operator/api.go
+++ b/pkg/operator/api.go
@@ -5,6 +5,7 @@
 import (
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/quarantine"
 )
 
 // Paths of the calls. A version number replaces {version}.
@@ -14,6 +15,7 @@
 	PathStatus       = "/v1/status"
 	PathNodes        = "/v1/nodes"
 	PathDiff         = "/v1/diff"
+	PathSuspects     = "/v1/suspects"
 )
 
 // CreateRequest makes a version. Just one of TOML, Source and FromVersion is set.
@@ -101,6 +103,25 @@
 	PlatformError string `json:"platform_error,omitempty"`
 }
 
+// Suspect is a request that back ends had when they ended.
+type Suspect struct {
+	// Fingerprint is as logs show it.
+	Fingerprint string `json:"fingerprint"`
+	// Standing says whether it is kept from back ends, or watched by nodes; otherwise nodes do not
+	// know of it.
+	Standing string `json:"standing"`
+	// Ends are the back ends that ended, the newest last; Void ones do not count, since an answer
+	// came after them.
+	Ends []quarantine.End `json:"ends"`
+	// Terms is how often a quarantine of it has run out.
+	Terms int `json:"terms"`
+}
+
+// SuspectList answers a call for all suspects.
+type SuspectList struct {
+	Suspects []Suspect `json:"suspects"`
+}
+
 // Node describes one node as a control replica last heard of it.
 type Node struct {
 	Name      string `json:"name"`
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -74,6 +74,8 @@
 	Position distribution.Position
 	// Address is where a replica can be reached.
 	Address string
+	// KnowsSuspects is set by replicas whose program knows log entries about suspects.
+	KnowsSuspects bool
 }
 
 // Welcome accepts a connection.
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -49,17 +49,14 @@
 func (j *Judge) Due(now time.Duration, table *Table) (verdicts []Verdict, wait time.Duration) {
 	wait = idleLook
 	known := make(map[Fingerprint]knownSuspect)
-	if table != nil {
-		for i := range table.Suspects {
-			s := &table.Suspects[i]
-			known[s.Request] = j.observe(now, s)
-			ruling, due := decide(s, known[s.Request])
-			if due > now {
-				wait = min(wait, due-now)
-				continue
-			}
-			verdicts = append(verdicts, Verdict{Request: s.Request, Ruling: ruling})
+	for _, s := range table.All() {
+		known[s.Request] = j.observe(now, &s)
+		ruling, due := decide(&s, known[s.Request])
+		if due > now {
+			wait = min(wait, due-now)
+			continue
 		}
+		verdicts = append(verdicts, Verdict{Request: s.Request, Ruling: ruling})
 	}
 	j.known = known
 	return verdicts, wait
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -104,6 +104,17 @@
 	return count
 }
 
+// Standing is that on ways on which no answer is known.
+func (s *Suspect) Standing() Standing {
+	switch {
+	case s.Quarantined:
+		return Quarantined
+	case s.shown():
+		return Watched
+	}
+	return Unsuspected
+}
+
 // shown reports whether nodes must know of the suspect.
 func (s *Suspect) shown() bool { return s.Quarantined || s.counted() >= WatchEnds }
 
@@ -118,6 +129,14 @@
 // Empty reports whether there are no suspects.
 func (t *Table) Empty() bool { return t == nil || len(t.Suspects) == 0 }
 
+// All returns the suspects, which must not be changed.
+func (t *Table) All() []Suspect {
+	if t == nil {
+		return nil
+	}
+	return t.Suspects
+}
+
 func (t *Table) find(request Fingerprint) *Suspect {
 	if t == nil {
 		return nil
--- a/test/integration/command_test.go
+++ b/test/integration/command_test.go
@@ -78,6 +78,8 @@
 	expect(ctl.ExitUsage, "", "bundle", "roll")
 	expect(ctl.ExitUsage, "", "dance")
 
+	expect(ctl.ExitOK, "FINGERPRINT", "suspects")
+	expect(ctl.ExitRefused, "unknown-suspect", "suspects", "--lift", "0123456789abcdef01234567")
 	var status operator.Status
 	is.NoErr(json.Unmarshal([]byte(expect(ctl.ExitOK, "{", "status", "--json")), &status))
 	is.Equal(status.Head, uint64(4))
