--- a/pkg/control/suspects.go
+++ b/pkg/control/suspects.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// evidenceSpacing is between two commits of evidence. Nodes are to know a suspect well before
-	// the third back end has ended under it.
-	evidenceSpacing = 100 * time.Millisecond
+	// evidenceSpacing is between two commits of evidence: each may send every node its list of
+	// suspects, a kilobyte, so that while back ends end all the time a node gets 4 kB a second at
+	// most. It is short beside the seconds in which a request must be known.
+	evidenceSpacing = 250 * time.Millisecond
 	// leadLook is how soon a replica that does not lead looks again whether it must judge.
 	leadLook = time.Second
 )
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 const (
 	// WatchEnds back ends that ended while they had a request make it watched: what one had is
@@ -11,9 +14,12 @@
 	// answered elsewhere within answerTime.
 	QuarantineEnds = 3
 	// maxSuspects bounds the table. A back end that ends makes suspects of what it had, some ten
-	// requests, nearly all of which are soon forgotten. Entries take some 300 bytes at a replica
-	// and 60 bytes in a message to nodes, which get only the watched and quarantined ones.
+	// requests, nearly all of which are soon forgotten.
 	maxSuspects = 128
+	// maxWatched bounds how many of those that are not in quarantine nodes are told of at a time,
+	// whose list is sent whole when it changes. It then takes a kilobyte, or six if 128 requests are
+	// in quarantine (TestWatchlistIsSmall). Others wait until some are answered.
+	maxWatched = 16
 	// maxEnds and maxWays bound what is remembered of one suspect.
 	maxEnds = 8
 	maxWays = 8
@@ -109,14 +115,14 @@
 	switch {
 	case s.Quarantined:
 		return Quarantined
-	case s.shown():
+	case s.suspicious():
 		return Watched
 	}
 	return Unsuspected
 }
 
-// shown reports whether nodes must know of the suspect.
-func (s *Suspect) shown() bool { return s.Quarantined || s.counted() >= WatchEnds }
+// suspicious reports whether nodes should know of the suspect.
+func (s *Suspect) suspicious() bool { return s.Quarantined || s.counted() >= WatchEnds }
 
 // Table is what is known of all suspects. It is immutable; nil is an empty one.
 type Table struct {
@@ -270,7 +276,7 @@
 	for len(t.Suspects) > maxSuspects {
 		least := 0
 		for i := range t.Suspects {
-			if t.Suspects[i].lessSuspect(&t.Suspects[least]) {
+			if t.Suspects[i].compare(&t.Suspects[least]) < 0 {
 				least = i
 			}
 		}
@@ -278,14 +284,16 @@
 	}
 }
 
-func (s *Suspect) lessSuspect(other *Suspect) bool {
-	if s.Quarantined != other.Quarantined {
-		return other.Quarantined
-	}
-	if own, others := s.counted(), other.counted(); own != others {
-		return own < others
+// compare orders suspects by how much they matter, the least first: those in quarantine come after
+// all others, then it is more ends, then the later change.
+func (s *Suspect) compare(other *Suspect) int {
+	switch {
+	case s.Quarantined && !other.Quarantined:
+		return 1
+	case !s.Quarantined && other.Quarantined:
+		return -1
 	}
-	return s.Changed < other.Changed
+	return cmp.Or(cmp.Compare(s.counted(), other.counted()), cmp.Compare(s.Changed, other.Changed))
 }
 
 // Entry is what nodes know of a suspect.
@@ -307,15 +315,31 @@
 // Watchlist returns what nodes are to know.
 func (t *Table) Watchlist(revision uint64) *Watchlist {
 	list := &Watchlist{Modified: revision}
-	if t == nil {
-		return list
+	for _, s := range t.told() {
+		list.Entries = append(list.Entries, Entry{Request: s.Request, Quarantined: s.Quarantined, Answered: s.Answered})
 	}
-	for _, s := range t.Suspects {
-		if s.shown() {
-			list.Entries = append(list.Entries, Entry{Request: s.Request, Quarantined: s.Quarantined, Answered: s.Answered})
+	// The same suspects are the same list, whichever changed last.
+	slices.SortFunc(list.Entries, func(a, b Entry) int { return cmp.Compare(a.Request, b.Request) })
+	return list
+}
+
+// told returns the suspects that nodes know: all that are in quarantine, then those with the most
+// ends up to maxWatched.
+func (t *Table) told() []Suspect {
+	var told []Suspect
+	for _, s := range t.All() {
+		if s.suspicious() {
+			told = append(told, s)
 		}
 	}
-	return list
+	slices.SortStableFunc(told, func(a, b Suspect) int { return -a.compare(&b) })
+	watched := 0
+	return slices.DeleteFunc(told, func(s Suspect) bool {
+		if !s.Quarantined {
+			watched++
+		}
+		return watched > maxWatched
+	})
 }
 
 // Same reports whether two lists say the same.
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"bytes"
+	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -115,6 +117,54 @@
 	is.Equal(len(table.find("fatal").Answered), maxWays)
 }
 
+// While back ends end all the time, many innocent requests are at two or three of them. Nodes are told
+// of a few at a time, and only what they know of can be quarantined.
+func TestNodesKnowAFewSuspectsAtATime(t *testing.T) {
+	is := is.New(t)
+	table := after(nil, ended("fatal", "i1", shop), ended("fatal", "i2", shop), ended("fatal", "i3", shop), ruled("fatal", Impose))
+	const popular = 3 * maxWatched
+	for i := range popular {
+		for _, instance := range []string{"i1", "i2", "i3"} {
+			table = after(table, ended(fmt.Sprintf("popular-%d", i), instance, shop))
+		}
+	}
+	judge, now := NewJudge(), time.Duration(0)
+	for cleared := 0; cleared < popular; {
+		is.True(entries(table)[0].Quarantined) // what is in quarantine goes first
+		watched := entries(table)[1:]
+		is.Equal(len(watched), min(maxWatched, popular-cleared))
+		verdicts, _ := judge.Due(now, table)
+		is.Equal(len(verdicts), 0) // nobody can have answered what nodes did not know
+		for _, entry := range watched {
+			table = after(table, answered(string(entry.Request), shop))
+			cleared++
+		}
+		now += answerTime
+	}
+	is.Equal(len(entries(table)), 1)
+}
+
+// What a node is sent when the list changes, with its type's description.
+func TestWatchlistIsSmall(t *testing.T) {
+	is := is.New(t)
+	size := func(quarantined int) int {
+		var table *Table
+		for i := range maxSuspects {
+			request := fmt.Sprintf("%040d", i)
+			table = after(table, ended(request, "i1", shop), ended(request, "i2", shop), ended(request, "i3", shop))
+			if i < quarantined {
+				table = after(table, ruled(request, Impose))
+			}
+		}
+		var encoded bytes.Buffer
+		is.NoErr(gob.NewEncoder(&encoded).Encode(table.Watchlist(1)))
+		return encoded.Len()
+	}
+	t.Logf("%d bytes with none in quarantine, %d with all", size(0), size(maxSuspects))
+	is.True(size(0) <= 1024)
+	is.True(size(maxSuspects) <= 6*1024+256)
+}
+
 // A replica that starts from a snapshot must come to the same table as one that has seen it all.
 func TestTableIsAFunctionOfItsChanges(t *testing.T) {
 	is := is.New(t)
