--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -91,7 +91,7 @@
 	switch {
 	case s.Quarantined:
 		return Lift, k.since + s.term()
-	case s.counted() >= QuarantineEnds && k.told:
+	case s.counted() >= quarantineEnds && k.told:
 		return Impose, k.toldAt + answerTime
 	}
 	return Forget, k.unchangedAt + forgetTime
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// WatchEnds back ends that ended while they had a request make it watched: what one had is
+	// watchEnds back ends that ended while they had a request make it watched: what one had is
 	// mostly innocent, and with two there is time to look for an answer before a third.
-	WatchEnds = 2
-	// QuarantineEnds back ends that ended, with no answer in between, keep a request from more.
+	watchEnds = 2
+	// quarantineEnds back ends that ended, with no answer in between, keep a request from more.
 	// By chance that happens to a request that is at work nearly all the time, which then is
 	// answered elsewhere within answerTime.
-	QuarantineEnds = 3
+	quarantineEnds = 3
 	// maxSuspects bounds the table. A back end that ends makes suspects of what it had, some ten
 	// requests, nearly all of which are soon forgotten.
 	maxSuspects = 128
@@ -25,67 +25,6 @@
 	maxWays = 8
 )
 
-// Way is on whose behalf a request goes to which service. One may be harmless to the back ends of
-// one service and end those of another, such as a new version's, and a caller's credentials may
-// decide.
-type Way struct {
-	Caller  string `json:"caller,omitempty"`
-	Service string `json:"service,omitempty"`
-}
-
-// End is the end of a back end that had a request.
-type End struct {
-	Request  Fingerprint `json:"request"`
-	Instance string      `json:"instance"`
-	Way      Way         `json:"way"`
-	// Void ends do not count any more: an answer came on their way after them.
-	Void bool `json:"void,omitempty"`
-}
-
-// Answer is a back end's answer to a suspect.
-type Answer struct {
-	Request Fingerprint `json:"request"`
-	Way     Way         `json:"way"`
-}
-
-// Evidence is what gates have seen.
-type Evidence struct {
-	Ends    []End    `json:"ends,omitempty"`
-	Answers []Answer `json:"answers,omitempty"`
-}
-
-// Empty reports whether there is none.
-func (e Evidence) Empty() bool { return len(e.Ends) == 0 && len(e.Answers) == 0 }
-
-// Join adds other evidence after this.
-func (e Evidence) Join(other Evidence) Evidence {
-	return Evidence{Ends: slices.Concat(e.Ends, other.Ends), Answers: slices.Concat(e.Answers, other.Answers)}
-}
-
-// Ruling is what the leader decides on a suspect.
-type Ruling string
-
-const (
-	// Impose keeps the request from back ends.
-	Impose Ruling = "impose"
-	// Lift lets it through again, on trial: one more end and it is kept away for longer.
-	Lift Ruling = "lift"
-	// Forget drops the suspect.
-	Forget Ruling = "forget"
-)
-
-// Verdict is a ruling on one suspect.
-type Verdict struct {
-	Request Fingerprint `json:"request"`
-	Ruling  Ruling      `json:"ruling"`
-}
-
-// Change is what changes a table: evidence, then verdicts.
-type Change struct {
-	Evidence Evidence  `json:"evidence,omitzero"`
-	Verdicts []Verdict `json:"verdicts,omitempty"`
-}
-
 // Suspect is a request that back ends had when they ended.
 type Suspect struct {
 	Request Fingerprint `json:"request"`
@@ -122,7 +61,7 @@
 }
 
 // suspicious reports whether nodes should know of the suspect.
-func (s *Suspect) suspicious() bool { return s.Quarantined || s.counted() >= WatchEnds }
+func (s *Suspect) suspicious() bool { return s.Quarantined || s.counted() >= watchEnds }
 
 // Table is what is known of all suspects. It is immutable; nil is an empty one.
 type Table struct {
@@ -244,7 +183,7 @@
 		return false
 	}
 	switch {
-	case verdict.Ruling == Impose && !s.Quarantined && s.counted() >= QuarantineEnds:
+	case verdict.Ruling == Impose && !s.Quarantined && s.counted() >= quarantineEnds:
 		t.edit(s)
 		s.Quarantined = true
 	case verdict.Ruling == Lift && s.Quarantined:
@@ -262,7 +201,7 @@
 
 // onTrial leaves one end less to count than a quarantine takes.
 func (s *Suspect) onTrial() {
-	excess := s.counted() - (QuarantineEnds - 1)
+	excess := s.counted() - (quarantineEnds - 1)
 	for i := range s.Ends {
 		if excess > 0 && !s.Ends[i].Void {
 			s.Ends[i].Void = true
@@ -295,71 +234,3 @@
 	}
 	return cmp.Or(cmp.Compare(s.counted(), other.counted()), cmp.Compare(s.Changed, other.Changed))
 }
-
-// Entry is what nodes know of a suspect.
-type Entry struct {
-	Request     Fingerprint `json:"request"`
-	Quarantined bool        `json:"quarantined,omitempty"`
-	// Answered ways are not in quarantine.
-	Answered []Way `json:"answered,omitempty"`
-}
-
-// Watchlist is what nodes know of all suspects that are watched or quarantined. It is immutable;
-// nil is an empty one.
-type Watchlist struct {
-	// Modified is the revision of the distributed state that changed it last.
-	Modified uint64  `json:"modified"`
-	Entries  []Entry `json:"entries,omitempty"`
-}
-
-// Watchlist returns what nodes are to know.
-func (t *Table) Watchlist(revision uint64) *Watchlist {
-	list := &Watchlist{Modified: revision}
-	for _, s := range t.told() {
-		list.Entries = append(list.Entries, Entry{Request: s.Request, Quarantined: s.Quarantined, Answered: s.Answered})
-	}
-	// The same suspects are the same list, whichever changed last.
-	slices.SortFunc(list.Entries, func(a, b Entry) int { return cmp.Compare(a.Request, b.Request) })
-	return list
-}
-
-// told returns the suspects that nodes know: all that are in quarantine, then those with the most
-// ends up to maxWatched.
-func (t *Table) told() []Suspect {
-	var told []Suspect
-	for _, s := range t.All() {
-		if s.suspicious() {
-			told = append(told, s)
-		}
-	}
-	slices.SortStableFunc(told, func(a, b Suspect) int { return -a.compare(&b) })
-	watched := 0
-	return slices.DeleteFunc(told, func(s Suspect) bool {
-		if !s.Quarantined {
-			watched++
-		}
-		return watched > maxWatched
-	})
-}
-
-// Same reports whether two lists say the same.
-func (l *Watchlist) Same(other *Watchlist) bool {
-	return slices.EqualFunc(l.entries(), other.entries(), func(a, b Entry) bool {
-		return a.Request == b.Request && a.Quarantined == b.Quarantined && slices.Equal(a.Answered, b.Answered)
-	})
-}
-
-func (l *Watchlist) entries() []Entry {
-	if l == nil {
-		return nil
-	}
-	return l.Entries
-}
-
-// Since returns the list if it changed after a revision, or else nil.
-func (l *Watchlist) Since(revision uint64) *Watchlist {
-	if l == nil || l.Modified <= revision {
-		return nil
-	}
-	return l
-}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -96,7 +96,7 @@
 	table := after(nil, ended("r", "i1", shop), ended("r", "i2", shop), ended("r", "i3", shop), ended("r", "i4", shop), ruled("r", Impose), ruled("r", Lift))
 	is.Equal(entries(table), []Entry{{Request: "r"}})
 	is.Equal(table.Suspects[0].Terms, 1)
-	is.Equal(table.Suspects[0].counted(), QuarantineEnds-1) // one more is enough
+	is.Equal(table.Suspects[0].counted(), quarantineEnds-1) // one more is enough
 	table = after(table, ended("r", "i5", shop), ruled("r", Impose))
 	is.True(entries(table)[0].Quarantined)
 }
