No verdict on suspects either while a replica of the earlier program is a member

Found on reading the change over: the guard stood in front of evidence only; a leader's verdicts and an operator's lift are entries that such a replica passes over just as well. One function says whether a replica decides on suspects, for all three. TestNoEntriesThatAReplicaDoesNotKnow, extended, seen failing (a quarantine was imposed).

--- a/pkg/control/suspects.go
+++ b/pkg/control/suspects.go
@@ -16,7 +16,7 @@
 	// suspects, a kilobyte, so that while back ends end all the time a node gets 4 kB a second at
 	// most. It is short beside the seconds in which a request must be known.
 	evidenceSpacing = 250 * time.Millisecond
-	// leadLook is how soon a replica that does not lead looks again whether it must judge.
+	// leadLook is how soon a replica that does not decide on suspects looks again whether it must.
 	leadLook = time.Second
 )
 
@@ -56,7 +56,7 @@
 	leading := false
 	err := s.inspect(ctx, func(now time.Duration) {
 		node := s.replica.Node()
-		leading = node.LeaseValid(now) && s.suspectsKnownToAll()
+		leading = s.decidesOnSuspects(now)
 		evidence = s.replica.State().Suspects.News(evidence)
 		if !leading && node.Leader() != node.ID() && !evidence.Empty() {
 			s.peers.announce(node.Leader(), protocol.Announce{Evidence: &evidence})
@@ -105,6 +105,12 @@
 	return !slices.ContainsFunc(s.replica.Node().Membership().Members, func(m raft.Member) bool { return s.older[m.Address] })
 }
 
+// decidesOnSuspects reports whether this replica leads and may propose entries about suspects. It
+// runs in the driver's goroutine.
+func (s *Server) decidesOnSuspects(now time.Duration) bool {
+	return s.replica.Node().LeaseValid(now) && s.suspectsKnownToAll()
+}
+
 // noteSuspects wakes the judge if there are suspects. It runs in the driver's goroutine.
 func (s *Server) noteSuspects() {
 	if s.replica.State().Suspects.Empty() {
@@ -142,7 +148,7 @@
 	var verdicts []quarantine.Verdict
 	var wait time.Duration
 	err := s.inspect(ctx, func(now time.Duration) {
-		leading = s.replica.Node().LeaseValid(now)
+		leading = s.decidesOnSuspects(now)
 		table := s.replica.State().Suspects
 		if !leading {
 			table = nil
--- a/pkg/control/suspects_operator.go
+++ b/pkg/control/suspects_operator.go
@@ -30,7 +30,9 @@
 // lift lets a quarantined request through again.
 func (s *Server) lift(ctx context.Context, fingerprint string) (catalog.Result, error) {
 	var verdicts []quarantine.Verdict
-	err := s.readLeased(ctx, func(time.Duration) {
+	decides := false
+	err := s.readLeased(ctx, func(now time.Duration) {
+		decides = s.decidesOnSuspects(now)
 		for _, suspect := range s.replica.State().Suspects.All() {
 			if suspect.Quarantined && suspect.Request.Short() == fingerprint {
 				verdicts = append(verdicts, quarantine.Verdict{Request: suspect.Request, Ruling: quarantine.Lift})
@@ -40,6 +42,9 @@
 	if err != nil {
 		return catalog.Result{}, err
 	}
+	if !decides {
+		return catalog.Result{}, refuse(catalog.CodeUnavailable, "a replica of an earlier program is a member: it does not know suspects")
+	}
 	if len(verdicts) == 0 {
 		return catalog.Result{}, refuse(catalog.CodeUnknownSuspect, "no request with fingerprint %q is in quarantine", fingerprint)
 	}
--- a/pkg/control/suspects_test.go
+++ b/pkg/control/suspects_test.go
@@ -99,4 +99,19 @@
 	server.noteProgram(protocol.Hello{Address: address, KnowsSuspects: true})
 	server.takeEvidence(endsOf("r", "i1", "i2"))
 	awaitStanding(t, server, "r", false)
+
+	// Verdicts are such entries, too, the leader's and an operator's.
+	server.takeEvidence(endsOf("r", "i3"))
+	time.Sleep(2 * evidenceSpacing)
+	server.noteProgram(protocol.Hello{Address: address})
+	time.Sleep(1500 * time.Millisecond)
+	is.Equal(standings(t, server), map[quarantine.Fingerprint]bool{"r": false})
+	server.noteProgram(protocol.Hello{Address: address, KnowsSuspects: true})
+	awaitStanding(t, server, "r", true)
+	server.noteProgram(protocol.Hello{Address: address})
+	_, err = server.lift(context.Background(), "r")
+	var refused *catalog.OperationError
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Code, catalog.CodeUnavailable)
+	is.Equal(standings(t, server), map[quarantine.Fingerprint]bool{"r": true})
 }
