--- a/pkg/gate/quarantine.go
+++ b/pkg/gate/quarantine.go
@@ -7,16 +7,24 @@
 	"bramblelift/pkg/quarantine"
 )
 
-// look returns what is known of a call, and on which way it comes.
-func (g *Gate) look(r *http.Request, body *exchange.Body, granted admittance) (quarantine.Match, quarantine.Way) {
-	way := quarantine.Way{Caller: r.Header.Get(g.config.Headers.Caller), Service: granted.backend.Service}
-	return g.config.Quarantine.Look(r, body.Data(), way), way
+// look returns what is known of a call. Every call comes here, and nearly always there are no
+// suspects: not even the way is worked out then.
+func (g *Gate) look(r *http.Request, body *exchange.Body, granted admittance) quarantine.Match {
+	if g.config.Quarantine.Empty() {
+		return quarantine.Match{}
+	}
+	return g.config.Quarantine.Look(r, body.Data(), g.way(r, granted))
+}
+
+// way is on whose behalf a call goes to the back end.
+func (g *Gate) way(r *http.Request, granted admittance) quarantine.Way {
+	return quarantine.Way{Caller: r.Header.Get(g.config.Headers.Caller), Service: granted.backend.Service}
 }
 
 // quarantined reports whether a call must not reach the back end. Callers' nodes look before they
 // send; this is the last look, after the call has waited, and for nodes that know less.
 func (g *Gate) quarantined(r *http.Request, body *exchange.Body, granted admittance, call *Call) bool {
-	match, _ := g.look(r, body, granted)
+	match := g.look(r, body, granted)
 	if match.Standing != quarantine.Quarantined {
 		return false
 	}
@@ -31,8 +39,7 @@
 	if g.config.OnEnded == nil {
 		return
 	}
-	_, way := g.look(r, body, granted)
-	g.config.OnEnded(quarantine.End{Request: call.Fingerprint, Instance: granted.backend.ID, Way: way})
+	g.config.OnEnded(quarantine.End{Request: call.Fingerprint, Instance: granted.backend.ID, Way: g.way(r, granted)})
 }
 
 // noteAnswered takes in that the back end answered.
@@ -40,9 +47,9 @@
 	if g.config.OnAnswered == nil || !exchange.Outlived(status) {
 		return
 	}
-	match, way := g.look(r, body, granted)
+	match := g.look(r, body, granted)
 	if match.Standing == quarantine.Unsuspected || match.Answered {
 		return
 	}
-	g.config.OnAnswered(quarantine.Answer{Request: match.Request, Way: way})
+	g.config.OnAnswered(quarantine.Answer{Request: match.Request, Way: g.way(r, granted)})
 }
--- a/pkg/quarantine/filter.go
+++ b/pkg/quarantine/filter.go
@@ -107,6 +107,9 @@
 	Answered bool
 }
 
+// Empty reports whether there are no suspects.
+func (f *Filter) Empty() bool { return f == nil || f.known.Load() == nil }
+
 // Look returns what is known of a request with a body, or with what is held of a long one.
 func (f *Filter) Look(r *http.Request, body []byte, way Way) Match {
 	if f == nil {
