Large answers, cold back ends, regions: read from the configuration and the heartbeat

Change: kind download may run more than once, like safe; routes carry regions, services the bounds of cold back ends, heartbeats version and remaining cold time. Ruled out: a kind of the adapter alone (safe for download): large answers are to be paced and admitted by what a link sends.

--- a/pkg/bundle/content.go
+++ b/pkg/bundle/content.go
@@ -41,12 +41,17 @@
 	KindUnsafe Kind = "unsafe"
 	// KindUpload calls have large bodies and run at most once.
 	KindUpload Kind = "upload"
+	// KindDownload calls have large answers and may run more than once.
+	KindDownload Kind = "download"
 )
 
+// Repeatable reports whether calls of the kind may run more than once whatever their method.
+func (k Kind) Repeatable() bool { return k == KindSafe || k == KindDownload }
+
 // Known reports whether the kind is one of the constants.
 func (k Kind) Known() bool {
 	switch k {
-	case KindByMethod, KindSafe, KindUnsafe, KindUpload:
+	case KindByMethod, KindSafe, KindUnsafe, KindUpload, KindDownload:
 		return true
 	}
 	return false
@@ -100,6 +105,8 @@
 	Priority int `toml:"priority,omitempty" json:"priority,omitempty"`
 	// TargetLatency is the time within which an answer is worth most.
 	TargetLatency Duration `toml:"target_latency,omitempty" json:"target_latency,omitempty"`
+	// Regions are the only ones whose back ends may take the calls; empty means all.
+	Regions []string `toml:"regions,omitempty" json:"regions,omitempty"`
 }
 
 // Targets returns the services that may take the route's calls.
@@ -116,13 +123,13 @@
 		slices.Equal(r.Sources, o.Sources) && r.Service == o.Service && slices.Equal(r.Shares, o.Shares) &&
 		r.HandBackService == o.HandBackService && r.Secret == o.Secret && r.Timeout == o.Timeout &&
 		r.Once == o.Once && r.Kind == o.Kind && r.MaxAttempts == o.MaxAttempts &&
-		r.Priority == o.Priority && r.TargetLatency == o.TargetLatency
+		r.Priority == o.Priority && r.TargetLatency == o.TargetLatency && slices.Equal(r.Regions, o.Regions)
 }
 
 // clone returns a copy that shares no list.
 func (r *Route) clone() Route {
 	c := *r
-	c.Sources, c.Shares = slices.Clone(r.Sources), slices.Clone(r.Shares)
+	c.Sources, c.Shares, c.Regions = slices.Clone(r.Sources), slices.Clone(r.Shares), slices.Clone(r.Regions)
 	return c
 }
 
@@ -135,12 +142,19 @@
 	// MaxConnections bounds the connections of one node to one back end.
 	MaxConnections int        `toml:"max_connections,omitempty" json:"max_connections,omitempty"`
 	Endpoints      []Endpoint `toml:"endpoint,omitempty" json:"endpoints,omitempty"`
+	// HealthPath is where a back end tells whether it is well; empty if it does not.
+	HealthPath string `toml:"health_path,omitempty" json:"health_path,omitempty"`
+	// ColdStart is for how long a back end is cold after its start, zero if it is never cold.
+	ColdStart Duration `toml:"cold_start,omitempty" json:"cold_start,omitempty"`
+	// ColdRate is how many calls a second a cold back end bears; zero for no bound.
+	ColdRate float64 `toml:"cold_rate,omitempty" json:"cold_rate,omitempty"`
 }
 
 // equal reports whether two services are the same in every field.
 func (s *Service) equal(o *Service) bool {
 	return s.Name == o.Name && s.MaxConcurrency == o.MaxConcurrency && s.MaxConnections == o.MaxConnections &&
-		slices.Equal(s.Endpoints, o.Endpoints)
+		slices.Equal(s.Endpoints, o.Endpoints) && s.HealthPath == o.HealthPath &&
+		s.ColdStart == o.ColdStart && s.ColdRate == o.ColdRate
 }
 
 // clone returns a copy that shares no list.
@@ -203,6 +217,9 @@
 		if sources := c.Routes[i].Sources; !slices.IsSorted(sources) {
 			c.Routes[i].Sources = slices.Sorted(slices.Values(sources))
 		}
+		if regions := c.Routes[i].Regions; !slices.IsSorted(regions) {
+			c.Routes[i].Regions = slices.Sorted(slices.Values(regions))
+		}
 	}
 	for i := range c.Services {
 		if endpoints := c.Services[i].Endpoints; !isSortedBy(endpoints, endpointID) {
--- a/pkg/bundle/hasher_test.go
+++ b/pkg/bundle/hasher_test.go
@@ -50,6 +50,8 @@
 		v.SetInt(v.Int() + 1)
 	case reflect.Uint64:
 		v.SetUint(v.Uint() + 1)
+	case reflect.Float64:
+		v.SetFloat(v.Float() + 1)
 	default:
 		t.Fatalf("%s: kind %s is not known to this test", path, v.Kind())
 	}
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -118,6 +118,12 @@
 		if service.MaxConcurrency < 0 || service.MaxConnections < 0 {
 			v.add("service", service.Name, "limits must not be negative")
 		}
+		if service.ColdStart < 0 || service.ColdRate < 0 {
+			v.add("service", service.Name, "cold_start and cold_rate must not be negative")
+		}
+		if service.HealthPath != "" && !strings.HasPrefix(service.HealthPath, "/") {
+			v.add("service", service.Name, "health_path %q must start with /", service.HealthPath)
+		}
 		for j, endpoint := range service.Endpoints {
 			v.checkName("endpoint", endpoint.ID, previousName(service.Endpoints, j, endpointID), j == 0)
 			if _, err := netip.ParseAddrPort(endpoint.Address); err != nil {
@@ -159,7 +165,7 @@
 // checkHandling checks how a route's calls are to be treated.
 func (v *validator) checkHandling(route Route) {
 	if !route.Kind.Known() {
-		v.add("route", route.Name, "kind %q is none of safe, unsafe and upload", route.Kind)
+		v.add("route", route.Name, "kind %q is none of safe, unsafe, upload and download", route.Kind)
 	}
 	if route.MaxAttempts < 0 || route.Priority < 0 || route.TargetLatency < 0 {
 		v.add("route", route.Name, "max_attempts, priority and target_latency must not be negative")
@@ -167,6 +173,11 @@
 	if hasControlByte(route.Host) || len(route.Host) > maxNameLength {
 		v.add("route", route.Name, "host is not usable")
 	}
+	for _, region := range route.Regions {
+		if !validName(region) {
+			v.add("route", route.Name, "region %q is not a usable name", region)
+		}
+	}
 	v.checkShares(route)
 }
 
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -410,7 +410,7 @@
 	switch {
 	case route.Once || route.Kind == bundle.KindUnsafe || route.Kind == bundle.KindUpload:
 		return false
-	case route.Kind == bundle.KindSafe:
+	case route.Kind.Repeatable():
 		return true
 	}
 	return isSafe(method)
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -8,6 +8,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/gate"
@@ -32,7 +33,11 @@
 	Address  string
 	Zone     string
 	Capacity int
-	State    State
+	// Version is that of the back end's software, empty if it does not say.
+	Version string
+	// Cold is for how much longer the back end is cold, zero if it is not.
+	Cold  time.Duration
+	State State
 	// Sequence grows with each word of a back end; late ones are recognised by it.
 	Sequence uint64
 }
@@ -186,7 +191,7 @@
 	states := map[State]distribution.EndpointState{Ready: distribution.Live, Draining: distribution.Leaving, Gone: distribution.Removed}
 	return distribution.Endpoint{
 		Service: h.Service, ID: h.ID, Incarnation: 1, Address: h.Address, Zone: h.Zone,
-		Gate: r.config.GateAddress, Capacity: h.Capacity, State: states[h.State],
+		Gate: r.config.GateAddress, Capacity: h.Capacity, State: states[h.State], Version: h.Version,
 	}
 }
 
@@ -213,7 +218,7 @@
 	for _, endpoints := range table {
 		for _, shown := range endpoints {
 			if shown.Gate == r.config.GateAddress && shown.State == distribution.Live {
-				h := Heartbeat{Service: shown.Service, ID: shown.ID, Address: shown.Address, Zone: shown.Zone, Capacity: shown.Capacity}
+				h := Heartbeat{Service: shown.Service, ID: shown.ID, Address: shown.Address, Zone: shown.Zone, Capacity: shown.Capacity, Version: shown.Version}
 				r.current[h.ID] = &member{heartbeat: h, known: true}
 				r.apply(h)
 			}
