Frame of the new parts: eligibility, one table of orders, rollout types, map of zones

Cause: who may take a call is asked in the balancer, the registry and the gate; evacuations, regions, cold back ends and rollouts would each have added a test to all three. No state of operators' orders existed. Nothing sets an order yet, so nothing acts.

--- a/pkg/balancer/endpoint.go
+++ b/pkg/balancer/endpoint.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"bramblelift/pkg/routing"
@@ -49,6 +50,14 @@
 	remote bool
 }
 
+// eligible reports whether the back end may take a call at all that only some regions may serve.
+func (e *endpoint) eligible(regions []string) bool {
+	if e.leaving || e.target.Refused != "" {
+		return false
+	}
+	return len(regions) == 0 || slices.Contains(regions, e.target.Region)
+}
+
 func (e *endpoint) usable(now time.Duration) bool {
 	return !e.leaving && now >= e.ejectedTo
 }
--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -56,6 +56,8 @@
 type GateRequest struct {
 	// LeftOut are back ends that must not be chosen.
 	LeftOut []string
+	// Regions are the only ones that may serve the call; empty means all.
+	Regions []string
 	// LocalWait is for how long the call may wait at a gate of the node's own zone while
 	// another zone might take it at once: bytes between zones cost.
 	LocalWait time.Duration
@@ -91,7 +93,7 @@
 func (p *Pool) AcquireGate(now time.Duration, r GateRequest) (*Ticket, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := p.candidates(now, r.LeftOut)
+	candidates := p.candidates(now, r.LeftOut, r.Regions)
 	if len(candidates) == 0 {
 		return nil, 0, ErrNoEndpoint
 	}
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -84,6 +84,7 @@
 			// A pool that starts whole has nobody else to carry the load.
 			e.ramped = first
 		}
+		e.target = target
 		e.maxLimit = float64(service.MaxConcurrency)
 		if service.MaxConcurrency == 0 {
 			e.maxLimit = DefaultConcurrency
@@ -230,7 +231,7 @@
 
 // pick chooses the better of two random candidates; the mutex is held.
 func (p *Pool) pick(now time.Duration, tried []string) (*Ticket, error) {
-	candidates := p.candidates(now, tried)
+	candidates := p.candidates(now, tried, nil)
 	if len(candidates) == 0 {
 		return nil, ErrNoEndpoint
 	}
@@ -250,14 +251,15 @@
 	}, nil
 }
 
-// candidates returns the back ends that may take a call and were not tried yet.
+// candidates returns the back ends that may take a call which only some regions may serve (none named
+// means all), and were not tried yet.
 // Ejections are ignored when they would leave too few, or none that was not tried;
 // leaving back ends never come back.
-func (p *Pool) candidates(now time.Duration, tried []string) []*endpoint {
+func (p *Pool) candidates(now time.Duration, tried, regions []string) []*endpoint {
 	var untried, healthy []*endpoint
 	total, usable := 0, 0
 	for _, e := range p.endpoints {
-		if e.leaving {
+		if !e.eligible(regions) {
 			continue
 		}
 		total++
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -133,6 +133,9 @@
 	case command.Suspects != nil:
 		c.Distribution = c.Distribution.ChangeSuspects(*command.Suspects)
 		return Result{Revision: c.Distribution.Revision}
+	case command.Orders != nil:
+		c.Distribution = c.Distribution.ChangeOrders(*command.Orders)
+		return Result{Revision: c.Distribution.Revision}
 	default:
 		return c.refuse(CodeInvalidRequest, "empty command")
 	}
--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -7,6 +7,7 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/deflate"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/orders"
 	"bramblelift/pkg/quarantine"
 )
 
@@ -33,6 +34,8 @@
 	Endpoints *Endpoints `json:"endpoints,omitempty"`
 	// Suspects takes in evidence of requests that end back ends, and verdicts on them.
 	Suspects *quarantine.Change `json:"suspects,omitempty"`
+	// Orders changes what operators ordered besides configuration.
+	Orders *orders.Change `json:"orders,omitempty"`
 }
 
 // Create makes a version, if the head still is what the operator saw.
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -9,6 +9,7 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/deflate"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/orders"
 	"bramblelift/pkg/quarantine"
 )
 
@@ -50,6 +51,7 @@
 	Horizon   uint64                     `json:"horizon,omitempty"`
 	Suspects  *quarantine.Table          `json:"suspects,omitempty"`
 	Watchlist *quarantine.Watchlist      `json:"watchlist,omitempty"`
+	Orders    *orders.Table              `json:"orders,omitempty"`
 }
 
 // Snapshot returns the whole catalog as data for Restore.
@@ -107,6 +109,7 @@
 	saved := savedState{
 		Revision: state.Revision, Active: saveBundle(state.Active), Staged: saveBundle(state.Staged),
 		Endpoints: state.Endpoints, Horizon: state.Horizon, Suspects: state.Suspects, Watchlist: state.Watchlist,
+		Orders: state.Orders,
 	}
 	for _, signed := range state.Recent {
 		saved.Recent = append(saved.Recent, *saveBundle(signed))
@@ -169,6 +172,7 @@
 func (c *Catalog) loadState(saved savedState, contents map[uint64]*bundle.Content) error {
 	state := &distribution.State{
 		Revision: saved.Revision, Endpoints: saved.Endpoints, Horizon: saved.Horizon, Suspects: saved.Suspects, Watchlist: saved.Watchlist,
+		Orders: saved.Orders,
 	}
 	var err error
 	if state.Active, err = loadBundle(saved.Active, contents); err != nil {
--- a/pkg/distribution/endpoint.go
+++ b/pkg/distribution/endpoint.go
@@ -45,6 +45,9 @@
 	// Capacity is how many calls the back end works on at once, zero if unknown.
 	Capacity int           `json:"capacity,omitempty"`
 	State    EndpointState `json:"state"`
+	// Version is that of the back end's software, empty if unknown. It never changes within an
+	// incarnation.
+	Version string `json:"version,omitempty"`
 	// Modified is the revision of the last change; zero on nodes, which do not
 	// need it.
 	Modified uint64 `json:"modified,omitempty"`
--- a/pkg/distribution/holder.go
+++ b/pkg/distribution/holder.go
@@ -98,6 +98,10 @@
 	if u.Watchlist != nil {
 		next.Watchlist = u.Watchlist
 	}
+	next.Orders = h.state.Orders
+	if u.Orders != nil {
+		next.Orders = u.Orders
+	}
 	h.takeEndpoints(next, u)
 	if digest := next.Endpoints.digest(nil); digest != u.EndpointDigest {
 		return nil, fmt.Errorf("digest %x, expected %x: %w", digest, u.EndpointDigest, ErrEndpointDigest)
--- a/pkg/distribution/state.go
+++ b/pkg/distribution/state.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/orders"
 	"bramblelift/pkg/quarantine"
 )
 
@@ -32,6 +33,8 @@
 	// all holders know of them.
 	Suspects  *quarantine.Table     `json:"suspects,omitempty"`
 	Watchlist *quarantine.Watchlist `json:"watchlist,omitempty"`
+	// Orders are what operators ordered besides configuration.
+	Orders *orders.Table `json:"orders,omitempty"`
 }
 
 // Position says how far a holder is.
@@ -113,6 +116,18 @@
 	return &next
 }
 
+// ChangeOrders returns the state after a change of the orders; the state itself if it is no news.
+func (s *State) ChangeOrders(change orders.Change) *State {
+	changed := s.Orders.With(change, s.Revision+1)
+	if changed == s.Orders {
+		return s
+	}
+	next := *s
+	next.Revision++
+	next.Orders = changed
+	return &next
+}
+
 // forgetTombstones drops the older half of the tombstones once there are too many.
 func (s *State) forgetTombstones() {
 	var stamps []uint64
--- a/pkg/distribution/update.go
+++ b/pkg/distribution/update.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/orders"
 	"bramblelift/pkg/quarantine"
 )
 
@@ -38,11 +39,13 @@
 	EndpointDigest uint64
 	// Watchlist replaces the holder's, nil if that is the newest.
 	Watchlist *quarantine.Watchlist
+	// Orders replace the holder's, nil if those are the newest.
+	Orders *orders.Table
 }
 
 // Changes reports whether the update brings anything besides a higher revision.
 func (u *Update) Changes(p Position) bool {
-	return u.Reset || len(u.Endpoints) > 0 || len(u.Bundles) > 0 || u.Watchlist != nil ||
+	return u.Reset || len(u.Endpoints) > 0 || len(u.Bundles) > 0 || u.Watchlist != nil || u.Orders != nil ||
 		u.Active != p.Active || u.Staged != p.Staged
 }
 
@@ -122,6 +125,7 @@
 		Reset: p.mustReset(group, position),
 	}
 	update.Watchlist = p.state.Watchlist.Since(position.Revision)
+	update.Orders = p.state.Orders.Since(position.Revision)
 	if err := p.planBundles(update, group, position); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/pkg/eligibility/eligibility.go
@@ -0,0 +1,57 @@
+// Package eligibility says which back ends may take a call at all, whatever their load.
+//
+// The node that has a call asks before it chooses a back end, and the gate beside the back end asks the
+// same functions once more, last: a node that is late, was restarted or is cut off from the control plane
+// is corrected there, by a refusal that is true, since the call has not run.
+package eligibility
+
+import (
+	"slices"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/orders"
+)
+
+// Backend is what the rules must know of a back end.
+type Backend struct {
+	Service string
+	Zone    string
+	Version string
+}
+
+// Rules are what the held orders, and the deployment's map of regions, say of who may take calls. They
+// are immutable; nil has no rule.
+type Rules struct {
+	orders *orders.Table
+	// regions are those of the zones.
+	regions map[string]string
+}
+
+// New returns the rules of the held orders. regions are those of the zones; a zone that is not in it
+// is in no region.
+func New(table *orders.Table, regions map[string]string) *Rules {
+	return &Rules{orders: table, regions: regions}
+}
+
+// Region returns the region of a zone, empty if it is not known.
+func (r *Rules) Region(zone string) string {
+	if r == nil {
+		return ""
+	}
+	return r.regions[zone]
+}
+
+// Refuses returns why a back end may get nothing new for the time being, of any route; empty if it may.
+// One that leaves never comes back and is no matter of orders.
+func (r *Rules) Refuses(b Backend) exchange.Reason {
+	if r != nil && r.orders.Evacuated(b.Zone) {
+		return exchange.ReasonEvacuated
+	}
+	return ""
+}
+
+// InRegions reports whether a back end of a zone may take calls that only some regions may serve. None
+// named means all.
+func (r *Rules) InRegions(zone string, allowed []string) bool {
+	return len(allowed) == 0 || slices.Contains(allowed, r.Region(zone))
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -104,6 +104,14 @@
 	ReasonEnded Reason = "ended"
 	// ReasonQuarantined: back ends ended under the same request.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonEvacuated: the back end's zone is evacuated.
+	ReasonEvacuated Reason = "evacuated"
+	// ReasonRegion: the back end is in none of the regions that may serve the call.
+	ReasonRegion Reason = "region"
+	// ReasonCold: the back end is cold and gets no more calls at the moment.
+	ReasonCold Reason = "cold"
+	// ReasonVersion: the back end is of a version that gets no more calls at the moment.
+	ReasonVersion Reason = "version"
 	// ReasonServerError: the back end answered that it failed.
 	ReasonServerError Reason = "server-error"
 )
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -323,7 +323,7 @@
 // putInForce swaps the table that calls are answered by.
 func (s *Server) putInForce(state *distribution.State) {
 	s.watch(state.Watchlist, state.Revision)
-	table := routing.Next(s.table, state)
+	table := routing.Next(s.table, state, s.settings.Zones)
 	s.table = table
 	if s.registry != nil {
 		s.registry.Observe(state.Endpoints)
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -10,6 +10,8 @@
 
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/eligibility"
+	"bramblelift/pkg/exchange"
 )
 
 // DefaultTimeout bounds calls of routes that set none.
@@ -33,6 +35,8 @@
 	MaxAttempts   int
 	Priority      int
 	TargetLatency time.Duration
+	// Regions are the only ones that may serve the calls; empty means all.
+	Regions []string
 }
 
 // Pick returns the target for a number drawn from [0, 1).
@@ -64,6 +68,12 @@
 	Gate     string
 	Capacity int
 	Leaving  bool
+	// Region is that of the zone, empty if it is not known.
+	Region string
+	// Version is that of the back end's software, empty if unknown.
+	Version string
+	// Refused is why the back end may get nothing new for the time being, empty if it may.
+	Refused exchange.Reason
 }
 
 // Service is a pool's definition.
@@ -71,7 +81,11 @@
 	Name           string
 	MaxConcurrency int
 	MaxConnections int
-	Endpoints      []Endpoint
+	// ColdStart is for how long a back end is cold after its start, ColdRate how many calls a second
+	// it bears until then; zero for no bound.
+	ColdStart time.Duration
+	ColdRate  float64
+	Endpoints []Endpoint
 }
 
 // Table answers which route takes a path.
@@ -81,17 +95,20 @@
 	// Limits bound what callers may send.
 	Limits   bundle.Limits
 	Services []Service
+	// Rules say which back ends may take calls.
+	Rules *eligibility.Rules
 	// active is what routes were resolved from.
 	active *bundle.Signed
 	routes *routeIndex
 }
 
 // New builds the table of a state whose active bundle is consistent.
-func New(state *distribution.State) *Table { return Next(nil, state) }
+func New(state *distribution.State) *Table { return Next(nil, state, nil) }
 
 // Next builds the table of a state that follows the one of an earlier table, which may be
-// nil. Endpoints change far more often than bundles: routes of the same bundle are shared.
-func Next(earlier *Table, state *distribution.State) *Table {
+// nil. Endpoints change far more often than bundles: routes of the same bundle are shared. regions are
+// those of the zones.
+func Next(earlier *Table, state *distribution.State, regions map[string]string) *Table {
 	content := state.Active.Content
 	table := &Table{Version: state.Active.Manifest.Version, Revision: state.Revision, Limits: content.Limits, active: state.Active}
 	if earlier != nil && earlier.active == state.Active {
@@ -99,10 +116,12 @@
 	} else {
 		table.routes = newRouteIndex(content)
 	}
+	table.Rules = eligibility.New(state.Orders, regions)
 	for _, service := range content.Services {
 		table.Services = append(table.Services, Service{
 			Name: service.Name, MaxConcurrency: service.MaxConcurrency, MaxConnections: service.MaxConnections,
-			Endpoints: endpoints(service, state.Endpoints[service.Name]),
+			ColdStart: time.Duration(service.ColdStart), ColdRate: service.ColdRate,
+			Endpoints: endpoints(service, state.Endpoints[service.Name], table.Rules),
 		})
 	}
 	return table
@@ -114,6 +133,7 @@
 		Targets: content.Targets(*route),
 		Timeout: time.Duration(route.Timeout), Once: route.Once, Kind: route.Kind,
 		MaxAttempts: route.MaxAttempts, Priority: route.Priority, TargetLatency: time.Duration(route.TargetLatency),
+		Regions: route.Regions,
 	}
 	if resolved.Timeout == 0 {
 		resolved.Timeout = DefaultTimeout
@@ -129,7 +149,7 @@
 
 // endpoints joins the bundle's own endpoints with the platform's; the platform's word
 // on an ID goes first.
-func endpoints(service bundle.Service, listed map[string]distribution.Endpoint) []Endpoint {
+func endpoints(service bundle.Service, listed map[string]distribution.Endpoint, rules *eligibility.Rules) []Endpoint {
 	var all []Endpoint
 	for _, named := range service.Endpoints {
 		if _, found := listed[named.ID]; !found {
@@ -141,9 +161,15 @@
 			all = append(all, Endpoint{
 				ID: endpoint.ID, Incarnation: endpoint.Incarnation, Address: endpoint.Address,
 				Zone: endpoint.Zone, Gate: endpoint.Gate, Capacity: endpoint.Capacity, Leaving: endpoint.State == distribution.Leaving,
+				Version: endpoint.Version,
 			})
 		}
 	}
+	for i := range all {
+		e := &all[i]
+		e.Region = rules.Region(e.Zone)
+		e.Refused = rules.Refuses(eligibility.Backend{Service: service.Name, Zone: e.Zone, Version: e.Version})
+	}
 	slices.SortFunc(all, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return all
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -21,6 +21,8 @@
 	Cluster string `toml:"cluster"`
 	Name    string `toml:"name"`
 	Zone    string `toml:"zone"`
+	// Zones are all zones of the deployment with their regions; empty if they are not told apart.
+	Zones map[string]string `toml:"zones,omitempty"`
 	// AdminListen serves status, metrics and the live and ready checks; on a
 	// control replica also the operators' calls.
 	AdminListen string `toml:"admin_listen"`
