Regions: distance in the choice of a back end, routes bound to regions, crowded links between regions

Cause: a zone was own or other, so 0.5 ms and 30 ms counted the same, and allowed regions of a route were read but bound nothing. Candidates of each attempt are filtered by the route's regions (with and without gates), gates ask by their own configuration before a body comes and after a wait, unknown regions are refused when a configuration is put; another region costs 1.3 service times in a score; a share of a large service holds 3 of each other region, and nothing closed while there is something open; the delay to other regions shows a crowded link. Tests: regions of a route by caller's node and gate, changed while calls wait, none in reach, spill for want of room only, full link between regions, shares, settings.

--- /dev/null
+++ b/pkg/balancer/distance_test.go
@@ -0,0 +1,116 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/routing"
+
+	"github.com/matryer/is"
+)
+
+// regionService has n back ends in each of two zones in each of two regions.
+func regionService(n int) routing.Service {
+	service := routing.Service{Name: "s"}
+	for i, zone := range []string{"e1", "e2", "w1", "w2"} {
+		region := "east"
+		if i >= 2 {
+			region = "west"
+		}
+		for j := range n {
+			service.Endpoints = append(service.Endpoints, routing.Endpoint{
+				ID: fmt.Sprintf("%s-%d", zone, j), Incarnation: 1, Zone: zone, Region: region, Gate: fmt.Sprintf("10.%d.0.%d:1", i, j), Capacity: 2})
+		}
+	}
+	return service
+}
+
+func eastPool(service routing.Service) *Pool {
+	p := NewPool(Config{Node: "n", Zone: "e1", Region: "east", Random: rand.New(rand.NewPCG(1, 2)).IntN})
+	p.Update(0, service)
+	return p
+}
+
+// acquireAll takes back ends one after the other, none of which ever answers, and returns their regions.
+func acquireAll(p *Pool, n int, r GateRequest) map[string]int {
+	regions := map[string]int{}
+	for _, e := range p.endpoints {
+		e.heard(0, exchange.Report{Capacity: 2, Service: 100 * time.Millisecond})
+	}
+	for range n {
+		ticket, _, err := p.AcquireGate(0, r)
+		if err != nil {
+			regions["none"]++
+			continue
+		}
+		regions[ticket.endpoint.target.Region]++
+	}
+	return regions
+}
+
+// Calls stay in their region while it has room, and go to the other before they would wait for long.
+func TestCallsLeaveTheirRegionForWantOfRoomOnly(t *testing.T) {
+	is := is.New(t)
+	p := eastPool(regionService(3))
+	is.Equal(acquireAll(p, 12, GateRequest{})["east"], 12)
+	more := acquireAll(p, 12, GateRequest{})
+	is.True(more["west"] >= 6)
+}
+
+// A node that keeps a share of a large service can go on when its own region has none left, and can reach
+// each region that alone may serve a call.
+func TestShareOfALargeServiceHoldsEachRegion(t *testing.T) {
+	is := is.New(t)
+	p := eastPool(regionService(40))
+	regions := map[string]int{}
+	for _, e := range p.endpoints {
+		regions[e.target.Region]++
+	}
+	is.Equal(regions["west"], farSubset)
+	is.Equal(regions["east"], subsetSize-farSubset)
+	is.Equal(acquireAll(p, 10, GateRequest{Regions: []string{"west"}})["west"], 10)
+	is.Equal(acquireAll(p, 3, GateRequest{Regions: []string{"north"}})["none"], 3)
+
+	service := regionService(40)
+	for i := range service.Endpoints {
+		if service.Endpoints[i].Region == "east" {
+			service.Endpoints[i].Refused = exchange.ReasonEvacuated
+		}
+	}
+	p.Update(time.Second, service)
+	is.Equal(acquireAll(p, 10, GateRequest{})["west"], 10)
+	closedOnes := 0
+	for _, e := range p.endpoints {
+		if closed(e.target) {
+			closedOnes++
+		}
+	}
+	is.True(closedOnes <= localSubset) // most of the share is of use
+}
+
+// Over a crowded link nothing goes that the own region may serve, full or not; what it may not serve goes.
+func TestCrowdedRegionsAreSpared(t *testing.T) {
+	is := is.New(t)
+	p := eastPool(regionService(3))
+	spared := GateRequest{Spared: []string{"west"}}
+	is.Equal(acquireAll(p, 40, spared)["east"], 40)
+	spared.Regions = []string{"west"}
+	is.Equal(acquireAll(p, 5, spared)["west"], 5)
+}
+
+// Back ends without gates obey regions, too.
+func TestRegionsBindWithoutGates(t *testing.T) {
+	is := is.New(t)
+	p := eastPool(regionService(3))
+	now := func() time.Duration { return 0 }
+	for range 8 {
+		ticket, err := p.Acquire(nil, now, 0, nil, []string{"west"})
+		is.NoErr(err)
+		is.Equal(ticket.FarRegion(), "west")
+	}
+	_, err := p.Acquire(nil, now, 0, nil, []string{"north"})
+	is.Equal(err, ErrNoEndpoint)
+}
--- a/pkg/balancer/endpoint.go
+++ b/pkg/balancer/endpoint.go
@@ -46,8 +46,9 @@
 	// leaving is set by the first signal of whatever kind and never unset.
 	leaving bool
 	// gate is what the back end's gate said last.
-	gate   gateView
-	remote bool
+	gate gateView
+	// remote back ends are of another zone, far ones of another region.
+	remote, far bool
 }
 
 // eligible reports whether the back end may take a call at all that only some regions may serve.
@@ -82,6 +83,9 @@
 	if e.remote {
 		load += remoteCost
 	}
+	if e.far {
+		load += farCost
+	}
 	return load / e.weight(now)
 }
 
--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -10,9 +10,6 @@
 
 // Tuning of the choice between gates.
 const (
-	// remoteShare is what another zone adds to a score, in service times of the fastest
-	// back end: a call that crosses zones costs bytes and time.
-	remoteShare = 0.3
 	// loadShare is what a fully used back end adds, in its own service times: many slow
 	// down before they are full.
 	loadShare = 0.5
@@ -58,6 +55,9 @@
 	LeftOut []string
 	// Regions are the only ones that may serve the call; empty means all.
 	Regions []string
+	// Spared are other regions whose back ends are left out, if the own one has any that may serve the
+	// call: the link there is crowded.
+	Spared []string
 	// LocalWait is for how long the call may wait at a gate of the node's own zone while
 	// another zone might take it at once: bytes between zones cost.
 	LocalWait time.Duration
@@ -94,6 +94,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates := p.candidates(now, r.LeftOut, r.Regions)
+	if len(r.Spared) > 0 && p.servedNear(r.Regions) {
+		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return slices.Contains(r.Spared, e.target.Region) })
+	}
 	if len(candidates) == 0 {
 		return nil, 0, ErrNoEndpoint
 	}
@@ -265,9 +268,7 @@
 	}
 	share := float64(e.gateLoad(now)) / float64(e.gateCapacity())
 	score := float64(e.gateWait(now)) + service*(1+loadShare*share)
-	if e.remote {
-		score += remoteShare * float64(fastest)
-	}
+	score += e.distanceCost(fastest)
 	score += e.failureRisk(rating)
 	return score / e.weight(now)
 }
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -45,6 +45,8 @@
 type Config struct {
 	Node string
 	Zone string
+	// Region is that of the zone, empty if regions are not told apart.
+	Region string
 	// OwnGate is the address of the gate beside the node, empty for none.
 	OwnGate string
 	// Random returns a number in [0, n).
@@ -102,7 +104,7 @@
 }
 
 func (p *Pool) newEndpoint(now time.Duration, target routing.Endpoint) *endpoint {
-	e := &endpoint{target: target, joinedAt: now, remote: target.Zone != p.config.Zone}
+	e := &endpoint{target: target, joinedAt: now, remote: target.Zone != p.config.Zone, far: p.far(target)}
 	if incarnation, left := p.gone[target.ID]; left && target.Incarnation <= incarnation {
 		e.leaving = true
 	}
@@ -120,12 +122,8 @@
 	return nil
 }
 
-// localSubset is how many of them are of the node's own zone, if there are as many.
-const localSubset = 16
-
 // subset picks the node's share of a large service by rendezvous hashing: the one beside the
-// node, then those of its own zone up to localSubset, then those of others, so that a zone
-// which fails leaves enough.
+// node, then those of its own zone, then others (see share).
 func (p *Pool) subset(all []routing.Endpoint) []routing.Endpoint {
 	if len(all) <= subsetSize {
 		return all
@@ -137,22 +135,17 @@
 		if own(a) != own(b) {
 			return boolCompare(!own(a), !own(b))
 		}
-		if a.Leaving != b.Leaving {
-			return boolCompare(a.Leaving, b.Leaving)
+		if closed(a) != closed(b) {
+			return boolCompare(closed(a), closed(b))
 		}
 		return uintCompare(rank(a), rank(b))
 	})
-	var chosen, rest []routing.Endpoint
-	for _, e := range sorted {
-		if e.Zone == p.config.Zone && len(chosen) < localSubset {
-			chosen = append(chosen, e)
-		} else {
-			rest = append(rest, e)
-		}
-	}
-	return append(chosen, rest[:subsetSize-len(chosen)]...)
+	return p.share(sorted)
 }
 
+// closed reports whether a back end gets nothing new.
+func closed(e routing.Endpoint) bool { return e.Leaving || e.Refused != "" }
+
 func boolCompare(a, b bool) int {
 	if a == b {
 		return 0
@@ -188,13 +181,14 @@
 	Incarnation uint64
 }
 
-// Acquire picks a back end, leaving out the tried ones. If all are at their limits it
-// waits until one is free, but no longer than patience.
-func (p *Pool) Acquire(done <-chan struct{}, now func() time.Duration, patience time.Duration, tried []string) (*Ticket, error) {
+// Acquire picks a back end of the regions that may serve the call (none named means all), leaving
+// out the tried ones. If all are at their limits it waits until one is free, but no longer than
+// patience.
+func (p *Pool) Acquire(done <-chan struct{}, now func() time.Duration, patience time.Duration, tried, regions []string) (*Ticket, error) {
 	deadline := now() + patience
 	for {
 		p.mu.Lock()
-		ticket, err := p.pick(now(), tried)
+		ticket, err := p.pick(now(), tried, regions)
 		remaining := deadline - now()
 		if !errors.Is(err, ErrSaturated) || remaining <= 0 || p.waiting >= maxWaiting {
 			p.mu.Unlock()
@@ -230,8 +224,8 @@
 }
 
 // pick chooses the better of two random candidates; the mutex is held.
-func (p *Pool) pick(now time.Duration, tried []string) (*Ticket, error) {
-	candidates := p.candidates(now, tried, nil)
+func (p *Pool) pick(now time.Duration, tried, regions []string) (*Ticket, error) {
+	candidates := p.candidates(now, tried, regions)
 	if len(candidates) == 0 {
 		return nil, ErrNoEndpoint
 	}
--- a/pkg/balancer/pool_test.go
+++ b/pkg/balancer/pool_test.go
@@ -27,7 +27,7 @@
 }
 
 func acquire(p *Pool, tried ...string) (*Ticket, error) {
-	return p.Acquire(nil, func() time.Duration { return 0 }, 0, tried)
+	return p.Acquire(nil, func() time.Duration { return 0 }, 0, tried, nil)
 }
 
 func TestLeavingHasNoWayBackButANewLife(t *testing.T) {
@@ -81,11 +81,11 @@
 	started := time.Now()
 	now := func() time.Duration { return time.Since(started) }
 	time.AfterFunc(20*time.Millisecond, func() { first.Done(now(), Answered) })
-	_, err = p.Acquire(nil, now, 5*time.Second, nil)
+	_, err = p.Acquire(nil, now, 5*time.Second, nil, nil)
 	is.NoErr(err)
 	left := make(chan struct{})
 	close(left)
-	_, err = p.Acquire(left, now, 5*time.Second, nil)
+	_, err = p.Acquire(left, now, 5*time.Second, nil, nil)
 	is.True(errors.Is(err, ErrSaturated)) // a caller that leaves does not wait
 }
 
--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -225,3 +225,12 @@
 		}
 	})
 }
+
+func TestRegionsMustHaveAZone(t *testing.T) {
+	is := is.New(t)
+	content := Content{Routes: []Route{{Name: "r", PathPrefix: "/", Regions: []string{"east", "north"}}}}
+	is.NoErr(content.CheckRegions(nil)) // regions are not told apart here
+	is.NoErr(content.CheckRegions([]string{"north", "east", "east"}))
+	err := content.CheckRegions([]string{"east"})
+	is.True(err != nil && strings.Contains(err.Error(), `region "north" has no zone`))
+}
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 )
@@ -70,6 +71,26 @@
 	return nil
 }
 
+// CheckRegions checks that the routes name known regions only; with none known any will do. The error is
+// a *ValidationError.
+func (c Content) CheckRegions(known []string) error {
+	if len(known) == 0 {
+		return nil
+	}
+	v := &validator{}
+	for _, route := range c.Routes {
+		for _, region := range route.Regions {
+			if !slices.Contains(known, region) {
+				v.add("route", route.Name, "region %q has no zone in this deployment", region)
+			}
+		}
+	}
+	if len(v.problems) > 0 {
+		return &ValidationError{Problems: v.problems}
+	}
+	return nil
+}
+
 // Consistent reports the first dangling reference. It is the last check before a
 // node puts a content in force.
 func (c Content) Consistent() error {
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -198,7 +198,7 @@
 		content.HandBack = *request.HandBack
 	}
 	content = content.Normalized()
-	if err := content.Validate(); err != nil {
+	if err := s.validate(content); err != nil {
 		return catalog.Result{}, refuseInvalid(err)
 	}
 	tree, err := bundle.NewTree(content)
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"bramblelift/pkg/bundle"
@@ -41,7 +43,7 @@
 	if err != nil {
 		return fmt.Errorf("digest of bundle: %w", err)
 	}
-	invalid := content.Validate()
+	invalid := s.validate(content)
 	var settled *catalog.Result
 	err = s.readOnceLeased(ctx, func(time.Duration) {
 		settled = settledPublication(s.replica.Catalog(), p, invalid)
@@ -59,6 +61,14 @@
 	return err
 }
 
+// validate checks a normalized content, and its regions against those of the settings' zones.
+func (s *Server) validate(content bundle.Content) error {
+	if err := content.Validate(); err != nil {
+		return err
+	}
+	return content.CheckRegions(slices.Collect(maps.Values(s.settings.Zones)))
+}
+
 func (s *Server) handlePublish(w http.ResponseWriter, r *http.Request) {
 	result, err := s.publishFile(w, r)
 	answer(w, result, err)
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -48,6 +48,10 @@
 	HeaderSender = "Gate-Sender"
 	// HeaderWork is how many microseconds a call took at the back end.
 	HeaderWork = "Gate-Work-Us"
+	// HeaderTellHeld asks a gate of another region to say how long it held the call, HeaderHeld is its
+	// answer in microseconds: what is left of the call's time was spent on the way.
+	HeaderTellHeld = "Gate-Tell-Held"
+	HeaderHeld     = "Gate-Held-Us"
 	// HeaderReason is why a gate refused, one of the Reason constants.
 	HeaderReason = "Gate-Reason"
 )
@@ -56,6 +60,7 @@
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
 	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender,
+	HeaderTellHeld, HeaderHeld,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -78,6 +78,8 @@
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	g.askHeld(ticket, request)
+	sent := g.now()
 	response, err := g.handler.gates.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		failure := &gateFailure{reason: exchange.ReasonUnreachable, outcome: NotRun, peer: ticket.Address, err: err}
@@ -86,6 +88,7 @@
 		}
 		return nil, failure
 	}
+	g.noteDelay(ticket, sent, response.Header)
 	return g.readGate(ticket, response)
 }
 
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -43,6 +43,8 @@
 type Config struct {
 	Node string
 	Zone string
+	// Region is that of the zone, empty if regions are not told apart.
+	Region string
 	// Now reads the process's monotonic clock.
 	Now   func() time.Duration
 	Retry retry.Config
@@ -78,6 +80,9 @@
 	// call, and when it answered one that is watched. Gates tell of theirs themselves.
 	OnEnded    func(quarantine.End)
 	OnAnswered func(quarantine.Answer)
+	// OnCrowding, if set, is told when the way to another region gets crowded or clear, by how much its
+	// delay has risen.
+	OnCrowding func(region string, crowding link.Crowding, rise time.Duration)
 	// OnAttempt, if set, is told of each attempt through a gate.
 	OnAttempt func(Attempt)
 }
@@ -142,6 +147,7 @@
 	asks *throttles
 	// patience tells callers that come back from new ones.
 	patience *patiences
+	far      *farRegions
 }
 
 // New returns a handler that refuses every call until SetTable.
@@ -149,7 +155,8 @@
 	if config.Headers.Deadline == "" {
 		config.Headers.Deadline = exchange.HeaderTimeout
 	}
-	h := &Handler{config: config, gates: newGateTransport(config.Link), work: newWorkTimes(), asks: newThrottles(), patience: newPatiences()}
+	h := &Handler{config: config, gates: newGateTransport(config.Link), work: newWorkTimes(), asks: newThrottles(), patience: newPatiences(),
+		far: newFarRegions(config.OnCrowding)}
 	return h
 }
 
@@ -199,7 +206,7 @@
 		connections = max(definition.MaxConcurrency, balancer.DefaultConcurrency)
 	}
 	return &service{
-		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, OwnGate: h.config.GateAddress, Random: rand.IntN}),
+		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, Region: h.config.Region, OwnGate: h.config.GateAddress, Random: rand.IntN}),
 		budget: retry.NewBudget(h.config.Retry), declines: retry.NewBudget(h.config.Declines),
 		transport: &http.Transport{
 			DialContext:         dialer.DialContext,
@@ -439,7 +446,7 @@
 func (c *call) acquire(ctx context.Context) (*balancer.Ticket, *Refusal) {
 	waited := c.handler.config.Now() - c.started
 	patience := max(0, min(maxPatience, (c.deadline-c.started)/patienceShare)-waited)
-	ticket, err := c.service.pool.Acquire(ctx.Done(), c.handler.config.Now, patience, c.tried)
+	ticket, err := c.service.pool.Acquire(ctx.Done(), c.handler.config.Now, patience, c.tried, c.route.Regions)
 	if err == nil {
 		return ticket, nil
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -55,6 +55,8 @@
 	// it answered one that is watched.
 	OnEnded    func(quarantine.End)
 	OnAnswered func(quarantine.Answer)
+	// ServedHere, if set, reports whether the back end's region may serve a call; nil serves all.
+	ServedHere func(*http.Request) bool
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
@@ -115,8 +117,10 @@
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.hearSender(r.Header)
+	arrived := g.config.Now()
 	response := g.serve(r)
 	defer response.Body.Close()
+	g.tellHeld(r.Header, response.Header, arrived)
 	exchange.Copy(w.Header(), response.Header)
 	w.WriteHeader(response.StatusCode)
 	if err := exchange.CopyBody(w, response); err != nil {
@@ -126,6 +130,10 @@
 
 // serve is Do for the call of another node.
 func (g *Gate) serve(r *http.Request) *http.Response {
+	if !g.servedHere(r) {
+		call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: exchange.ReasonRegion}
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
 	if r.ContentLength >= largeBody {
 		return g.receiveFirst(r)
 	}
@@ -243,6 +251,12 @@
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), trace))
 	outgoing := g.outgoing(ctx, r, granted, wanted)
 	body, err := attach(outgoing)
+	if err == nil && !g.servedHere(r) {
+		cancel()
+		g.release(granted, ending{})
+		call.Reason = exchange.ReasonRegion
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
 	if err == nil && g.quarantined(r, body, granted, call) {
 		cancel()
 		g.release(granted, ending{})
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -22,7 +22,8 @@
 	}
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
-		Link: s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
+		ServedHere: func(r *http.Request) bool { return s.handler.ServedIn(s.settings.Zone, r) },
+		Link:       s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
 		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -23,6 +23,7 @@
 	admitted  *prometheus.CounterVec
 	waits     prometheus.Histogram
 	service   prometheus.Histogram
+	farDelay  *prometheus.GaugeVec
 }
 
 // durationBuckets reach from half a millisecond to eight seconds.
@@ -50,8 +51,11 @@
 		service: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "bramblelift_gate_service_seconds", Help: "Time that calls took at the back end.", Buckets: durationBuckets,
 		}),
+		farDelay: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bramblelift_region_delay_rise_seconds", Help: "By how much the delay to another region is above the least, when its crowding last changed.",
+		}, []string{"region"}),
 	}
-	registry.MustRegister(o.calls, o.durations, o.attempts, o.admitted, o.waits, o.service)
+	registry.MustRegister(o.calls, o.durations, o.attempts, o.admitted, o.waits, o.service, o.farDelay)
 	return o
 }
 
@@ -125,6 +129,12 @@
 		"wait", a.Wait.Round(time.Microsecond), "took", a.Elapsed.Round(time.Microsecond), "left", a.Left.Round(time.Millisecond), "again", a.Retried)
 }
 
+// crowding takes in that the way to another region got crowded or clear.
+func (o *observer) crowding(region string, crowding link.Crowding, rise time.Duration) {
+	o.farDelay.WithLabelValues(region).Set(rise.Seconds())
+	o.logger.Log("event", "region_crowding", "region", region, "crowding", crowding, "delay_rise", rise.Round(time.Millisecond))
+}
+
 // gateCall takes in a call at the gate.
 func (o *observer) gateCall(call gate.Call) {
 	end := endAnswered
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -193,11 +193,11 @@
 
 func (s *Server) forwardConfig() forward.Config {
 	config := forward.Config{
-		Node: s.settings.Name, Zone: s.settings.Zone, Now: s.clock.Elapsed,
+		Node: s.settings.Name, Zone: s.settings.Zone, Region: s.settings.Zones[s.settings.Zone], Now: s.clock.Elapsed,
 		Retry: retry.DefaultConfig(), Declines: retry.DeclineConfig(), OnCall: s.observer.call,
 		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
 		Link:    s.link,
-		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt,
+		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt, OnCrowding: s.observer.crowding,
 		Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
 		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() }, StaleLimit: time.Duration(s.settings.StaleLimit),
 	}
--- a/pkg/routing/match.go
+++ b/pkg/routing/match.go
@@ -12,6 +12,8 @@
 	// every host.
 	hosts map[string]map[string]*Route
 	names map[string]bool
+	// regional is set if some route may be served by some regions only.
+	regional bool
 }
 
 func newRouteIndex(content bundle.Content) *routeIndex {
@@ -32,6 +34,7 @@
 		x.hosts[r.Host] = prefixes
 	}
 	x.names[r.Name] = true
+	x.regional = x.regional || len(r.Regions) > 0
 	if prefixes[r.PathPrefix] == nil {
 		prefixes[r.PathPrefix] = r
 	}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -185,6 +185,16 @@
 	return *found, true
 }
 
+// ServedIn reports whether back ends of a zone may take a call. A call without a route is not judged: the
+// table may be older than the caller's.
+func (t *Table) ServedIn(zone, host, path string) bool {
+	if !t.routes.regional {
+		return true
+	}
+	route, found := t.Match(host, path)
+	return !found || t.Rules.InRegions(zone, route.Regions)
+}
+
 // hostName strips the port of a Host header and folds its case.
 func hostName(host string) string {
 	if strings.IndexByte(host, ':') >= 0 {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -268,6 +268,9 @@
 	if c.Name == "" {
 		p.add("name", "must be set")
 	}
+	if _, known := c.Zones[c.Zone]; !known && len(c.Zones) > 0 {
+		p.add("zones", "%q, the zone of this process, is not among them", c.Zone)
+	}
 	p.checkAddress("admin_listen", c.AdminListen)
 	if c.MetricsListen != "" {
 		p.checkAddress("metrics_listen", c.MetricsListen)
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -27,18 +27,19 @@
 		change func(*Control)
 		want   string
 	}{
-		"good":            {func(*Control) {}, ""},
-		"no cluster":      {func(c *Control) { c.Cluster = "" }, `key "cluster"`},
-		"host name":       {func(c *Control) { c.Listen = "localhost:80" }, `key "listen"`},
-		"same address":    {func(c *Control) { c.AdminListen = c.Listen }, "is also the address of"},
-		"no data":         {func(c *Control) { c.Data = "" }, `key "data"`},
-		"even replicas":   {func(c *Control) { c.Replicas = append(c.Replicas, Peer{Name: "two", Address: "127.0.0.1:1"}) }, "must be odd"},
-		"not a replica":   {func(c *Control) { c.Replicas[0].Name = "two" }, "itself is not among them"},
-		"no replica":      {func(c *Control) { c.Replicas = nil }, `key "replica": none is named`},
-		"bad key":         {func(c *Control) { c.ApprovalKeys = []string{"x"} }, `key "approval_keys"`},
-		"no key":          {func(c *Control) { c.ApprovalKeys = nil }, `key "approval_keys"`},
-		"fast election":   {func(c *Control) { c.ElectionTimeout = 1 }, `key "election_timeout"`},
-		"negative period": {func(c *Control) { c.PlatformInterval = -1 }, `key "platform_interval"`},
+		"good":             {func(*Control) {}, ""},
+		"no cluster":       {func(c *Control) { c.Cluster = "" }, `key "cluster"`},
+		"host name":        {func(c *Control) { c.Listen = "localhost:80" }, `key "listen"`},
+		"same address":     {func(c *Control) { c.AdminListen = c.Listen }, "is also the address of"},
+		"no data":          {func(c *Control) { c.Data = "" }, `key "data"`},
+		"even replicas":    {func(c *Control) { c.Replicas = append(c.Replicas, Peer{Name: "two", Address: "127.0.0.1:1"}) }, "must be odd"},
+		"not a replica":    {func(c *Control) { c.Replicas[0].Name = "two" }, "itself is not among them"},
+		"no replica":       {func(c *Control) { c.Replicas = nil }, `key "replica": none is named`},
+		"bad key":          {func(c *Control) { c.ApprovalKeys = []string{"x"} }, `key "approval_keys"`},
+		"no key":           {func(c *Control) { c.ApprovalKeys = nil }, `key "approval_keys"`},
+		"fast election":    {func(c *Control) { c.ElectionTimeout = 1 }, `key "election_timeout"`},
+		"zones without it": {func(c *Control) { c.Zones = map[string]string{"other": "east"} }, `key "zones"`},
+		"negative period":  {func(c *Control) { c.PlatformInterval = -1 }, `key "platform_interval"`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/pkg/sim/node.go
+++ b/pkg/sim/node.go
@@ -216,7 +216,7 @@
 		return
 	}
 	pool := n.pools[route.Targets[0].Service]
-	ticket, err := pool.Acquire(nil, n.clock, 0, c.tried)
+	ticket, err := pool.Acquire(nil, n.clock, 0, c.tried, route.Regions)
 	if err != nil {
 		c.end(string(c.record.Refusal()), false)
 		return
