--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -183,7 +183,7 @@
 // content is known here. Two bundles in a row are nearly equal, and the log goes to
 // every replica and disk.
 func (c *Catalog) NewCreate(expectedHead uint64, content bundle.Content, digest bundle.Digest) *Create {
-	request := &Create{ExpectedHead: expectedHead, Digest: digest}
+	request := &Create{ExpectedHead: expectedHead, Digest: digest, level: levelOf(content)}
 	base := bundle.Content{}
 	if parent, found := c.Versions[expectedHead]; found && parent.Content != nil {
 		request.Base = expectedHead
--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -45,6 +45,8 @@
 	Base   uint64        `json:"base,omitempty"`
 	Delta  bundle.Delta  `json:"delta"`
 	Digest bundle.Digest `json:"digest"`
+	// level is that of the content; it is no part of the entry.
+	level Level
 }
 
 // Approve signs a version off.
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -126,6 +126,9 @@
 	var proposeErr error
 	err := s.inspect(ctx, func(time.Duration) {
 		command := build()
+		if proposeErr = s.checkLevel(command); proposeErr != nil {
+			return
+		}
 		command.AtMillis = time.Now().UnixMilli()
 		s.nextProposal++
 		proposeErr = s.replica.Propose(s.nextProposal, command)
@@ -136,6 +139,10 @@
 	if err != nil {
 		return catalog.Result{}, refuse(catalog.CodeUnknownOutcome, "the replica did not take the command in time: %v", err)
 	}
+	var refused *catalog.OperationError
+	if errors.As(proposeErr, &refused) {
+		return catalog.Result{}, refused
+	}
 	if proposeErr != nil {
 		return catalog.Result{}, s.notLeader()
 	}
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/metrics"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/raft"
@@ -139,7 +140,7 @@
 	link.Set(metrics.LinkReplica)
 	conn := wire.NewConn(raw, wire.DefaultMaxFrame, peerWriteTimeout, p.server.traffic.Observe(link))
 	hello := protocol.Hello{ClusterID: p.server.settings.Cluster, Role: protocol.RoleReplica, Name: p.server.settings.Name, Zone: p.server.settings.Zone,
-		Address: ownAddress(p.server.settings), KnowsSuspects: true}
+		Address: ownAddress(p.server.settings), KnowsSuspects: true, Level: catalog.NewestLevel}
 	if _, err := protocol.Open(conn, hello, handshakeTimeout); err != nil {
 		conn.Close()
 		return nil, err
@@ -154,7 +155,7 @@
 
 // serveReplica takes in another replica's messages.
 func (s *Server) serveReplica(ctx context.Context, conn *wire.Conn, hello protocol.Hello) error {
-	s.noteProgram(hello)
+	s.noteLevel(hello)
 	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: s.settings.Name}); err != nil {
 		return err
 	}
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -37,14 +37,12 @@
 // error is a *catalog.OperationError.
 func (s *Server) Publish(ctx context.Context, p Publication) error {
 	content := p.Content.Normalized()
-	tree, err := bundle.NewTree(content)
-	if err != nil {
-		return fmt.Errorf("digest of bundle: %w", err)
-	}
 	invalid := content.Validate()
 	var settled *catalog.Result
-	err = s.readOnceLeased(ctx, func(time.Duration) {
+	var level catalog.Level
+	err := s.readOnceLeased(ctx, func(time.Duration) {
 		settled = settledPublication(s.replica.Catalog(), p, invalid)
+		level = s.commonLevel()
 	})
 	if err != nil {
 		return err
@@ -52,10 +50,15 @@
 	if settled != nil {
 		return asError(settled.Error)
 	}
+	content = catalog.WithoutHints(content, level)
+	tree, err := bundle.NewTree(content)
+	if err != nil {
+		return fmt.Errorf("digest of bundle: %w", err)
+	}
 	result, err := s.proposeBuilt(ctx, func() catalog.Command {
 		return catalog.Command{Publish: s.replica.Catalog().NewPublish(p.Base, p.Version, content, tree.Root(), p.Source)}
 	})
-	s.logger.Log("event", "publication", "version", p.Version, "base", p.Base, "revision", result.Revision, "error", err)
+	s.logger.Log("event", "publication", "version", p.Version, "base", p.Base, "revision", result.Revision, "level", int(level), "error", err)
 	return err
 }
 
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -77,11 +77,9 @@
 	evidence      chan []quarantine.Evidence
 	// suspicion holds at most one token: the suspects have changed.
 	suspicion chan struct{}
-	// older are the addresses of replicas whose program does not know suspects.
-	olderMu sync.Mutex
-	older   map[string]bool
-	known   atomic.Pointer[knownMembership]
-	seeds   atomic.Pointer[[]string]
+	levels    levelTable
+	known     atomic.Pointer[knownMembership]
+	seeds     atomic.Pointer[[]string]
 
 	newInterface      func(*Server) http.Handler
 	interfaceListener net.Listener
@@ -108,7 +106,7 @@
 func New(config settings.Control, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
 	s := &Server{
 		newInterface: newInterface, announced: make(chan []distribution.Endpoint, inboxSize),
-		evidence: make(chan []quarantine.Evidence, inboxSize), suspicion: make(chan struct{}, 1), older: map[string]bool{},
+		evidence: make(chan []quarantine.Evidence, inboxSize), suspicion: make(chan struct{}, 1),
 		settings: config, logger: logger, clock: clock.New(),
 		messages: make(chan received, inboxSize),
 		joins:    make(chan protocol.Join, inboxSize),
--- a/pkg/control/suspects.go
+++ b/pkg/control/suspects.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
-	"bramblelift/pkg/raft"
 )
 
 const (
@@ -85,30 +83,10 @@
 	return result, err
 }
 
-// noteProgram takes in whether another replica's program knows entries about suspects.
-func (s *Server) noteProgram(hello protocol.Hello) {
-	s.olderMu.Lock()
-	defer s.olderMu.Unlock()
-	if s.older[hello.Address] != hello.KnowsSuspects {
-		return
-	}
-	s.older[hello.Address] = !hello.KnowsSuspects
-	s.logger.Log("event", "replica_program", "replica", hello.Address, "knows_suspects", hello.KnowsSuspects)
-}
-
-// suspectsKnownToAll reports whether no replica is known to run an earlier program. It would pass
-// over entries about suspects, and from then on count fewer revisions than the others: nodes that
-// come to it from them would miss changes. It runs in the driver's goroutine.
-func (s *Server) suspectsKnownToAll() bool {
-	s.olderMu.Lock()
-	defer s.olderMu.Unlock()
-	return !slices.ContainsFunc(s.replica.Node().Membership().Members, func(m raft.Member) bool { return s.older[m.Address] })
-}
-
 // decidesOnSuspects reports whether this replica leads and may propose entries about suspects. It
 // runs in the driver's goroutine.
 func (s *Server) decidesOnSuspects(now time.Duration) bool {
-	return s.replica.Node().LeaseValid(now) && s.suspectsKnownToAll()
+	return s.replica.Node().LeaseValid(now) && s.commonLevel() >= catalog.LevelSuspects
 }
 
 // noteSuspects wakes the judge if there are suspects. It runs in the driver's goroutine.
--- a/pkg/control/suspects_test.go
+++ b/pkg/control/suspects_test.go
@@ -92,23 +92,23 @@
 	var address string
 	err := server.inspect(context.Background(), func(time.Duration) { address = server.replica.Node().Membership().Members[0].Address })
 	is.NoErr(err)
-	server.noteProgram(protocol.Hello{Address: address})
+	server.noteLevel(protocol.Hello{Address: address})
 	server.takeEvidence(endsOf("r", "i1", "i2"))
 	time.Sleep(3 * evidenceSpacing)
 	is.Equal(len(standings(t, server)), 0)
-	server.noteProgram(protocol.Hello{Address: address, KnowsSuspects: true})
+	server.noteLevel(protocol.Hello{Address: address, KnowsSuspects: true})
 	server.takeEvidence(endsOf("r", "i1", "i2"))
 	awaitStanding(t, server, "r", false)
 
 	// Verdicts are such entries, too, the leader's and an operator's.
 	server.takeEvidence(endsOf("r", "i3"))
 	time.Sleep(2 * evidenceSpacing)
-	server.noteProgram(protocol.Hello{Address: address})
+	server.noteLevel(protocol.Hello{Address: address})
 	time.Sleep(1500 * time.Millisecond)
 	is.Equal(standings(t, server), map[quarantine.Fingerprint]bool{"r": false})
-	server.noteProgram(protocol.Hello{Address: address, KnowsSuspects: true})
+	server.noteLevel(protocol.Hello{Address: address, KnowsSuspects: true})
 	awaitStanding(t, server, "r", true)
-	server.noteProgram(protocol.Hello{Address: address})
+	server.noteLevel(protocol.Hello{Address: address})
 	_, err = server.lift(context.Background(), "r")
 	var refused *catalog.OperationError
 	is.True(errors.As(err, &refused))
--- a/pkg/orders/table.go
+++ b/pkg/orders/table.go
@@ -96,3 +96,17 @@
 	}
 	return t
 }
+
+// Fields describes a change for logs, as keys and values.
+func (c Change) Fields() []any {
+	switch {
+	case c.Evacuate != nil:
+		return []any{"order", "evacuate", "zone", c.Evacuate.Zone}
+	case c.Readmit != "":
+		return []any{"order", "readmit", "zone", c.Readmit}
+	case c.Rollout != nil:
+		r := c.Rollout.Rollout
+		return []any{"order", "rollout", "service", r.Service, "version", r.Version, "number", r.Number, "phase", r.Phase}
+	}
+	return []any{"order", "none"}
+}
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
@@ -75,7 +76,11 @@
 	// Address is where a replica can be reached.
 	Address string
 	// KnowsSuspects is set by replicas whose program knows log entries about suspects.
+	// Programs that tell a Level set it, too, for those that look at nothing else.
 	KnowsSuspects bool
+	// Level is that of the log entries that a replica's program knows; programs from before it leave
+	// it out.
+	Level catalog.Level
 }
 
 // Welcome accepts a connection.
