Evacuations: operators' calls, command line, gates, nodes

Cause: orders could be agreed on, but nobody gave them and nobody kept them.

A node that is told so by a gate leaves that gate out for a while; the ask is no try. Back ends that get nothing new don't take the places of others in a node's share of a large service. Nodes tell of closed gates with their pings, so that operators see what still runs in a zone.

--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -125,26 +125,27 @@
 
 // subset picks the node's share of a large service by rendezvous hashing: the one beside the
 // node, then those of its own zone up to localSubset, then those of others, so that a zone
-// which fails leaves enough.
+// which fails leaves enough. Those that get nothing new come last.
 func (p *Pool) subset(all []routing.Endpoint) []routing.Endpoint {
 	if len(all) <= subsetSize {
 		return all
 	}
 	rank := func(e routing.Endpoint) uint64 { return xxhash.Sum64String(p.config.Node + "\x00" + e.ID) }
+	idle := func(e routing.Endpoint) bool { return e.Leaving || e.Refused != "" }
 	own := func(e routing.Endpoint) bool { return e.Gate != "" && e.Gate == p.config.OwnGate }
 	sorted := slices.Clone(all)
 	slices.SortFunc(sorted, func(a, b routing.Endpoint) int {
 		if own(a) != own(b) {
 			return boolCompare(!own(a), !own(b))
 		}
-		if a.Leaving != b.Leaving {
-			return boolCompare(a.Leaving, b.Leaving)
+		if idle(a) != idle(b) {
+			return boolCompare(idle(a), idle(b))
 		}
 		return uintCompare(rank(a), rank(b))
 	})
 	var chosen, rest []routing.Endpoint
 	for _, e := range sorted {
-		if e.Zone == p.config.Zone && len(chosen) < localSubset {
+		if e.Zone == p.config.Zone && !idle(e) && len(chosen) < localSubset {
 			chosen = append(chosen, e)
 		} else {
 			rest = append(rest, e)
--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -112,6 +112,8 @@
 	CodeUnknownVersion Code = "unknown-version"
 	// CodeUnknownSuspect: no request of that fingerprint is in quarantine.
 	CodeUnknownSuspect Code = "unknown-suspect"
+	// CodeUnknownZone: the deployment has no such zone.
+	CodeUnknownZone Code = "unknown-zone"
 	// CodeNotApproved: the version has no approval yet.
 	CodeNotApproved Code = "not-approved"
 	// CodeSuperseded: a later version is in force already.
--- a/pkg/control/nodes.go
+++ b/pkg/control/nodes.go
@@ -30,10 +30,17 @@
 	r.nodes[report.Node] = operator.Node{
 		Name: report.Node, Group: report.Group, Zone: report.Zone,
 		Active: report.Position.Active, Staged: report.Position.Staged, Revision: report.Position.Revision,
-		Connected: report.Connected, HeardMillis: at.UnixMilli(),
+		Connected: report.Connected, HeardMillis: at.UnixMilli(), Closed: closedGate(report.Closed),
 	}
 }
 
+func closedGate(closed *protocol.ClosedGate) *operator.ClosedGate {
+	if closed == nil {
+		return nil
+	}
+	return &operator.ClosedGate{Reason: string(closed.Reason), Running: closed.Running}
+}
+
 func (r *nodeRegistry) list(now time.Time) []operator.Node {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -39,6 +39,9 @@
 	mux.HandleFunc("GET "+operator.PathDiff, s.handleDiff)
 	mux.HandleFunc("GET "+operator.PathSuspects, s.handleSuspects)
 	mux.HandleFunc("POST "+operator.PathSuspects+"/{fingerprint}/lift", s.handleLift)
+	mux.HandleFunc("GET "+operator.PathZones, s.handleZones)
+	mux.HandleFunc("POST "+operator.PathEvacuations+"{zone}", s.handleEvacuation(true))
+	mux.HandleFunc("DELETE "+operator.PathEvacuations+"{zone}", s.handleEvacuation(false))
 }
 
 func refuse(code catalog.Code, format string, values ...any) *catalog.OperationError {
@@ -60,6 +63,7 @@
 	catalog.CodeOperationReused: http.StatusConflict,
 	catalog.CodeUnknownVersion:  http.StatusNotFound,
 	catalog.CodeUnknownSuspect:  http.StatusNotFound,
+	catalog.CodeUnknownZone:     http.StatusNotFound,
 	catalog.CodeNotApproved:     http.StatusConflict,
 	catalog.CodeSuperseded:      http.StatusConflict,
 	catalog.CodeInvalidBundle:   http.StatusUnprocessableEntity,
--- a/pkg/control/status.go
+++ b/pkg/control/status.go
@@ -94,4 +94,13 @@
 			Name: "bramblelift_revision", Help: "Revision of the distributed state.",
 		}, func() float64 { return float64(s.hub.Revision()) }),
 	)
+	for _, state := range []string{stateServing, stateEvacuated, stateLeaving} {
+		s.admin.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramblelift_backends", Help: "Back ends by whether they may take calls, as this replica knows.",
+			ConstLabels: prometheus.Labels{"state": state},
+		}, func() float64 { return float64(countBackends(s.hub.State())[state]) }))
+	}
+	s.admin.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bramblelift_evacuated_zones", Help: "Zones whose back ends get nothing new, as this replica knows.",
+	}, func() float64 { return float64(len(s.hub.State().Orders.EvacuatedZones())) }))
 }
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -74,6 +74,8 @@
 	Proxies    proxiesCommand    `command:"proxies" description:"show which node holds which version"`
 	Diff       diffCommand       `command:"diff" description:"show what changed between two versions"`
 	Suspects   suspectsCommand   `command:"suspects" description:"show requests under which back ends ended, or let one through again"`
+	Evacuate   evacuateCommand   `command:"evacuate" description:"let a zone's back ends get nothing new, or take that back"`
+	Zones      zonesCommand      `command:"zones" description:"show the zones, which are evacuated, and what still runs there"`
 	Watch      watchCommand      `command:"watch" description:"follow a version until every connected node has it in force"`
 	Explain    explainCommand    `command:"explain" description:"find a request in logs, with what led to its end"`
 	Completion completionCommand `command:"completion" description:"print a completion script for bash"`
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -22,7 +22,10 @@
 	unreachablePause = 700 * time.Millisecond
 	stoppingPause    = 1500 * time.Millisecond
 	absentPause      = 400 * time.Millisecond
-	downPause        = 250 * time.Millisecond
+	// evacuatedPause is for how long a gate is left out that said its zone is evacuated while the
+	// node's table does not say so: about as long as an order takes from the one to the other.
+	evacuatedPause = 400 * time.Millisecond
+	downPause      = 250 * time.Millisecond
 	// gateRetryShare of the time left is when to come back after a refusal.
 	gateRetryShare = 3
 	minGateRetry   = 20 * time.Millisecond
@@ -36,7 +39,10 @@
 	// done are back ends that must not get the call again, full those without a free slot.
 	done  []string
 	full  []string
+	// tries are the gates that it was sent to, without those that only told that the node is late; asks
+	// are all.
 	tries int
+	asks  int
 	// work is how long the route's calls take at back ends, answerBytes how long their answers
 	// are, zero if not known.
 	work        time.Duration
@@ -102,6 +108,7 @@
 		return g.giveUp("throttle", g.throttled(now)), false
 	}
 	g.tries++
+	g.asks++
 	response, failure := g.exchange(ctx, ticket, wait)
 	g.noteAsked(ticket, failure)
 	if failure == nil {
@@ -179,6 +186,10 @@
 		ticket.Leave()
 	case exchange.ReasonAbsent:
 		ticket.Avoid(now, absentPause)
+	case exchange.ReasonEvacuated:
+		ticket.Avoid(now, evacuatedPause)
+		// It costs the call none of its tries: the node is late, and the whole zone may answer so.
+		g.tries--
 	case exchange.ReasonBroken, exchange.ReasonEnded:
 		if g.request.Context().Err() == nil && now < g.deadline {
 			learned = balancer.Failed
@@ -322,7 +333,7 @@
 	now := g.now()
 	g.handler.config.OnAttempt(Attempt{
 		RequestID: g.request.Header.Get(g.handler.config.Headers.RequestID), Route: g.route.Name, Service: g.target,
-		Instance: ticket.ID, Number: g.tries, Reason: failure.reason, Err: failure.err, Report: failure.report,
+		Instance: ticket.ID, Number: g.asks, Reason: failure.reason, Err: failure.err, Report: failure.report,
 		Wait: wait, Elapsed: now - began, Left: g.deadline - now, Retried: again,
 	})
 }
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -27,6 +27,8 @@
 	Service  string
 	Address  string
 	Capacity int
+	// Zone is where it runs, empty for that of the gate.
+	Zone string
 }
 
 // SetBackend names the back end that takes calls from now on.
@@ -38,13 +40,16 @@
 	defer g.mu.Unlock()
 	if g.present && g.backend.ID == backend.ID {
 		g.backend = backend
+		g.applyRules()
 		return
 	}
 	g.left = g.backend.ID
 	g.backend, g.present = backend, true
 	g.generation++
 	g.running, g.service, g.pace, g.health, g.downUntil = 0, 0, pace{}, health{}, 0
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
+	g.closing = closing{}
+	g.applyRules()
 }
 
 // RemoveBackend lets nothing new reach a back end.
@@ -55,7 +60,7 @@
 		return
 	}
 	g.present, g.left = false, id
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
 }
 
 // Present reports whether there is a back end that takes calls.
@@ -70,11 +75,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopping = true
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
 }
 
-func (g *Gate) dropWaiting() {
+// dropWaiting lets all waiters go; the mutex is held.
+func (g *Gate) dropWaiting(reason exchange.Reason) {
 	for w := g.queue.first(); w != nil; w = g.queue.first() {
+		w.reason = reason
 		close(w.dropped)
 	}
 }
@@ -169,6 +176,8 @@
 		return exchange.ReasonLeft
 	case !g.present || (r.instance != "" && r.instance != g.backend.ID):
 		return exchange.ReasonAbsent
+	case g.closing.reason != "":
+		return g.closing.reason
 	case now < g.downUntil:
 		return exchange.ReasonUnreachable
 	case now >= r.deadline:
@@ -208,7 +217,7 @@
 		case <-w.admitted:
 			return w.granted, ""
 		case <-w.dropped:
-			return admittance{}, exchange.ReasonAbsent
+			return admittance{}, w.reason
 		case <-early.C:
 			waiting = r.early >= r.wait || g.hopeful(w, r.wait-r.early)
 		case <-timer.C:
@@ -226,7 +235,7 @@
 	}
 	select {
 	case <-w.dropped:
-		return admittance{}, exchange.ReasonAbsent
+		return admittance{}, w.reason
 	case <-w.admitted:
 	}
 	if ctx.Err() == nil {
@@ -278,6 +287,7 @@
 		g.service += time.Duration(serviceWeight * float64(end.service-g.service))
 		g.pace.note(a.work, end.service)
 	}
+	g.noteQuiet()
 	for g.running < g.backend.Capacity {
 		now := g.config.Now()
 		w := g.queue.firstInTime(now)
--- /dev/null
+++ b/pkg/gate/evacuate.go
@@ -0,0 +1,99 @@
+package gate
+
+import (
+	"time"
+
+	"bramblelift/pkg/eligibility"
+	"bramblelift/pkg/exchange"
+)
+
+// Closing tells that orders have closed the gate to new calls, or opened it again, for logs and metrics.
+type Closing struct {
+	Backend string
+	// Reason is why the gate is closed, empty once it is open again.
+	Reason exchange.Reason
+	// Dropped are the calls that waited and were let go, Running those that are finished.
+	Dropped int
+	Running int
+	// Quiet is set once the last call that was at work has ended, Took after the gate was closed.
+	Quiet bool
+	Took  time.Duration
+}
+
+// closing is the state of a gate that orders have closed.
+type closing struct {
+	// reason is empty while the gate is open.
+	reason exchange.Reason
+	at     time.Duration
+	// quiet is set once nothing was at work any more.
+	quiet bool
+}
+
+// SetRules takes in what the node's state says of who may take calls. A gate that was not told yet lets
+// calls in: nodes that send them know the rules.
+func (g *Gate) SetRules(rules *eligibility.Rules) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rules = rules
+	if g.present {
+		g.applyRules()
+	}
+}
+
+// Closed returns why orders have closed the gate, empty if they have not.
+func (g *Gate) Closed() exchange.Reason {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.present {
+		return ""
+	}
+	return g.closing.reason
+}
+
+// applyRules closes the gate, or opens it again, as the rules say of the present back end. What is at
+// work is finished; the mutex is held.
+func (g *Gate) applyRules() {
+	zone := g.backend.Zone
+	if zone == "" {
+		zone = g.config.Zone
+	}
+	reason := g.rules.Refuses(eligibility.Backend{Service: g.backend.Service, Zone: zone})
+	before := g.closing
+	if reason == before.reason {
+		return
+	}
+	now := g.config.Now()
+	if reason == "" {
+		g.closing = closing{}
+		g.tellClosing(Closing{Took: now - before.at})
+		g.Rested()
+		return
+	}
+	g.closing = closing{reason: reason, at: now}
+	dropped := len(g.queue)
+	g.dropWaiting(reason)
+	g.tellClosing(Closing{Reason: reason, Dropped: dropped})
+	g.noteQuiet()
+}
+
+// Rested is called with the mutex held when a back end that got nothing new for a while may take calls
+// again. It may have turned cold meanwhile without a word.
+func (g *Gate) Rested() {}
+
+// noteQuiet tells once that nothing is at work any more behind a closed gate; the mutex is held.
+func (g *Gate) noteQuiet() {
+	if g.closing.reason == "" || g.closing.quiet || g.running > 0 {
+		return
+	}
+	g.closing.quiet = true
+	g.tellClosing(Closing{Reason: g.closing.reason, Quiet: true, Took: g.config.Now() - g.closing.at})
+}
+
+// tellClosing passes on what happened; the mutex is held.
+func (g *Gate) tellClosing(c Closing) {
+	if g.config.OnClosing == nil {
+		return
+	}
+	c.Backend, c.Running = g.backend.ID, g.running
+	g.config.OnClosing(c)
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramblelift/pkg/eligibility"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/quarantine"
@@ -58,6 +59,11 @@
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
+	// Zone is that of back ends which do not tell theirs.
+	Zone string
+	// OnClosing, if set, is told when orders close the gate, when it is quiet and when it opens again.
+	// It must not call the gate.
+	OnClosing func(Closing)
 }
 
 // Call describes a finished call, for logs and metrics.
@@ -90,7 +96,10 @@
 	// generation counts the back ends; slots of an earlier one do not count any more.
 	generation uint64
 	stopping   bool
-	running    int
+	// rules are those of the node's state, nil before it has one.
+	rules   *eligibility.Rules
+	closing closing
+	running int
 	// receiving counts the calls whose bodies are on their way here.
 	receiving int
 	queue     waitQueue
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"bramblelift/pkg/exchange"
 )
 
 // waiter is a call that waits for a free slot.
@@ -16,6 +18,8 @@
 	// admitted is closed when the call may go on, dropped when it must not.
 	admitted chan struct{}
 	dropped  chan struct{}
+	// reason is why it was dropped; it is set before dropped is closed.
+	reason exchange.Reason
 	// granted is set before admitted is closed.
 	granted admittance
 	index   int
--- a/pkg/gate/sender.go
+++ b/pkg/gate/sender.go
@@ -11,7 +11,7 @@
 func (g *Gate) Sender() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	free := g.present && !g.stopping && g.running < g.backend.Capacity && len(g.queue) == 0
+	free := g.present && !g.stopping && g.closing.reason == "" && g.running < g.backend.Capacity && len(g.queue) == 0
 	if !free {
 		return ""
 	}
--- a/pkg/operator/api.go
+++ b/pkg/operator/api.go
@@ -16,6 +16,9 @@
 	PathNodes        = "/v1/nodes"
 	PathDiff         = "/v1/diff"
 	PathSuspects     = "/v1/suspects"
+	PathZones        = "/v1/zones"
+	// PathEvacuations goes before the name of a zone.
+	PathEvacuations = "/v1/evacuations/"
 )
 
 // CreateRequest makes a version. Just one of TOML, Source and FromVersion is set.
@@ -133,6 +136,40 @@
 	Connected bool   `json:"connected"`
 	// HeardMillis is when, in Unix milliseconds.
 	HeardMillis int64 `json:"heard_millis"`
+	// Closed is the state of the node's gate while orders keep it closed.
+	Closed *ClosedGate `json:"closed,omitempty"`
+}
+
+// ClosedGate is the state of a gate that gets nothing new.
+type ClosedGate struct {
+	Reason string `json:"reason"`
+	// Running are the calls that are still at work behind it.
+	Running int `json:"running"`
+}
+
+// Zone describes one zone as the leader knows it.
+type Zone struct {
+	Name   string `json:"name"`
+	Region string `json:"region,omitempty"`
+	// Evacuated is set while its back ends get nothing new, since EvacuatedMillis by the clock of the
+	// leader of that time, in Unix milliseconds.
+	Evacuated       bool  `json:"evacuated"`
+	EvacuatedMillis int64 `json:"evacuated_millis,omitempty"`
+	// Backends are those that would take calls otherwise, Leaving those that leave.
+	Backends int `json:"backends"`
+	Leaving  int `json:"leaving"`
+}
+
+// ZoneList answers a call for all zones, by name.
+type ZoneList struct {
+	Zones []Zone `json:"zones"`
+}
+
+// OrderResult answers an order that is in force.
+type OrderResult struct {
+	Zone      string `json:"zone"`
+	Evacuated bool   `json:"evacuated"`
+	Revision  uint64 `json:"revision"`
 }
 
 // Change is one line of a diff. Secrets show as digests.
--- a/pkg/orders/table.go
+++ b/pkg/orders/table.go
@@ -43,6 +43,14 @@
 	return found
 }
 
+// EvacuatedZones returns the orders about zones, by zone.
+func (t *Table) EvacuatedZones() []Evacuation {
+	if t == nil {
+		return nil
+	}
+	return t.Evacuations
+}
+
 func (t *Table) findZone(zone string) (int, bool) {
 	return slices.BinarySearchFunc(t.Evacuations, zone, func(e Evacuation, zone string) int { return cmp.Compare(e.Zone, zone) })
 }
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -14,6 +14,7 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
 	"bramblelift/pkg/wire"
@@ -143,6 +144,15 @@
 	// Evidence is what the subscriber's gate has seen of requests that end back ends, nil for
 	// nothing.
 	Evidence *quarantine.Evidence
+	// Closed is the state of the subscriber's gate while orders keep it closed, nil otherwise.
+	Closed *ClosedGate
+}
+
+// ClosedGate is the state of a gate that orders keep closed.
+type ClosedGate struct {
+	Reason exchange.Reason
+	// Running are the calls that are still at work behind it.
+	Running int
 }
 
 // Pong answers a Ping.
@@ -171,6 +181,8 @@
 	Zone      string
 	Position  distribution.Position
 	Connected bool
+	// Closed is the state of the node's gate while orders keep it closed, nil otherwise.
+	Closed *ClosedGate
 }
 
 // RaftMessage carries one consensus message.
@@ -191,6 +203,8 @@
 type Announce struct {
 	Endpoints []distribution.Endpoint
 	Evidence  *quarantine.Evidence
+	// Closed goes no further than the server that hears it.
+	Closed *ClosedGate
 }
 
 // Empty reports whether nothing is announced.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -23,9 +23,11 @@
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
 		Link: s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
+		Zone: s.settings.Zone, OnClosing: s.noteClosing,
 		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
+	s.observer.watchBackend(s.admin.Registry, s.gate)
 	s.registry = registration.New(registration.Config{
 		Gate: s.gate, GateAddress: s.settings.GateAdvertise, Service: s.settings.Service,
 		Changed: func() { s.client.PingSoon() }, OnChange: s.noteBackend,
@@ -74,7 +76,7 @@
 
 // announce returns what the control plane is to hear with the next ping.
 func (s *Server) announce() protocol.Announce {
-	var announced protocol.Announce
+	announced := protocol.Announce{Closed: s.closedGate()}
 	if s.registry != nil {
 		announced.Endpoints = s.registry.Announcements()
 	}
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -23,6 +23,7 @@
 	admitted  *prometheus.CounterVec
 	waits     prometheus.Histogram
 	service   prometheus.Histogram
+	quiet     prometheus.Gauge
 }
 
 // durationBuckets reach from half a millisecond to eight seconds.
@@ -50,6 +51,9 @@
 		service: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "bramblelift_gate_service_seconds", Help: "Time that calls took at the back end.", Buckets: durationBuckets,
 		}),
+		quiet: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "bramblelift_gate_quiet_seconds", Help: "How long the calls at work took to end when orders closed the gate last.",
+		}),
 	}
 	registry.MustRegister(o.calls, o.durations, o.attempts, o.admitted, o.waits, o.service)
 	return o
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -325,6 +325,9 @@
 	s.watch(state.Watchlist, state.Revision)
 	table := routing.Next(s.table, state, s.settings.Zones)
 	s.table = table
+	if s.gate != nil {
+		s.gate.SetRules(table.Rules)
+	}
 	if s.registry != nil {
 		s.registry.Observe(state.Endpoints)
 	}
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// State returns the state served.
+func (h *Hub) State() *distribution.State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.planner.State()
+}
+
 // Revision returns the revision served.
 func (h *Hub) Revision() uint64 {
 	h.mu.Lock()
@@ -114,6 +121,8 @@
 	// is not admitted.
 	session  *Session
 	admitted bool
+	// closed is the state of the subscriber's gate as it said last; the hub's mutex guards it.
+	closed *protocol.ClosedGate
 	// toldServers is what the subscriber was last told; only the writer uses it.
 	toldServers []protocol.Server
 }
@@ -128,8 +137,19 @@
 func (s *subscriber) report(connected bool) protocol.NodeReport {
 	return protocol.NodeReport{
 		Node: s.hello.Name, Group: s.hello.Group, Zone: s.hello.Zone,
-		Position: s.session.Held(), Connected: connected,
+		Position: s.session.Held(), Connected: connected, Closed: s.closed,
+	}
+}
+
+// takeClosed notes the state of the subscriber's gate, nil for an open one; it reports whether that
+// changed.
+func (s *subscriber) takeClosed(closed *protocol.ClosedGate) (changed bool) {
+	before := s.closed
+	s.closed = closed
+	if closed == nil || before == nil {
+		return closed != before
 	}
+	return *closed != *before
 }
 
 // Serve runs one subscription until the connection ends. The Hello was read already.
@@ -243,6 +263,7 @@
 func (h *Hub) takePing(s *subscriber, ping protocol.Ping) {
 	h.mu.Lock()
 	changed := s.session.TakePing(ping)
+	changed = s.takeClosed(ping.Closed) || changed
 	h.mu.Unlock()
 	s.wake()
 	if confirmedAt, confirmed := h.config.ConfirmedAt(); h.config.WantFresh != nil && (!confirmed || confirmedAt < s.openedAt) {
