--- /dev/null
+++ b/pkg/catalog/orders_test.go
@@ -0,0 +1,67 @@
+package catalog
+
+import (
+	"testing"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/orders"
+	"bramblelift/pkg/quarantine"
+
+	"github.com/matryer/is"
+)
+
+// An order must outlive the leader that took it, and a restart from a snapshot.
+func TestOrdersSurviveSnapshots(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	for _, change := range []orders.Change{
+		{Evacuate: &orders.Evacuation{Zone: "a", AtMillis: 5}}, {Evacuate: &orders.Evacuation{Zone: "b"}}, {Readmit: "b"},
+	} {
+		encoded, err := Command{Orders: &change}.Encode()
+		is.NoErr(err)
+		decoded, err := DecodeCommand(encoded)
+		is.NoErr(err)
+		c.Apply(decoded)
+	}
+	data, err := c.Snapshot()
+	is.NoErr(err)
+	restored, err := Restore(data)
+	is.NoErr(err)
+	is.Equal(restored.State().Orders, c.State().Orders)
+	is.Equal(restored.State().Orders.Evacuations, []orders.Evacuation{{Zone: "a", AtMillis: 5}})
+	is.Equal(restored.State().Revision, uint64(3))
+}
+
+func TestLevelsOfCommands(t *testing.T) {
+	is := is.New(t)
+	plain := bundle.Content{Services: []bundle.Service{{Name: "s"}}, Routes: []bundle.Route{{Name: "r", PathPrefix: "/", Service: "s"}}}
+	change := func(edit func(*bundle.Content)) bundle.Content {
+		c := plain
+		c.Services, c.Routes = []bundle.Service{plain.Services[0]}, []bundle.Route{plain.Routes[0]}
+		edit(&c)
+		return c
+	}
+	hints := change(func(c *bundle.Content) { c.Services[0].HealthPath = "/healthz" })
+	regions := change(func(c *bundle.Content) { c.Routes[0].Regions = []string{"east"} })
+	for _, test := range []struct {
+		content bundle.Content
+		level   Level
+	}{
+		{plain, LevelBase}, {hints, LevelOrders}, {regions, LevelOrders},
+		{change(func(c *bundle.Content) { c.Services[0].ColdRate = 3 }), LevelOrders},
+		{change(func(c *bundle.Content) { c.Services[0].ColdStart = 3 }), LevelOrders},
+		{change(func(c *bundle.Content) { c.Routes[0].Kind = bundle.KindDownload }), LevelOrders},
+	} {
+		publish := New().NewPublish(0, 1, test.content, bundle.Digest{}, nil)
+		is.Equal(Command{Publish: publish}.Level(), test.level)
+		is.Equal(Command{Create: &publish.Create}.Level(), test.level)
+	}
+	is.Equal(Command{Orders: &orders.Change{}}.Level(), LevelOrders)
+	is.Equal(Command{Suspects: &quarantine.Change{}}.Level(), LevelSuspects)
+	is.Equal(Command{Endpoints: &Endpoints{}}.Level(), LevelBase)
+
+	is.Equal(WithoutHints(hints, LevelSuspects), plain)
+	is.Equal(hints.Services[0].HealthPath, "/healthz") // the content given stays as it is
+	is.Equal(WithoutHints(hints, LevelOrders), hints)
+	is.Equal(WithoutHints(regions, LevelSuspects), regions) // calls must not be served without them
+}
--- a/pkg/distribution/distribution_test.go
+++ b/pkg/distribution/distribution_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/orders"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -82,7 +83,13 @@
 }
 
 func changeState(t *rapid.T, state *State, version uint64) (*State, uint64) {
-	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	switch rapid.IntRange(0, 4).Draw(t, "change") {
+	case 4:
+		zone := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+		if rapid.Bool().Draw(t, "evacuate") {
+			return state.ChangeOrders(orders.Change{Evacuate: &orders.Evacuation{Zone: zone}}), version
+		}
+		return state.ChangeOrders(orders.Change{Readmit: zone}), version
 	case 0:
 		version++
 		return state.Stage(signed(version, rapid.IntRange(0, 9).Draw(t, "variant"))), version
@@ -117,6 +124,11 @@
 	if held.Position() != state.Position() {
 		t.Fatalf("%s holds %+v, not %+v", group, held.Position(), state.Position())
 	}
+	for _, zone := range []string{"a", "b"} {
+		if held.Orders.Evacuated(zone) != state.Orders.Evacuated(zone) {
+			t.Fatalf("%s takes zone %s for evacuated=%t", group, zone, held.Orders.Evacuated(zone))
+		}
+	}
 	if held.Active != nil && held.Active.Content.Consistent() != nil {
 		t.Fatalf("%s holds a dangling route", group)
 	}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -37,8 +37,8 @@
 	*call
 	body *exchange.Body
 	// done are back ends that must not get the call again, full those without a free slot.
-	done  []string
-	full  []string
+	done []string
+	full []string
 	// tries are the gates that it was sent to, without those that only told that the node is late; asks
 	// are all.
 	tries int
--- a/pkg/forward/gated_test.go
+++ b/pkg/forward/gated_test.go
@@ -52,6 +52,14 @@
 	}
 	change(&cfg)
 	handler := New(cfg)
+	handler.SetTable(routing.New(gatedState(gates, zones)))
+	n.Server = httptest.NewServer(handler)
+	t.Cleanup(n.Close)
+	return n
+}
+
+// gatedState is a state whose only service stands behind gates of zones.
+func gatedState(gates, zones []string) *distribution.State {
 	endpoints := map[string]distribution.Endpoint{}
 	for i, gate := range gates {
 		id := fmt.Sprintf("e%d", i)
@@ -61,17 +69,14 @@
 		return bundle.Route{Name: name, Host: "shop.example", PathPrefix: "/" + name + "/", Service: "s", Kind: kind, MaxAttempts: 2,
 			Timeout: bundle.Duration(400 * time.Millisecond), TargetLatency: bundle.Duration(200 * time.Millisecond), Priority: 3}
 	}
-	handler.SetTable(routing.New(&distribution.State{
+	return &distribution.State{
 		Active: &bundle.Signed{Manifest: bundle.Manifest{Version: 4}, Content: bundle.Content{
 			Limits:   bundle.Limits{MaxBodyBytes: 100_000},
 			Services: []bundle.Service{{Name: "s"}},
 			Routes:   []bundle.Route{route("safe", bundle.KindSafe), route("unsafe", bundle.KindUnsafe)},
 		}},
 		Endpoints: distribution.EndpointTable{"s": endpoints},
-	}))
-	n.Server = httptest.NewServer(handler)
-	t.Cleanup(n.Close)
-	return n
+	}
 }
 
 func (n *gatedNode) call(t *testing.T, method, path, body string, header ...string) *http.Response {
--- /dev/null
+++ b/pkg/replica/orders_test.go
@@ -0,0 +1,77 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/orders"
+
+	"github.com/matryer/is"
+)
+
+func (g *group) order(number ProposalID, change orders.Change) {
+	g.t.Helper()
+	is := is.New(g.t)
+	_, leader := g.leader()
+	is.True(leader != nil)
+	is.NoErr(leader.Propose(number, catalog.Command{Orders: &change}))
+	g.run(200 * time.Millisecond)
+	last := g.done[len(g.done)-1]
+	is.Equal(last.Proposal, number)
+	is.NoErr(last.Err)
+}
+
+// The leader is lost after the others have the entry and before it could answer: the next one has the
+// order, and acknowledges it once more without a change.
+func TestLeaderLostBetweenCommitAndAnswer(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, "a", "b", "c")
+	g.run(2 * time.Second)
+	name, leader := g.leader()
+	evacuate := orders.Change{Evacuate: &orders.Evacuation{Zone: "z"}}
+	is.NoErr(leader.Propose(1, catalog.Command{Orders: &evacuate}))
+	g.run(testTick)    // the entry leaves
+	g.cut[name] = true // and no answer reaches the leader
+	g.run(3 * time.Second)
+	for _, done := range g.done {
+		is.True(done.Proposal != 1 || done.Err != nil) // it was never told that it is taken
+	}
+	_, next := g.leader()
+	is.True(next != nil && next != leader)
+	is.True(next.State().Orders.Evacuated("z"))
+	before := next.State().Revision
+	g.order(2, evacuate)
+	is.Equal(next.State().Revision, before)
+	g.cut[name] = false
+	g.run(2 * time.Second)
+	is.True(g.replicas[name].State().Orders.Evacuated("z"))
+}
+
+// Everything loses power: the orders come back from the log, and from a snapshot that took the log's place.
+func TestOrdersOutliveTheLossOfPowerEverywhere(t *testing.T) {
+	for name, entries := range map[string]int{"log": 1, "snapshot": 1200} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGroup(t, "a")
+			g.run(2 * time.Second)
+			g.order(1, orders.Change{Evacuate: &orders.Evacuation{Zone: "z"}})
+			g.order(2, orders.Change{Evacuate: &orders.Evacuation{Zone: "y"}})
+			g.order(3, orders.Change{Readmit: "y"})
+			r := g.replicas["a"]
+			ordered := r.Applied()
+			for i := range entries {
+				change := distribution.Endpoint{Service: "s", ID: fmt.Sprint(i), Incarnation: 1}
+				is.NoErr(r.Propose(ProposalID(100+i), catalog.Command{Endpoints: &catalog.Endpoints{Changes: []distribution.Endpoint{change}}}))
+			}
+			g.run(100 * time.Millisecond)
+			is.Equal(r.Node().SnapshotIndex() >= ordered, name == "snapshot")
+			g.restart("a")
+			g.run(2 * time.Second)
+			held := g.replicas["a"].State().Orders
+			is.True(held.Evacuated("z") && !held.Evacuated("y"))
+		})
+	}
+}
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -27,6 +27,7 @@
 	now      time.Duration
 	replicas map[string]*Replica
 	full     map[string]*bool
+	files    map[string]storage.FileSystem
 	cut      map[string]bool
 	done     []Completion
 	random   int64
@@ -62,7 +63,7 @@
 
 // newGroup founds a group of the named replicas.
 func newGroup(t *testing.T, names ...string) *group {
-	g := &group{t: t, replicas: map[string]*Replica{}, full: map[string]*bool{}, cut: map[string]bool{}}
+	g := &group{t: t, replicas: map[string]*Replica{}, full: map[string]*bool{}, files: map[string]storage.FileSystem{}, cut: map[string]bool{}}
 	var members []raft.Member
 	for _, name := range names {
 		members = append(members, raft.Member{Name: name, Address: name})
@@ -80,15 +81,30 @@
 	full := false
 	files := limitedFiles{folder, &full}
 	is.New(g.t).NoErr(create(files))
+	g.full[name] = &full
+	g.files[name] = files
+	g.start(name)
+}
+
+// start opens a replica from its disk.
+func (g *group) start(name string) {
+	g.t.Helper()
 	r, err := Open(g.now, Config{
 		Raft: raft.Config{
 			ElectionTimeout: testElection, HeartbeatInterval: testHeartbeat, MaxAppendBytes: 1 << 20, KeepEntries: 100,
 			Random: func(n int64) int64 { g.random += 61_803_399; return g.random % n },
 		},
 		CompactAfter: 1000, RemoveAfter: testRemove, ToleratedLosses: 1,
-	}, files)
+	}, g.files[name])
 	is.New(g.t).NoErr(err)
-	g.replicas[name], g.full[name] = r, &full
+	g.replicas[name] = r
+}
+
+// restart ends a replica's process and starts it again.
+func (g *group) restart(name string) {
+	g.t.Helper()
+	is.New(g.t).NoErr(g.replicas[name].Close())
+	g.start(name)
 }
 
 // join lets a replica with an empty disk ask for membership.
