--- a/pkg/balancer/subset_test.go
+++ b/pkg/balancer/subset_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/routing"
 
 	"github.com/matryer/is"
@@ -39,3 +40,34 @@
 		is.True(len(used) > 3*zoneSize) // all nodes together use nearly everybody
 	}
 }
+
+// Back ends that get nothing new don't take the places of those that do: a node whose zone is evacuated
+// would have too few left.
+func TestSubsetLeavesOutBackendsOfEvacuatedZones(t *testing.T) {
+	is := is.New(t)
+	service := routing.Service{Name: "s"}
+	for i := range 40 {
+		e := routing.Endpoint{ID: fmt.Sprintf("own-%d", i), Incarnation: 1, Zone: "z1", Gate: "10.0.0.1:1", Refused: exchange.ReasonEvacuated}
+		service.Endpoints = append(service.Endpoints, e)
+	}
+	for i := range 30 {
+		service.Endpoints = append(service.Endpoints, routing.Endpoint{ID: fmt.Sprintf("other-%d", i), Incarnation: 1, Zone: "z2", Gate: "10.0.0.2:1"})
+	}
+	p := NewPool(Config{Node: "n", Zone: "z1", Random: rand.New(rand.NewPCG(1, 2)).IntN})
+	p.Update(0, service)
+	candidates := p.candidates(0, nil, nil)
+	is.Equal(len(candidates), subsetSize)
+
+	// Taken back, the own zone is the first choice again.
+	for i := range 40 {
+		service.Endpoints[i].Refused = ""
+	}
+	p.Update(0, service)
+	local := 0
+	for _, e := range p.candidates(0, nil, nil) {
+		if !e.remote {
+			local++
+		}
+	}
+	is.Equal(local, localSubset)
+}
