Contents that nodes of the earlier release can read, at whichever replica they are

Cause: a node of the earlier release refuses a content with fields that it does not know (its digest differs), so that replicas could not be upgraded before nodes. Seen failing: TestUpgradeOfReplicasFirst stopped at version 6, which an earlier node at another replica than the leader did not serve.

Hellos of nodes and relays tell their level, replicas tell the leader each second of nodes below their own (in upgrades only), and publications leave hints out while there are any. A level of zero must not stand alone behind a pointer: gob leaves it out, which the first try of this showed.

--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -28,6 +28,9 @@
 	if announced.Evidence != nil && !announced.Evidence.Empty() {
 		s.takeEvidence(*announced.Evidence)
 	}
+	if announced.Earlier != nil {
+		s.subscribers.note(announced.Earlier.Level, s.clock.Elapsed())
+	}
 }
 
 // takeAnnouncements takes in back ends that nodes announce. They come again until the
--- a/pkg/control/level.go
+++ b/pkg/control/level.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/protocol"
@@ -70,13 +72,88 @@
 	return s.levels.least(addresses)
 }
 
-// checkLevel refuses a command that some member does not know. It runs in the driver's goroutine.
+// contentLevel returns the least level of the members and of all nodes that a replica hears: a node that
+// cannot read a content whole takes none of it. It runs in the driver's goroutine.
+func (s *Server) contentLevel() catalog.Level {
+	return min(s.commonLevel(), s.nodes.least(), s.subscribers.least(s.clock.Elapsed()))
+}
+
+// checkLevel refuses a command that some member does not know, or some node cannot read. It runs in the
+// driver's goroutine.
 func (s *Server) checkLevel(command catalog.Command) error {
 	common := s.commonLevel()
+	if command.Create != nil || command.Publish != nil {
+		common = s.contentLevel()
+	}
 	if command.Level() <= common {
 		return nil
 	}
-	s.logger.Log("event", "command_refused", "reason", "a member runs an earlier release", "level", int(command.Level()), "common_level", int(common))
-	return refuse(catalog.CodeUnavailable, "a member of the control plane runs an earlier release, which does not know this: entries of level %d, it knows %d; upgrade it first",
+	s.logger.Log("event", "command_refused", "reason", "a replica or a node runs an earlier release", "level", int(command.Level()), "common_level", int(common))
+	return refuse(catalog.CodeUnavailable, "a replica or a node runs an earlier release, which does not know this (level %d, it knows %d): upgrade it first",
 		command.Level(), common)
 }
+
+const (
+	// subscriberLevelInterval is how often a replica tells the leader that nodes of an earlier release
+	// come to it. It does so during an upgrade only.
+	subscriberLevelInterval = time.Second
+	// subscriberLevelMemory is for how long the leader goes by that: some messages may be lost.
+	subscriberLevelMemory = 4 * subscriberLevelInterval
+)
+
+// subscriberLevel is the least level of other replicas' subscribers. The zero value knows none.
+type subscriberLevel struct {
+	mu    sync.Mutex
+	heard map[catalog.Level]time.Duration
+}
+
+// note takes in what a replica tells.
+func (l *subscriberLevel) note(level catalog.Level, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.heard == nil {
+		l.heard = map[catalog.Level]time.Duration{}
+	}
+	l.heard[level] = now
+}
+
+// least returns the least level that was told of lately.
+func (l *subscriberLevel) least(now time.Duration) catalog.Level {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	least := catalog.NewestLevel
+	for level, at := range l.heard {
+		if now-at <= subscriberLevelMemory {
+			least = min(least, level)
+		} else {
+			delete(l.heard, level)
+		}
+	}
+	return least
+}
+
+// tellSubscriberLevel tells the leader that nodes of an earlier release come to this replica, for as long
+// as any does.
+func (s *Server) tellSubscriberLevel(ctx context.Context) {
+	ticker := time.NewTicker(subscriberLevelInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		earlier := s.nodes.earlier()
+		if earlier == nil {
+			continue
+		}
+		err := s.inspect(ctx, func(time.Duration) {
+			if node := s.replica.Node(); node.Leader() != node.ID() {
+				s.peers.announce(node.Leader(), protocol.Announce{Earlier: earlier})
+			}
+		})
+		if err != nil && ctx.Err() == nil {
+			s.logger.Log("event", "subscriber_level_not_told", "level", int(earlier.Level), "error", err)
+		}
+	}
+}
--- a/pkg/control/nodes.go
+++ b/pkg/control/nodes.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/operator"
 	"bramblelift/pkg/protocol"
 )
@@ -18,15 +19,22 @@
 type nodeRegistry struct {
 	mu    sync.Mutex
 	nodes map[string]operator.Node
+	// levels are those of the connected nodes that are below this program's own.
+	levels map[string]catalog.Level
 }
 
 func newNodeRegistry() *nodeRegistry {
-	return &nodeRegistry{nodes: map[string]operator.Node{}}
+	return &nodeRegistry{nodes: map[string]operator.Node{}, levels: map[string]catalog.Level{}}
 }
 
 func (r *nodeRegistry) take(report protocol.NodeReport, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if report.Connected && report.Level < catalog.NewestLevel {
+		r.levels[report.Node] = report.Level
+	} else {
+		delete(r.levels, report.Node)
+	}
 	r.nodes[report.Node] = operator.Node{
 		Name: report.Node, Group: report.Group, Zone: report.Zone,
 		Active: report.Position.Active, Staged: report.Position.Staged, Revision: report.Position.Revision,
@@ -34,6 +42,28 @@
 	}
 }
 
+// least returns the least level among the connected nodes.
+func (r *nodeRegistry) least() catalog.Level {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	least := catalog.NewestLevel
+	for _, level := range r.levels {
+		least = min(least, level)
+	}
+	return least
+}
+
+// earlier describes the connected nodes of an earlier release, nil if there are none.
+func (r *nodeRegistry) earlier() *protocol.EarlierSubscribers {
+	least := r.least()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.levels) == 0 {
+		return nil
+	}
+	return &protocol.EarlierSubscribers{Count: len(r.levels), Level: least}
+}
+
 func closedGate(closed *protocol.ClosedGate) *operator.ClosedGate {
 	if closed == nil {
 		return nil
--- a/pkg/control/orders_test.go
+++ b/pkg/control/orders_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
 	"testing"
 	"time"
@@ -112,3 +114,48 @@
 	is.Equal(levelOf(protocol.Hello{KnowsSuspects: true}), catalog.LevelSuspects)
 	is.Equal(levelOf(protocol.Hello{KnowsSuspects: true, Level: catalog.LevelOrders}), catalog.LevelOrders)
 }
+
+// overTheWire returns what another replica reads of an announcement: gob leaves out what is zero.
+func overTheWire(t *testing.T, sent protocol.Announce) protocol.Announce {
+	t.Helper()
+	var buffer bytes.Buffer
+	var read protocol.Announce
+	is.New(t).NoErr(gob.NewEncoder(&buffer).Encode(sent))
+	is.New(t).NoErr(gob.NewDecoder(&buffer).Decode(&read))
+	return read
+}
+
+// A node of the earlier release takes none of a content that it cannot read whole, whichever replica it
+// comes to; orders do not wait for it, since gates correct it.
+func TestContentsThatEarlierNodesCanRead(t *testing.T) {
+	is := is.New(t)
+	server := startSingle(t)
+	content := bundle.Content{
+		Services: []bundle.Service{{Name: "s", HealthPath: "/healthz"}},
+		Routes:   []bundle.Route{{Name: "r", PathPrefix: "/", Service: "s"}},
+	}
+	version := uint64(0)
+	publish := func() bundle.Service {
+		t.Helper()
+		version++
+		p := Publication{Base: version - 1, Version: version, Content: content, Source: []byte{byte(version)}}
+		is.NoErr(server.Publish(context.Background(), p))
+		return activeService(t, server)
+	}
+	is.Equal(publish(), content.Services[0])
+	server.nodes.take(protocol.NodeReport{Node: "n", Connected: true}, time.Now())
+	is.Equal(publish(), bundle.Service{Name: "s"})
+	_, err := server.Order(context.Background(), evacuate("a"))
+	is.NoErr(err)
+	server.nodes.take(protocol.NodeReport{Node: "n"}, time.Now()) // it is gone
+	is.Equal(publish(), content.Services[0])
+	server.nodes.take(protocol.NodeReport{Node: "n", Connected: true, Level: catalog.NewestLevel}, time.Now())
+	is.Equal(publish(), content.Services[0])
+	server.takeAnnounced(overTheWire(t, protocol.Announce{Earlier: &protocol.EarlierSubscribers{Count: 1}})) // it is at another replica
+	is.Equal(publish(), bundle.Service{Name: "s"})
+
+	var told subscriberLevel
+	told.note(catalog.LevelBase, time.Second)
+	is.Equal(told.least(time.Second+subscriberLevelMemory), catalog.LevelBase)
+	is.Equal(told.least(time.Second+subscriberLevelMemory+1), catalog.NewestLevel)
+}
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -42,7 +42,7 @@
 	var level catalog.Level
 	err := s.readOnceLeased(ctx, func(time.Duration) {
 		settled = settledPublication(s.replica.Catalog(), p, invalid)
-		level = s.commonLevel()
+		level = s.contentLevel()
 	})
 	if err != nil {
 		return err
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -78,8 +78,10 @@
 	// suspicion holds at most one token: the suspects have changed.
 	suspicion chan struct{}
 	levels    levelTable
-	known     atomic.Pointer[knownMembership]
-	seeds     atomic.Pointer[[]string]
+	// subscribers is what other replicas tell of theirs.
+	subscribers subscriberLevel
+	known       atomic.Pointer[knownMembership]
+	seeds       atomic.Pointer[[]string]
 
 	newInterface      func(*Server) http.Handler
 	interfaceListener net.Listener
@@ -207,6 +209,7 @@
 	group.Go(func() { s.proposeAnnounced(ctx) })
 	group.Go(func() { s.proposeEvidence(ctx) })
 	group.Go(func() { s.judgeSuspects(ctx) })
+	group.Go(func() { s.tellSubscriberLevel(ctx) })
 	group.Go(func() { s.serveInterface(ctx) })
 	err := s.drive(ctx)
 	s.peers.close()
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -79,8 +79,8 @@
 	// KnowsSuspects is set by replicas whose program knows log entries about suspects.
 	// Programs that tell a Level set it, too, for those that look at nothing else.
 	KnowsSuspects bool
-	// Level is that of the log entries that a replica's program knows; programs from before it leave
-	// it out.
+	// Level is that of the log entries that a replica's program knows, or of the contents that a node's
+	// or a relay's can read; programs from before it leave it out.
 	Level catalog.Level
 }
 
@@ -183,6 +183,8 @@
 	Connected bool
 	// Closed is the state of the node's gate while orders keep it closed, nil otherwise.
 	Closed *ClosedGate
+	// Level is that of the contents that the node can read.
+	Level catalog.Level
 }
 
 // RaftMessage carries one consensus message.
@@ -205,6 +207,16 @@
 	Evidence  *quarantine.Evidence
 	// Closed goes no further than the server that hears it.
 	Closed *ClosedGate
+	// Earlier are the replica's subscribers of an earlier release, nil for none.
+	Earlier *EarlierSubscribers
+}
+
+// EarlierSubscribers tells of a replica's subscribers that cannot read every content.
+type EarlierSubscribers struct {
+	// Count is never zero.
+	Count int
+	// Level is the least that they can read.
+	Level catalog.Level
 }
 
 // Empty reports whether nothing is announced.
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/wire"
@@ -92,6 +93,7 @@
 	if len(candidates) == 0 {
 		return nil, errors.New("subscribe: no server is named")
 	}
+	config.Hello.Level = catalog.NewestLevel
 	c := &Client{config: config, target: target, seeds: candidates, selector: NewSelector(config.Selector, candidates), soon: make(chan struct{}, 1)}
 	c.confirmedAt.Store(unconfirmed)
 	return c, nil
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -137,7 +137,7 @@
 func (s *subscriber) report(connected bool) protocol.NodeReport {
 	return protocol.NodeReport{
 		Node: s.hello.Name, Group: s.hello.Group, Zone: s.hello.Zone,
-		Position: s.session.Held(), Connected: connected, Closed: s.closed,
+		Position: s.session.Held(), Connected: connected, Closed: s.closed, Level: s.hello.Level,
 	}
 }
 
