--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -95,7 +95,7 @@
 	defer p.mu.Unlock()
 	candidates := p.candidates(now, r.LeftOut, r.Regions)
 	if len(candidates) == 0 {
-		return nil, 0, ErrNoEndpoint
+		return nil, 0, p.noEndpoint()
 	}
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
 		return p.acquired(own), r.OwnWait, nil
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -234,7 +234,7 @@
 func (p *Pool) pick(now time.Duration, tried []string) (*Ticket, error) {
 	candidates := p.candidates(now, tried, nil)
 	if len(candidates) == 0 {
-		return nil, ErrNoEndpoint
+		return nil, p.noEndpoint()
 	}
 	free := slices.DeleteFunc(candidates, func(e *endpoint) bool { return !e.free() })
 	if len(free) == 0 {
