--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -27,8 +27,7 @@
 	Service  string
 	Address  string
 	Capacity int
-	// Zone is where it runs, empty for that of the gate.
-	Zone string
+	Zone     string
 }
 
 // SetBackend names the back end that takes calls from now on.
--- a/pkg/gate/evacuate.go
+++ b/pkg/gate/evacuate.go
@@ -53,11 +53,7 @@
 // applyRules closes the gate, or opens it again, as the rules say of the present back end. What is at
 // work is finished; the mutex is held.
 func (g *Gate) applyRules() {
-	zone := g.backend.Zone
-	if zone == "" {
-		zone = g.config.Zone
-	}
-	reason := g.rules.Refuses(eligibility.Backend{Service: g.backend.Service, Zone: zone})
+	reason := g.rules.Refuses(eligibility.Backend{Service: g.backend.Service, Zone: g.backend.Zone})
 	before := g.closing
 	if reason == before.reason {
 		return
--- a/pkg/gate/evacuate_test.go
+++ b/pkg/gate/evacuate_test.go
@@ -27,8 +27,8 @@
 
 // zoneGate is a gate of zone a with a back end that works on one call at once.
 func zoneGate(now *time.Duration, c *closings) *Gate {
-	g := New(Config{Now: func() time.Duration { return *now }, Zone: "a", OnClosing: c.take})
-	g.SetBackend(Backend{ID: "i1", Capacity: 1})
+	g := New(Config{Now: func() time.Duration { return *now }, OnClosing: c.take})
+	g.SetBackend(Backend{ID: "i1", Capacity: 1, Zone: "a"})
 	return g
 }
 
@@ -80,13 +80,13 @@
 func TestBackendsThatComeToAnEvacuatedZone(t *testing.T) {
 	is := is.New(t)
 	now, told := time.Duration(0), closings{}
-	g := New(Config{Now: func() time.Duration { return now }, Zone: "a", OnClosing: told.take})
+	g := New(Config{Now: func() time.Duration { return now }, OnClosing: told.take})
 	g.SetRules(evacuated("a"))
 	is.Equal(g.Closed(), exchange.Reason("")) // there is none
-	g.SetBackend(Backend{ID: "i1", Capacity: 1})
+	g.SetBackend(Backend{ID: "i1", Capacity: 1, Zone: "a"})
 	_, reason := g.admitOne()
 	is.Equal(reason, exchange.ReasonEvacuated)
-	g.SetBackend(Backend{ID: "i2", Capacity: 1})
+	g.SetBackend(Backend{ID: "i2", Capacity: 1, Zone: "a"})
 	is.Equal(g.Closed(), exchange.ReasonEvacuated)
 	_, reason = g.admitOne()
 	is.Equal(reason, exchange.ReasonLeft) // i1 is gone for good: that goes first
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -59,8 +59,6 @@
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
-	// Zone is that of back ends which do not tell theirs.
-	Zone string
 	// OnClosing, if set, is told when orders close the gate, when it is quiet and when it opens again.
 	// It must not call the gate.
 	OnClosing func(Closing)
--- a/pkg/proxy/evacuate_test.go
+++ b/pkg/proxy/evacuate_test.go
@@ -14,9 +14,9 @@
 
 func TestMetricsShowTheStateOfTheBackend(t *testing.T) {
 	is := is.New(t)
-	g := gate.New(gate.Config{Now: func() time.Duration { return 0 }, Zone: "a"})
+	g := gate.New(gate.Config{Now: func() time.Duration { return 0 }})
 	is.Equal(backendState(g), stateAbsent)
-	g.SetBackend(gate.Backend{ID: "i1"})
+	g.SetBackend(gate.Backend{ID: "i1", Zone: "a"})
 	is.Equal(backendState(g), stateServing)
 	var table *orders.Table
 	g.SetRules(eligibility.New(table.With(orders.Change{Evacuate: &orders.Evacuation{Zone: "a"}}, 1), nil))
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -23,8 +23,8 @@
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
 		Link: s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
-		Zone: s.settings.Zone, OnClosing: s.noteClosing,
-		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
+		OnClosing: s.noteClosing,
+		OnSender:  func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.observer.watchBackend(s.admin.Registry, s.gate)
@@ -53,8 +53,12 @@
 	return nil
 }
 
-// Heartbeat takes in a heartbeat of the back end beside the node.
+// Heartbeat takes in a heartbeat of the back end beside the node. One that does not tell its zone is in
+// the node's.
 func (s *Server) Heartbeat(h registration.Heartbeat) {
+	if h.Zone == "" {
+		h.Zone = s.settings.Zone
+	}
 	if s.registry != nil {
 		s.registry.Take(h)
 	}
