--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -98,7 +98,7 @@
 		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return slices.Contains(r.Spared, e.target.Region) })
 	}
 	if len(candidates) == 0 {
-		return nil, 0, ErrNoEndpoint
+		return nil, 0, p.noEndpoint()
 	}
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
 		return p.acquired(own), r.OwnWait, nil
--- a/pkg/orders/table.go
+++ b/pkg/orders/table.go
@@ -43,6 +43,14 @@
 	return found
 }
 
+// EvacuatedZones returns the orders about zones, by zone.
+func (t *Table) EvacuatedZones() []Evacuation {
+	if t == nil {
+		return nil
+	}
+	return t.Evacuations
+}
+
 func (t *Table) findZone(zone string) (int, bool) {
 	return slices.BinarySearchFunc(t.Evacuations, zone, func(e Evacuation, zone string) int { return cmp.Compare(e.Zone, zone) })
 }
@@ -96,3 +104,17 @@
 	}
 	return t
 }
+
+// Fields describes a change for logs, as keys and values.
+func (c Change) Fields() []any {
+	switch {
+	case c.Evacuate != nil:
+		return []any{"order", "evacuate", "zone", c.Evacuate.Zone}
+	case c.Readmit != "":
+		return []any{"order", "readmit", "zone", c.Readmit}
+	case c.Rollout != nil:
+		r := c.Rollout.Rollout
+		return []any{"order", "rollout", "service", r.Service, "version", r.Version, "number", r.Number, "phase", r.Phase}
+	}
+	return []any{"order", "none"}
+}
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
 	"bramblelift/pkg/wire"
@@ -75,7 +77,11 @@
 	// Address is where a replica can be reached.
 	Address string
 	// KnowsSuspects is set by replicas whose program knows log entries about suspects.
+	// Programs that tell a Level set it, too, for those that look at nothing else.
 	KnowsSuspects bool
+	// Level is that of the log entries that a replica's program knows, or of the contents that a node's
+	// or a relay's can read; programs from before it leave it out.
+	Level catalog.Level
 }
 
 // Welcome accepts a connection.
@@ -138,6 +144,15 @@
 	// Evidence is what the subscriber's gate has seen of requests that end back ends, nil for
 	// nothing.
 	Evidence *quarantine.Evidence
+	// Closed is the state of the subscriber's gate while orders keep it closed, nil otherwise.
+	Closed *ClosedGate
+}
+
+// ClosedGate is the state of a gate that orders keep closed.
+type ClosedGate struct {
+	Reason exchange.Reason
+	// Running are the calls that are still at work behind it.
+	Running int
 }
 
 // Pong answers a Ping.
@@ -166,6 +181,10 @@
 	Zone      string
 	Position  distribution.Position
 	Connected bool
+	// Closed is the state of the node's gate while orders keep it closed, nil otherwise.
+	Closed *ClosedGate
+	// Level is that of the contents that the node can read.
+	Level catalog.Level
 }
 
 // RaftMessage carries one consensus message.
@@ -186,6 +205,18 @@
 type Announce struct {
 	Endpoints []distribution.Endpoint
 	Evidence  *quarantine.Evidence
+	// Closed goes no further than the server that hears it.
+	Closed *ClosedGate
+	// Earlier are the replica's subscribers of an earlier release, nil for none.
+	Earlier *EarlierSubscribers
+}
+
+// EarlierSubscribers tells of a replica's subscribers that cannot read every content.
+type EarlierSubscribers struct {
+	// Count is never zero.
+	Count int
+	// Level is the least that they can read.
+	Level catalog.Level
 }
 
 // Empty reports whether nothing is announced.
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -24,6 +24,7 @@
 	waits     prometheus.Histogram
 	service   prometheus.Histogram
 	farDelay  *prometheus.GaugeVec
+	quiet     prometheus.Gauge
 }
 
 // durationBuckets reach from half a millisecond to eight seconds.
@@ -54,6 +55,9 @@
 		farDelay: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bramblelift_region_delay_rise_seconds", Help: "By how much the delay to another region is above the least, when its crowding last changed.",
 		}, []string{"region"}),
+		quiet: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "bramblelift_gate_quiet_seconds", Help: "How long the calls at work took to end when orders closed the gate last.",
+		}),
 	}
 	registry.MustRegister(o.calls, o.durations, o.attempts, o.admitted, o.waits, o.service, o.farDelay)
 	return o
