--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -97,8 +97,12 @@
 	if len(candidates) == 0 {
 		return nil, 0, ErrNoEndpoint
 	}
+	candidates, err := withColdRoom(candidates, now, r.Patience)
+	if err != nil {
+		return nil, 0, err
+	}
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
-		return p.acquired(own), r.OwnWait, nil
+		return p.acquired(own), max(r.OwnWait, own.coldWait(now)), nil
 	}
 	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
 	if free := p.freeGate(candidates, rating, r.FreeWork); free != nil {
@@ -114,6 +118,9 @@
 			wait = r.Patience
 		}
 	}
+	if best.coldLeft(now) > 0 {
+		wait = r.Patience
+	}
 	return p.acquired(best), wait, nil
 }
 
@@ -134,13 +141,19 @@
 		return nil
 	}
 	for _, e := range candidates {
-		if e.target.Gate == p.config.OwnGate && e.gate.report.Service <= work && e.failing(now) <= maxOwnFailing {
+		if e.target.Gate == p.config.OwnGate && e.takesOwn(now, work) {
 			return e
 		}
 	}
 	return nil
 }
 
+// takesOwn reports whether the back end beside the node is good enough to be preferred.
+func (e *endpoint) takesOwn(now, work time.Duration) bool {
+	service := time.Duration(e.slowness(now) * float64(e.gate.report.Service))
+	return service <= work && e.failing(now) <= maxOwnFailing && e.coldWait(now) == 0
+}
+
 // freeGate returns the best of the candidates that lately said that they have a free slot, nil if
 // none did.
 func (p *Pool) freeGate(candidates []*endpoint, rating gateRating, work time.Duration) *endpoint {
@@ -149,7 +162,7 @@
 	}
 	free := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool {
 		known := e.gate.reported && rating.now-e.gate.at <= reportMemory
-		return !known || e.gateLoad(rating.now) >= e.gateCapacity() || e.gate.report.Service > work
+		return !known || e.gateLoad(rating.now) >= e.gateCapacity() || e.gate.report.Service > work || e.coldLeft(rating.now) > 0
 	})
 	return p.bestGate(free, rating)
 }
@@ -170,7 +183,8 @@
 // gateWait estimates how long a call would wait at the gate.
 func (e *endpoint) gateWait(now time.Duration) time.Duration {
 	over := e.gateLoad(now) + 1 - e.gateCapacity()
-	return time.Duration(max(0, over)) * e.gate.report.Service / time.Duration(e.gateCapacity())
+	full := time.Duration(max(0, over)) * e.gate.report.Service / time.Duration(e.gateCapacity())
+	return max(full, e.coldWait(now))
 }
 
 // fastestService is the least service time among back ends, zero if none is known.
@@ -264,6 +278,7 @@
 		service = max(1, float64(fastest))
 	}
 	share := float64(e.gateLoad(now)) / float64(e.gateCapacity())
+	service *= e.slowness(now)
 	score := float64(e.gateWait(now)) + service*(1+loadShare*share)
 	if e.remote {
 		score += remoteShare * float64(fastest)
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -55,7 +55,7 @@
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
-	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender,
+	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender, HeaderCold,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
@@ -122,7 +122,7 @@
 }
 
 // Busy reports whether the gate may take the call a little later.
-func (r Reason) Busy() bool { return r == ReasonFull || r == ReasonLink }
+func (r Reason) Busy() bool { return r == ReasonFull || r == ReasonLink || r == ReasonCold }
 
 // Report is what a gate says of its back end with each answer.
 type Report struct {
@@ -135,6 +135,8 @@
 	Service time.Duration
 	// Failing is the share of the latest calls that the back end failed, from 0 to 1.
 	Failing float64
+	// Cold says how cold the back end is.
+	Cold Cold
 }
 
 const thousandths = 1000
@@ -145,6 +147,7 @@
 	if failing := int(r.Failing * thousandths); failing > 0 {
 		header.Set(HeaderFailing, strconv.Itoa(failing))
 	}
+	r.Cold.Set(header)
 }
 
 // ReadReport reads what Set wrote, false if there is no report.
@@ -154,6 +157,9 @@
 	if ok && err == nil {
 		report.Failing = min(1, float64(failing)/thousandths)
 	}
+	if ok {
+		report.Cold = ReadCold(header)
+	}
 	return report, ok
 }
 
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -51,6 +51,10 @@
 	last exchange.Reason
 	// held is a back end's failure that another attempt may yet make good, nil for none.
 	held *http.Response
+	// colds counts the gates of cold back ends that had no room, warmIn is after how long the first
+	// back end is warm.
+	colds  int
+	warmIn time.Duration
 }
 
 // serveThroughGates answers a call of a service whose back ends stand behind gates.
@@ -95,6 +99,7 @@
 	g.work, g.answerBytes = g.handler.work.of(g.route.Name)
 	ticket, wait, err := g.choose(now)
 	if err != nil {
+		g.noteCold(err)
 		return g.giveUp("choose back end", fmt.Sprintf("service %s: %v (%s)", g.target, err, g.last)), false
 	}
 	if !g.mayAsk(ticket, now) {
@@ -161,7 +166,7 @@
 	now := g.now()
 	learned := balancer.Canceled
 	switch failure.reason {
-	case exchange.ReasonFull, exchange.ReasonLink:
+	case exchange.ReasonFull, exchange.ReasonLink, exchange.ReasonCold:
 		// The gate beside the node was asked for a short wait only, at no cost: the call
 		// may still wait there.
 		if g.tries > 1 || !g.besideNode(ticket) {
@@ -201,7 +206,7 @@
 		return false
 	}
 	if !failure.reason.Reached() {
-		waited := failure.reason.Busy() && g.lastChance
+		waited := failure.reason.Busy() && (g.lastChance || g.tooManyCold(failure))
 		final := failure.reason == exchange.ReasonDeadline || failure.reason == exchange.ReasonQuarantined
 		return !waited && !final
 	}
@@ -311,7 +316,7 @@
 		}
 		return refusal
 	}
-	refusal.RetryAfter = max(minGateRetry, min(maxGateRetry, left/gateRetryShare))
+	refusal.RetryAfter = max(minGateRetry, min(maxGateRetry, max(left/gateRetryShare, g.afterCold(left))))
 	return refusal
 }
 
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -45,6 +45,9 @@
 	g.generation++
 	g.running, g.service, g.pace, g.health, g.downUntil = 0, 0, pace{}, health{}, 0
 	g.dropWaiting()
+	now := g.config.Now()
+	g.cold.assumeNew(now)
+	g.wasCold = false
 }
 
 // RemoveBackend lets nothing new reach a back end.
@@ -122,17 +125,21 @@
 		g.mu.Unlock()
 		return admittance{}, reason
 	}
-	if g.running < g.backend.Capacity && len(g.queue) == 0 {
+	g.noteCold(now)
+	g.lookIfUnsure(now)
+	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.openAt(now) <= now {
 		granted := g.grant(now, r.work)
 		g.mu.Unlock()
 		return granted, ""
 	}
 	w := r.waiter()
-	if g.expectedWait(w) > r.wait {
+	if g.expectedWait(now, w) > r.wait {
+		reason := g.busyReason(now)
 		g.mu.Unlock()
-		return admittance{}, exchange.ReasonFull
+		return admittance{}, reason
 	}
 	g.queue.add(w)
+	g.dispatch()
 	g.mu.Unlock()
 	return g.await(ctx, w, r)
 }
@@ -142,9 +149,13 @@
 func (g *Gate) expectBody(r request) exchange.Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if reason := g.mayEnter(g.config.Now(), r); reason != "" {
+	now := g.config.Now()
+	if reason := g.mayEnter(now, r); reason != "" {
 		return reason
 	}
+	if g.cold.wait(now, g.receiving+g.queue.ahead(r.waiter())) > r.wait {
+		return exchange.ReasonCold
+	}
 	ahead := max(0, g.running+g.receiving+1-g.backend.Capacity) + g.queue.ahead(r.waiter())
 	if g.serviceTime()*time.Duration(ahead)/time.Duration(g.backend.Capacity) > r.wait {
 		return exchange.ReasonFull
@@ -180,13 +191,18 @@
 // grant takes a slot; the mutex is held.
 func (g *Gate) grant(now, work time.Duration) admittance {
 	g.running++
+	g.cold.rate.note(now)
 	return admittance{backend: g.backend, work: work, generation: g.generation, at: now}
 }
 
 // expectedWait estimates how long a call would wait; the mutex is held.
-func (g *Gate) expectedWait(w *waiter) time.Duration {
+func (g *Gate) expectedWait(now time.Duration, w *waiter) time.Duration {
 	ahead := g.queue.ahead(w)
-	return time.Duration(float64(g.serviceTime()) * float64(ahead+1) / float64(g.backend.Capacity))
+	cold := g.cold.wait(now, ahead)
+	if g.running < g.backend.Capacity && cold > 0 {
+		return cold
+	}
+	return max(cold, time.Duration(float64(g.serviceTime())*float64(ahead+1)/float64(g.backend.Capacity)))
 }
 
 func (g *Gate) serviceTime() time.Duration {
@@ -202,7 +218,7 @@
 	defer timer.Stop()
 	early := time.NewTimer(r.early)
 	defer early.Stop()
-	reason := exchange.ReasonFull
+	reason := exchange.Reason("")
 	for waiting := true; waiting; {
 		select {
 		case <-w.admitted:
@@ -220,6 +236,9 @@
 	}
 	g.mu.Lock()
 	stillWaiting := g.queue.remove(w)
+	if reason == "" {
+		reason = g.busyReason(g.config.Now())
+	}
 	g.mu.Unlock()
 	if stillWaiting {
 		return admittance{}, reason
@@ -241,7 +260,7 @@
 func (g *Gate) hopeful(w *waiter, left time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Duration(hopeMargin*float64(g.expectedWait(w))) <= left
+	return time.Duration(hopeMargin*float64(g.expectedWait(g.config.Now(), w))) <= left
 }
 
 // ending is what the end of a call says of the back end.
@@ -278,15 +297,7 @@
 		g.service += time.Duration(serviceWeight * float64(end.service-g.service))
 		g.pace.note(a.work, end.service)
 	}
-	for g.running < g.backend.Capacity {
-		now := g.config.Now()
-		w := g.queue.firstInTime(now)
-		if w == nil {
-			return
-		}
-		w.granted = g.grant(now, w.work)
-		close(w.admitted)
-	}
+	g.dispatch()
 }
 
 // markDown notes that the back end took no connection.
@@ -294,7 +305,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if a.generation == g.generation {
-		g.downUntil = g.config.Now() + downPause
+		now := g.config.Now()
+		g.downUntil = now + downPause
+		g.cold.assume(now)
+		g.noteCold(now)
 	}
 }
 
@@ -307,8 +321,10 @@
 
 // report is Report; the mutex is held.
 func (g *Gate) report() exchange.Report {
+	now := g.config.Now()
+	g.noteCold(now)
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		Service: g.service, Failing: g.health.failing(g.config.Now()),
+		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now),
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -58,6 +58,10 @@
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
+	// OnCold, if set, is told when the back end turns cold or warm, OnColdUnknown when it could not be
+	// asked.
+	OnCold        func(ColdChange)
+	OnColdUnknown func(backend string, err error)
 }
 
 // Call describes a finished call, for logs and metrics.
@@ -98,6 +102,11 @@
 	pace      pace
 	health    health
 	downUntil time.Duration
+	cold      coldness
+	// wasCold is what was told last.
+	wasCold bool
+	// waking is set while a dispatch is due.
+	waking bool
 }
 
 // New returns a gate without a back end.
@@ -319,6 +328,9 @@
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	g.release(granted, ending{failed: ctx.Err() == nil || g.hung(granted, deadline)})
+	if ctx.Err() == nil {
+		g.doubt(granted)
+	}
 	if call.Reason == "" {
 		call.Reason = exchange.ReasonBroken
 	}
--- a/pkg/gate/sender.go
+++ b/pkg/gate/sender.go
@@ -7,11 +7,11 @@
 )
 
 // Sender returns what calls that leave the node say of the back end beside it, empty while that
-// has no free slot: nodes hear of full back ends often enough, by asking them.
+// has no free slot or is cold: nodes hear of such back ends often enough, by asking them.
 func (g *Gate) Sender() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	free := g.present && !g.stopping && g.running < g.backend.Capacity && len(g.queue) == 0
+	free := g.present && !g.stopping && g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.remaining(g.config.Now()) == 0
 	if !free {
 		return ""
 	}
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -12,6 +12,7 @@
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/registration"
+	"bramblelift/pkg/routing"
 	"bramblelift/pkg/wire"
 )
 
@@ -24,6 +25,7 @@
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
 		Link: s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
 		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
+		OnCold:   s.observer.coldChanged, OnColdUnknown: s.observer.coldUnknown,
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.registry = registration.New(registration.Config{
@@ -122,3 +124,15 @@
 		s.interfaceListener.Close()
 	}
 }
+
+// setColdBounds tells the gate what the service beside the node bears.
+func (s *Server) setColdBounds(table *routing.Table) {
+	if s.gate == nil {
+		return
+	}
+	for _, service := range table.Services {
+		if service.Name == s.settings.Service {
+			s.gate.SetColdBounds(gate.ColdBounds{Start: service.ColdStart, Rate: service.ColdRate, HealthPath: service.HealthPath})
+		}
+	}
+}
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -66,6 +66,23 @@
 		func(r exchange.Report) float64 { return float64(r.Queued) })
 	gauge("bramblelift_gate_capacity", "Calls that the back end works on at once.", func(r exchange.Report) float64 { return float64(r.Capacity) })
 	gauge("bramblelift_gate_failing_ratio", "Share of the latest calls that the back end failed.", func(r exchange.Report) float64 { return r.Failing })
+	gauge("bramblelift_gate_cold_seconds", "For how much longer the back end is cold; zero if it is warm.",
+		func(r exchange.Report) float64 { return r.Cold.Remaining.Seconds() })
+}
+
+// coldChanged takes in that the back end beside the node turned cold or warm.
+func (o *observer) coldChanged(change gate.ColdChange) {
+	state := "warm"
+	if change.Cold {
+		state = "cold"
+	}
+	o.logger.Log("event", "backend_temperature", "instance", change.Backend, "state", state,
+		"source", string(change.Source), "remaining", change.Remaining.Round(time.Millisecond))
+}
+
+// coldUnknown takes in that the back end could not be asked whether it is cold.
+func (o *observer) coldUnknown(backend string, err error) {
+	o.logger.Log("event", "cold_unknown", "instance", backend, "error", err)
 }
 
 // watchQuarantine shows how many requests are kept from back ends, and what evidence did not fit.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -325,6 +325,7 @@
 	s.watch(state.Watchlist, state.Revision)
 	table := routing.Next(s.table, state, s.settings.Zones)
 	s.table = table
+	s.setColdBounds(table)
 	if s.registry != nil {
 		s.registry.Observe(state.Endpoints)
 	}
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -46,6 +46,8 @@
 type Gate interface {
 	SetBackend(gate.Backend)
 	RemoveBackend(id string)
+	// HeardCold is told with each heartbeat for how much longer a back end is cold.
+	HeardCold(id string, remaining time.Duration)
 }
 
 // Config sets up a Registry.
@@ -109,6 +111,7 @@
 		r.replaceOthers(h)
 		r.current[h.ID] = &member{heartbeat: h}
 		r.apply(h)
+		r.config.Gate.HeardCold(h.ID, h.Cold)
 		return true
 	}
 	if h.Sequence <= held.heartbeat.Sequence {
@@ -121,6 +124,7 @@
 		held.known = false
 		r.apply(h)
 	}
+	r.config.Gate.HeardCold(h.ID, h.Cold)
 	return changed
 }
 
--- a/pkg/registration/registration_test.go
+++ b/pkg/registration/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/gate"
@@ -11,11 +12,18 @@
 )
 
 // recordingGate notes what it is told.
-type recordingGate struct{ told []string }
+type recordingGate struct {
+	told []string
+	cold []string
+}
 
 func (g *recordingGate) SetBackend(b gate.Backend) {
 	g.told = append(g.told, fmt.Sprintf("set %s %d", b.ID, b.Capacity))
 }
+func (g *recordingGate) HeardCold(id string, remaining time.Duration) {
+	g.cold = append(g.cold, fmt.Sprint(id, " ", remaining))
+}
+
 func (g *recordingGate) RemoveBackend(id string) { g.told = append(g.told, "remove "+id) }
 
 func newRegistry() (*Registry, *recordingGate) {
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -85,7 +85,9 @@
 	// it bears until then; zero for no bound.
 	ColdStart time.Duration
 	ColdRate  float64
-	Endpoints []Endpoint
+	// HealthPath is where back ends say how they are, empty for nowhere.
+	HealthPath string
+	Endpoints  []Endpoint
 }
 
 // Table answers which route takes a path.
@@ -120,7 +122,7 @@
 	for _, service := range content.Services {
 		table.Services = append(table.Services, Service{
 			Name: service.Name, MaxConcurrency: service.MaxConcurrency, MaxConnections: service.MaxConnections,
-			ColdStart: time.Duration(service.ColdStart), ColdRate: service.ColdRate,
+			ColdStart: time.Duration(service.ColdStart), ColdRate: service.ColdRate, HealthPath: service.HealthPath,
 			Endpoints: endpoints(service, state.Endpoints[service.Name], table.Rules),
 		})
 	}
--- a/pkg/settings/dataplane.go
+++ b/pkg/settings/dataplane.go
@@ -24,6 +24,8 @@
 	Caller string `toml:"caller,omitempty"`
 	// NotRun, with any value, is a back end's word that it has not begun the call.
 	NotRun string `toml:"not_run,omitempty"`
+	// Cold, in the answers of a back end's health path, is for how many more milliseconds it is cold.
+	Cold string `toml:"cold,omitempty"`
 }
 
 // Retries bound what all nodes together may send again.
