A request of which no byte was sent has not run

A kept connection may turn out to be closed only at the next write: the back end fell over or its gate was restarted. Gates and nodes took any connection for a delivery and answered 502. Now they count the bytes that the kernel took.

--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"bramblelift/pkg/balancer"
@@ -38,7 +37,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	}
 	return &http.Transport{
-		DialContext: meter.Dialer(link.Nodes, dialer.DialContext), DisableCompression: true,
+		DialContext: exchange.CountWrites(meter.Dialer(link.Nodes, dialer.DialContext)), DisableCompression: true,
 		MaxIdleConnsPerHost: gateConnections, IdleConnTimeout: gateIdleTimeout,
 		ExpectContinueTimeout: gateExpectTimeout,
 		ReadBufferSize:        gateBuffer, WriteBufferSize: gateBuffer,
@@ -76,12 +75,11 @@
 	if g.besideNode(ticket) && g.handler.config.Gate != nil {
 		return g.readGate(ticket, g.handler.config.Gate(request.WithContext(ctx), g.body))
 	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	response, err := g.handler.gates.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	var delivery exchange.Delivery
+	response, err := g.handler.gates.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, delivery.Trace())))
 	if err != nil {
 		failure := &gateFailure{reason: exchange.ReasonUnreachable, outcome: NotRun, peer: ticket.Address, err: err}
-		if connected.Load() {
+		if delivery.MayHaveArrived() {
 			failure.reason, failure.outcome = exchange.ReasonBroken, Unknown
 		}
 		return nil, failure
--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -32,8 +32,9 @@
 	heartbeatDelay = time.Second
 	// lookPause is between two looks at the health path of a back end that does not answer.
 	lookPause = 300 * time.Millisecond
-	// coldShare of the rate that a cold back end bears is let in.
-	coldShare = 1.0
+	// coldShare of the rate that a cold back end bears is let in. It falls over only with well more, and
+	// in a fleet that is cold as a whole each call that fits counts.
+	coldShare = 1.25
 	// unknownColdRate is kept, in calls a second, for a back end that says that it is cold before the
 	// configuration is here: less than any service is known to bear.
 	unknownColdRate = 5
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -13,7 +13,6 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"bramblelift/pkg/exchange"
@@ -113,7 +112,7 @@
 func New(config Config) *Gate {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
 	return &Gate{config: config, inbound: newInbound(config.Link.Capacity(), config.Link.UnaskedRate), transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
+		DialContext: exchange.CountWrites(dialer.DialContext), DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 		ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
 	}}
@@ -247,9 +246,8 @@
 
 // send exchanges the call with the back end and gives the slot back.
 func (g *Gate) send(r *http.Request, attach attachBody, granted admittance, wanted request, call *Call) *http.Response {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), trace))
+	var delivery exchange.Delivery
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), delivery.Trace()))
 	outgoing := g.outgoing(ctx, r, granted, wanted)
 	body, err := attach(outgoing)
 	if err == nil && g.quarantined(r, body, granted, call) {
@@ -278,10 +276,10 @@
 	call.Service = g.config.Now() - granted.at
 	if err != nil {
 		cancel()
-		if connected.Load() && r.Context().Err() == nil && exchange.BackendEnded(r.Context(), granted.backend.Address, err, endedLook) {
+		if delivery.MayHaveArrived() && r.Context().Err() == nil && exchange.BackendEnded(r.Context(), granted.backend.Address, err, endedLook) {
 			g.noteEnded(r, body, granted, call)
 		}
-		return g.failed(call, granted, connected.Load(), r.Context(), wanted.deadline, err)
+		return g.failed(call, granted, delivery.MayHaveArrived(), r.Context(), wanted.deadline, err)
 	}
 	g.noteAnswered(r, body, granted, response.StatusCode)
 	return g.answer(response, granted, call, cancel)
@@ -315,11 +313,11 @@
 	return response
 }
 
-// failed classifies an error. Only if no connection was ever had is it certain that the
-// back end has seen nothing.
-func (g *Gate) failed(call *Call, granted admittance, connected bool, ctx context.Context, deadline time.Duration, err error) *http.Response {
+// failed classifies an error. Only if nothing was sent is it certain that the back end has seen
+// nothing.
+func (g *Gate) failed(call *Call, granted admittance, sent bool, ctx context.Context, deadline time.Duration, err error) *http.Response {
 	call.Err = err
-	if !connected {
+	if !sent {
 		g.release(granted, ending{})
 		call.Reason = exchange.ReasonUnreachable
 		if ctx.Err() == nil {
@@ -327,8 +325,9 @@
 		}
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	g.release(granted, ending{failed: ctx.Err() == nil || g.hung(granted, deadline)})
-	if ctx.Err() == nil {
+	hung := g.hung(granted, deadline)
+	g.release(granted, ending{failed: ctx.Err() == nil || hung})
+	if hung || call.Reason == exchange.ReasonEnded {
 		g.doubt(granted)
 	}
 	if call.Reason == "" {
--- a/pkg/gate/warming.go
+++ b/pkg/gate/warming.go
@@ -142,8 +142,7 @@
 	})
 }
 
-// doubt takes the back end for cold until it says otherwise, after it took no connection or broke
-// off an exchange.
+// doubt takes the back end for cold until it says otherwise, after it ended or hung with a call.
 func (g *Gate) doubt(a admittance) {
 	g.changeCold(func(now time.Duration) {
 		if a.generation == g.generation && !g.cold.unsure {
