--- a/pkg/exchange/delivery.go
+++ b/pkg/exchange/delivery.go
@@ -4,22 +4,26 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 )
 
 // dialFunc opens connections for a transport.
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// countedConn counts the bytes that were handed to the kernel.
+// countedConn counts the writes of which any byte was handed to the kernel, or may be just now.
 type countedConn struct {
 	net.Conn
-	written atomic.Int64
+	writes atomic.Int64
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts first: the peer may answer before the kernel has returned.
 func (c *countedConn) Write(data []byte) (int, error) {
+	c.writes.Add(1)
 	n, err := c.Conn.Write(data)
-	c.written.Add(int64(n))
+	if n == 0 && err != nil {
+		c.writes.Add(-1)
+	}
 	return n, err
 }
 
@@ -39,31 +43,39 @@
 // out to be closed only when the next request is written to it, and that one has not been sent then.
 // Its zero value is ready for one request.
 type Delivery struct {
-	got atomic.Pointer[gotConn]
-}
-
-type gotConn struct {
-	// counted is nil for a connection that does not count.
-	counted *countedConn
-	before  int64
+	mu sync.Mutex
+	// conn is the latest connection, before the writes on it before the request; nil for none.
+	conn   *countedConn
+	before int64
+	// arrived is set once an earlier connection took some of the request, or one that does not count.
+	arrived bool
 }
 
 // Trace is for the request's context.
 func (d *Delivery) Trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		got := &gotConn{}
-		if counted, ok := info.Conn.(*countedConn); ok {
-			got.counted, got.before = counted, counted.written.Load()
-		}
-		d.got.Store(got)
-	}}
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { d.use(info.Conn) }}
+}
+
+// use takes in that the transport tries a connection.
+func (d *Delivery) use(conn net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counted, ok := conn.(*countedConn)
+	if !ok {
+		d.arrived = true
+		return
+	}
+	d.arrived = d.mayHaveArrived()
+	d.conn, d.before = counted, counted.writes.Load()
 }
 
 // MayHaveArrived reports whether the peer may have seen any of the request.
 func (d *Delivery) MayHaveArrived() bool {
-	got := d.got.Load()
-	if got == nil {
-		return false
-	}
-	return got.counted == nil || got.counted.written.Load() > got.before
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mayHaveArrived()
+}
+
+func (d *Delivery) mayHaveArrived() bool {
+	return d.arrived || (d.conn != nil && d.conn.writes.Load() > d.before)
 }
--- a/pkg/exchange/delivery_test.go
+++ b/pkg/exchange/delivery_test.go
@@ -3,26 +3,28 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
-// brokenConn takes no more bytes after those of its first request, as one whose peer has closed it
-// without the reader having noticed.
+// brokenConn takes no more bytes once broken is set, as one whose peer has closed it without the reader
+// having noticed.
 type brokenConn struct {
 	net.Conn
-	writes int
+	broken *atomic.Bool
 }
 
 func (c *brokenConn) Write(data []byte) (int, error) {
-	c.writes++
-	if c.writes > 1 {
+	if c.broken.Load() {
 		return 0, errors.New("broken pipe")
 	}
 	return c.Conn.Write(data)
@@ -46,13 +48,15 @@
 	is := is.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
+	var broken atomic.Bool
 	transport := &http.Transport{MaxConnsPerHost: 1, DialContext: CountWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return &brokenConn{Conn: conn}, err
+		return &brokenConn{Conn: conn, broken: &broken}, err
 	})}
 	first, err := post(t, transport, server.URL)
 	is.NoErr(err)
 	is.True(first.MayHaveArrived())
+	broken.Store(true)
 	second, err := post(t, transport, server.URL)
 	is.True(err != nil)
 	is.True(!second.MayHaveArrived())
@@ -75,3 +79,42 @@
 	is.True(err != nil)
 	is.True(delivery.MayHaveArrived())
 }
+
+// slowWriter returns from a write only after the peer has answered it.
+type slowWriter struct{ net.Conn }
+
+func (c slowWriter) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	time.Sleep(20 * time.Millisecond)
+	return n, err
+}
+
+// The peer may answer before the write has returned.
+func TestWhatIsBeingSentMayHaveArrived(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+	transport := &http.Transport{DialContext: CountWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return slowWriter{conn}, err
+	})}
+	delivery, err := post(t, transport, server.URL)
+	is.True(err != nil)
+	is.True(delivery.MayHaveArrived())
+}
+
+// A transport may try a request on several connections.
+func TestWhatAnEarlierConnectionTookMayHaveArrived(t *testing.T) {
+	is := is.New(t)
+	peer, other := net.Pipe()
+	defer peer.Close()
+	go func() { _, _ = io.Copy(io.Discard, peer) }()
+	var delivery Delivery
+	first := &countedConn{Conn: other}
+	delivery.use(first)
+	is.True(!delivery.MayHaveArrived())
+	_, err := first.Write([]byte("x"))
+	is.NoErr(err)
+	delivery.use(&countedConn{Conn: other})
+	is.True(delivery.MayHaveArrived())
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -325,9 +325,9 @@
 		}
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	hung := g.hung(granted, deadline)
-	g.release(granted, ending{failed: ctx.Err() == nil || hung})
-	if hung || call.Reason == exchange.ReasonEnded {
+	faulty := ctx.Err() == nil || g.hung(granted, deadline)
+	g.release(granted, ending{failed: faulty})
+	if faulty {
 		g.doubt(granted)
 	}
 	if call.Reason == "" {
--- a/pkg/gate/warming.go
+++ b/pkg/gate/warming.go
@@ -142,7 +142,8 @@
 	})
 }
 
-// doubt takes the back end for cold until it says otherwise, after it ended or hung with a call.
+// doubt takes the back end for cold until it says otherwise, after it broke off or left
+// unanswered a call.
 func (g *Gate) doubt(a admittance) {
 	g.changeCold(func(now time.Duration) {
 		if a.generation == g.generation && !g.cold.unsure {
