--- /dev/null
+++ b/pkg/exchange/cold_test.go
@@ -0,0 +1,41 @@
+package exchange
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestColdGoesWithTheReport(t *testing.T) {
+	is := is.New(t)
+	report := Report{Running: 2, Capacity: 4, Cold: Cold{Remaining: 2 * time.Second, Room: 300 * time.Microsecond, Interval: 58 * time.Millisecond}}
+	header := http.Header{}
+	report.Set(header)
+	read, ok := ReadReport(header)
+	is.True(ok)
+	is.Equal(read.Cold, Cold{Remaining: 2 * time.Second, Room: time.Millisecond, Interval: 58 * time.Millisecond})
+	RemoveInternal(header)
+	is.Equal(len(header), 0)
+}
+
+// Nodes that do not know the header read the rest as ever; a report of such a gate has none.
+func TestEarlierNodesReadTheReportOfAColdBackEnd(t *testing.T) {
+	is := is.New(t)
+	warm, cold := http.Header{}, http.Header{}
+	Report{Running: 2, Capacity: 4}.Set(warm)
+	Report{Running: 2, Capacity: 4, Cold: Cold{Remaining: time.Second}}.Set(cold)
+	is.Equal(cold.Get(HeaderReport), warm.Get(HeaderReport))
+	is.Equal(warm.Get(HeaderCold), "")
+	read, ok := ReadReport(warm)
+	is.True(ok)
+	is.Equal(read.Cold, Cold{})
+}
+
+func TestUnreadableColdIsNone(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "1", "1,2", "1,2,3,4", "-1,2,3", "x,2,3", "99999999999,1,1"} {
+		is.Equal(ReadCold(http.Header{HeaderCold: {text}}), Cold{})
+	}
+}
--- /dev/null
+++ b/pkg/forward/cold_test.go
@@ -0,0 +1,157 @@
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/gate"
+
+	"github.com/matryer/is"
+)
+
+// coldGate refuses as the gate of a cold back end without room does.
+func coldGate(remaining time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		exchange.Report{Capacity: 4, Cold: exchange.Cold{Remaining: remaining, Room: remaining, Interval: 50 * time.Millisecond}}.Set(w.Header())
+		refusing(exchange.ReasonCold, NotRun)(w, r)
+	}
+}
+
+// When the whole fleet is cold a call asks few gates, and the next ones none; all are told to come back.
+func TestColdFleetIsNotAskedInARow(t *testing.T) {
+	is := is.New(t)
+	var gates []string
+	var counts []*atomic.Int64
+	for range 8 {
+		address, count := standInGate(t, coldGate(10*time.Second))
+		gates, counts = append(gates, address), append(counts, count)
+	}
+	n := newGatedNode(t, 0, gates...)
+	asked := int64(0)
+	for range 10 {
+		response := n.call(t, "POST", "/unsafe/x", "body")
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.True(response.Header.Get("Retry-After") != "")
+		is.True(total(counts)-asked <= maxCold)
+		asked = total(counts)
+	}
+	is.Equal(asked, int64(8)) // each has said it once
+}
+
+// A cold back end's refusal is no arrival: the call goes on to one that has room.
+func TestCallsGoOnFromAColdBackEnd(t *testing.T) {
+	is := is.New(t)
+	cold, refused := standInGate(t, coldGate(10*time.Second))
+	warm, served := standInGate(t, serving)
+	n := newGatedNode(t, 0, cold, warm)
+	for range 10 {
+		is.Equal(n.call(t, "POST", "/unsafe/x", "body").StatusCode, http.StatusOK)
+	}
+	is.Equal(served.Load(), int64(10))
+	is.True(refused.Load() <= 1)
+}
+
+// fragile is a back end with a gate that falls over, for good, when it gets too many calls within a
+// second while it is cold.
+type fragile struct {
+	coldUntil time.Time
+
+	mu       sync.Mutex
+	calls    []time.Time
+	fallen   bool
+	coldSeen int
+}
+
+const (
+	coldRate  = 20
+	fallsOver = 2 * coldRate
+)
+
+func (f *fragile) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
+	if r.URL.Path == "/health" {
+		w.Header().Set("Cold-Ms", strconv.FormatInt(max(0, f.coldUntil.Sub(now)).Milliseconds(), 10))
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Before(f.coldUntil) {
+		f.coldSeen++
+		f.calls = append(slices.DeleteFunc(f.calls, func(at time.Time) bool { return now.Sub(at) > time.Second }), now)
+		f.fallen = f.fallen || len(f.calls) > fallsOver
+	}
+	if f.fallen {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+}
+
+// newFragileGate returns the address of a gate that was just started before a back end that was, too.
+func newFragileGate(t *testing.T, id string, cold time.Duration) (*fragile, string) {
+	t.Helper()
+	started := time.Now()
+	f := &fragile{coldUntil: started.Add(cold)}
+	backend := httptest.NewServer(f)
+	t.Cleanup(backend.Close)
+	headers := gatedHeaders
+	headers.Cold = "Cold-Ms"
+	g := gate.New(gate.Config{Headers: headers, Now: func() time.Duration { return time.Since(started) }})
+	g.SetColdBounds(gate.ColdBounds{Start: cold, Rate: coldRate, HealthPath: "/health"})
+	g.SetBackend(gate.Backend{ID: id, Service: "s", Address: backend.Listener.Addr().String(), Capacity: 50})
+	server := httptest.NewServer(g)
+	t.Cleanup(server.Close)
+	return f, server.Listener.Addr().String()
+}
+
+// A fleet that returns cold as a whole gets several times what it bears: it serves what it bears, the
+// rest is told at once that it has not run, and nothing falls over.
+func TestFleetReturnsColdUnderOverload(t *testing.T) {
+	is := is.New(t)
+	const cold = 1500 * time.Millisecond
+	var backends []*fragile
+	var gates []string
+	for _, id := range []string{"e0", "e1", "e2"} {
+		f, address := newFragileGate(t, id, cold)
+		backends, gates = append(backends, f), append(gates, address)
+	}
+	n := newGatedNode(t, 0, gates...)
+	var served, refused, others, late atomic.Int64
+	var group sync.WaitGroup
+	for until := time.Now().Add(cold - 200*time.Millisecond); time.Now().Before(until); time.Sleep(3 * time.Millisecond) {
+		group.Go(func() {
+			began := time.Now()
+			response := n.call(t, "POST", "/unsafe/x", "body")
+			switch {
+			case response.StatusCode == http.StatusOK:
+				served.Add(1)
+			case response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "":
+				refused.Add(1)
+			default:
+				others.Add(1)
+			}
+			if time.Since(began) > 350*time.Millisecond {
+				late.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(others.Load(), int64(0))
+	is.True(refused.Load() > 0)
+	is.True(served.Load() >= 3*coldRate)
+	is.Equal(late.Load(), int64(0)) // the target is 200 ms, the timeout 400 ms
+	for _, f := range backends {
+		is.True(!f.fallen)
+		is.True(f.coldSeen >= coldRate/2) // none is left out
+	}
+	time.Sleep(400 * time.Millisecond)
+	for range 100 {
+		is.Equal(n.call(t, "POST", "/unsafe/x", "body").StatusCode, http.StatusOK)
+	}
+}
--- a/pkg/registration/registration_test.go
+++ b/pkg/registration/registration_test.go
@@ -112,3 +112,19 @@
 	r.Observe(distribution.EndpointTable{})
 	is.Equal(len(r.Announcements()), 0)
 }
+
+// The gate hears of each heartbeat how cold the back end is, but not of a late one.
+func TestHeartbeatsTellHowColdTheBackEndIs(t *testing.T) {
+	is := is.New(t)
+	r, g := newRegistry()
+	cold := func(sequence uint64, remaining time.Duration) {
+		h := beat("a", sequence, Ready)
+		h.Cold = remaining
+		r.Take(h)
+	}
+	cold(1, 2*time.Second)
+	cold(3, 500*time.Millisecond)
+	cold(2, time.Second)
+	cold(4, 0)
+	is.Equal(g.cold, []string{"a 2s", "a 500ms", "a 0s"})
+}
