--- a/pkg/forward/cold.go
+++ b/pkg/forward/cold.go
@@ -40,12 +40,13 @@
 	return g.colds >= maxCold
 }
 
-// afterCold is when to come back after cold back ends had no room, zero if that was not why the call
-// was refused.
-func (g *gatedCall) afterCold(left time.Duration) time.Duration {
+// comeBack is when to come back after a refusal. If cold back ends were the reason that is not before
+// the first of them is warm: most of those that come back sooner are refused again.
+func (g *gatedCall) comeBack(left time.Duration) time.Duration {
+	pause := left / gateRetryShare
 	if g.last != exchange.ReasonCold {
-		return 0
+		return pause
 	}
 	warm := time.Duration((1 + coldSpread*rand.Float64()) * float64(g.warmIn))
-	return min(warm, left/coldRetryShare)
+	return max(pause, min(warm, left/coldRetryShare))
 }
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -316,7 +316,7 @@
 		}
 		return refusal
 	}
-	refusal.RetryAfter = max(minGateRetry, min(maxGateRetry, max(left/gateRetryShare, g.afterCold(left))))
+	refusal.RetryAfter = max(minGateRetry, min(maxGateRetry, g.comeBack(left)))
 	return refusal
 }
 
