--- a/pkg/gate/evacuate.go
+++ b/pkg/gate/evacuate.go
@@ -62,7 +62,7 @@
 	if reason == "" {
 		g.closing = closing{}
 		g.tellClosing(Closing{Took: now - before.at})
-		g.Rested()
+		g.rested(now)
 		return
 	}
 	g.closing = closing{reason: reason, at: now}
@@ -72,10 +72,6 @@
 	g.noteQuiet()
 }
 
-// Rested is called with the mutex held when a back end that got nothing new for a while may take calls
-// again. It may have turned cold meanwhile without a word.
-func (g *Gate) Rested() {}
-
 // noteQuiet tells once that nothing is at work any more behind a closed gate; the mutex is held.
 func (g *Gate) noteQuiet() {
 	if g.closing.reason == "" || g.closing.quiet || g.running > 0 {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -328,6 +328,7 @@
 	if s.gate != nil {
 		s.gate.SetRules(table.Rules)
 	}
+	s.setColdBounds(table)
 	if s.registry != nil {
 		s.registry.Observe(state.Endpoints)
 	}
