Clients stay with a stale server until another one stands

Nodes that had kept a stream had version 17 within 40 ms of its acknowledgement at 9.53 s. Ruled out: a server of the lost half (the cut had healed at 7.35 s, all dials from 7.50 s on timed out, whichever server). Change: a successor is opened beside the stream that stands, as for moves to the own zone; after nine failed dials their time-out doubles every third one, up to 1.6 s. Tests: TestClientStaysAtStaleServerUntilAnotherStands (seen failing first), TestClientLeavesStaleServerForOneThatStands, TestDialsThatFailedOftenAreGivenMoreTime, TestServerThatIsBehindIsLeftForAnyOther.

--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -64,6 +64,11 @@
 	// a loss of everything.
 	quickDials       = 6
 	quickDialTimeout = 150 * time.Millisecond
+	// After dialsAtTimeout more, the time doubles with each such number of dials up to
+	// maxDialTimeout: on a full link the packets that open a connection wait longer than any short
+	// time-out. The first packet that was lost is sent again after a second.
+	dialsAtTimeout = 3
+	maxDialTimeout = 1600 * time.Millisecond
 )
 
 // Client keeps one subscription alive.
@@ -204,7 +209,7 @@
 	switch {
 	case s.successor != nil:
 		c.selector.MovedTo(s.successor.address)
-		c.config.Logger.Log("event", "subscription_moves", "server", s.address, "to", s.successor.address, "reason", errNearerServer)
+		c.config.Logger.Log("event", "subscription_moves", "server", s.address, "to", s.successor.address, "reason", s.whyMoved())
 	case errors.Is(err, errNearerServer):
 		c.selector.Move(now)
 		c.config.Logger.Log("event", "subscription_moves", "server", s.address, "reason", err)
@@ -214,6 +219,14 @@
 	}
 }
 
+// whyMoved says why a successor was opened.
+func (s *session) whyMoved() string {
+	if standing := s.leaving.Load(); standing != nil {
+		return fmt.Sprintf("the server is stale (confirmed=%t stale=%s behind=%t)", standing.Confirmed, standing.Stale, standing.Behind)
+	}
+	return errNearerServer.Error()
+}
+
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -246,20 +259,24 @@
 
 	mu           sync.Mutex
 	subscription *Subscription
-	// opening is set while a subscription at a nearer server is being opened. successor is that
+	// opening is set while a subscription at another server is being opened. successor is that
 	// subscription once it stands; it is final when run has returned.
 	opening   bool
 	successor *session
+	// leaving is how the server stood when it was found not to be good enough, nil while it is.
+	leaving atomic.Pointer[Standing]
 }
 
 // dialTimeout is short at first: a machine that has just been without power says nothing, and a
 // server that comes back meanwhile is found at the next try only. A network that takes longer is
-// given the whole time then.
+// given the whole time then, and more if that does not do.
 func (c *Client) dialTimeout() time.Duration {
-	if c.failedDials.Load() < quickDials {
+	failed := c.failedDials.Load()
+	if failed < quickDials {
 		return min(quickDialTimeout, c.config.DialTimeout)
 	}
-	return c.config.DialTimeout
+	doublings := min((failed-quickDials)/dialsAtTimeout, maxDoublings)
+	return max(c.config.DialTimeout, min(maxDialTimeout, c.config.DialTimeout<<doublings))
 }
 
 // open dials a server and performs the handshake.
@@ -317,32 +334,45 @@
 	return s.read(ctx)
 }
 
-// openNearer opens a subscription at a server of the own zone while this one goes on, which ends
-// once the other stands: a client without any would miss versions for as long as it dials.
-func (s *session) openNearer(ctx context.Context) {
-	c := s.client
-	candidate, known := c.selector.Nearest(c.config.Now())
+// openSuccessor opens a subscription at another server while this one goes on, which ends once the
+// other stands: a client without any would miss versions for as long as it dials. After a failure
+// find names the next server to try, until there is none.
+func (s *session) openSuccessor(ctx context.Context, candidate Candidate, find func(now time.Duration) (Candidate, bool)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !known || s.opening {
+	if s.opening {
 		return
 	}
 	s.opening = true
 	s.work.Go(func() {
-		next, err := c.open(ctx, candidate.Address)
+		next := s.trySuccessors(ctx, candidate, find)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.opening = false
-		if err != nil {
-			c.selector.NearestFailed(c.config.Now(), candidate.Address)
-			c.config.Logger.Log("event", "subscription_stays", "server", s.address, "tried", candidate.Address, "error", err)
-			return
+		if next != nil {
+			s.successor = next
+			s.cancel()
 		}
-		s.successor = next
-		s.cancel()
 	})
 }
 
+// trySuccessors returns a session at the first server that can be reached, nil if there is none.
+func (s *session) trySuccessors(ctx context.Context, candidate Candidate, find func(now time.Duration) (Candidate, bool)) *session {
+	c := s.client
+	for known := true; known && ctx.Err() == nil; candidate, known = find(c.config.Now()) {
+		next, err := c.open(ctx, candidate.Address)
+		if err == nil {
+			return next
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		c.selector.TriedInVain(c.config.Now(), candidate.Address)
+		c.config.Logger.Log("event", "subscription_stays", "server", s.address, "tried", candidate.Address, "error", err)
+	}
+	return nil
+}
+
 // ping keeps both sides sure that the other lives. Intervals are jittered so that
 // clients that started together drift apart.
 func (s *session) ping(ctx context.Context) {
@@ -469,13 +499,28 @@
 		Confirmed: confirmed, Stale: pong.Stale, Behind: pong.Revision < c.target.Position().Revision,
 		Starting: !ever, Open: c.config.Now() - s.openedAt,
 	}
-	if c.selector.Heard(c.config.Now(), standing) {
-		return fmt.Errorf("server %s is stale (confirmed=%t stale=%s behind=%t)", s.conn.Peer(), confirmed, pong.Stale, standing.Behind)
+	s.lookForAnother(ctx, standing)
+	return nil
+}
+
+// lookForAnother goes to another server if this one is stale or behind, or if one of the own zone is
+// there.
+func (s *session) lookForAnother(ctx context.Context, standing Standing) {
+	c := s.client
+	now := c.config.Now()
+	if c.selector.Heard(now, standing) {
+		s.leaving.Store(&standing)
+		if other, known := c.selector.OtherFor(now, standing); known {
+			s.openSuccessor(ctx, other, c.selector.Other)
+		}
+		return
 	}
-	if c.selector.Nearer(c.config.Now()) {
-		s.openNearer(ctx)
+	if !c.selector.Nearer(now) {
+		return
+	}
+	if nearest, known := c.selector.Nearest(now); known {
+		s.openSuccessor(ctx, nearest, c.selector.Nearest)
 	}
-	return nil
 }
 
 func (c *Client) confirm(at time.Duration) {
--- a/pkg/stream/nearer.go
+++ b/pkg/stream/nearer.go
@@ -23,7 +23,7 @@
 // Nearer reports whether the client should leave its server for one of its own zone. Clients
 // start at the servers of their settings, and go wherever they can when those of their zone
 // fail; without this they would stay there, the load would stay with few servers, and all of
-// it would cross zones. MovedTo or NearestFailed must follow.
+// it would cross zones. MovedTo or TriedInVain must follow.
 func (s *Selector) Nearer(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,9 +81,42 @@
 	}
 }
 
-// NearestFailed notes that no subscription could be opened at a server of the own zone while the
-// current one goes on.
-func (s *Selector) NearestFailed(now time.Duration, address string) {
+// Other returns the server to go to in place of the current one, which is stale or behind: one that
+// is not known to be bad, false if there is none.
+func (s *Selector) Other(now time.Duration) (Candidate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, c := range s.candidates {
+		if i != s.current && c.badUntil <= now {
+			return c.Candidate, true
+		}
+	}
+	return Candidate{}, false
+}
+
+// OtherFor is Other for a server that stands so. For one that is behind any other does: what that one
+// is known for may be over.
+func (s *Selector) OtherFor(now time.Duration, standing Standing) (Candidate, bool) {
+	if other, known := s.Other(now); known || !standing.Behind {
+		return other, known
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := -1
+	for i, c := range s.candidates {
+		if i != s.current && (longest < 0 || c.badUntil < s.candidates[longest].badUntil) {
+			longest = i
+		}
+	}
+	if longest < 0 {
+		return Candidate{}, false
+	}
+	return s.candidates[longest].Candidate, true
+}
+
+// TriedInVain notes that no subscription could be opened at another server while the current one
+// goes on.
+func (s *Selector) TriedInVain(now time.Duration, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.moveAt = 0
