Callers of back ends that decline by chance are told to come back at once

Change: after a decline the next try is due after 20 ms unless nearly all calls are declined (mean failing share above 0.75), where the wait stays a third of the time. A caller's own try is a new request and draws on no budget. Ruled out: a larger share of repeats by nodes alone: all nodes' together are bounded by the deployment (a fifth).

--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -23,10 +23,6 @@
 	stoppingPause    = 1500 * time.Millisecond
 	absentPause      = 400 * time.Millisecond
 	downPause        = 250 * time.Millisecond
-	// gateRetryShare of the time left is when to come back after a refusal.
-	gateRetryShare = 3
-	minGateRetry   = 20 * time.Millisecond
-	maxGateRetry   = 2 * time.Second
 )
 
 // gatedCall is a call on its way through gates.
@@ -311,7 +307,7 @@
 		}
 		return refusal
 	}
-	refusal.RetryAfter = max(minGateRetry, min(maxGateRetry, left/gateRetryShare))
+	refusal.RetryAfter = g.comeBack(g.now())
 	return refusal
 }
 
