Large answers are admitted by the room on the gate's link, and paced

Change: a gate books its link's outgoing room for an answer that is expected to be large and refuses at once what would be late (reason link, not run); reports tell for how long the link is taken, the balancer passes such back ends over for large answers; a caller's own back end is waited at; large answers are written in pieces at 0.8 of the link at most. linkRoom is what inbound was, for both directions.

--- a/pkg/balancer/endpoint.go
+++ b/pkg/balancer/endpoint.go
@@ -47,6 +47,7 @@
 	leaving bool
 	// gate is what the back end's gate said last.
 	gate   gateView
+	link   linkView
 	remote bool
 }
 
--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -66,6 +66,9 @@
 	AskLocal bool
 	// Patience is for how long it may wait where nobody takes it at once.
 	Patience time.Duration
+	// LargeAnswer is set if the answer is expected to be large: back ends whose link is full are
+	// passed over while others have room.
+	LargeAnswer bool
 	// Repeatable is set if another back end may run the call after one that failed.
 	Repeatable bool
 	// OwnWork is up to which service time the back end beside the node is preferred to all
@@ -100,7 +103,7 @@
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
 		return p.acquired(own), r.OwnWait, nil
 	}
-	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
+	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost(), largeAnswer: r.LargeAnswer}
 	if free := p.freeGate(candidates, rating, r.FreeWork); free != nil {
 		return p.acquired(free), r.Patience, nil
 	}
@@ -149,6 +152,9 @@
 	}
 	free := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool {
 		known := e.gate.reported && rating.now-e.gate.at <= reportMemory
+		if rating.largeAnswer && e.linkWait(rating.now) > e.gate.report.Service {
+			return true
+		}
 		return !known || e.gateLoad(rating.now) >= e.gateCapacity() || e.gate.report.Service > work
 	})
 	return p.bestGate(free, rating)
@@ -227,6 +233,7 @@
 	// fastest is the least service time of the candidates.
 	fastest     time.Duration
 	failureCost float64
+	largeAnswer bool
 }
 
 // staysLocal reports whether a back end is of the node's own zone and good enough to be
@@ -239,7 +246,7 @@
 	if risk > remoteShare*float64(rating.fastest) && risk > float64(r.LocalWait) {
 		return false
 	}
-	return r.AskLocal || e.gateWait(rating.now) <= r.LocalWait
+	return r.AskLocal || e.roomWait(rating) <= r.LocalWait
 }
 
 // failureRisk is what the back end's failures add to its score.
@@ -264,7 +271,7 @@
 		service = max(1, float64(fastest))
 	}
 	share := float64(e.gateLoad(now)) / float64(e.gateCapacity())
-	score := float64(e.gateWait(now)) + service*(1+loadShare*share)
+	score := float64(e.roomWait(rating)) + service*(1+loadShare*share)
 	if e.remote {
 		score += remoteShare * float64(fastest)
 	}
@@ -282,6 +289,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.endpoint.heard(now, report)
+	t.endpoint.link = linkView{wait: report.LinkWait, at: now}
 }
 
 // HearOf takes in a report of a back end that did not come with an answer. One that the pool does
--- /dev/null
+++ b/pkg/balancer/room_test.go
@@ -0,0 +1,72 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/routing"
+
+	"github.com/matryer/is"
+)
+
+// linkPool is a pool of gated back ends of which the first one's link is taken for so long.
+func linkPool(wait time.Duration, count int) *Pool {
+	p := NewPool(Config{Node: "n", Zone: "own", Random: func(int) int { return 0 }})
+	var endpoints []routing.Endpoint
+	for i := range count {
+		id := string(rune('a' + i))
+		endpoints = append(endpoints, routing.Endpoint{ID: id, Address: id, Gate: id, Zone: "own", Capacity: 8})
+	}
+	p.Update(0, routing.Service{Name: "s", Endpoints: endpoints})
+	for i, e := range p.endpoints {
+		ticket := &Ticket{pool: p, endpoint: e}
+		report := exchange.Report{Capacity: 8, Service: time.Duration(100+i) * time.Millisecond}
+		if i == 0 {
+			report.LinkWait = wait
+		}
+		ticket.ReportGate(0, report)
+	}
+	return p
+}
+
+// A back end whose link is full is passed over for large answers until the link is free again; small
+// ones go there all the same.
+func TestBackendWithFullLinkIsPassedOverForLargeAnswers(t *testing.T) {
+	is := is.New(t)
+	p := linkPool(time.Second, 2)
+	first := p.endpoints[0].target.ID
+	choose := func(now time.Duration, large bool) string {
+		ticket, _, err := p.AcquireGate(now, GateRequest{Patience: time.Second, LargeAnswer: large, LocalWait: time.Second, Repeatable: true})
+		is.NoErr(err)
+		ticket.Done(now, Canceled)
+		return ticket.ID
+	}
+	is.Equal(choose(0, false), first)
+	is.True(choose(0, true) != first)
+	is.Equal(choose(950*time.Millisecond, true), first) // what was on the link has been sent
+	is.Equal(p.LeastLinkWait(0), time.Duration(0))
+	p.HearOf(0, exchange.Sender{ID: first, Report: exchange.Report{Capacity: 8, Service: 100 * time.Millisecond}})
+	is.True(choose(0, true) != first) // a free slot is no free link
+}
+
+func TestLeastLinkWait(t *testing.T) {
+	is := is.New(t)
+	p := linkPool(time.Second, 1)
+	is.Equal(p.LeastLinkWait(400*time.Millisecond), 600*time.Millisecond)
+	is.Equal(p.LeastLinkWait(2*time.Second), time.Duration(0))
+	is.Equal(NewPool(Config{}).LeastLinkWait(0), time.Duration(0))
+}
+
+func BenchmarkAcquireGate(b *testing.B) {
+	p := linkPool(time.Second, 24)
+	request := GateRequest{Patience: time.Second, LocalWait: time.Second, Repeatable: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		ticket, _, err := p.AcquireGate(0, request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		ticket.Done(0, Canceled)
+	}
+}
--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -10,6 +10,10 @@
 // again, and a whole answer is known to be one before the first byte of it is passed on.
 const MaxBuffered = 1 << 20
 
+// LargeAnswer is from which length on an answer is booked on a link and spread over time: on a link of
+// 10 Mbit/s it takes 13 ms, as long as some ten small messages.
+const LargeAnswer = 16 << 10
+
 // ReadWhole reads a body up to MaxBuffered. If there is more, rest continues where data
 // ends.
 func ReadWhole(body io.Reader, sizeHint int64) (data []byte, rest io.Reader, err error) {
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -38,6 +38,11 @@
 	// HeaderExpectedWork is how many microseconds a call is expected to take at the back
 	// end, by what its route took before.
 	HeaderExpectedWork = "Gate-Expected-Work-Us"
+	// HeaderExpectedAnswer is how many bytes a call's answer is expected to have, by what its route's
+	// answers had before, if that is a large answer.
+	HeaderExpectedAnswer = "Gate-Expected-Answer"
+	// HeaderLinkWait is the LinkWait of a gate's Report in milliseconds, if it is not 0.
+	HeaderLinkWait = "Gate-Link-Wait-Ms"
 	// HeaderReport is a gate's Report.
 	HeaderReport = "Gate-Report"
 	// HeaderFailing is the Failing of a gate's Report in thousandths, if it is not 0. Nodes
@@ -55,7 +60,7 @@
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
-	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender,
+	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender, HeaderExpectedAnswer, HeaderLinkWait,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
@@ -84,7 +89,7 @@
 const (
 	// ReasonFull: the wait would be longer than the call allows.
 	ReasonFull Reason = "full"
-	// ReasonLink: the call's body would come too late over the gate's link.
+	// ReasonLink: the call's body would come, or its answer leave, too late over the gate's link.
 	ReasonLink Reason = "link"
 	// ReasonAbsent: no back end is there yet.
 	ReasonAbsent Reason = "absent"
@@ -135,6 +140,8 @@
 	Service time.Duration
 	// Failing is the share of the latest calls that the back end failed, from 0 to 1.
 	Failing float64
+	// LinkWait is how long the next large answer waits for the gate's link.
+	LinkWait time.Duration
 }
 
 const thousandths = 1000
@@ -145,6 +152,9 @@
 	if failing := int(r.Failing * thousandths); failing > 0 {
 		header.Set(HeaderFailing, strconv.Itoa(failing))
 	}
+	if r.LinkWait >= time.Millisecond {
+		SetMillis(header, HeaderLinkWait, r.LinkWait)
+	}
 }
 
 // ReadReport reads what Set wrote, false if there is no report.
@@ -154,6 +164,9 @@
 	if ok && err == nil {
 		report.Failing = min(1, float64(failing)/thousandths)
 	}
+	if wait, set := ReadMillis(header, HeaderLinkWait); ok && set {
+		report.LinkWait = wait
+	}
 	return report, ok
 }
 
--- a/pkg/exchange/pacer.go
+++ b/pkg/exchange/pacer.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// pacedShare of the link's rate is what all paced bodies together may take, unless one
-	// would come too late.
-	pacedShare = 0.35
+	// RequestShare of the link's rate is what all paced bodies of requests together may take, unless
+	// one would come too late; AnswerShare is that for answers, of which a link carries more.
+	RequestShare = 0.35
+	AnswerShare  = 0.8
 	// pacedPiece is how long a piece of a paced body may keep the link busy: other messages
 	// wait no longer for it.
 	pacedPiece    = 6 * time.Millisecond
@@ -30,12 +31,12 @@
 	free time.Duration
 }
 
-// NewPacer returns a pacer for a link of so many bits a second. now reads the process's
-// monotonic clock.
-func NewPacer(bitsPerSecond float64, now func() time.Duration) *Pacer {
+// NewPacer returns a pacer that gives all bodies together a share of a link of so many bits a second.
+// now reads the process's monotonic clock.
+func NewPacer(bitsPerSecond, share float64, now func() time.Duration) *Pacer {
 	bytesPerSecond := bitsPerSecond / 8
 	return &Pacer{
-		rate:  pacedShare * bytesPerSecond,
+		rate:  share * bytesPerSecond,
 		piece: max(minPacedBytes, int(bytesPerSecond*pacedPiece.Seconds())),
 		now:   now, sleep: time.Sleep,
 	}
--- a/pkg/exchange/pacer_test.go
+++ b/pkg/exchange/pacer_test.go
@@ -14,7 +14,7 @@
 
 func newTestPacer(megabits float64) (*Pacer, *pacedClock) {
 	c := &pacedClock{}
-	p := NewPacer(megabits*1e6, func() time.Duration { return c.now })
+	p := NewPacer(megabits*1e6, RequestShare, func() time.Duration { return c.now })
 	p.sleep = func(d time.Duration) { c.now += d }
 	return p, c
 }
@@ -25,7 +25,7 @@
 
 // atPacedShare is how long so many bytes take at the paced share of 8 megabits.
 func atPacedShare(n float64) time.Duration {
-	return time.Duration(n / (pacedShare * 1e6) * float64(time.Second))
+	return time.Duration(n / (RequestShare * 1e6) * float64(time.Second))
 }
 
 func TestPacedBodyTakesItsShareOfTheLink(t *testing.T) {
--- a/pkg/forward/comeback.go
+++ b/pkg/forward/comeback.go
@@ -19,10 +19,15 @@
 
 // comeBack is when the caller should try again. A back end that had a free slot and declined all the
 // same does so with some calls and not with others: the next try is as good now as later, and later
-// is late. Where there is no room, it takes a while until there is.
+// is late. Where there is no room, it takes a while until there is; gates tell for how long their links
+// are taken.
 func (g *gatedCall) comeBack(now time.Duration) time.Duration {
 	if g.last == exchange.ReasonDeclined && g.service.pool.MeanFailing(now) <= maxChanceFailing {
 		return minGateRetry
 	}
-	return max(minGateRetry, min(maxGateRetry, (g.deadline-now)/gateRetryShare))
+	allowed := min(maxGateRetry, (g.deadline-now)/gateRetryShare)
+	if g.last == exchange.ReasonLink && g.largeAnswer() {
+		allowed = min(allowed, g.service.pool.LeastLinkWait(now))
+	}
+	return max(minGateRetry, allowed)
 }
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramblelift/pkg/balancer"
+	"bramblelift/pkg/exchange"
 )
 
 // Bounds of the choice of a gate.
@@ -71,7 +72,7 @@
 
 // gateRequest is what both searches have in common.
 func (g *gatedCall) gateRequest(now time.Duration) balancer.GateRequest {
-	request := balancer.GateRequest{LeftOut: g.done, Regions: g.route.Regions, Patience: g.patience(now), Repeatable: g.safe}
+	request := balancer.GateRequest{LeftOut: g.done, Regions: g.route.Regions, Patience: g.patience(now), Repeatable: g.safe, LargeAnswer: g.largeAnswer()}
 	if g.tries == 0 {
 		request.OwnWork = g.ownWork(now)
 	}
@@ -85,6 +86,9 @@
 		request.LeftOut = slices.Concat(g.done, g.full)
 		request.LocalWait = g.localWait(now)
 		request.AskLocal = g.body.Size() > largeBody
+		if g.largeAnswer() {
+			request.OwnWait = min(request.Patience, max(0, g.targetLeft(now)/ownWaitShare))
+		}
 		ticket, wait, err := g.service.pool.AcquireGate(now, request)
 		if err == nil || len(g.full) == 0 {
 			return ticket, wait, err
@@ -126,12 +130,15 @@
 // ownWait is how long the call may wait at the gate beside the node before others are asked: that
 // costs no message, and a large body does not cross the link again.
 func (g *gatedCall) ownWait(now, patience time.Duration) time.Duration {
-	if g.body.Size() > largeBody || g.route.TargetLatency == 0 {
+	if g.body.Size() > largeBody || g.largeAnswer() || g.route.TargetLatency == 0 {
 		return patience
 	}
 	return min(patience, max(0, g.targetLeft(now)/ownWaitShare))
 }
 
+// largeAnswer reports whether the call's answer is expected to be large.
+func (g *gatedCall) largeAnswer() bool { return g.answerBytes >= exchange.LargeAnswer }
+
 // targetLeft is what is left of the route's target latency since the caller first tried, negative
 // if that has passed.
 func (g *gatedCall) targetLeft(now time.Duration) time.Duration {
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -136,6 +136,9 @@
 		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.begun))
 	}
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(g.work.Microseconds(), 10))
+	if g.largeAnswer() {
+		request.Header.Set(exchange.HeaderExpectedAnswer, strconv.Itoa(g.answerBytes))
+	}
 	if sender := g.sender(ticket); sender != "" {
 		request.Header.Set(exchange.HeaderSender, sender)
 	}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -219,7 +219,7 @@
 	if body.whole {
 		ticket.Done(g.now(), balancer.Answered)
 	}
-	err := g.pass(response)
+	err := g.pass(response, g.besideNode(ticket))
 	if !body.whole {
 		ticket.Done(g.now(), learnedFrom(err))
 	}
@@ -236,8 +236,10 @@
 	return balancer.Answered
 }
 
-// pass writes an answer to the caller.
-func (g *gatedCall) pass(response *http.Response) error {
+// pass writes an answer to the caller; booked says that the gate beside the node has booked the link for
+// it.
+func (g *gatedCall) pass(response *http.Response, booked bool) error {
+	g.paceAnswer(response, booked)
 	defer response.Body.Close()
 	g.status = response.StatusCode
 	exchange.RemoveHop(response.Header)
@@ -293,7 +295,7 @@
 // come back.
 func (g *gatedCall) giveUp(step, reason string) *Refusal {
 	if g.held != nil {
-		if err := g.pass(g.held); err != nil {
+		if err := g.pass(g.held, false); err != nil {
 			g.abort()
 		}
 		return nil
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -72,6 +72,8 @@
 	Link *link.Meter
 	// Pacer, if set, spreads large bodies over time.
 	Pacer *exchange.Pacer
+	// Answers, if set, spreads large answers over time.
+	Answers *exchange.Pacer
 	// Quarantine knows requests that must not reach back ends; nil knows none.
 	Quarantine *quarantine.Filter
 	// OnEnded and OnAnswered, if set, are told when a back end without a gate ended while it had a
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -102,6 +102,8 @@
 	// early is until when a refusal helps the caller most.
 	early time.Duration
 	work  time.Duration
+	// answer is how many bytes a large answer is expected to have, zero for one that is not large.
+	answer int64
 	// lateAt is when the call becomes late unless the back end has begun it, zero if it has
 	// no target latency.
 	lateAt time.Duration
@@ -309,6 +311,6 @@
 func (g *Gate) report() exchange.Report {
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		Service: g.service, Failing: g.health.failing(g.config.Now()),
+		Service: g.service, Failing: g.health.failing(g.config.Now()), LinkWait: g.toldLinkWait(),
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -49,6 +49,8 @@
 	// Link counts what crosses the machine's link and knows its capacity; nil is a link without
 	// bound.
 	Link *link.Meter
+	// Answers, if set, spreads large answers over time.
+	Answers *exchange.Pacer
 	// Quarantine knows requests that must not reach the back end; nil knows none.
 	Quarantine *quarantine.Filter
 	// OnEnded and OnAnswered, if set, are told when the back end ended while it had a call, and when
@@ -80,7 +82,8 @@
 type Gate struct {
 	config    Config
 	transport *http.Transport
-	inbound   *inbound
+	// inbound and outbound are what large bodies and large answers may take of the link.
+	inbound, outbound *linkRoom
 
 	mu      sync.Mutex
 	backend Backend
@@ -103,11 +106,13 @@
 // New returns a gate without a back end.
 func New(config Config) *Gate {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
-	return &Gate{config: config, inbound: newInbound(config.Link.Capacity(), config.Link.UnaskedRate), transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
-		ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
-	}}
+	capacity := config.Link.Capacity()
+	return &Gate{config: config, inbound: newLinkRoom(capacity, inboundShare, config.Link.UnaskedRate),
+		outbound: newLinkRoom(capacity, outboundShare, config.Link.UnbookedRate), transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true,
+			MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+			ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
+		}}
 }
 
 const maxIdleConnections = 64
@@ -116,6 +121,7 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.hearSender(r.Header)
 	response := g.serve(r)
+	g.paceAnswer(r, response)
 	defer response.Body.Close()
 	exchange.Copy(w.Header(), response.Header)
 	w.WriteHeader(response.StatusCode)
@@ -205,14 +211,26 @@
 
 // admitAndSend waits for a slot, and sends the call to the back end or makes a refusal.
 func (g *Gate) admitAndSend(r *http.Request, wanted request, attach attachBody) *http.Response {
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID)}
+	if !g.bookAnswer(wanted) {
+		call.Reason = exchange.ReasonLink
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
+	response := g.sendBooked(r, wanted, attach, &call)
+	g.settleAnswer(wanted, response)
+	return response
+}
+
+// sendBooked is admitAndSend for a call whose answer has its time on the link.
+func (g *Gate) sendBooked(r *http.Request, wanted request, attach attachBody, call *Call) *http.Response {
 	arrived := g.config.Now()
 	granted, reason := g.admit(r.Context(), wanted)
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: reason, Waited: g.config.Now() - arrived}
+	call.Reason, call.Waited = reason, g.config.Now()-arrived
 	if reason != "" {
-		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	call.Backend = granted.backend.ID
-	return g.send(r, attach, granted, wanted, &call)
+	return g.send(r, attach, granted, wanted, call)
 }
 
 func (g *Gate) read(header http.Header, now time.Duration) request {
@@ -232,6 +250,9 @@
 		wanted.late = lastStart <= 0
 		wanted.lateAt = now + max(lastStart, 1)
 	}
+	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedAnswer), 10, 64); err == nil && size > 0 {
+		wanted.answer = size
+	}
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
--- /dev/null
+++ b/pkg/gate/room.go
@@ -0,0 +1,86 @@
+package gate
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// usableShare of the link's rate is for all that crosses it in a direction, so bodies get what is
+	// left of it. Packets' own heads are not counted.
+	usableShare = 0.9
+	// minBodyShare is left for bodies whatever else crosses the link.
+	minBodyShare = 0.1
+)
+
+// linkRoom shares the rate of the gate's link in one direction among large bodies: those that other
+// nodes want to send, or the answers that the node sends. Each gets its time one after the other; what
+// would come too late is told so before it is sent, and costs the link nothing. It is safe for
+// concurrent use; nil is a link without bound.
+type linkRoom struct {
+	// rate is the link's in bytes a second, share what of it bodies get at most.
+	rate  float64
+	share float64
+	// others returns at what rate all else crosses the link.
+	others func(now time.Duration) float64
+
+	mu sync.Mutex
+	// free is when all that was promised has crossed.
+	free time.Duration
+}
+
+// newLinkRoom returns the room of a link of so many bytes a second, nil for no bound. others returns
+// how many bytes a second cross beside the large bodies.
+func newLinkRoom(rate, share float64, others func(now time.Duration) float64) *linkRoom {
+	if rate <= 0 {
+		return nil
+	}
+	return &linkRoom{rate: rate, share: share, others: others}
+}
+
+// room is how many bytes a second of large bodies the link has room for.
+func (l *linkRoom) room(now time.Duration) float64 {
+	left := usableShare*l.rate - l.others(now)
+	return min(l.share*l.rate, max(minBodyShare*l.rate, left))
+}
+
+// takes is how long a body keeps its share of the link busy.
+func (l *linkRoom) takes(now time.Duration, size int64) time.Duration {
+	return time.Duration(float64(size) / l.room(now) * float64(time.Second))
+}
+
+// reserve gives a body its time on the link and returns when it may cross, false if that is later
+// than patience allows.
+func (l *linkRoom) reserve(now time.Duration, size int64, patience time.Duration) (due time.Duration, ok bool) {
+	if l == nil {
+		return now, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	due = max(l.free, now)
+	if due-now > patience {
+		return 0, false
+	}
+	l.free = due + l.takes(now, size)
+	return due, true
+}
+
+// amend corrects what was reserved for a body by so many bytes, negative if it is shorter.
+func (l *linkRoom) amend(now time.Duration, size int64) {
+	if l == nil || size == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.free = max(l.free, now) + l.takes(now, size)
+}
+
+// wait is how long the next body waits for its time on the link.
+func (l *linkRoom) wait(now time.Duration) time.Duration {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.free-now)
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -69,6 +69,8 @@
 	listener net.Listener
 	admin    *admin.Service
 	link     *link.Meter
+	// answers spreads the large answers of the node and of its gate over time, nil without a bound.
+	answers  *exchange.Pacer
 	calls    callsUnderWay
 	stopping atomic.Bool
 	failure  chan error
@@ -97,6 +99,9 @@
 // newInterface, if set, makes the handler of settings.InterfaceListen.
 func New(config settings.Proxy, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
 	s := &Server{settings: config, logger: logger, clock: clock.New(), link: link.NewMeter(config.LinkMegabits * megabit), failure: make(chan error, 1)}
+	if config.LinkMegabits > 0 {
+		s.answers = exchange.NewPacer(config.LinkMegabits*megabit, exchange.AnswerShare, s.clock.Now)
+	}
 	if err := s.openKeeper(); err != nil {
 		return nil, err
 	}
@@ -202,8 +207,9 @@
 		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() }, StaleLimit: time.Duration(s.settings.StaleLimit),
 	}
 	if s.settings.LinkMegabits > 0 {
-		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, s.clock.Now)
+		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, exchange.RequestShare, s.clock.Now)
 	}
+	config.Answers = s.answers
 	if s.gate != nil {
 		config.GateAddress, config.Gate, config.Sender = s.settings.GateAdvertise, s.gate.Do, s.gate.Sender
 		config.Retry = retry.Config{Ratio: s.settings.Retries.Ratio, Max: gatedRetryMax}
