Callers whose large answer has no room come back when a link has some

Gates tell for how long their links are taken; the caller is told the least of what its call heard, a third of its time at the most. Answers without a declared length that a node holds whole count with their length, so that they are learned and paced, too. Test: TestCallerWithoutRoomOnTheLinkComesBackWhenThereIsSome, which failed while lengths were not learned.

--- a/pkg/balancer/room.go
+++ b/pkg/balancer/room.go
@@ -23,16 +23,3 @@
 	}
 	return wait
 }
-
-// LeastLinkWait is for how long a large answer waits at least for the link of any back end's gate.
-func (p *Pool) LeastLinkWait(now time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	least := time.Duration(-1)
-	for _, e := range p.endpoints {
-		if wait := e.linkWait(now); !e.leaving && (least < 0 || wait < least) {
-			least = wait
-		}
-	}
-	return max(0, least)
-}
--- a/pkg/forward/comeback.go
+++ b/pkg/forward/comeback.go
@@ -27,7 +27,7 @@
 	}
 	allowed := min(maxGateRetry, (g.deadline-now)/gateRetryShare)
 	if g.last == exchange.ReasonLink && g.largeAnswer() {
-		allowed = min(allowed, g.service.pool.LeastLinkWait(now))
+		allowed = min(allowed, g.linkWait)
 	}
 	return max(minGateRetry, allowed)
 }
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -113,6 +113,9 @@
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: err}
 	}
+	if rest == nil && response.ContentLength < 0 {
+		response.ContentLength = int64(len(data))
+	}
 	response.Body = newWholeBody(data, rest, response.Body)
 	return response, nil
 }
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -43,8 +43,9 @@
 	// bounds them then and is not used before.
 	linkBusy bool
 	throttle *retry.Throttle
-	// last is why the latest gate refused.
-	last exchange.Reason
+	// last is why the latest gate refused, linkWait the least wait for its link that one told.
+	last     exchange.Reason
+	linkWait time.Duration
 	// held is a back end's failure that another attempt may yet make good, nil for none.
 	held *http.Response
 }
@@ -158,6 +159,9 @@
 	learned := balancer.Canceled
 	switch failure.reason {
 	case exchange.ReasonFull, exchange.ReasonLink:
+		if told := failure.report.LinkWait; told > 0 && (g.linkWait == 0 || told < g.linkWait) {
+			g.linkWait = told
+		}
 		// The gate beside the node was asked for a short wait only, at no cost: the call
 		// may still wait there.
 		if g.tries > 1 || !g.besideNode(ticket) {
