What a node holds of large answers is bounded, and metrics of large answers

A node held up to a megabyte for each caller that reads slowly, its gate as much. Both together hold 24 MB now; answers beyond are passed on as they come. Metrics: bramblelift_link_large_bytes_total, bramblelift_held_answer_bytes, bramblelift_gate_link_wait_seconds. Test: TestLargeAnswersBeyondTheBoundArePassedOnAsTheyCome.

--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -69,14 +69,21 @@
 // wholeBody is an answer's body of which the first part, or all, was read already.
 type wholeBody struct {
 	io.Reader
-	io.Closer
+	closer  io.Closer
+	release func()
 	// whole is set if all of it was read.
 	whole bool
 }
 
-func newWholeBody(data []byte, rest io.Reader, closer io.Closer) io.ReadCloser {
+func newWholeBody(data []byte, rest io.Reader, closer io.Closer, release func()) io.ReadCloser {
 	if rest == nil {
-		return wholeBody{bytes.NewReader(data), closer, true}
+		return wholeBody{bytes.NewReader(data), closer, release, true}
 	}
-	return wholeBody{io.MultiReader(bytes.NewReader(data), rest), closer, false}
+	return wholeBody{io.MultiReader(bytes.NewReader(data), rest), closer, release, false}
+}
+
+// Close implements io.Closer.
+func (b wholeBody) Close() error {
+	b.release()
+	return b.closer.Close()
 }
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -108,7 +108,7 @@
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: exchange.ErrWrongAnswer}
 	}
-	data, rest, err := exchange.ReadWhole(response.Body, response.ContentLength)
+	data, rest, release, err := g.handler.config.Holding.ReadWhole(response)
 	if err != nil {
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: err}
@@ -116,7 +116,7 @@
 	if rest == nil && response.ContentLength < 0 {
 		response.ContentLength = int64(len(data))
 	}
-	response.Body = newWholeBody(data, rest, response.Body)
+	response.Body = newWholeBody(data, rest, response.Body, release)
 	return response, nil
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -51,6 +51,8 @@
 	Link *link.Meter
 	// Answers, if set, spreads large answers over time.
 	Answers *exchange.Pacer
+	// Holding, if set, bounds what is held of large answers.
+	Holding *exchange.Holding
 	// Quarantine knows requests that must not reach the back end; nil knows none.
 	Quarantine *quarantine.Filter
 	// OnEnded and OnAnswered, if set, are told when the back end ended while it had a call, and when
@@ -285,7 +287,7 @@
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	if err == nil {
-		err = holdWhole(response)
+		err = g.holdWhole(response)
 	}
 	call.Service = g.config.Now() - granted.at
 	if err != nil {
--- a/pkg/gate/outbound_test.go
+++ b/pkg/gate/outbound_test.go
@@ -151,3 +151,24 @@
 	time.Sleep(150 * time.Millisecond)
 	is.Equal(g.config.Link.AnswersSent(), sent)
 }
+
+// What is held of large answers is bounded: one beyond the bound is passed on as it comes, whole, and
+// its slot is free again once it has been taken.
+func TestLargeAnswersBeyondTheBoundArePassedOnAsTheyCome(t *testing.T) {
+	is := is.New(t)
+	g := gateOnLink(t, 1)
+	g.config.Holding = exchange.NewHolding(150_000)
+	first := get(t, g, "first", "Want-Bytes", "200000")
+	is.Equal(g.config.Holding.Held(), int64(200_000))
+	second := get(t, g, "second", "Want-Bytes", "200000")
+	is.Equal(g.config.Holding.Held(), int64(200_000))                                          // not held
+	is.Equal(reasonOf(get(t, g, "third", exchange.HeaderWait, "1")), exchange.ReasonFull)      // its slot is busy
+	is.Equal(get(t, g, "small", "Want-Bytes", "10", exchange.HeaderWait, "1").StatusCode, 503) // for whoever comes
+	data, err := io.ReadAll(second.Body)
+	is.NoErr(err)
+	is.Equal(len(data), 200_000)
+	second.Body.Close()
+	is.Equal(get(t, g, "small", "Want-Bytes", "10").StatusCode, http.StatusOK)
+	first.Body.Close()
+	is.Equal(g.config.Holding.Held(), int64(0))
+}
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -22,7 +22,7 @@
 	}
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
-		Link: s.link, Answers: s.answers, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
+		Link: s.link, Answers: s.answers, Holding: s.holding, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
 		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -65,6 +65,8 @@
 	gauge("bramblelift_gate_queued", "Calls that wait at the gate, and those whose bodies are on their way.",
 		func(r exchange.Report) float64 { return float64(r.Queued) })
 	gauge("bramblelift_gate_capacity", "Calls that the back end works on at once.", func(r exchange.Report) float64 { return float64(r.Capacity) })
+	gauge("bramblelift_gate_link_wait_seconds", "For how long the next large answer waits for the machine's link.",
+		func(r exchange.Report) float64 { return r.LinkWait.Seconds() })
 	gauge("bramblelift_gate_failing_ratio", "Share of the latest calls that the back end failed.", func(r exchange.Report) float64 { return r.Failing })
 }
 
@@ -93,6 +95,19 @@
 	}
 }
 
+// watchLargeAnswers shows what large bodies and answers take of the machine's link and of memory.
+func (o *observer) watchLargeAnswers(registry prometheus.Registerer, m *link.Meter, holding *exchange.Holding) {
+	for direction, read := range map[string]func() int64{"received": m.BodiesReceived, "sent": m.AnswersSent} {
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "bramblelift_link_large_bytes_total", Help: "Bytes of large request bodies received and of large answers sent for which the gate had booked the link.",
+			ConstLabels: prometheus.Labels{"direction": direction},
+		}, func() float64 { return float64(read()) }))
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bramblelift_held_answer_bytes", Help: "Bytes of large answers that are held until their callers have read them.",
+	}, func() float64 { return float64(holding.Held()) }))
+}
+
 // endAnswered names calls that a back end answered.
 const endAnswered = "answered"
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -48,6 +48,9 @@
 	// together must stay small against what the deployment allows.
 	gatedRetryMax = 3
 	megabit       = 1e6
+	// maxHeldAnswers is how many bytes of large answers a node holds for callers that read slowly; an
+	// answer beyond it is passed on as it comes, and its back end's slot is busy meanwhile.
+	maxHeldAnswers = 24 << 20
 	// quietTime is for how long no call must have come before a stopping node closes.
 	quietTime = time.Second
 	quietPoll = 100 * time.Millisecond
@@ -70,7 +73,9 @@
 	admin    *admin.Service
 	link     *link.Meter
 	// answers spreads the large answers of the node and of its gate over time, nil without a bound.
-	answers  *exchange.Pacer
+	answers *exchange.Pacer
+	// holding bounds what both hold of large answers.
+	holding  *exchange.Holding
 	calls    callsUnderWay
 	stopping atomic.Bool
 	failure  chan error
@@ -98,7 +103,7 @@
 //
 // newInterface, if set, makes the handler of settings.InterfaceListen.
 func New(config settings.Proxy, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
-	s := &Server{settings: config, logger: logger, clock: clock.New(), link: link.NewMeter(config.LinkMegabits * megabit), failure: make(chan error, 1)}
+	s := &Server{settings: config, logger: logger, clock: clock.New(), link: link.NewMeter(config.LinkMegabits * megabit), holding: exchange.NewHolding(maxHeldAnswers), failure: make(chan error, 1)}
 	if config.LinkMegabits > 0 {
 		s.answers = exchange.NewPacer(config.LinkMegabits*megabit, exchange.AnswerShare, s.clock.Now)
 	}
@@ -115,6 +120,7 @@
 	}
 	s.observer = newObserver(s.admin.Registry, logger)
 	s.observer.watchLink(s.admin.Registry, s.link)
+	s.observer.watchLargeAnswers(s.admin.Registry, s.link, s.holding)
 	s.observer.watchQuarantine(s.admin.Registry, &s.quarantine, &s.suspects)
 	if err := s.openGate(); err != nil {
 		return nil, err
@@ -209,7 +215,7 @@
 	if s.settings.LinkMegabits > 0 {
 		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, exchange.RequestShare, s.clock.Now)
 	}
-	config.Answers = s.answers
+	config.Answers, config.Holding = s.answers, s.holding
 	if s.gate != nil {
 		config.GateAddress, config.Gate, config.Sender = s.settings.GateAdvertise, s.gate.Do, s.gate.Sender
 		config.Retry = retry.Config{Ratio: s.settings.Retries.Ratio, Max: gatedRetryMax}
