--- a/pkg/exchange/pacer_test.go
+++ b/pkg/exchange/pacer_test.go
@@ -76,3 +76,37 @@
 	_, err = io.ReadAll(paced(none, 300_000, time.Minute))
 	is.NoErr(err)
 }
+
+// Answers go one after the other: the first is there after its own time, not after that of both. One that
+// is not read whole leaves its time to the next, and none is later than it may be.
+func TestAnswersGoOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPacer(8)
+	answer := func(within time.Duration) io.ReadCloser {
+		return p.Answer(io.NopCloser(bytes.NewReader(make([]byte, 50_000))), 50_000, within)
+	}
+	first, second := answer(time.Minute), answer(time.Minute)
+	_, err := io.ReadAll(first)
+	is.NoErr(err)
+	is.True(c.now <= atPacedShare(50_000))
+	_, err = io.ReadAll(second)
+	is.NoErr(err)
+	is.True(c.now > atPacedShare(90_000) && c.now <= atPacedShare(100_000))
+	p, c = newTestPacer(8)
+	left, next := answer(time.Minute), answer(time.Minute)
+	urgent := answer(20 * time.Millisecond)
+	is.NoErr(left.Close())
+	is.NoErr(left.Close()) // gives back once
+	_, err = io.ReadAll(urgent)
+	is.NoErr(err)
+	is.True(c.now <= 20*time.Millisecond)
+	_, err = io.ReadAll(next)
+	is.NoErr(err)
+	last := answer(time.Minute)
+	_, err = io.ReadAll(last)
+	is.NoErr(err)
+	is.True(c.now > atPacedShare(140_000) && c.now <= atPacedShare(150_000)) // next, urgent and last
+	var none *Pacer
+	_, err = io.ReadAll(none.Answer(io.NopCloser(bytes.NewReader(make([]byte, 50_000))), 50_000, 0))
+	is.NoErr(err)
+}
--- a/pkg/forward/pace.go
+++ b/pkg/forward/pace.go
@@ -13,7 +13,7 @@
 	if response.ContentLength < exchange.LargeAnswer {
 		return
 	}
-	response.Body = g.handler.config.Answers.Body(response.Body, int(response.ContentLength), g.answerTime())
+	response.Body = g.handler.config.Answers.Answer(response.Body, int(response.ContentLength), g.answerTime())
 	if booked {
 		response.Body = g.handler.config.Link.Answer(response.Body)
 	}
