--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -137,7 +137,7 @@
 	o.logger.Log("event", "attempt_failed", "request", a.RequestID, "route", a.Route, "service", a.Service,
 		"instance", a.Instance, "try", a.Number, "reason", string(a.Reason), "error", a.Err,
 		"running", a.Report.Running, "queued", a.Report.Queued, "capacity", a.Report.Capacity,
-		"wait", a.Wait.Round(time.Microsecond), "took", a.Elapsed.Round(time.Microsecond), "left", a.Left.Round(time.Millisecond), "again", a.Retried)
+		"link_wait", a.Report.LinkWait, "wait", a.Wait.Round(time.Microsecond), "took", a.Elapsed.Round(time.Microsecond), "left", a.Left.Round(time.Millisecond), "again", a.Retried)
 }
 
 // gateCall takes in a call at the gate.
