--- a/pkg/exchange/pacer.go
+++ b/pkg/exchange/pacer.go
@@ -10,7 +10,7 @@
 	// RequestShare of the link's rate is what all paced bodies of requests together may take, unless
 	// one would come too late; AnswerShare is that for answers, of which a link carries more.
 	RequestShare = 0.35
-	AnswerShare  = 0.8
+	AnswerShare  = 0.92
 	// pacedPiece is how long a piece of a paced body may keep the link busy: other messages
 	// wait no longer for it.
 	pacedPiece    = 6 * time.Millisecond
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -109,8 +109,8 @@
 func New(config Config) *Gate {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
 	capacity := config.Link.Capacity()
-	return &Gate{config: config, inbound: newLinkRoom(capacity, inboundShare, config.Link.UnaskedRate),
-		outbound: newLinkRoom(capacity, outboundShare, config.Link.UnbookedRate), transport: &http.Transport{
+	return &Gate{config: config, inbound: newLinkRoom(capacity, inboundShare, inboundUsable, config.Link.UnaskedRate),
+		outbound: newLinkRoom(capacity, outboundShare, outboundUsable, config.Link.UnbookedRate), transport: &http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 			ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
--- a/pkg/gate/inbound.go
+++ b/pkg/gate/inbound.go
@@ -7,6 +7,8 @@
 	// one, answers, heartbeats and configuration come over the same link and must not wait
 	// behind them.
 	inboundShare = 0.7
+	// inboundUsable of the link's rate is for all that comes in.
+	inboundUsable = 0.9
 	// inboundSlack is for how long a large body may wait for the link though its sender asked
 	// to be taken at once, or though it will be late: about as long as another one takes on a
 	// link that is not overloaded.
--- a/pkg/gate/inbound_test.go
+++ b/pkg/gate/inbound_test.go
@@ -21,7 +21,7 @@
 func TestBodiesGetWhatIsLeftOfTheLink(t *testing.T) {
 	is := is.New(t)
 	others := 0.0
-	l := newLinkRoom(1e6, inboundShare, func(time.Duration) float64 { return others })
+	l := newLinkRoom(1e6, inboundShare, inboundUsable, func(time.Duration) float64 { return others })
 	for _, c := range []struct{ others, room float64 }{{0, 700_000}, {300_000, 600_000}, {600_000, 300_000}, {790_000, 110_000}, {2e6, 100_000}} {
 		others = c.others
 		is.Equal(math.Round(l.room(0)), c.room)
@@ -30,7 +30,7 @@
 
 func TestBodiesGetTheLinkOneAfterTheOther(t *testing.T) {
 	is := is.New(t)
-	l := newLinkRoom(1e6, inboundShare, nothing) // a megabyte a second
+	l := newLinkRoom(1e6, inboundShare, inboundUsable, nothing) // a megabyte a second
 	first := l.takes(0, 70_000)
 	is.Equal(first, 100*time.Millisecond) // at the share for bodies
 	due, ok := l.reserve(0, 70_000, 0)
--- a/pkg/gate/outbound.go
+++ b/pkg/gate/outbound.go
@@ -10,7 +10,10 @@
 const (
 	// outboundShare of the link's rate is at most for large answers. Refusals, calls, small answers
 	// and what control is told leave over the same link and must not wait behind them.
-	outboundShare = 0.8
+	outboundShare = 0.85
+	// outboundUsable of the link's rate is for all that leaves. It is more than of what comes in, since
+	// the node paces what it sends.
+	outboundUsable = 0.95
 	// toldLinkWait is from which wait for the link on reports tell of it: about as long as one large
 	// answer takes.
 	toldLinkWait = 50 * time.Millisecond
--- a/pkg/gate/room.go
+++ b/pkg/gate/room.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// usableShare of the link's rate is for all that crosses it in a direction, so bodies get what is
-	// left of it. Packets' own heads are not counted.
-	usableShare = 0.9
 	// minBodyShare is left for bodies whatever else crosses the link.
 	minBodyShare = 0.1
 )
@@ -18,9 +15,9 @@
 // would come too late is told so before it is sent, and costs the link nothing. It is safe for
 // concurrent use; nil is a link without bound.
 type linkRoom struct {
-	// rate is the link's in bytes a second, share what of it bodies get at most.
-	rate  float64
-	share float64
+	// rate is the link's in bytes a second. Bodies get share of it at most, and what all else leaves
+	// of usable, which is less than all since packets' own heads are not counted.
+	rate, share, usable float64
 	// others returns at what rate all else crosses the link.
 	others func(now time.Duration) float64
 
@@ -31,16 +28,16 @@
 
 // newLinkRoom returns the room of a link of so many bytes a second, nil for no bound. others returns
 // how many bytes a second cross beside the large bodies.
-func newLinkRoom(rate, share float64, others func(now time.Duration) float64) *linkRoom {
+func newLinkRoom(rate, share, usable float64, others func(now time.Duration) float64) *linkRoom {
 	if rate <= 0 {
 		return nil
 	}
-	return &linkRoom{rate: rate, share: share, others: others}
+	return &linkRoom{rate: rate, share: share, usable: usable, others: others}
 }
 
 // room is how many bytes a second of large bodies the link has room for.
 func (l *linkRoom) room(now time.Duration) float64 {
-	left := usableShare*l.rate - l.others(now)
+	left := l.usable*l.rate - l.others(now)
 	return min(l.share*l.rate, max(minBodyShare*l.rate, left))
 }
 
