--- a/pkg/forward/comeback.go
+++ b/pkg/forward/comeback.go
@@ -15,9 +15,6 @@
 	// maxChanceFailing is up to which share of calls that back ends fail a decline is taken for
 	// chance: another try will likely do.
 	maxChanceFailing = 0.75
-	// declinedReserve repeats of the budget are left to calls whose callers have come back: these have
-	// fewer tries left of their own than new ones, which cost no budget.
-	declinedReserve = 1
 )
 
 // comeBack is when the caller should try again. A back end that had a free slot and declined all the
@@ -34,11 +31,3 @@
 	}
 	return max(minGateRetry, allowed)
 }
-
-// repeatReserve is what a repeat after a failure leaves of the budget.
-func (g *gatedCall) repeatReserve(reason exchange.Reason) float64 {
-	if reason == exchange.ReasonDeclined && g.begun == g.started {
-		return declinedReserve
-	}
-	return 0
-}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -208,7 +208,7 @@
 	if failure.outcome != NotRun && !g.safe {
 		return false
 	}
-	return g.payRepeat(g.repeatReserve(failure.reason))
+	return g.payRepeat()
 }
 
 // answer passes the back end's answer to the caller. The back end is done with the call once its
@@ -263,7 +263,7 @@
 // failure, and keeps that answer in case none does better.
 func (g *gatedCall) mayMakeGood(ctx context.Context, ticket *balancer.Ticket, response *http.Response) bool {
 	body, _ := response.Body.(wholeBody)
-	if !body.whole || !g.safe || !g.canTryAnother(ctx) || !g.payRepeat(0) {
+	if !body.whole || !g.safe || !g.canTryAnother(ctx) || !g.payRepeat() {
 		return false
 	}
 	g.dropHeld()
@@ -275,8 +275,8 @@
 }
 
 // payRepeat draws one more arrival at a back end from the route's attempts and the budget. A
-// suspect is not repeated: that might end one more back end. A reserve of the budget is left to others.
-func (g *gatedCall) payRepeat(reserve float64) bool {
+// suspect is not repeated: that might end one more back end.
+func (g *gatedCall) payRepeat() bool {
 	if g.look(g.body.Data()).Standing != quarantine.Unsuspected {
 		return false
 	}
@@ -284,7 +284,7 @@
 	if limit == 0 {
 		limit = maxAttempts
 	}
-	return g.attempts < limit && g.service.budget.WithdrawAbove(g.now(), reserve)
+	return g.attempts < limit && g.service.budget.Withdraw(g.now())
 }
 
 func (g *gatedCall) dropHeld() {
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -50,14 +50,11 @@
 }
 
 // Withdraw reports whether a retry may be made, and pays for it.
-func (b *Budget) Withdraw(now time.Duration) bool { return b.WithdrawAbove(now, 0) }
-
-// WithdrawAbove is Withdraw for a retry that leaves a reserve to others that need it more.
-func (b *Budget) WithdrawAbove(now time.Duration, reserve float64) bool {
+func (b *Budget) Withdraw(now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.earn(now, 0)
-	if b.balance < 1+reserve {
+	if b.balance < 1 {
 		return false
 	}
 	b.balance--
