--- a/pkg/exchange/pacer.go
+++ b/pkg/exchange/pacer.go
@@ -8,9 +8,13 @@
 
 const (
 	// RequestShare of the link's rate is what all paced bodies of requests together may take, unless
-	// one would come too late; AnswerShare is that for answers, of which a link carries more.
+	// one would come too late.
 	RequestShare = 0.35
-	AnswerShare  = 0.92
+	// Answers get what all else leaves of answerUsable of the link's rate, between these shares: a link
+	// carries more of them than of requests. The rest is for packets' own heads.
+	answerUsable   = 0.95
+	minAnswerShare = 0.4
+	maxAnswerShare = 0.92
 	// pacedPiece is how long a piece of a paced body may keep the link busy: other messages
 	// wait no longer for it.
 	pacedPiece    = 6 * time.Millisecond
@@ -21,7 +25,8 @@
 // holds up every small message behind it; in pieces, they go in between. It is safe for
 // concurrent use.
 type Pacer struct {
-	rate  float64
+	// rate returns how many bytes a second all bodies together may take.
+	rate  func(now time.Duration) float64
 	piece int
 	now   func() time.Duration
 	sleep func(time.Duration)
@@ -35,8 +40,22 @@
 // now reads the process's monotonic clock.
 func NewPacer(bitsPerSecond, share float64, now func() time.Duration) *Pacer {
 	bytesPerSecond := bitsPerSecond / 8
+	return newPacer(bytesPerSecond, func(time.Duration) float64 { return share * bytesPerSecond }, now)
+}
+
+// NewAnswerPacer returns a pacer for large answers on a link of so many bits a second. others returns
+// how many bytes a second all else sends.
+func NewAnswerPacer(bitsPerSecond float64, others func(now time.Duration) float64, now func() time.Duration) *Pacer {
+	bytesPerSecond := bitsPerSecond / 8
+	return newPacer(bytesPerSecond, func(at time.Duration) float64 {
+		left := answerUsable*bytesPerSecond - others(at)
+		return min(maxAnswerShare*bytesPerSecond, max(minAnswerShare*bytesPerSecond, left))
+	}, now)
+}
+
+func newPacer(bytesPerSecond float64, rate func(now time.Duration) float64, now func() time.Duration) *Pacer {
 	return &Pacer{
-		rate:  share * bytesPerSecond,
+		rate:  rate,
 		piece: max(minPacedBytes, int(bytesPerSecond*pacedPiece.Seconds())),
 		now:   now, sleep: time.Sleep,
 	}
@@ -58,23 +77,26 @@
 	if p == nil || size <= p.piece {
 		return body
 	}
-	return &queuedBody{ReadCloser: body, pacer: p, size: size, due: p.reserve(size), start: p.now(), within: within}
+	due, takes := p.reserve(size)
+	return &queuedBody{ReadCloser: body, pacer: p, size: size, due: due, takes: takes, start: p.now(), within: within}
 }
 
-// giveBack takes back what was reserved and is not used.
-func (p *Pacer) giveBack(n int) {
+// giveBack takes back time that was reserved and is not used.
+func (p *Pacer) giveBack(unused time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.free -= time.Duration(float64(n) / p.rate * float64(time.Second))
+	p.free -= unused
 }
 
-// reserve takes the link's paced share for a piece and returns when that is due.
-func (p *Pacer) reserve(n int) time.Duration {
+// reserve takes the link's paced share for so many bytes and returns when they are due and for how long.
+func (p *Pacer) reserve(n int) (due, takes time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	due := max(p.free, p.now())
-	p.free = due + time.Duration(float64(n)/p.rate*float64(time.Second))
-	return due
+	now := p.now()
+	due = max(p.free, now)
+	takes = time.Duration(float64(n) / p.rate(now) * float64(time.Second))
+	p.free = due + takes
+	return due, takes
 }
 
 // pacedBody is a body on its way.
@@ -94,9 +116,9 @@
 		return n, err
 	}
 	latest := b.start + time.Duration(float64(b.within)*float64(b.sent)/float64(b.size))
-	due := min(b.pacer.reserve(n), latest)
+	due, _ := b.pacer.reserve(n)
 	b.sent += n
-	if wait := due - b.pacer.now(); wait > 0 {
+	if wait := min(due, latest) - b.pacer.now(); wait > 0 {
 		b.pacer.sleep(wait)
 	}
 	return n, err
@@ -109,6 +131,7 @@
 	size   int
 	sent   int
 	due    time.Duration
+	takes  time.Duration
 	start  time.Duration
 	within time.Duration
 	closed sync.Once
@@ -121,7 +144,7 @@
 		return n, err
 	}
 	latest := b.start + time.Duration(float64(b.within)*float64(b.sent)/float64(b.size))
-	due := b.due + time.Duration(float64(b.sent)/b.pacer.rate*float64(time.Second))
+	due := b.due + b.part(b.sent)
 	b.sent += n
 	if wait := min(due, latest) - b.pacer.now(); wait > 0 {
 		b.pacer.sleep(wait)
@@ -129,8 +152,13 @@
 	return n, err
 }
 
+// part is how long so many of the body's bytes take.
+func (b *queuedBody) part(n int) time.Duration {
+	return time.Duration(float64(b.takes) * float64(n) / float64(b.size))
+}
+
 // Close implements io.Closer. What was not read leaves its time to those behind it.
 func (b *queuedBody) Close() error {
-	b.closed.Do(func() { b.pacer.giveBack(max(0, b.size-b.sent)) })
+	b.closed.Do(func() { b.pacer.giveBack(b.part(max(0, b.size-b.sent))) })
 	return b.ReadCloser.Close()
 }
--- a/pkg/exchange/pacer_test.go
+++ b/pkg/exchange/pacer_test.go
@@ -110,3 +110,14 @@
 	_, err = io.ReadAll(none.Answer(io.NopCloser(bytes.NewReader(make([]byte, 50_000))), 50_000, 0))
 	is.NoErr(err)
 }
+
+// Answers get what all else leaves of the link, and neither all of it nor none.
+func TestAnswersGetWhatIsLeftOfTheLink(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ others, rate float64 }{{0, 920_000}, {150_000, 800_000}, {2e6, 400_000}} {
+		now := func() time.Duration { return 0 }
+		p := NewAnswerPacer(8e6, func(time.Duration) float64 { return c.others }, now)
+		_, takes := p.reserve(100_000)
+		is.Equal(takes, time.Duration(100_000/c.rate*float64(time.Second)))
+	}
+}
--- a/pkg/forward/pace.go
+++ b/pkg/forward/pace.go
@@ -14,9 +14,7 @@
 		return
 	}
 	response.Body = g.handler.config.Answers.Answer(response.Body, int(response.ContentLength), g.answerTime())
-	if booked {
-		response.Body = g.handler.config.Link.Answer(response.Body)
-	}
+	response.Body = g.handler.config.Link.Answer(response.Body, booked)
 }
 
 // answerTime is how long a large answer may take on its way to the caller.
--- a/pkg/gate/outbound.go
+++ b/pkg/gate/outbound.go
@@ -73,5 +73,5 @@
 	}
 	wanted := g.read(r.Header, 0)
 	within := max(wanted.targetLeft, wanted.deadline/answerTimeShare)
-	response.Body = g.config.Link.Answer(g.config.Answers.Answer(response.Body, int(response.ContentLength), within))
+	response.Body = g.config.Link.Answer(g.config.Answers.Answer(response.Body, int(response.ContentLength), within), true)
 }
--- a/pkg/gate/outbound_test.go
+++ b/pkg/gate/outbound_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	started := time.Now()
 	now := func() time.Duration { return time.Since(started) }
-	g := New(Config{Headers: testHeaders, Now: now, Link: link.NewMeter(8e6), Answers: exchange.NewPacer(8e6, exchange.AnswerShare, now)})
+	g := New(Config{Headers: testHeaders, Now: now, Link: link.NewMeter(8e6), Answers: exchange.NewAnswerPacer(8e6, nothing, now)})
 	g.SetBackend(Backend{ID: "b1", Address: largeServer(t), Capacity: capacity})
 	return g
 }
--- a/pkg/link/meter.go
+++ b/pkg/link/meter.go
@@ -45,11 +45,12 @@
 	// bodies counts what of the received bytes were large bodies that came when the node asked
 	// for them.
 	bodies atomic.Int64
-	// answers counts what of the sent bytes were large answers that the node had booked.
-	answers atomic.Int64
+	// answers counts what of the sent bytes were large answers, booked those of them that the node's
+	// gate had booked.
+	answers, booked atomic.Int64
 
-	mu                         sync.Mutex
-	in, out, unasked, unbooked rate
+	mu                                  sync.Mutex
+	in, out, unasked, unbooked, unpaced rate
 }
 
 // NewMeter returns a meter of a link of so many bits a second each way, zero if that is not known.
@@ -87,28 +88,37 @@
 	return m.unasked.at(now, sum(&m.received)-m.bodies.Load())
 }
 
-// Answer counts a large answer for which the node has booked its link, as it is sent.
-func (m *Meter) Answer(body io.ReadCloser) io.ReadCloser {
+// Answer counts a large answer as it is sent; booked says that the node's gate has booked the link for it.
+func (m *Meter) Answer(body io.ReadCloser, booked bool) io.ReadCloser {
 	if m == nil {
 		return body
 	}
-	return &countedAnswer{ReadCloser: body, sent: &m.answers}
+	counted := &countedAnswer{ReadCloser: body, sent: &m.answers}
+	if booked {
+		counted.booked = &m.booked
+	}
+	return counted
 }
 
 // countedAnswer is a large answer on its way.
 type countedAnswer struct {
 	io.ReadCloser
 	sent *atomic.Int64
+	// booked is nil for an answer that was not booked.
+	booked *atomic.Int64
 }
 
 // Read implements io.Reader.
 func (c *countedAnswer) Read(p []byte) (int, error) {
 	n, err := c.ReadCloser.Read(p)
 	c.sent.Add(int64(n))
+	if c.booked != nil {
+		c.booked.Add(int64(n))
+	}
 	return n, err
 }
 
-// AnswersSent returns the bytes of large answers for which the node had booked its link.
+// AnswersSent returns the bytes of large answers.
 func (m *Meter) AnswersSent() int64 { return m.answers.Load() }
 
 // BodiesReceived returns the bytes of large bodies that came when the node asked for them.
@@ -122,7 +132,18 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.unbooked.at(now, sum(&m.sent)-m.answers.Load())
+	return m.unbooked.at(now, sum(&m.sent)-m.booked.Load())
+}
+
+// UnpacedRate returns how many bytes a second are sent beside large answers, at a moment on the
+// process's monotonic clock.
+func (m *Meter) UnpacedRate(now time.Duration) float64 {
+	if m == nil {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unpaced.at(now, sum(&m.sent)-m.answers.Load())
 }
 
 // Load returns which share of the link is used in the direction that is used more, zero if the
--- a/pkg/link/meter_test.go
+++ b/pkg/link/meter_test.go
@@ -69,3 +69,37 @@
 	var none *Meter
 	is.Equal(none.Load(time.Second), 0.0)
 }
+
+// What leaves beside large answers is told from them, and those that the gate booked from those that the
+// node passes on.
+func TestRatesLeaveOutLargeAnswers(t *testing.T) {
+	is := is.New(t)
+	var m Meter
+	answer := func(booked bool) {
+		body := m.Answer(io.NopCloser(io.LimitReader(zeros{}, 5_000)), booked)
+		_, err := io.Copy(io.Discard, body)
+		is.NoErr(err)
+		is.NoErr(body.Close())
+	}
+	for i := range 100 { // twenty seconds of 100,000 bytes a second, a quarter each of both kinds of answers
+		m.sent[Nodes].Add(20_000)
+		answer(true)
+		answer(false)
+		now := time.Duration(i+1) * 200 * time.Millisecond
+		m.UnbookedRate(now)
+		m.UnpacedRate(now)
+	}
+	unbooked, unpaced := m.UnbookedRate(20*time.Second), m.UnpacedRate(20*time.Second)
+	is.True(unbooked > 74_900 && unbooked < 75_100)
+	is.True(unpaced > 49_900 && unpaced < 50_100)
+	is.Equal(m.AnswersSent(), int64(1_000_000))
+	var none *Meter
+	is.Equal(none.UnbookedRate(0)+none.UnpacedRate(0), 0.0)
+	is.NoErr(none.Answer(io.NopCloser(zeros{}), true).Close())
+}
+
+// zeros is a body without end.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -99,7 +99,7 @@
 func (o *observer) watchLargeAnswers(registry prometheus.Registerer, m *link.Meter, holding *exchange.Holding) {
 	for direction, read := range map[string]func() int64{"received": m.BodiesReceived, "sent": m.AnswersSent} {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "bramblelift_link_large_bytes_total", Help: "Bytes of large request bodies received and of large answers sent for which the gate had booked the link.",
+			Name: "bramblelift_link_large_bytes_total", Help: "Bytes of large request bodies received and of large answers sent.",
 			ConstLabels: prometheus.Labels{"direction": direction},
 		}, func() float64 { return float64(read()) }))
 	}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -105,7 +105,7 @@
 func New(config settings.Proxy, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
 	s := &Server{settings: config, logger: logger, clock: clock.New(), link: link.NewMeter(config.LinkMegabits * megabit), holding: exchange.NewHolding(maxHeldAnswers), failure: make(chan error, 1)}
 	if config.LinkMegabits > 0 {
-		s.answers = exchange.NewPacer(config.LinkMegabits*megabit, exchange.AnswerShare, s.clock.Now)
+		s.answers = exchange.NewAnswerPacer(config.LinkMegabits*megabit, s.link.UnpacedRate, s.clock.Now)
 	}
 	if err := s.openKeeper(); err != nil {
 		return nil, err
