--- a/pkg/forward/large_test.go
+++ b/pkg/forward/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -110,3 +111,27 @@
 		})
 	}
 }
+
+// A large answer of the caller's own back end crosses the link once, that of another twice: a call whose
+// answer will be large may wait there for a slot before others are asked, any other may not.
+func TestLargeAnswersWaitAtTheOwnBackend(t *testing.T) {
+	for size, waits := range map[int]bool{50_000: true, 100: false} {
+		is := is.New(t)
+		wait := time.Duration(-1)
+		own := func(r *http.Request, _ *exchange.Body) *http.Response {
+			wait, _ = exchange.ReadMillis(r.Header, exchange.HeaderWait)
+			recorder := httptest.NewRecorder()
+			recorder.Header().Set("Call-Id", r.Header.Get("Call-Id"))
+			recorder.Header().Set(exchange.HeaderWork, "1000")
+			_, _ = io.WriteString(recorder, strings.Repeat("x", size))
+			return recorder.Result()
+		}
+		const ownGate = "10.0.0.9:1"
+		n := newGatedNodeWith(t, func(cfg *Config) { cfg.GateAddress, cfg.Gate = ownGate, own }, []string{"z"}, ownGate)
+		for range 2 {
+			is.Equal(n.call(t, "GET", "/safe/x", "").StatusCode, http.StatusOK)
+		}
+		is.Equal(wait > 20*time.Millisecond, waits)
+		is.True(wait <= 50*time.Millisecond) // a quarter of the target latency
+	}
+}
