--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -219,7 +219,7 @@
 		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	response := g.sendBooked(r, wanted, attach, &call)
-	g.settleAnswer(wanted, response)
+	g.settleAnswer(r.Method, wanted, response)
 	return response
 }
 
--- a/pkg/gate/outbound.go
+++ b/pkg/gate/outbound.go
@@ -48,10 +48,10 @@
 }
 
 // settleAnswer puts right what was booked for an answer once it is known, or known that there is none.
-func (g *Gate) settleAnswer(r request, response *http.Response) {
+func (g *Gate) settleAnswer(method string, r request, response *http.Response) {
 	now := g.config.Now()
 	switch {
-	case response.Header.Get(exchange.HeaderOutcome) != "":
+	case method == http.MethodHead || response.Header.Get(exchange.HeaderOutcome) != "":
 		g.outbound.amend(now, -r.answer)
 	case response.ContentLength >= 0 && (r.answer > 0 || response.ContentLength >= exchange.LargeAnswer):
 		g.outbound.amend(now, response.ContentLength-r.answer)
--- a/pkg/gate/outbound_test.go
+++ b/pkg/gate/outbound_test.go
@@ -93,6 +93,11 @@
 	g := gateOnLink(t, 8)
 	get(t, g, "x", "Want-Bytes", "400000") // nobody expected it
 	is.True(g.outbound.wait(g.config.Now()) > 300*time.Millisecond)
+	g = gateOnLink(t, 8)
+	head := newCall(t, "HEAD", "x", "Want-Bytes", "400000")
+	head.Body, head.ContentLength = http.NoBody, 0
+	is.Equal(do(g, head).StatusCode, http.StatusOK)
+	is.Equal(g.outbound.wait(g.config.Now()), time.Duration(0)) // it tells a length and has no body
 }
 
 // A call that is late already takes no room from those that are not.
