--- a/pkg/exchange/pacer_test.go
+++ b/pkg/exchange/pacer_test.go
@@ -14,7 +14,7 @@
 
 func newTestPacer(megabits float64) (*Pacer, *pacedClock) {
 	c := &pacedClock{}
-	p := NewPacer(megabits*1e6, func() time.Duration { return c.now })
+	p := NewPacer(megabits*1e6, RequestShare, func() time.Duration { return c.now })
 	p.sleep = func(d time.Duration) { c.now += d }
 	return p, c
 }
@@ -25,7 +25,7 @@
 
 // atPacedShare is how long so many bytes take at the paced share of 8 megabits.
 func atPacedShare(n float64) time.Duration {
-	return time.Duration(n / (pacedShare * 1e6) * float64(time.Second))
+	return time.Duration(n / (RequestShare * 1e6) * float64(time.Second))
 }
 
 func TestPacedBodyTakesItsShareOfTheLink(t *testing.T) {
@@ -76,3 +76,48 @@
 	_, err = io.ReadAll(paced(none, 300_000, time.Minute))
 	is.NoErr(err)
 }
+
+// Answers go one after the other: the first is there after its own time, not after that of both. One that
+// is not read whole leaves its time to the next, and none is later than it may be.
+func TestAnswersGoOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPacer(8)
+	answer := func(within time.Duration) io.ReadCloser {
+		return p.Answer(io.NopCloser(bytes.NewReader(make([]byte, 50_000))), 50_000, within)
+	}
+	first, second := answer(time.Minute), answer(time.Minute)
+	_, err := io.ReadAll(first)
+	is.NoErr(err)
+	is.True(c.now <= atPacedShare(50_000))
+	_, err = io.ReadAll(second)
+	is.NoErr(err)
+	is.True(c.now > atPacedShare(90_000) && c.now <= atPacedShare(100_000))
+	p, c = newTestPacer(8)
+	left, next := answer(time.Minute), answer(time.Minute)
+	urgent := answer(20 * time.Millisecond)
+	is.NoErr(left.Close())
+	is.NoErr(left.Close()) // gives back once
+	_, err = io.ReadAll(urgent)
+	is.NoErr(err)
+	is.True(c.now <= 20*time.Millisecond)
+	_, err = io.ReadAll(next)
+	is.NoErr(err)
+	last := answer(time.Minute)
+	_, err = io.ReadAll(last)
+	is.NoErr(err)
+	is.True(c.now > atPacedShare(140_000) && c.now <= atPacedShare(150_000)) // next, urgent and last
+	var none *Pacer
+	_, err = io.ReadAll(none.Answer(io.NopCloser(bytes.NewReader(make([]byte, 50_000))), 50_000, 0))
+	is.NoErr(err)
+}
+
+// Answers get what all else leaves of the link, and neither all of it nor none.
+func TestAnswersGetWhatIsLeftOfTheLink(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct{ others, rate float64 }{{0, 920_000}, {150_000, 800_000}, {2e6, 400_000}} {
+		now := func() time.Duration { return 0 }
+		p := NewAnswerPacer(8e6, func(time.Duration) float64 { return c.others }, now)
+		_, takes := p.reserve(100_000)
+		is.Equal(takes, time.Duration(100_000/c.rate*float64(time.Second)))
+	}
+}
--- a/pkg/forward/cold.go
+++ b/pkg/forward/cold.go
@@ -40,13 +40,10 @@
 	return g.colds >= maxCold
 }
 
-// comeBack is when to come back after a refusal. If cold back ends were the reason that is not before
-// the first of them is warm: most of those that come back sooner are refused again.
-func (g *gatedCall) comeBack(left time.Duration) time.Duration {
+// comeBackWarm is when to come back if cold back ends were the reason: not before the first of them is
+// warm, since most of those that come back sooner are refused again.
+func (g *gatedCall) comeBackWarm(left time.Duration) time.Duration {
 	pause := left / gateRetryShare
-	if g.last != exchange.ReasonCold {
-		return pause
-	}
 	warm := time.Duration((1 + coldSpread*rand.Float64()) * float64(g.warmIn))
 	return max(pause, min(warm, left/coldRetryShare))
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -24,7 +24,8 @@
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
 		ServedHere: func(r *http.Request) bool { return s.handler.ServedIn(s.settings.Zone, r) },
-		Link:       s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
+		Link:       s.link, Answers: s.answers, Holding: s.holding,
+		Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
 		OnClosing: s.noteClosing,
 		OnSender:  func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 		OnCold:    s.observer.coldChanged, OnColdUnknown: s.observer.coldUnknown,
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -73,6 +73,8 @@
 	gauge("bramblelift_gate_queued", "Calls that wait at the gate, and those whose bodies are on their way.",
 		func(r exchange.Report) float64 { return float64(r.Queued) })
 	gauge("bramblelift_gate_capacity", "Calls that the back end works on at once.", func(r exchange.Report) float64 { return float64(r.Capacity) })
+	gauge("bramblelift_gate_link_wait_seconds", "For how long the next large answer waits for the machine's link.",
+		func(r exchange.Report) float64 { return r.LinkWait.Seconds() })
 	gauge("bramblelift_gate_failing_ratio", "Share of the latest calls that the back end failed.", func(r exchange.Report) float64 { return r.Failing })
 	gauge("bramblelift_gate_cold_seconds", "For how much longer the back end is cold; zero if it is warm.",
 		func(r exchange.Report) float64 { return r.Cold.Remaining.Seconds() })
@@ -118,6 +120,19 @@
 	}
 }
 
+// watchLargeAnswers shows what large bodies and answers take of the machine's link and of memory.
+func (o *observer) watchLargeAnswers(registry prometheus.Registerer, m *link.Meter, holding *exchange.Holding) {
+	for direction, read := range map[string]func() int64{"received": m.BodiesReceived, "sent": m.AnswersSent} {
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "bramblelift_link_large_bytes_total", Help: "Bytes of large request bodies received and of large answers sent.",
+			ConstLabels: prometheus.Labels{"direction": direction},
+		}, func() float64 { return float64(read()) }))
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bramblelift_held_answer_bytes", Help: "Bytes of large answers that are held until their callers have read them.",
+	}, func() float64 { return float64(holding.Held()) }))
+}
+
 // endAnswered names calls that a back end answered.
 const endAnswered = "answered"
 
@@ -147,7 +162,7 @@
 	o.logger.Log("event", "attempt_failed", "request", a.RequestID, "route", a.Route, "service", a.Service,
 		"instance", a.Instance, "try", a.Number, "reason", string(a.Reason), "error", a.Err,
 		"running", a.Report.Running, "queued", a.Report.Queued, "capacity", a.Report.Capacity,
-		"wait", a.Wait.Round(time.Microsecond), "took", a.Elapsed.Round(time.Microsecond), "left", a.Left.Round(time.Millisecond), "again", a.Retried)
+		"link_wait", a.Report.LinkWait, "wait", a.Wait.Round(time.Microsecond), "took", a.Elapsed.Round(time.Microsecond), "left", a.Left.Round(time.Millisecond), "again", a.Retried)
 }
 
 // crowding takes in that the way to another region got crowded or clear.
