Replicas tell each other, not the leader alone, of nodes of an earlier release

Cause: TestUpgradeOfReplicasFirst failed once beside load (version 4, published right after the last replica had been upgraded, was not served by an earlier node): a replica that had just begun to lead had not been told yet of nodes at others, since these told the leader of then, each second.

--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -28,9 +28,7 @@
 	if announced.Evidence != nil && !announced.Evidence.Empty() {
 		s.takeEvidence(*announced.Evidence)
 	}
-	if announced.Earlier != nil {
-		s.subscribers.note(announced.Earlier.Level, s.clock.Elapsed())
-	}
+	s.noteEarlier(announced.Earlier)
 }
 
 // takeAnnouncements takes in back ends that nodes announce. They come again until the
--- a/pkg/control/level.go
+++ b/pkg/control/level.go
@@ -94,10 +94,11 @@
 }
 
 const (
-	// subscriberLevelInterval is how often a replica tells the leader that nodes of an earlier release
-	// come to it. It does so during an upgrade only.
+	// subscriberLevelLook is how soon a replica tells the others that nodes of an earlier release have come
+	// to it, and subscriberLevelInterval how often it repeats that. It does so during an upgrade only.
+	subscriberLevelLook     = 100 * time.Millisecond
 	subscriberLevelInterval = time.Second
-	// subscriberLevelMemory is for how long the leader goes by that: some messages may be lost.
+	// subscriberLevelMemory is for how long a replica goes by that: some messages may be lost.
 	subscriberLevelMemory = 4 * subscriberLevelInterval
 )
 
@@ -132,11 +133,20 @@
 	return least
 }
 
-// tellSubscriberLevel tells the leader that nodes of an earlier release come to this replica, for as long
-// as any does.
+// noteEarlier takes in what another replica tells of its subscribers, nil for nothing.
+func (s *Server) noteEarlier(earlier *protocol.EarlierSubscribers) {
+	if earlier != nil {
+		s.subscribers.note(earlier.Level, s.clock.Elapsed())
+	}
+}
+
+// tellSubscriberLevel tells the other replicas that nodes of an earlier release come to this one, for as
+// long as any does. All are told: whoever leads next must know when it takes its first publication.
 func (s *Server) tellSubscriberLevel(ctx context.Context) {
-	ticker := time.NewTicker(subscriberLevelInterval)
+	ticker := time.NewTicker(subscriberLevelLook)
 	defer ticker.Stop()
+	var told protocol.EarlierSubscribers
+	var next time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -144,14 +154,11 @@
 		case <-ticker.C:
 		}
 		earlier := s.nodes.earlier()
-		if earlier == nil {
+		if earlier == nil || (*earlier == told && time.Now().Before(next)) {
 			continue
 		}
-		err := s.inspect(ctx, func(time.Duration) {
-			if node := s.replica.Node(); node.Leader() != node.ID() {
-				s.peers.announce(node.Leader(), protocol.Announce{Earlier: earlier})
-			}
-		})
+		told, next = *earlier, time.Now().Add(subscriberLevelInterval)
+		err := s.inspect(ctx, func(time.Duration) { s.peers.announceToAll(protocol.Announce{Earlier: earlier}) })
 		if err != nil && ctx.Err() == nil {
 			s.logger.Log("event", "subscriber_level_not_told", "level", int(earlier.Level), "error", err)
 		}
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -141,10 +141,13 @@
 	conn := wire.NewConn(raw, wire.DefaultMaxFrame, peerWriteTimeout, p.server.traffic.Observe(link))
 	hello := protocol.Hello{ClusterID: p.server.settings.Cluster, Role: protocol.RoleReplica, Name: p.server.settings.Name, Zone: p.server.settings.Zone,
 		Address: ownAddress(p.server.settings), KnowsSuspects: true, Level: catalog.NewestLevel}
-	if _, err := protocol.Open(conn, hello, handshakeTimeout); err != nil {
+	welcome, err := protocol.Open(conn, hello, handshakeTimeout)
+	if err != nil {
 		conn.Close()
 		return nil, err
 	}
+	// A replica that was just started and leads at once must know it, too.
+	p.server.noteEarlier(welcome.Earlier)
 	return conn, nil
 }
 
@@ -153,10 +156,20 @@
 	p.queue(leader, protocolFrame{kind: protocol.KindAnnounce, value: announced})
 }
 
+// announceToAll queues an announcement for every other member. It runs in the driver's goroutine.
+func (p *peerSet) announceToAll(announced protocol.Announce) {
+	node := p.server.replica.Node()
+	for _, member := range node.Membership().Members {
+		if member.ID != node.ID() {
+			p.announce(member.ID, announced)
+		}
+	}
+}
+
 // serveReplica takes in another replica's messages.
 func (s *Server) serveReplica(ctx context.Context, conn *wire.Conn, hello protocol.Hello) error {
 	s.noteLevel(hello)
-	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: s.settings.Name}); err != nil {
+	if err := conn.Send(protocol.KindWelcome, protocol.Welcome{Name: s.settings.Name, Earlier: s.nodes.earlier()}); err != nil {
 		return err
 	}
 	for {
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -90,6 +90,8 @@
 	// Servers are all that a subscriber may go to instead; empty if the server does not
 	// know.
 	Servers []Server
+	// Earlier are a replica's subscribers of an earlier release, for another replica; nil for none.
+	Earlier *EarlierSubscribers
 }
 
 // Server is a process that serves subscriptions.
