--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -10,9 +10,6 @@
 
 // Tuning of the choice between gates.
 const (
-	// remoteShare is what another zone adds to a score, in service times of the fastest
-	// back end: a call that crosses zones costs bytes and time.
-	remoteShare = 0.3
 	// loadShare is what a fully used back end adds, in its own service times: many slow
 	// down before they are full.
 	loadShare = 0.5
@@ -58,6 +55,9 @@
 	LeftOut []string
 	// Regions are the only ones that may serve the call; empty means all.
 	Regions []string
+	// Spared are other regions whose back ends are left out, if the own one has any that may serve the
+	// call: the link there is crowded.
+	Spared []string
 	// LocalWait is for how long the call may wait at a gate of the node's own zone while
 	// another zone might take it at once: bytes between zones cost.
 	LocalWait time.Duration
@@ -66,6 +66,9 @@
 	AskLocal bool
 	// Patience is for how long it may wait where nobody takes it at once.
 	Patience time.Duration
+	// LargeAnswer is set if the answer is expected to be large: back ends whose link is full are
+	// passed over while others have room.
+	LargeAnswer bool
 	// Repeatable is set if another back end may run the call after one that failed.
 	Repeatable bool
 	// OwnWork is up to which service time the back end beside the node is preferred to all
@@ -94,13 +97,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates := p.candidates(now, r.LeftOut, r.Regions)
+	if len(r.Spared) > 0 && p.servedNear(r.Regions) {
+		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return slices.Contains(r.Spared, e.target.Region) })
+	}
 	if len(candidates) == 0 {
 		return nil, 0, p.noEndpoint()
 	}
+	candidates, err := withColdRoom(candidates, now, r.Patience)
+	if err != nil {
+		return nil, 0, err
+	}
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
-		return p.acquired(own), r.OwnWait, nil
+		return p.acquired(own), max(r.OwnWait, own.coldWait(now)), nil
 	}
-	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
+	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost(), largeAnswer: r.LargeAnswer}
 	if free := p.freeGate(candidates, rating, r.FreeWork); free != nil {
 		return p.acquired(free), r.Patience, nil
 	}
@@ -114,6 +124,9 @@
 			wait = r.Patience
 		}
 	}
+	if best.coldLeft(now) > 0 {
+		wait = r.Patience
+	}
 	return p.acquired(best), wait, nil
 }
 
@@ -134,13 +147,19 @@
 		return nil
 	}
 	for _, e := range candidates {
-		if e.target.Gate == p.config.OwnGate && e.gate.report.Service <= work && e.failing(now) <= maxOwnFailing {
+		if e.target.Gate == p.config.OwnGate && e.takesOwn(now, work) {
 			return e
 		}
 	}
 	return nil
 }
 
+// takesOwn reports whether the back end beside the node is good enough to be preferred.
+func (e *endpoint) takesOwn(now, work time.Duration) bool {
+	service := time.Duration(e.slowness(now) * float64(e.gate.report.Service))
+	return service <= work && e.failing(now) <= maxOwnFailing && e.coldWait(now) == 0
+}
+
 // freeGate returns the best of the candidates that lately said that they have a free slot, nil if
 // none did.
 func (p *Pool) freeGate(candidates []*endpoint, rating gateRating, work time.Duration) *endpoint {
@@ -149,7 +168,10 @@
 	}
 	free := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool {
 		known := e.gate.reported && rating.now-e.gate.at <= reportMemory
-		return !known || e.gateLoad(rating.now) >= e.gateCapacity() || e.gate.report.Service > work
+		if rating.largeAnswer && e.linkWait(rating.now) > e.gate.report.Service {
+			return true
+		}
+		return !known || e.gateLoad(rating.now) >= e.gateCapacity() || e.gate.report.Service > work || e.coldLeft(rating.now) > 0
 	})
 	return p.bestGate(free, rating)
 }
@@ -170,7 +192,8 @@
 // gateWait estimates how long a call would wait at the gate.
 func (e *endpoint) gateWait(now time.Duration) time.Duration {
 	over := e.gateLoad(now) + 1 - e.gateCapacity()
-	return time.Duration(max(0, over)) * e.gate.report.Service / time.Duration(e.gateCapacity())
+	full := time.Duration(max(0, over)) * e.gate.report.Service / time.Duration(e.gateCapacity())
+	return max(full, e.coldWait(now))
 }
 
 // fastestService is the least service time among back ends, zero if none is known.
@@ -227,6 +250,7 @@
 	// fastest is the least service time of the candidates.
 	fastest     time.Duration
 	failureCost float64
+	largeAnswer bool
 }
 
 // staysLocal reports whether a back end is of the node's own zone and good enough to be
@@ -239,7 +263,7 @@
 	if risk > remoteShare*float64(rating.fastest) && risk > float64(r.LocalWait) {
 		return false
 	}
-	return r.AskLocal || e.gateWait(rating.now) <= r.LocalWait
+	return r.AskLocal || e.roomWait(rating) <= r.LocalWait
 }
 
 // failureRisk is what the back end's failures add to its score.
@@ -264,10 +288,9 @@
 		service = max(1, float64(fastest))
 	}
 	share := float64(e.gateLoad(now)) / float64(e.gateCapacity())
-	score := float64(e.gateWait(now)) + service*(1+loadShare*share)
-	if e.remote {
-		score += remoteShare * float64(fastest)
-	}
+	service *= e.slowness(now)
+	score := float64(e.roomWait(rating)) + service*(1+loadShare*share)
+	score += e.distanceCost(fastest)
 	score += e.failureRisk(rating)
 	return score / e.weight(now)
 }
@@ -282,6 +305,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.endpoint.heard(now, report)
+	t.endpoint.link = linkView{wait: report.LinkWait, at: now}
 }
 
 // HearOf takes in a report of a back end that did not come with an answer. One that the pool does
--- a/pkg/balancer/refused_test.go
+++ b/pkg/balancer/refused_test.go
@@ -27,18 +27,18 @@
 	now := func() time.Duration { return 0 }
 	p.Update(0, service(exchange.ReasonEvacuated, ""))
 	for range 20 {
-		ticket, err := p.Acquire(nil, now, 0, nil)
+		ticket, err := p.Acquire(nil, now, 0, nil, nil)
 		is.NoErr(err)
 		is.Equal(ticket.ID, "b")
 		ticket.Done(0, Answered)
 	}
 	p.Update(0, service(exchange.ReasonEvacuated, exchange.ReasonEvacuated))
-	_, err := p.Acquire(nil, now, time.Second, nil) // at once, not after its patience
+	_, err := p.Acquire(nil, now, time.Second, nil, nil) // at once, not after its patience
 	is.True(errors.Is(err, ErrNoEndpoint))
 	is.Equal(err.Error(), "no back end takes calls: of 2, 2 evacuated")
 	_, _, err = p.AcquireGate(0, GateRequest{})
 	is.True(errors.Is(err, ErrNoEndpoint))
 	p.Update(0, service("", ""))
-	_, err = p.Acquire(nil, now, 0, nil)
+	_, err = p.Acquire(nil, now, 0, nil, nil)
 	is.NoErr(err)
 }
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"bramblelift/pkg/balancer"
@@ -38,7 +37,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	}
 	return &http.Transport{
-		DialContext: meter.Dialer(link.Nodes, dialer.DialContext), DisableCompression: true,
+		DialContext: exchange.CountWrites(meter.Dialer(link.Nodes, dialer.DialContext)), DisableCompression: true,
 		MaxIdleConnsPerHost: gateConnections, IdleConnTimeout: gateIdleTimeout,
 		ExpectContinueTimeout: gateExpectTimeout,
 		ReadBufferSize:        gateBuffer, WriteBufferSize: gateBuffer,
@@ -76,16 +75,18 @@
 	if g.besideNode(ticket) && g.handler.config.Gate != nil {
 		return g.readGate(ticket, g.handler.config.Gate(request.WithContext(ctx), g.body))
 	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	response, err := g.handler.gates.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	g.askHeld(ticket, request)
+	sent := g.now()
+	var delivery exchange.Delivery
+	response, err := g.handler.gates.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, delivery.Trace())))
 	if err != nil {
 		failure := &gateFailure{reason: exchange.ReasonUnreachable, outcome: NotRun, peer: ticket.Address, err: err}
-		if connected.Load() {
+		if delivery.MayHaveArrived() {
 			failure.reason, failure.outcome = exchange.ReasonBroken, Unknown
 		}
 		return nil, failure
 	}
+	g.noteDelay(ticket, sent, response.Header)
 	return g.readGate(ticket, response)
 }
 
@@ -108,12 +109,15 @@
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: exchange.ErrWrongAnswer}
 	}
-	data, rest, err := exchange.ReadWhole(response.Body, response.ContentLength)
+	data, rest, release, err := g.handler.config.Holding.ReadWhole(response)
 	if err != nil {
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: err}
 	}
-	response.Body = newWholeBody(data, rest, response.Body)
+	if rest == nil && response.ContentLength < 0 {
+		response.ContentLength = int64(len(data))
+	}
+	response.Body = newWholeBody(data, rest, response.Body, release)
 	return response, nil
 }
 
@@ -136,6 +140,9 @@
 		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.begun))
 	}
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(g.work.Microseconds(), 10))
+	if g.largeAnswer() {
+		request.Header.Set(exchange.HeaderExpectedAnswer, strconv.Itoa(g.answerBytes))
+	}
 	if sender := g.sender(ticket); sender != "" {
 		request.Header.Set(exchange.HeaderSender, sender)
 	}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -26,10 +26,6 @@
 	// node's table does not say so: about as long as an order takes from the one to the other.
 	evacuatedPause = 400 * time.Millisecond
 	downPause      = 250 * time.Millisecond
-	// gateRetryShare of the time left is when to come back after a refusal.
-	gateRetryShare = 3
-	minGateRetry   = 20 * time.Millisecond
-	maxGateRetry   = 2 * time.Second
 )
 
 // gatedCall is a call on its way through gates.
@@ -53,10 +49,15 @@
 	// bounds them then and is not used before.
 	linkBusy bool
 	throttle *retry.Throttle
-	// last is why the latest gate refused.
-	last exchange.Reason
+	// last is why the latest gate refused, linkWait the least wait for its link that one told.
+	last     exchange.Reason
+	linkWait time.Duration
 	// held is a back end's failure that another attempt may yet make good, nil for none.
 	held *http.Response
+	// colds counts the gates of cold back ends that had no room, warmIn is after how long the first
+	// back end is warm.
+	colds  int
+	warmIn time.Duration
 }
 
 // serveThroughGates answers a call of a service whose back ends stand behind gates.
@@ -101,6 +102,7 @@
 	g.work, g.answerBytes = g.handler.work.of(g.route.Name)
 	ticket, wait, err := g.choose(now)
 	if err != nil {
+		g.noteCold(err)
 		return g.giveUp("choose back end", fmt.Sprintf("service %s: %v (%s)", g.target, err, g.last)), false
 	}
 	if !g.mayAsk(ticket, now) {
@@ -168,7 +170,10 @@
 	now := g.now()
 	learned := balancer.Canceled
 	switch failure.reason {
-	case exchange.ReasonFull, exchange.ReasonLink:
+	case exchange.ReasonFull, exchange.ReasonLink, exchange.ReasonCold:
+		if told := failure.report.LinkWait; told > 0 && (g.linkWait == 0 || told < g.linkWait) {
+			g.linkWait = told
+		}
 		// The gate beside the node was asked for a short wait only, at no cost: the call
 		// may still wait there.
 		if g.tries > 1 || !g.besideNode(ticket) {
@@ -212,7 +217,7 @@
 		return false
 	}
 	if !failure.reason.Reached() {
-		waited := failure.reason.Busy() && g.lastChance
+		waited := failure.reason.Busy() && (g.lastChance || g.tooManyCold(failure))
 		final := failure.reason == exchange.ReasonDeadline || failure.reason == exchange.ReasonQuarantined
 		return !waited && !final
 	}
@@ -234,7 +239,7 @@
 	if body.whole {
 		ticket.Done(g.now(), balancer.Answered)
 	}
-	err := g.pass(response)
+	err := g.pass(response, g.besideNode(ticket))
 	if !body.whole {
 		ticket.Done(g.now(), learnedFrom(err))
 	}
@@ -251,8 +256,10 @@
 	return balancer.Answered
 }
 
-// pass writes an answer to the caller.
-func (g *gatedCall) pass(response *http.Response) error {
+// pass writes an answer to the caller; booked says that the gate beside the node has booked the link for
+// it.
+func (g *gatedCall) pass(response *http.Response, booked bool) error {
+	g.paceAnswer(response, booked)
 	defer response.Body.Close()
 	g.status = response.StatusCode
 	exchange.RemoveHop(response.Header)
@@ -308,7 +315,7 @@
 // come back.
 func (g *gatedCall) giveUp(step, reason string) *Refusal {
 	if g.held != nil {
-		if err := g.pass(g.held); err != nil {
+		if err := g.pass(g.held, false); err != nil {
 			g.abort()
 		}
 		return nil
@@ -322,7 +329,7 @@
 		}
 		return refusal
 	}
-	refusal.RetryAfter = max(minGateRetry, min(maxGateRetry, left/gateRetryShare))
+	refusal.RetryAfter = g.comeBack(g.now())
 	return refusal
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -13,7 +13,6 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"bramblelift/pkg/eligibility"
@@ -50,18 +49,28 @@
 	// Link counts what crosses the machine's link and knows its capacity; nil is a link without
 	// bound.
 	Link *link.Meter
+	// Answers, if set, spreads large answers over time.
+	Answers *exchange.Pacer
+	// Holding, if set, bounds what is held of large answers.
+	Holding *exchange.Holding
 	// Quarantine knows requests that must not reach the back end; nil knows none.
 	Quarantine *quarantine.Filter
 	// OnEnded and OnAnswered, if set, are told when the back end ended while it had a call, and when
 	// it answered one that is watched.
 	OnEnded    func(quarantine.End)
 	OnAnswered func(quarantine.Answer)
+	// ServedHere, if set, reports whether the back end's region may serve a call; nil serves all.
+	ServedHere func(*http.Request) bool
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
 	// OnClosing, if set, is told when orders close the gate, when it is quiet and when it opens again.
 	// It must not call the gate.
 	OnClosing func(Closing)
+	// OnCold, if set, is told when the back end turns cold or warm, OnColdUnknown when it could not be
+	// asked.
+	OnCold        func(ColdChange)
+	OnColdUnknown func(backend string, err error)
 }
 
 // Call describes a finished call, for logs and metrics.
@@ -84,7 +93,8 @@
 type Gate struct {
 	config    Config
 	transport *http.Transport
-	inbound   *inbound
+	// inbound and outbound are what large bodies and large answers may take of the link.
+	inbound, outbound *linkRoom
 
 	mu      sync.Mutex
 	backend Backend
@@ -105,16 +115,23 @@
 	pace      pace
 	health    health
 	downUntil time.Duration
+	cold      coldness
+	// wasCold is what was told last.
+	wasCold bool
+	// waking is set while a dispatch is due.
+	waking bool
 }
 
 // New returns a gate without a back end.
 func New(config Config) *Gate {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
-	return &Gate{config: config, inbound: newInbound(config.Link.Capacity(), config.Link.UnaskedRate), transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
-		ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
-	}}
+	capacity := config.Link.Capacity()
+	return &Gate{config: config, inbound: newLinkRoom(capacity, inboundShare, inboundUsable, config.Link.UnaskedRate),
+		outbound: newLinkRoom(capacity, outboundShare, outboundUsable, config.Link.UnbookedRate), transport: &http.Transport{
+			DialContext: exchange.CountWrites(dialer.DialContext), DisableCompression: true,
+			MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+			ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
+		}}
 }
 
 const maxIdleConnections = 64
@@ -122,7 +139,10 @@
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.hearSender(r.Header)
+	arrived := g.config.Now()
 	response := g.serve(r)
+	g.tellHeld(r.Header, response.Header, arrived)
+	g.paceAnswer(r, response)
 	defer response.Body.Close()
 	exchange.Copy(w.Header(), response.Header)
 	w.WriteHeader(response.StatusCode)
@@ -133,6 +153,10 @@
 
 // serve is Do for the call of another node.
 func (g *Gate) serve(r *http.Request) *http.Response {
+	if !g.servedHere(r) {
+		call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: exchange.ReasonRegion}
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
 	if r.ContentLength >= largeBody {
 		return g.receiveFirst(r)
 	}
@@ -212,14 +236,26 @@
 
 // admitAndSend waits for a slot, and sends the call to the back end or makes a refusal.
 func (g *Gate) admitAndSend(r *http.Request, wanted request, attach attachBody) *http.Response {
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID)}
+	if !g.bookAnswer(wanted) {
+		call.Reason = exchange.ReasonLink
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
+	response := g.sendBooked(r, wanted, attach, &call)
+	g.settleAnswer(r.Method, wanted, response)
+	return response
+}
+
+// sendBooked is admitAndSend for a call whose answer has its time on the link.
+func (g *Gate) sendBooked(r *http.Request, wanted request, attach attachBody, call *Call) *http.Response {
 	arrived := g.config.Now()
 	granted, reason := g.admit(r.Context(), wanted)
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: reason, Waited: g.config.Now() - arrived}
+	call.Reason, call.Waited = reason, g.config.Now()-arrived
 	if reason != "" {
-		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	call.Backend = granted.backend.ID
-	return g.send(r, attach, granted, wanted, &call)
+	return g.send(r, attach, granted, wanted, call)
 }
 
 func (g *Gate) read(header http.Header, now time.Duration) request {
@@ -239,17 +275,25 @@
 		wanted.late = lastStart <= 0
 		wanted.lateAt = now + max(lastStart, 1)
 	}
+	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedAnswer), 10, 64); err == nil && size > 0 {
+		wanted.answer = size
+	}
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
 
 // send exchanges the call with the back end and gives the slot back.
 func (g *Gate) send(r *http.Request, attach attachBody, granted admittance, wanted request, call *Call) *http.Response {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), trace))
+	var delivery exchange.Delivery
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), delivery.Trace()))
 	outgoing := g.outgoing(ctx, r, granted, wanted)
 	body, err := attach(outgoing)
+	if err == nil && !g.servedHere(r) {
+		cancel()
+		g.release(granted, ending{})
+		call.Reason = exchange.ReasonRegion
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
 	if err == nil && g.quarantined(r, body, granted, call) {
 		cancel()
 		g.release(granted, ending{})
@@ -271,15 +315,15 @@
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	if err == nil {
-		err = holdWhole(response)
+		err = g.holdWhole(response)
 	}
 	call.Service = g.config.Now() - granted.at
 	if err != nil {
 		cancel()
-		if connected.Load() && r.Context().Err() == nil && exchange.BackendEnded(r.Context(), granted.backend.Address, err, endedLook) {
+		if delivery.MayHaveArrived() && r.Context().Err() == nil && exchange.BackendEnded(r.Context(), granted.backend.Address, err, endedLook) {
 			g.noteEnded(r, body, granted, call)
 		}
-		return g.failed(call, granted, connected.Load(), r.Context(), wanted.deadline, err)
+		return g.failed(call, granted, delivery.MayHaveArrived(), r.Context(), wanted.deadline, err)
 	}
 	g.noteAnswered(r, body, granted, response.StatusCode)
 	return g.answer(response, granted, call, cancel)
@@ -313,11 +357,11 @@
 	return response
 }
 
-// failed classifies an error. Only if no connection was ever had is it certain that the
-// back end has seen nothing.
-func (g *Gate) failed(call *Call, granted admittance, connected bool, ctx context.Context, deadline time.Duration, err error) *http.Response {
+// failed classifies an error. Only if nothing was sent is it certain that the back end has seen
+// nothing.
+func (g *Gate) failed(call *Call, granted admittance, sent bool, ctx context.Context, deadline time.Duration, err error) *http.Response {
 	call.Err = err
-	if !connected {
+	if !sent {
 		g.release(granted, ending{})
 		call.Reason = exchange.ReasonUnreachable
 		if ctx.Err() == nil {
@@ -325,7 +369,11 @@
 		}
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	g.release(granted, ending{failed: ctx.Err() == nil || g.hung(granted, deadline)})
+	faulty := ctx.Err() == nil || g.hung(granted, deadline)
+	g.release(granted, ending{failed: faulty})
+	if faulty {
+		g.doubt(granted)
+	}
 	if call.Reason == "" {
 		call.Reason = exchange.ReasonBroken
 	}
