balancer: keep a node's share of a large service within its size

With three or more other regions a node's own zone (16) and the others (3 each) were more than the 24 of a share, and the rest was cut to a negative length: every node panicked at the next table, however it came. Ruled out: fewer regions (16 + 2*3 = 22 fits).

Other regions now get no more than half of the share together, at least one back end each as long as there is room, and the own zone what they leave up to 16. With one or two other regions nothing changes.

Before: TestShareOfALargeServiceInManyRegions/3 panics (slice bounds out of range [:-1]); after: 2 to 30 other regions pass.

--- a/pkg/balancer/distance.go
+++ b/pkg/balancer/distance.go
@@ -23,6 +23,9 @@
 	// farSubset is how many are of each other region: enough for calls that only that region may
 	// serve, and to go on with while a node's own region has none.
 	farSubset = 3
+	// maxFarSubset is how many are of all other regions together. Where there are many regions, each has
+	// fewer, but one as long as there is room.
+	maxFarSubset = subsetSize / 2
 )
 
 // far reports whether a back end is known to be in another region than the node.
@@ -53,21 +56,23 @@
 }
 
 // share picks subsetSize of a service's back ends, which are in the node's order of preference: those of its
-// own zone up to localSubset, farSubset of each other region, so that one may stand in for another, and for
-// the rest those of the own region, so that a zone which fails leaves enough. What remains empty, any fill.
+// own zone up to localSubset, up to farSubset of each other region, so that one may stand in for another, and
+// for the rest those of the own region, so that a zone which fails leaves enough. What remains empty, any fill.
 func (p *Pool) share(sorted []routing.Endpoint) []routing.Endpoint {
-	local := 0
+	perRegion, farRoom := p.farRoom(sorted)
+	localRoom := min(localSubset, subsetSize-farRoom)
 	far := map[string]int{}
 	chosen, rest := make([]routing.Endpoint, 0, subsetSize), make([]routing.Endpoint, 0, len(sorted))
 	for _, e := range sorted {
 		switch {
 		case closed(e):
 			rest = append(rest, e)
-		case e.Zone == p.config.Zone && local < localSubset:
-			local++
+		case e.Zone == p.config.Zone && localRoom > 0:
+			localRoom--
 			chosen = append(chosen, e)
-		case p.far(e) && far[e.Region] < farSubset && len(chosen) < subsetSize:
+		case p.far(e) && far[e.Region] < perRegion && farRoom > 0:
 			far[e.Region]++
+			farRoom--
 			chosen = append(chosen, e)
 		default:
 			rest = append(rest, e)
@@ -78,6 +83,24 @@
 	return append(chosen, rest[:subsetSize-len(chosen)]...)
 }
 
+// farRoom returns how many back ends of each other region a share holds, and how many of all of them.
+func (p *Pool) farRoom(all []routing.Endpoint) (perRegion, total int) {
+	open := map[string]int{}
+	for _, e := range all {
+		if p.far(e) && !closed(e) {
+			open[e.Region]++
+		}
+	}
+	if len(open) == 0 {
+		return 0, 0
+	}
+	perRegion = min(farSubset, max(1, maxFarSubset/len(open)))
+	for _, n := range open {
+		total += min(n, perRegion)
+	}
+	return perRegion, min(total, maxFarSubset)
+}
+
 // restRank ranks what fills a node's share up: back ends that take calls before those that don't, near ones
 // before far ones.
 func (p *Pool) restRank(e routing.Endpoint) int {
--- a/pkg/balancer/distance_test.go
+++ b/pkg/balancer/distance_test.go
@@ -114,3 +114,35 @@
 	_, err := p.Acquire(nil, now, 0, nil, []string{"north"})
 	is.Equal(err, ErrNoEndpoint)
 }
+
+// However many regions there are, a share has its size, holds back ends of each region that it has room
+// for, and keeps at least half of them in the node's own zone.
+func TestShareOfALargeServiceInManyRegions(t *testing.T) {
+	for _, others := range []int{2, 3, 4, 5, 8, 12, 30} {
+		t.Run(fmt.Sprint(others), func(t *testing.T) {
+			is := is.New(t)
+			service := routing.Service{Name: "s"}
+			for region := range others + 1 {
+				name := fmt.Sprintf("r%d", region)
+				for j := range 30 {
+					service.Endpoints = append(service.Endpoints, routing.Endpoint{
+						ID: fmt.Sprintf("%s-%d", name, j), Incarnation: 1, Zone: name, Region: name, Gate: fmt.Sprintf("10.0.%d.%d:1", region, j)})
+				}
+			}
+			p := NewPool(Config{Node: "n", Zone: "r0", Region: "r0", OwnGate: "10.0.0.7:1", Random: rand.IntN})
+			p.Update(0, service)
+			is.Equal(len(p.endpoints), subsetSize)
+			regions := map[string]int{}
+			own := false
+			for _, e := range p.endpoints {
+				regions[e.target.Region]++
+				own = own || e.target.ID == "r0-7"
+			}
+			is.True(own)
+			if others <= maxFarSubset {
+				is.Equal(len(regions), others+1)
+				is.True(regions["r0"] >= subsetSize-maxFarSubset)
+			}
+		})
+	}
+}
