--- a/pkg/catalog/orders_test.go
+++ b/pkg/catalog/orders_test.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"reflect"
+	"slices"
 	"testing"
 
 	"bramblelift/pkg/bundle"
@@ -65,3 +67,32 @@
 	is.Equal(WithoutHints(hints, LevelOrders), hints)
 	is.Equal(WithoutHints(regions, LevelSuspects), regions) // calls must not be served without them
 }
+
+// A field that was added to contents without a level would be dropped by replicas of an earlier release,
+// which then compute other digests than the rest.
+func TestEveryFieldOfAContentHasALevel(t *testing.T) {
+	is := is.New(t)
+	base := map[reflect.Type][]string{
+		reflect.TypeFor[bundle.Content](): {"HandBack", "Limits", "Routes", "Services", "Secrets"},
+		reflect.TypeFor[bundle.Limits]():  {"MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeout", "IdleTimeout"},
+		reflect.TypeFor[bundle.Route](): {
+			"Name", "Group", "Host", "PathPrefix", "Sources", "Service", "Shares", "HandBackService", "Secret", "Timeout", "Once", "Kind",
+			"MaxAttempts", "Priority", "TargetLatency",
+		},
+		reflect.TypeFor[bundle.Service]():  {"Name", "MaxConcurrency", "MaxConnections", "Endpoints"},
+		reflect.TypeFor[bundle.Endpoint](): {"ID", "Incarnation", "Address", "Zone"},
+		reflect.TypeFor[bundle.Share]():    {"Service", "Weight"},
+		reflect.TypeFor[bundle.Secret]():   {"Name", "Value"},
+	}
+	// Those that levelOf looks at.
+	levelled := map[string]bool{"Route.Regions": true, "Service.HealthPath": true, "Service.ColdStart": true, "Service.ColdRate": true}
+	for kind, known := range base {
+		for i := range kind.NumField() {
+			name := kind.Field(i).Name
+			if !slices.Contains(known, name) && !levelled[kind.Name()+"."+name] {
+				t.Errorf("%s.%s has no level", kind.Name(), name)
+			}
+		}
+	}
+	is.Equal(len(levelled), 4)
+}
