--- a/pkg/balancer/cold.go
+++ b/pkg/balancer/cold.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"errors"
 	"slices"
 	"time"
 )
@@ -16,10 +15,8 @@
 	Room time.Duration
 }
 
-var errCold = errors.New("all back ends are cold and get no more calls at the moment")
-
 // Error implements error.
-func (e *ColdError) Error() string { return errCold.Error() }
+func (e *ColdError) Error() string { return "all back ends are cold and get no more calls at the moment" }
 
 // coldLeft is for how much longer the back end is cold, zero if it is warm or not known.
 func (e *endpoint) coldLeft(now time.Duration) time.Duration {
--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -102,7 +102,7 @@
 		return nil, 0, err
 	}
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
-		return p.acquired(own), max(r.OwnWait, own.coldWait(now)), nil
+		return p.acquired(own), r.OwnWait, nil
 	}
 	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
 	if free := p.freeGate(candidates, rating, r.FreeWork); free != nil {
