--- a/pkg/balancer/cold.go
+++ b/pkg/balancer/cold.go
@@ -16,7 +16,9 @@
 }
 
 // Error implements error.
-func (e *ColdError) Error() string { return "all back ends are cold and get no more calls at the moment" }
+func (e *ColdError) Error() string {
+	return "all back ends are cold and get no more calls at the moment"
+}
 
 // coldLeft is for how much longer the back end is cold, zero if it is warm or not known.
 func (e *endpoint) coldLeft(now time.Duration) time.Duration {
