--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -45,6 +45,8 @@
 	Base   uint64        `json:"base,omitempty"`
 	Delta  bundle.Delta  `json:"delta"`
 	Digest bundle.Digest `json:"digest"`
+	// level is that of the content; it is no part of the entry.
+	level Level
 }
 
 // Approve signs a version off.
@@ -110,6 +112,8 @@
 	CodeUnknownVersion Code = "unknown-version"
 	// CodeUnknownSuspect: no request of that fingerprint is in quarantine.
 	CodeUnknownSuspect Code = "unknown-suspect"
+	// CodeUnknownZone: the deployment has no such zone.
+	CodeUnknownZone Code = "unknown-zone"
 	// CodeNotApproved: the version has no approval yet.
 	CodeNotApproved Code = "not-approved"
 	// CodeSuperseded: a later version is in force already.
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -39,6 +39,9 @@
 	mux.HandleFunc("GET "+operator.PathDiff, s.handleDiff)
 	mux.HandleFunc("GET "+operator.PathSuspects, s.handleSuspects)
 	mux.HandleFunc("POST "+operator.PathSuspects+"/{fingerprint}/lift", s.handleLift)
+	mux.HandleFunc("GET "+operator.PathZones, s.handleZones)
+	mux.HandleFunc("POST "+operator.PathEvacuations+"{zone}", s.handleEvacuation(true))
+	mux.HandleFunc("DELETE "+operator.PathEvacuations+"{zone}", s.handleEvacuation(false))
 }
 
 func refuse(code catalog.Code, format string, values ...any) *catalog.OperationError {
@@ -60,6 +63,7 @@
 	catalog.CodeOperationReused: http.StatusConflict,
 	catalog.CodeUnknownVersion:  http.StatusNotFound,
 	catalog.CodeUnknownSuspect:  http.StatusNotFound,
+	catalog.CodeUnknownZone:     http.StatusNotFound,
 	catalog.CodeNotApproved:     http.StatusConflict,
 	catalog.CodeSuperseded:      http.StatusConflict,
 	catalog.CodeInvalidBundle:   http.StatusUnprocessableEntity,
@@ -126,6 +130,9 @@
 	var proposeErr error
 	err := s.inspect(ctx, func(time.Duration) {
 		command := build()
+		if proposeErr = s.checkLevel(command); proposeErr != nil {
+			return
+		}
 		command.AtMillis = time.Now().UnixMilli()
 		s.nextProposal++
 		proposeErr = s.replica.Propose(s.nextProposal, command)
@@ -136,6 +143,10 @@
 	if err != nil {
 		return catalog.Result{}, refuse(catalog.CodeUnknownOutcome, "the replica did not take the command in time: %v", err)
 	}
+	var refused *catalog.OperationError
+	if errors.As(proposeErr, &refused) {
+		return catalog.Result{}, refused
+	}
 	if proposeErr != nil {
 		return catalog.Result{}, s.notLeader()
 	}
@@ -198,7 +209,7 @@
 		content.HandBack = *request.HandBack
 	}
 	content = content.Normalized()
-	if err := content.Validate(); err != nil {
+	if err := s.validate(content); err != nil {
 		return catalog.Result{}, refuseInvalid(err)
 	}
 	tree, err := bundle.NewTree(content)
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -38,6 +38,11 @@
 	// HeaderExpectedWork is how many microseconds a call is expected to take at the back
 	// end, by what its route took before.
 	HeaderExpectedWork = "Gate-Expected-Work-Us"
+	// HeaderExpectedAnswer is how many bytes a call's answer is expected to have, by what its route's
+	// answers had before, if that is a large answer.
+	HeaderExpectedAnswer = "Gate-Expected-Answer"
+	// HeaderLinkWait is the LinkWait of a gate's Report in milliseconds, if it is not 0.
+	HeaderLinkWait = "Gate-Link-Wait-Ms"
 	// HeaderReport is a gate's Report.
 	HeaderReport = "Gate-Report"
 	// HeaderFailing is the Failing of a gate's Report in thousandths, if it is not 0. Nodes
@@ -48,6 +53,10 @@
 	HeaderSender = "Gate-Sender"
 	// HeaderWork is how many microseconds a call took at the back end.
 	HeaderWork = "Gate-Work-Us"
+	// HeaderTellHeld asks a gate of another region to say how long it held the call, HeaderHeld is its
+	// answer in microseconds: what is left of the call's time was spent on the way.
+	HeaderTellHeld = "Gate-Tell-Held"
+	HeaderHeld     = "Gate-Held-Us"
 	// HeaderReason is why a gate refused, one of the Reason constants.
 	HeaderReason = "Gate-Reason"
 )
@@ -55,7 +64,8 @@
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
-	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender, HeaderCold,
+	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender, HeaderCold, HeaderExpectedAnswer, HeaderLinkWait,
+	HeaderTellHeld, HeaderHeld,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
@@ -84,7 +94,7 @@
 const (
 	// ReasonFull: the wait would be longer than the call allows.
 	ReasonFull Reason = "full"
-	// ReasonLink: the call's body would come too late over the gate's link.
+	// ReasonLink: the call's body would come, or its answer leave, too late over the gate's link.
 	ReasonLink Reason = "link"
 	// ReasonAbsent: no back end is there yet.
 	ReasonAbsent Reason = "absent"
@@ -137,6 +147,8 @@
 	Failing float64
 	// Cold says how cold the back end is.
 	Cold Cold
+	// LinkWait is how long the next large answer waits for the gate's link.
+	LinkWait time.Duration
 }
 
 const thousandths = 1000
@@ -148,6 +160,9 @@
 		header.Set(HeaderFailing, strconv.Itoa(failing))
 	}
 	r.Cold.Set(header)
+	if r.LinkWait >= time.Millisecond {
+		SetMillis(header, HeaderLinkWait, r.LinkWait)
+	}
 }
 
 // ReadReport reads what Set wrote, false if there is no report.
@@ -160,6 +175,9 @@
 	if ok {
 		report.Cold = ReadCold(header)
 	}
+	if wait, set := ReadMillis(header, HeaderLinkWait); ok && set {
+		report.LinkWait = wait
+	}
 	return report, ok
 }
 
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -27,6 +27,7 @@
 	Service  string
 	Address  string
 	Capacity int
+	Zone     string
 }
 
 // SetBackend names the back end that takes calls from now on.
@@ -38,16 +39,19 @@
 	defer g.mu.Unlock()
 	if g.present && g.backend.ID == backend.ID {
 		g.backend = backend
+		g.applyRules()
 		return
 	}
 	g.left = g.backend.ID
 	g.backend, g.present = backend, true
 	g.generation++
 	g.running, g.service, g.pace, g.health, g.downUntil = 0, 0, pace{}, health{}, 0
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
 	now := g.config.Now()
 	g.cold.assumeNew(now)
 	g.wasCold = false
+	g.closing = closing{}
+	g.applyRules()
 }
 
 // RemoveBackend lets nothing new reach a back end.
@@ -58,7 +62,7 @@
 		return
 	}
 	g.present, g.left = false, id
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
 }
 
 // Present reports whether there is a back end that takes calls.
@@ -73,11 +77,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopping = true
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
 }
 
-func (g *Gate) dropWaiting() {
+// dropWaiting lets all waiters go; the mutex is held.
+func (g *Gate) dropWaiting(reason exchange.Reason) {
 	for w := g.queue.first(); w != nil; w = g.queue.first() {
+		w.reason = reason
 		close(w.dropped)
 	}
 }
@@ -105,6 +111,8 @@
 	// early is until when a refusal helps the caller most.
 	early time.Duration
 	work  time.Duration
+	// answer is how many bytes a large answer is expected to have, zero for one that is not large.
+	answer int64
 	// lateAt is when the call becomes late unless the back end has begun it, zero if it has
 	// no target latency.
 	lateAt time.Duration
@@ -180,6 +188,8 @@
 		return exchange.ReasonLeft
 	case !g.present || (r.instance != "" && r.instance != g.backend.ID):
 		return exchange.ReasonAbsent
+	case g.closing.reason != "":
+		return g.closing.reason
 	case now < g.downUntil:
 		return exchange.ReasonUnreachable
 	case now >= r.deadline:
@@ -224,7 +234,7 @@
 		case <-w.admitted:
 			return w.granted, ""
 		case <-w.dropped:
-			return admittance{}, exchange.ReasonAbsent
+			return admittance{}, w.reason
 		case <-early.C:
 			waiting = r.early >= r.wait || g.hopeful(w, r.wait-r.early)
 		case <-timer.C:
@@ -245,7 +255,7 @@
 	}
 	select {
 	case <-w.dropped:
-		return admittance{}, exchange.ReasonAbsent
+		return admittance{}, w.reason
 	case <-w.admitted:
 	}
 	if ctx.Err() == nil {
@@ -297,6 +307,7 @@
 		g.service += time.Duration(serviceWeight * float64(end.service-g.service))
 		g.pace.note(a.work, end.service)
 	}
+	g.noteQuiet()
 	g.dispatch()
 }
 
@@ -325,6 +336,6 @@
 	g.noteCold(now)
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now),
+		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now), LinkWait: g.toldLinkWait(),
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"bramblelift/pkg/eligibility"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/quarantine"
@@ -48,15 +49,24 @@
 	// Link counts what crosses the machine's link and knows its capacity; nil is a link without
 	// bound.
 	Link *link.Meter
+	// Answers, if set, spreads large answers over time.
+	Answers *exchange.Pacer
+	// Holding, if set, bounds what is held of large answers.
+	Holding *exchange.Holding
 	// Quarantine knows requests that must not reach the back end; nil knows none.
 	Quarantine *quarantine.Filter
 	// OnEnded and OnAnswered, if set, are told when the back end ended while it had a call, and when
 	// it answered one that is watched.
 	OnEnded    func(quarantine.End)
 	OnAnswered func(quarantine.Answer)
+	// ServedHere, if set, reports whether the back end's region may serve a call; nil serves all.
+	ServedHere func(*http.Request) bool
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
+	// OnClosing, if set, is told when orders close the gate, when it is quiet and when it opens again.
+	// It must not call the gate.
+	OnClosing func(Closing)
 	// OnCold, if set, is told when the back end turns cold or warm, OnColdUnknown when it could not be
 	// asked.
 	OnCold        func(ColdChange)
@@ -83,7 +93,8 @@
 type Gate struct {
 	config    Config
 	transport *http.Transport
-	inbound   *inbound
+	// inbound and outbound are what large bodies and large answers may take of the link.
+	inbound, outbound *linkRoom
 
 	mu      sync.Mutex
 	backend Backend
@@ -93,7 +104,10 @@
 	// generation counts the back ends; slots of an earlier one do not count any more.
 	generation uint64
 	stopping   bool
-	running    int
+	// rules are those of the node's state, nil before it has one.
+	rules   *eligibility.Rules
+	closing closing
+	running int
 	// receiving counts the calls whose bodies are on their way here.
 	receiving int
 	queue     waitQueue
@@ -111,11 +125,13 @@
 // New returns a gate without a back end.
 func New(config Config) *Gate {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
-	return &Gate{config: config, inbound: newInbound(config.Link.Capacity(), config.Link.UnaskedRate), transport: &http.Transport{
-		DialContext: exchange.CountWrites(dialer.DialContext), DisableCompression: true,
-		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
-		ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
-	}}
+	capacity := config.Link.Capacity()
+	return &Gate{config: config, inbound: newLinkRoom(capacity, inboundShare, inboundUsable, config.Link.UnaskedRate),
+		outbound: newLinkRoom(capacity, outboundShare, outboundUsable, config.Link.UnbookedRate), transport: &http.Transport{
+			DialContext: exchange.CountWrites(dialer.DialContext), DisableCompression: true,
+			MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+			ReadBufferSize: connBuffer, WriteBufferSize: connBuffer,
+		}}
 }
 
 const maxIdleConnections = 64
@@ -123,7 +139,10 @@
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.hearSender(r.Header)
+	arrived := g.config.Now()
 	response := g.serve(r)
+	g.tellHeld(r.Header, response.Header, arrived)
+	g.paceAnswer(r, response)
 	defer response.Body.Close()
 	exchange.Copy(w.Header(), response.Header)
 	w.WriteHeader(response.StatusCode)
@@ -134,6 +153,10 @@
 
 // serve is Do for the call of another node.
 func (g *Gate) serve(r *http.Request) *http.Response {
+	if !g.servedHere(r) {
+		call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: exchange.ReasonRegion}
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
 	if r.ContentLength >= largeBody {
 		return g.receiveFirst(r)
 	}
@@ -213,14 +236,26 @@
 
 // admitAndSend waits for a slot, and sends the call to the back end or makes a refusal.
 func (g *Gate) admitAndSend(r *http.Request, wanted request, attach attachBody) *http.Response {
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID)}
+	if !g.bookAnswer(wanted) {
+		call.Reason = exchange.ReasonLink
+		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
+	response := g.sendBooked(r, wanted, attach, &call)
+	g.settleAnswer(r.Method, wanted, response)
+	return response
+}
+
+// sendBooked is admitAndSend for a call whose answer has its time on the link.
+func (g *Gate) sendBooked(r *http.Request, wanted request, attach attachBody, call *Call) *http.Response {
 	arrived := g.config.Now()
 	granted, reason := g.admit(r.Context(), wanted)
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: reason, Waited: g.config.Now() - arrived}
+	call.Reason, call.Waited = reason, g.config.Now()-arrived
 	if reason != "" {
-		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	call.Backend = granted.backend.ID
-	return g.send(r, attach, granted, wanted, &call)
+	return g.send(r, attach, granted, wanted, call)
 }
 
 func (g *Gate) read(header http.Header, now time.Duration) request {
@@ -240,6 +275,9 @@
 		wanted.late = lastStart <= 0
 		wanted.lateAt = now + max(lastStart, 1)
 	}
+	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedAnswer), 10, 64); err == nil && size > 0 {
+		wanted.answer = size
+	}
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
@@ -250,6 +288,12 @@
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), delivery.Trace()))
 	outgoing := g.outgoing(ctx, r, granted, wanted)
 	body, err := attach(outgoing)
+	if err == nil && !g.servedHere(r) {
+		cancel()
+		g.release(granted, ending{})
+		call.Reason = exchange.ReasonRegion
+		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
 	if err == nil && g.quarantined(r, body, granted, call) {
 		cancel()
 		g.release(granted, ending{})
@@ -271,7 +315,7 @@
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	if err == nil {
-		err = holdWhole(response)
+		err = g.holdWhole(response)
 	}
 	call.Service = g.config.Now() - granted.at
 	if err != nil {
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -23,11 +23,15 @@
 	}
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
-		Link: s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
-		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
-		OnCold:   s.observer.coldChanged, OnColdUnknown: s.observer.coldUnknown,
+		ServedHere: func(r *http.Request) bool { return s.handler.ServedIn(s.settings.Zone, r) },
+		Link:       s.link, Answers: s.answers, Holding: s.holding,
+		Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
+		OnClosing: s.noteClosing,
+		OnSender:  func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
+		OnCold:    s.observer.coldChanged, OnColdUnknown: s.observer.coldUnknown,
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
+	s.observer.watchBackend(s.admin.Registry, s.gate)
 	s.registry = registration.New(registration.Config{
 		Gate: s.gate, GateAddress: s.settings.GateAdvertise, Service: s.settings.Service,
 		Changed: func() { s.client.PingSoon() }, OnChange: s.noteBackend,
@@ -53,8 +57,12 @@
 	return nil
 }
 
-// Heartbeat takes in a heartbeat of the back end beside the node.
+// Heartbeat takes in a heartbeat of the back end beside the node. One that does not tell its zone is in
+// the node's.
 func (s *Server) Heartbeat(h registration.Heartbeat) {
+	if h.Zone == "" {
+		h.Zone = s.settings.Zone
+	}
 	if s.registry != nil {
 		s.registry.Take(h)
 	}
@@ -76,7 +84,7 @@
 
 // announce returns what the control plane is to hear with the next ping.
 func (s *Server) announce() protocol.Announce {
-	var announced protocol.Announce
+	announced := protocol.Announce{Closed: s.closedGate()}
 	if s.registry != nil {
 		announced.Endpoints = s.registry.Announcements()
 	}
