Calls that repeats make are charged to the budget of the service that they go to

A tenth of repeats at one service of which each makes 1.4 calls adds its own share to the tenth there. Change: nodes mark repeats for gates (the header that services without gates have), a gate knows which share of the calls at work are repeats, and the node beside it charges that share of each call of its back end to the budget of the called service. Charged calls are never refused; later repeats are fewer. Ruled out: a smaller ratio for all (each service would pay for chains that it has no part in).

--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -143,6 +143,9 @@
 	if g.largeAnswer() {
 		request.Header.Set(exchange.HeaderExpectedAnswer, strconv.Itoa(g.answerBytes))
 	}
+	if g.attempts > 0 {
+		request.Header.Set(exchange.HeaderRetry, "1")
+	}
 	if sender := g.sender(ticket); sender != "" {
 		request.Header.Set(exchange.HeaderSender, sender)
 	}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -72,6 +72,9 @@
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
 	defer cancel()
 	c.service.budget.Attempt(c.started)
+	if c.ofBackendBeside() {
+		c.service.budget.Charge(c.started, c.handler.config.RepeatShare())
+	}
 	g := &gatedCall{call: c, body: body}
 	for {
 		refusal, again := g.tryOne(ctx)
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -95,10 +95,14 @@
 	work       time.Duration
 	generation uint64
 	at         time.Duration
+	// repeat is set if the call was at another back end before.
+	repeat bool
 }
 
 // request is what admission must know of a call.
 type request struct {
+	// repeat is set if the call was at another back end before.
+	repeat   bool
 	instance string
 	// targetLeft is when the call should be answered, if it is targeted; late calls can no
 	// longer be.
@@ -120,7 +124,7 @@
 
 func (r request) waiter() *waiter {
 	return &waiter{
-		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline,
+		repeat: r.repeat, lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline,
 		admitted: make(chan struct{}), dropped: make(chan struct{}),
 	}
 }
@@ -136,7 +140,7 @@
 	g.noteCold(now)
 	g.lookIfUnsure(now)
 	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.openAt(now) <= now {
-		granted := g.grant(now, r.work)
+		granted := g.grantCall(now, r.work, r.repeat)
 		g.mu.Unlock()
 		return granted, ""
 	}
@@ -297,6 +301,9 @@
 		return
 	}
 	g.running--
+	if a.repeat {
+		g.repeats--
+	}
 	if end.failed || end.service > 0 {
 		g.health.note(g.config.Now(), end.failed)
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -108,6 +108,8 @@
 	rules   *eligibility.Rules
 	closing closing
 	running int
+	// repeats counts the running calls that were at another back end before.
+	repeats int
 	// receiving counts the calls whose bodies are on their way here.
 	receiving int
 	queue     waitQueue
@@ -278,6 +280,7 @@
 	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedAnswer), 10, 64); err == nil && size > 0 {
 		wanted.answer = size
 	}
+	wanted.repeat = header.Get(exchange.HeaderRetry) != ""
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -9,7 +9,8 @@
 
 // waiter is a call that waits for a free slot.
 type waiter struct {
-	late bool
+	repeat bool
+	late   bool
 	// lateAt is when the call becomes late, zero for never.
 	lateAt   time.Duration
 	work     time.Duration
--- a/pkg/gate/warming.go
+++ b/pkg/gate/warming.go
@@ -125,7 +125,7 @@
 			return
 		}
 		w := g.queue.firstInTime(now)
-		w.granted = g.grant(now, w.work)
+		w.granted = g.grantCall(now, w.work, w.repeat)
 		close(w.admitted)
 	}
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 
 	"bramblelift/pkg/exchange"
@@ -44,6 +45,15 @@
 	return nil
 }
 
+// backendHost is the address of the back end beside the node, the zero address if it is not known.
+func (s *Server) backendHost() netip.Addr {
+	address, err := netip.ParseAddrPort(s.settings.BackendAddress)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Addr().Unmap()
+}
+
 // openInterface opens the deployment's interface, if there is one.
 func (s *Server) openInterface(newInterface func(*Server) http.Handler) error {
 	if s.settings.InterfaceListen == "" || newInterface == nil {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -217,6 +217,7 @@
 	}
 	config.Answers, config.Holding = s.answers, s.holding
 	if s.gate != nil {
+		config.BackendHost, config.RepeatShare = s.backendHost(), s.gate.RepeatShare
 		config.GateAddress, config.Gate, config.Sender = s.settings.GateAdvertise, s.gate.Do, s.gate.Sender
 		config.Retry = retry.Config{Ratio: s.settings.Retries.Ratio, Max: gatedRetryMax}
 	}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -61,6 +61,15 @@
 	return true
 }
 
+// Charge draws for traffic that is more of the same but cannot be refused: calls that a repeat makes. What it
+// overdraws, at most as much as can be saved up, later attempts pay for before there is another retry.
+func (b *Budget) Charge(now time.Duration, amount float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.earn(now, 0)
+	b.balance = max(-b.config.Max, b.balance-amount)
+}
+
 func (b *Budget) earn(now time.Duration, amount float64) {
 	elapsed := max(0, now-b.updatedAt)
 	b.updatedAt = now
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -36,3 +36,26 @@
 	is.Equal(granted, int(DefaultConfig().Max))
 	is.True(b.Withdraw(3 * time.Second)) // the allowance for little traffic
 }
+
+// What repeats make elsewhere is paid for by those that could still be refused.
+func TestChargesComeBeforeRetries(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(Config{Ratio: 0.1, Max: 20})
+	granted := 0
+	for range 10_000 {
+		b.Attempt(0)
+		b.Charge(0, 0.06)
+		if b.Withdraw(0) {
+			granted++
+		}
+	}
+	is.True(granted >= 380 && granted <= 420) // a tenth less what was charged
+	for range 1000 {
+		b.Charge(0, 1)
+	}
+	is.True(!b.Withdraw(0))
+	for range 220 { // the debt is bounded
+		b.Attempt(0)
+	}
+	is.True(b.Withdraw(0))
+}
