gate: a waiting call goes on when its cold back end is warm sooner than was known

Cause: the gate had one timer for its next dispatch, and kept a later one when the back end's heartbeat or health path said meanwhile that it is warm sooner. A call that waited alone went on when the old timer fired, up to a second late; under traffic the next call or the end of one hid it. Ruled out: calls above the rate by an earlier timer: dispatch asks the rate again. Before: a call beside a back end of 1 call/s that says 'warm in 100 ms' waited 1.0 s (TestWaitingCallGoesOnWhenTheBackEndIsWarmSoonerThanItWas failed). After: it passes. Conclusion: the timer is replaced by an earlier one.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -118,8 +118,9 @@
 	cold      coldness
 	// wasCold is what was told last.
 	wasCold bool
-	// waking is set while a dispatch is due.
-	waking bool
+	// wake dispatches at wakeDue, nil if that is not due.
+	wake    *time.Timer
+	wakeDue time.Duration
 }
 
 // New returns a gate without a back end.
--- /dev/null
+++ b/pkg/gate/wake_test.go
@@ -0,0 +1,32 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"bramblelift/pkg/exchange"
+
+	"github.com/matryer/is"
+)
+
+// A call that waits for the rate goes on as soon as the back end is warm, also if it was said only after the
+// call began to wait that this is sooner than the rate would let it in.
+func TestWaitingCallGoesOnWhenTheBackEndIsWarmSoonerThanItWas(t *testing.T) {
+	is := is.New(t)
+	b := newColdBackend(t, 0)
+	g := b.gateBeside(1)
+	g.HeardCold("b1", time.Minute)
+	do(g, newCall(t, "POST", "first")).Body.Close()
+	began := sinceStart()
+	waited := make(chan time.Duration, 1)
+	call := newCall(t, "POST", "second", exchange.HeaderWait, "1500")
+	go func() {
+		do(g, call).Body.Close()
+		waited <- sinceStart() - began
+	}()
+	for g.Report().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	g.HeardCold("b1", 100*time.Millisecond)
+	is.True(<-waited < 600*time.Millisecond) // the rate alone would let it in after a second
+}
--- a/pkg/gate/warming.go
+++ b/pkg/gate/warming.go
@@ -121,7 +121,7 @@
 	for g.running < g.backend.Capacity && len(g.queue) > 0 {
 		now := g.config.Now()
 		if open := g.cold.openAt(now); open > now {
-			g.wakeIn(open - now)
+			g.wakeAt(now, open)
 			return
 		}
 		w := g.queue.firstInTime(now)
@@ -130,25 +130,34 @@
 	}
 }
 
-// wakeIn dispatches after a while; the mutex is held.
-func (g *Gate) wakeIn(pause time.Duration) {
-	if g.waking {
+// wakeAt dispatches at a moment, or sooner if that is due already; the mutex is held.
+func (g *Gate) wakeAt(now, at time.Duration) {
+	if g.wake != nil && g.wakeDue <= at {
 		return
 	}
-	g.waking = true
-	time.AfterFunc(pause, func() {
+	if g.wake != nil {
+		g.wake.Stop()
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(at-now, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.waking = false
+		// A timer that was replaced may have fired already.
+		if g.wake == timer {
+			g.wake = nil
+		}
 		g.dispatch()
 	})
+	g.wake, g.wakeDue = timer, at
 }
 
 // doubt takes the back end for cold until it says otherwise, after it broke off or left
 // unanswered a call.
 func (g *Gate) doubt(a admittance) {
 	g.changeCold(func(now time.Duration) {
-		if a.generation == g.generation && !g.cold.unsure {
+		// Calls that one end broke off are one doubt.
+		doubted := g.cold.unsure && g.cold.remaining(now) > 0
+		if a.generation == g.generation && !doubted {
 			g.cold.assume(now)
 		}
 	})
