gate: a caller's unreadable body is not the back end's fault

Cause: a body that could not be read (a malformed chunk; the end of the connection cancels the call and was no matter) ended in the branch for 'nothing was sent', which marks the back end down for 250 ms and now takes it for cold, so that all callers were held to its cold rate, or refused. Ruled out: the same for large bodies: receiveFirst answers them before a slot is taken, with the reason that is used here, too (broken, not run). Before: reason unreachable, back end cold; after: reason broken, the next call goes in (TestUnreadableBodyLeavesTheBackEndAsItIs, seen failing first).

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -289,21 +289,25 @@
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), delivery.Trace()))
 	outgoing := g.outgoing(ctx, r, granted, wanted)
 	body, err := attach(outgoing)
-	if err == nil && !g.servedHere(r) {
+	if err != nil {
+		// The caller's body, not the back end, is at fault.
+		cancel()
+		g.release(granted, ending{})
+		call.Reason, call.Err = exchange.ReasonBroken, err
+		return g.refuse(call, http.StatusBadGateway, exchange.NotRun)
+	}
+	if !g.servedHere(r) {
 		cancel()
 		g.release(granted, ending{})
 		call.Reason = exchange.ReasonRegion
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	if err == nil && g.quarantined(r, body, granted, call) {
+	if g.quarantined(r, body, granted, call) {
 		cancel()
 		g.release(granted, ending{})
 		return g.refuse(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	var response *http.Response
-	if err == nil {
-		response, err = g.transport.RoundTrip(outgoing)
-	}
+	response, err := g.transport.RoundTrip(outgoing)
 	if err == nil {
 		err = g.check(r.Header, response)
 	}
