proxy: a node that is upgraded hears of the orders that its earlier release passed over

Cause: a node with a data folder saves its state with the revision up to which it heard. An earlier release drops the orders from an update, but counts its revision; the upgraded node asked for what came after that and never learned that a zone was evacuated. Its gate stayed open and its callers sent calls there, until the next change of the orders. It happens when replicas are upgraded first and an order is taken before the last node is. Ruled out: refusing orders while nodes of an earlier release are connected: one lost or late node would keep a zone from being evacuated, and one that is away isn't seen. Before: no update for the upgraded node (TestStateOfAnEarlierReleaseIsToldAgain failed); after: it starts on what it held, and is told all from the beginning once. Nodes without a data folder start from nothing and were never concerned. Left: a node of this release behind a relay of an earlier one.

--- a/pkg/proxy/keeper.go
+++ b/pkg/proxy/keeper.go
@@ -8,12 +8,21 @@
 	"sync"
 	"time"
 
+	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/storage"
 )
 
 const stateFile = "configuration.json"
 
+// savedState is a state as it is on the disk.
+type savedState struct {
+	distribution.State
+	// Level is that of the program that saved it. An earlier one left out what it did not know, though the
+	// state's revision includes it: control must tell such a node all from the beginning.
+	Level catalog.Level `json:"level"`
+}
+
 // KeeperConfig sets up a Keeper.
 type KeeperConfig struct {
 	// Files is where the configuration is made durable; nil for nowhere.
@@ -62,11 +71,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	var state distribution.State
-	if err := json.Unmarshal(content, &state); err != nil {
+	var saved savedState
+	if err := json.Unmarshal(content, &saved); err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	return &state, nil
+	if saved.Level < catalog.NewestLevel {
+		saved.Revision = 0
+	}
+	return &saved.State, nil
 }
 
 // Start puts a configuration from disk in force.
@@ -133,7 +145,7 @@
 	if k.config.Files == nil {
 		return nil
 	}
-	content, err := json.Marshal(k.holder.State())
+	content, err := json.Marshal(savedState{State: *k.holder.State(), Level: catalog.NewestLevel})
 	if err != nil {
 		return fmt.Errorf("save configuration: %w", err)
 	}
--- a/pkg/proxy/keeper_test.go
+++ b/pkg/proxy/keeper_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -9,6 +10,7 @@
 
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/orders"
 	"bramblelift/pkg/storage"
 
 	"github.com/matryer/is"
@@ -21,15 +23,9 @@
 // updateTo returns the update that brings a node from nothing to a version.
 func updateTo(t *testing.T, version uint64) *distribution.Update {
 	t.Helper()
-	content := bundle.Content{
-		Services: []bundle.Service{{Name: "s"}},
-		Routes:   []bundle.Route{{Name: "r", PathPrefix: "/", Service: "s"}},
-	}
-	tree, err := bundle.NewTree(content)
-	is.New(t).NoErr(err)
 	state := &distribution.State{}
 	for number := uint64(1); number <= version; number++ {
-		state = state.Activate(&bundle.Signed{Manifest: bundle.Manifest{Version: number, Digest: tree.Root()}, Content: content})
+		state = state.Activate(signedVersion(t, number))
 	}
 	update, err := distribution.NewPlanner(state).Plan("shop", distribution.Position{})
 	is.New(t).NoErr(err)
@@ -103,3 +99,41 @@
 	is.Equal(len(*inForce), 0)
 	is.True(errors.Is(*failure, errBroken)) // the process must end
 }
+
+// What an earlier release saved lacks what that one did not know, though it counted its revision: after the
+// upgrade all of it is told again.
+func TestStateOfAnEarlierReleaseIsToldAgain(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "data")
+	files, err := storage.OpenFolder(folder)
+	is.NoErr(err)
+	held := (&distribution.State{}).Activate(signedVersion(t, 1))
+	control := held.ChangeOrders(orders.Change{Evacuate: &orders.Evacuation{Zone: "a"}})
+	held.Revision = control.Revision
+	saved, err := json.Marshal(held)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(filepath.Join(folder, stateFile), saved, 0o600))
+
+	k, inForce, _ := newKeeper(t, files)
+	is.Equal(*inForce, []uint64{1}) // at once, with nobody reachable
+	update, err := distribution.NewPlanner(control).Plan("shop", k.Position())
+	is.NoErr(err)
+	is.True(update != nil)
+	is.NoErr(k.Apply(update))
+	is.True(k.holder.State().Orders.Evacuated("a"))
+
+	again, _, _ := newKeeper(t, files) // saved by this release
+	is.Equal(again.Position(), control.Position())
+	is.True(again.holder.State().Orders.Evacuated("a"))
+}
+
+func signedVersion(t *testing.T, number uint64) *bundle.Signed {
+	t.Helper()
+	content := bundle.Content{
+		Services: []bundle.Service{{Name: "s"}},
+		Routes:   []bundle.Route{{Name: "r", PathPrefix: "/", Service: "s"}},
+	}
+	tree, err := bundle.NewTree(content)
+	is.New(t).NoErr(err)
+	return &bundle.Signed{Manifest: bundle.Manifest{Version: number, Digest: tree.Root()}, Content: content}
+}
