forward: the last gate of a call tells when its cold back end is warm, too

Cause: the time until the first back end is warm was taken from a refusal only if the call might have gone on to another gate; the one that it waited at as its last chance, and those after its last try or with its time up, were passed over. Its caller was told to come back after a third of its time, before anything was warm, and was refused again.

--- a/pkg/forward/cold.go
+++ b/pkg/forward/cold.go
@@ -28,16 +28,17 @@
 	}
 }
 
-// tooManyCold counts the gates of cold back ends without room.
-func (g *gatedCall) tooManyCold(failure *gateFailure) bool {
-	if failure.reason != exchange.ReasonCold {
-		return false
-	}
+// countCold takes in a refusal for a cold back end without room.
+func (g *gatedCall) countCold(report exchange.Report) {
 	g.colds++
-	if remaining := failure.report.Cold.Remaining; g.warmIn == 0 || remaining < g.warmIn {
+	if remaining := report.Cold.Remaining; g.warmIn == 0 || remaining < g.warmIn {
 		g.warmIn = remaining
 	}
-	return g.colds >= maxCold
+}
+
+// tooManyCold reports whether a refusal is the last of cold back ends that the call asks for.
+func (g *gatedCall) tooManyCold(failure *gateFailure) bool {
+	return failure.reason == exchange.ReasonCold && g.colds >= maxCold
 }
 
 // comeBackWarm is when to come back if cold back ends were the reason: not before the first of them is
--- a/pkg/forward/cold_test.go
+++ b/pkg/forward/cold_test.go
@@ -58,6 +58,22 @@
 	is.True(refused.Load() <= 1)
 }
 
+// A call that waits at its last gate in vain hears when that one's back end is warm, too.
+func TestLastColdGateTellsWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int64
+	turnsCold, _ := standInGate(t, func(w http.ResponseWriter, r *http.Request) {
+		if asked.Add(1) == 1 {
+			refusing(exchange.ReasonFull, NotRun)(w, r)
+			return
+		}
+		coldGate(10*time.Second)(w, r)
+	})
+	after := retryAfter(t, newGatedNode(t, 0, turnsCold).call(t, "GET", "/safe/x", "", "Left-Ms", "300"))
+	is.Equal(asked.Load(), int64(2))
+	is.True(after > 120*time.Millisecond) // half of its time, not a third
+}
+
 // fragile is a back end with a gate that falls over, for good, when it gets too many calls within a
 // second while it is cold.
 type fragile struct {
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -169,6 +169,9 @@
 func (g *gatedCall) learn(ticket *balancer.Ticket, failure *gateFailure) {
 	now := g.now()
 	learned := balancer.Canceled
+	if failure.reason == exchange.ReasonCold {
+		g.countCold(failure.report)
+	}
 	switch failure.reason {
 	case exchange.ReasonFull, exchange.ReasonLink, exchange.ReasonCold:
 		if told := failure.report.LinkWait; told > 0 && (g.linkWait == 0 || told < g.linkWait) {
