exchange: the report of a warm back end is read without an allocation

Every answer and refusal passes here, and nearly all are of warm back ends. Before: splitting the empty header allocated once a report; after: none (TestReportOfAWarmBackEndIsReadWithoutAllocation, seen failing first).

--- a/pkg/exchange/cold.go
+++ b/pkg/exchange/cold.go
@@ -31,7 +31,12 @@
 
 // ReadCold reads what Set wrote; the zero value if there is nothing that can be read.
 func ReadCold(header http.Header) Cold {
-	parts := strings.Split(header.Get(HeaderCold), ",")
+	text := header.Get(HeaderCold)
+	// Most back ends are warm: their reports cost no allocation here.
+	if text == "" {
+		return Cold{}
+	}
+	parts := strings.Split(text, ",")
 	if len(parts) != 3 {
 		return Cold{}
 	}
--- a/pkg/exchange/cold_test.go
+++ b/pkg/exchange/cold_test.go
@@ -39,3 +39,9 @@
 		is.Equal(ReadCold(http.Header{HeaderCold: {text}}), Cold{})
 	}
 }
+
+func TestReportOfAWarmBackEndIsReadWithoutAllocation(t *testing.T) {
+	header := http.Header{}
+	Report{Capacity: 4}.Set(header)
+	is.New(t).Equal(testing.AllocsPerRun(100, func() { ReadCold(header) }), 0.0)
+}
