gate: one stand-in waiter, not two, for a large body

expectBody made a waiter with two channels twice, each time to count the same waiters ahead under the same mutex. No change of what is decided.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -161,10 +161,11 @@
 	if reason := g.mayEnter(now, r); reason != "" {
 		return reason
 	}
-	if g.cold.wait(now, g.receiving+g.queue.ahead(r.waiter())) > r.wait {
+	queued := g.queue.ahead(r.waiter())
+	if g.cold.wait(now, g.receiving+queued) > r.wait {
 		return exchange.ReasonCold
 	}
-	ahead := max(0, g.running+g.receiving+1-g.backend.Capacity) + g.queue.ahead(r.waiter())
+	ahead := max(0, g.running+g.receiving+1-g.backend.Capacity) + queued
 	if g.serviceTime()*time.Duration(ahead)/time.Duration(g.backend.Capacity) > r.wait {
 		return exchange.ReasonFull
 	}
