--- a/pkg/ctl/evacuate.go
+++ b/pkg/ctl/evacuate.go
@@ -100,7 +100,8 @@
 	return joinZones(list.Zones, nodes), nil
 }
 
-// awaitZone prints each step until every gate of a zone that is heard of does as ordered.
+// awaitZone prints each step until the gates of a zone do as ordered. A back end whose node is not heard keeps
+// it waiting: it may still run calls.
 func (s *session) awaitZone(name string, open bool, began time.Time) error {
 	last := ""
 	for {
