stream: a node that came again before its old connection ended is connected

Cause: the end of a subscription was reported as 'not connected' though the same node had come over a new connection already (a link that failed: the old end is noticed after the silence timeout). Ruled out: between replicas it does not happen, bramblectl takes the newer word there. Before: Connected false, Closed lost; after: that of the newest subscription (TestNodeThatCameAgainIsConnected, seen failing first). Reports are passed on in order.

--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -37,6 +37,8 @@
 // Hub serves one state to many subscribers.
 type Hub struct {
 	config HubConfig
+	// reporting orders the calls of OnReport; it is locked before mu.
+	reporting sync.Mutex
 
 	mu          sync.Mutex
 	planner     *distribution.Planner
@@ -212,23 +214,45 @@
 	h.mu.Lock()
 	h.subscribers[s] = true
 	h.mu.Unlock()
-	h.tellReport(s, true)
+	h.tellReport(s)
 }
 
 func (h *Hub) remove(s *subscriber) {
 	h.mu.Lock()
 	delete(h.subscribers, s)
 	h.mu.Unlock()
-	h.tellReport(s, false)
+	h.tellReport(s)
 }
 
-func (h *Hub) tellReport(s *subscriber, connected bool) {
-	if h.config.OnReport != nil {
-		h.mu.Lock()
-		report := s.report(connected)
-		h.mu.Unlock()
-		h.config.OnReport(report)
+// tellReport passes on what is known of a subscriber now.
+func (h *Hub) tellReport(s *subscriber) {
+	if h.config.OnReport == nil {
+		return
+	}
+	// An older report must not go after a newer one.
+	h.reporting.Lock()
+	defer h.reporting.Unlock()
+	h.config.OnReport(h.reportOf(s))
+}
+
+// reportOf returns a subscriber's report: that of its newest subscription if this one has ended and it came
+// again before.
+func (h *Hub) reportOf(s *subscriber) protocol.NodeReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.subscribers[s] {
+		return s.report(true)
+	}
+	var newest *subscriber
+	for other := range h.subscribers {
+		if other.hello.Name == s.hello.Name && (newest == nil || other.openedAt > newest.openedAt) {
+			newest = other
+		}
+	}
+	if newest != nil {
+		return newest.report(true)
 	}
+	return s.report(false)
 }
 
 // read takes in pings and acknowledgements.
@@ -270,7 +294,7 @@
 		h.config.WantFresh()
 	}
 	if changed {
-		h.tellReport(s, true)
+		h.tellReport(s)
 	}
 	announced := protocol.Announce{Endpoints: ping.Announcements, Evidence: ping.Evidence}
 	if h.config.OnAnnounce != nil && !announced.Empty() {
@@ -290,7 +314,7 @@
 	changed := s.session.TakeHeld(held)
 	h.mu.Unlock()
 	if changed {
-		h.tellReport(s, true)
+		h.tellReport(s)
 	}
 }
 
