gate: a cold rate below one call a second is kept

Cause: the window of the rate held one call at least in a second. A service with cold_rate 0.4 was let have one a second, two and a half times what it bears. Before: 20 calls in 20 s at 0.4 a second; after: 8 (TestRateBelowOneASecond, seen failing first). The window grows for such rates; all others are kept as before.

--- a/pkg/gate/rate.go
+++ b/pkg/gate/rate.go
@@ -12,6 +12,8 @@
 	// evenness is which share of the mean interval two calls are apart at least. Less would let in the
 	// calls of a second at once and none after; the whole would lose the time in which none came.
 	evenness = 0.5
+	// minRate, in calls a second, keeps the window within an hour.
+	minRate = 0.001
 	// maxWindowCalls bounds the memory of a window. No back end that bears more a second is in need of
 	// a bound.
 	maxWindowCalls = 4096
@@ -25,15 +27,19 @@
 	starts []time.Duration
 	next   int
 	latest time.Duration
+	// window is over how long the rate is kept: rateWindow, or longer for less than one call in it.
+	window time.Duration
 }
 
-// never is long before the clock's start.
+// never is long enough before the clock's start for any window.
 const never = -time.Hour
 
 // setRate changes the rate, in calls a second; zero for no bound. Calls let in before still count.
 func (r *slidingRate) setRate(perSecond float64) {
 	limit := 0
+	r.window = rateWindow
 	if perSecond > 0 {
+		r.window = time.Duration(float64(rateWindow) / math.Min(1, math.Max(perSecond, minRate)))
 		limit = int(math.Max(1, math.Min(maxWindowCalls, math.Floor(perSecond))))
 	}
 	if limit == len(r.starts) {
@@ -75,7 +81,7 @@
 		return never
 	}
 	apart := time.Duration(evenness * float64(r.interval()))
-	return max(r.oldest()+rateWindow, r.latest+apart)
+	return max(r.oldest()+r.window, r.latest+apart)
 }
 
 func (r *slidingRate) bounded() bool { return len(r.starts) > 0 }
@@ -85,5 +91,5 @@
 	if len(r.starts) == 0 {
 		return 0
 	}
-	return rateWindow / time.Duration(len(r.starts))
+	return r.window / time.Duration(len(r.starts))
 }
--- a/pkg/gate/rate_test.go
+++ b/pkg/gate/rate_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// A rate below one a second is kept over more than a second.
+func TestRateBelowOneASecond(t *testing.T) {
+	is := is.New(t)
+	var rate slidingRate
+	rate.setRate(0.4)
+	let := 0
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
+		if rate.openAt() <= now {
+			rate.note(now)
+			let++
+		}
+	}
+	is.Equal(let, 8)
+	rate.setRate(5)
+	is.Equal(rate.interval(), rateWindow/5)
+}
+
 // What waits all the time is let in at the whole rate.
 func TestTheWholeRateIsUsed(t *testing.T) {
 	is := is.New(t)
