--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -77,6 +77,8 @@
 	// FreeWork, if not zero, prefers back ends that are known to have a free slot and whose
 	// service time is no more than that, wherever they are and however much slower than others.
 	FreeWork time.Duration
+	// Version is which side of a rollout the call goes to.
+	Version VersionChoice
 }
 
 // failureCost is what a certain failure of the call adds to a score, in service times.
@@ -93,7 +95,7 @@
 func (p *Pool) AcquireGate(now time.Duration, r GateRequest) (*Ticket, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := p.candidates(now, r.LeftOut, r.Regions)
+	candidates := r.Version.prefer(p.candidates(now, r.LeftOut, r.Regions))
 	if len(candidates) == 0 {
 		return nil, 0, ErrNoEndpoint
 	}
@@ -123,7 +125,7 @@
 	e.gate.sent++
 	return &Ticket{
 		pool: p, endpoint: e, Address: e.target.Gate,
-		ID: e.target.ID, Incarnation: e.target.Incarnation,
+		ID: e.target.ID, Incarnation: e.target.Incarnation, Version: e.target.Version,
 	}
 }
 
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -186,6 +186,8 @@
 	ID       string
 	// Incarnation is the one that the node knows.
 	Incarnation uint64
+	// Version is that of the back end's software, empty if unknown.
+	Version string
 }
 
 // Acquire picks a back end, leaving out the tried ones. If all are at their limits it
--- a/pkg/eligibility/eligibility.go
+++ b/pkg/eligibility/eligibility.go
@@ -10,6 +10,7 @@
 
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/orders"
+	"bramblelift/pkg/rollout"
 )
 
 // Backend is what the rules must know of a back end.
@@ -44,9 +45,15 @@
 // Refuses returns why a back end may get nothing new for the time being, of any route; empty if it may.
 // One that leaves never comes back and is no matter of orders.
 func (r *Rules) Refuses(b Backend) exchange.Reason {
-	if r != nil && r.orders.Evacuated(b.Zone) {
+	if r == nil {
+		return ""
+	}
+	if r.orders.Evacuated(b.Zone) {
 		return exchange.ReasonEvacuated
 	}
+	if held, found := r.orders.RolloutOf(b.Service); found && held.Phase == rollout.RolledBack && b.Version == held.Version {
+		return exchange.ReasonVersion
+	}
 	return ""
 }
 
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -48,6 +48,11 @@
 	HeaderSender = "Gate-Sender"
 	// HeaderWork is how many microseconds a call took at the back end.
 	HeaderWork = "Gate-Work-Us"
+	// HeaderRoute is the name of the call's route; it is sent while a rollout of the service runs.
+	HeaderRoute = "Gate-Route"
+	// HeaderRollout is the version that a running rollout brings, on calls that go to it: a gate that
+	// does not know of the rollout must not let them in.
+	HeaderRollout = "Gate-Rollout"
 	// HeaderReason is why a gate refused, one of the Reason constants.
 	HeaderReason = "Gate-Reason"
 )
@@ -55,7 +60,7 @@
 // internalHeaders are never taken from callers nor passed to them or to back ends.
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
-	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender,
+	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender, HeaderRoute, HeaderRollout,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -139,6 +139,7 @@
 	if sender := g.sender(ticket); sender != "" {
 		request.Header.Set(exchange.HeaderSender, sender)
 	}
+	g.headVersion(request.Header, ticket)
 	g.body.Attach(request, incoming.ContentLength)
 	if g.body.Size() > largeBody {
 		request.Header.Set("Expect", "100-continue")
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -19,6 +19,7 @@
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/retry"
+	"bramblelift/pkg/rollout"
 	"bramblelift/pkg/routing"
 	"bramblelift/pkg/settings"
 )
@@ -123,6 +124,9 @@
 	// word that it has not begun the call, which cost it next to nothing.
 	budget   *retry.Budget
 	declines *retry.Budget
+	// rollout is the running one of the service, nil for none; versions is what the node sees of it.
+	rollout  atomic.Pointer[rollout.Rollout]
+	versions versionWatch
 }
 
 // view is what calls see: one table with its services, swapped whole.
@@ -165,6 +169,7 @@
 			held = h.newService(definition)
 		}
 		held.pool.Update(h.config.Now(), definition)
+		held.setRollout(definition)
 		next.services[definition.Name] = held
 	}
 	h.view.Store(next)
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -27,6 +27,8 @@
 	Service  string
 	Address  string
 	Capacity int
+	// Version is that of the back end's software, empty if unknown.
+	Version string
 }
 
 // SetBackend names the back end that takes calls from now on.
@@ -44,7 +46,8 @@
 	g.backend, g.present = backend, true
 	g.generation++
 	g.running, g.service, g.pace, g.health, g.downUntil = 0, 0, pace{}, health{}, 0
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
+	g.setVersion()
 }
 
 // RemoveBackend lets nothing new reach a back end.
@@ -55,7 +58,8 @@
 		return
 	}
 	g.present, g.left = false, id
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
+	g.followRollout()
 }
 
 // Present reports whether there is a back end that takes calls.
@@ -70,11 +74,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopping = true
-	g.dropWaiting()
+	g.dropWaiting(exchange.ReasonAbsent)
 }
 
-func (g *Gate) dropWaiting() {
+// dropWaiting refuses all that waits; the mutex is held.
+func (g *Gate) dropWaiting(reason exchange.Reason) {
 	for w := g.queue.first(); w != nil; w = g.queue.first() {
+		w.reason = reason
 		close(w.dropped)
 	}
 }
@@ -86,6 +92,9 @@
 	work       time.Duration
 	generation uint64
 	at         time.Duration
+	// order is the number of the rollout that the call counts for, zero for none.
+	order uint64
+	route string
 }
 
 // request is what admission must know of a call.
@@ -105,11 +114,15 @@
 	// lateAt is when the call becomes late unless the back end has begun it, zero if it has
 	// no target latency.
 	lateAt time.Duration
+	// route is only known while a rollout of the service runs.
+	route string
+	// rollout is the version that a rollout brings which the caller knows of, empty if it knows of none.
+	rollout string
 }
 
 func (r request) waiter() *waiter {
 	return &waiter{
-		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline,
+		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline, route: r.route,
 		admitted: make(chan struct{}), dropped: make(chan struct{}),
 	}
 }
@@ -123,7 +136,7 @@
 		return admittance{}, reason
 	}
 	if g.running < g.backend.Capacity && len(g.queue) == 0 {
-		granted := g.grant(now, r.work)
+		granted := g.grant(now, r.work, r.route)
 		g.mu.Unlock()
 		return granted, ""
 	}
@@ -174,13 +187,16 @@
 	case now >= r.deadline:
 		return exchange.ReasonDeadline
 	}
-	return ""
+	if r.rollout != "" && r.rollout == g.backend.Version && !g.versions.held {
+		return exchange.ReasonVersion
+	}
+	return g.refusesVersion(now)
 }
 
 // grant takes a slot; the mutex is held.
-func (g *Gate) grant(now, work time.Duration) admittance {
+func (g *Gate) grant(now, work time.Duration, route string) admittance {
 	g.running++
-	return admittance{backend: g.backend, work: work, generation: g.generation, at: now}
+	return admittance{backend: g.backend, work: work, generation: g.generation, at: now, order: g.noteAdmitted(), route: route}
 }
 
 // expectedWait estimates how long a call would wait; the mutex is held.
@@ -208,7 +224,7 @@
 		case <-w.admitted:
 			return w.granted, ""
 		case <-w.dropped:
-			return admittance{}, exchange.ReasonAbsent
+			return admittance{}, w.reason
 		case <-early.C:
 			waiting = r.early >= r.wait || g.hopeful(w, r.wait-r.early)
 		case <-timer.C:
@@ -226,7 +242,7 @@
 	}
 	select {
 	case <-w.dropped:
-		return admittance{}, exchange.ReasonAbsent
+		return admittance{}, w.reason
 	case <-w.admitted:
 	}
 	if ctx.Err() == nil {
@@ -268,6 +284,7 @@
 		return
 	}
 	g.running--
+	g.tallyEnding(a, end)
 	if end.failed || end.service > 0 {
 		g.health.note(g.config.Now(), end.failed)
 	}
@@ -280,11 +297,15 @@
 	}
 	for g.running < g.backend.Capacity {
 		now := g.config.Now()
+		if reason := g.refusesVersion(now); reason != "" {
+			g.dropWaiting(reason)
+			return
+		}
 		w := g.queue.firstInTime(now)
 		if w == nil {
 			return
 		}
-		w.granted = g.grant(now, w.work)
+		w.granted = g.grant(now, w.work, w.route)
 		close(w.admitted)
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -58,6 +58,9 @@
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
+	// ConfirmedAt returns up to when the held state is known to be current, false if that was never
+	// known. Without it nothing is let into a version that a rollout brings.
+	ConfirmedAt func() (time.Duration, bool)
 }
 
 // Call describes a finished call, for logs and metrics.
@@ -98,6 +101,9 @@
 	pace      pace
 	health    health
 	downUntil time.Duration
+	versions  versions
+	// watching is set while a rollout of the back end's service runs.
+	watching atomic.Bool
 }
 
 // New returns a gate without a back end.
@@ -232,6 +238,10 @@
 		wanted.late = lastStart <= 0
 		wanted.lateAt = now + max(lastStart, 1)
 	}
+	wanted.rollout = header.Get(exchange.HeaderRollout)
+	if g.watching.Load() {
+		wanted.route = header.Get(exchange.HeaderRoute)
+	}
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"bramblelift/pkg/exchange"
 )
 
 // waiter is a call that waits for a free slot.
@@ -13,11 +15,14 @@
 	work     time.Duration
 	priority int
 	deadline time.Duration
+	route    string
 	// admitted is closed when the call may go on, dropped when it must not.
 	admitted chan struct{}
 	dropped  chan struct{}
 	// granted is set before admitted is closed.
 	granted admittance
+	// refused is why it must not go on; it is set before dropped is closed.
+	refused exchange.Reason
 	index   int
 }
 
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -15,6 +15,7 @@
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
+	"bramblelift/pkg/rollout"
 	"bramblelift/pkg/wire"
 )
 
@@ -138,6 +139,8 @@
 	// Evidence is what the subscriber's gate has seen of requests that end back ends, nil for
 	// nothing.
 	Evidence *quarantine.Evidence
+	// Rollouts are what the subscriber's gate, or those below a relay, have seen of running rollouts.
+	Rollouts []rollout.Report
 }
 
 // Pong answers a Ping.
@@ -181,16 +184,17 @@
 	Forwarded bool
 }
 
-// Announce passes on to the leader what nodes announce: back ends, and evidence of requests that
-// end them.
+// Announce passes on to the leader what nodes announce: back ends, evidence of requests that
+// end them, and what gates have seen of rollouts.
 type Announce struct {
 	Endpoints []distribution.Endpoint
 	Evidence  *quarantine.Evidence
+	Rollouts  []rollout.Report
 }
 
 // Empty reports whether nothing is announced.
 func (a Announce) Empty() bool {
-	return len(a.Endpoints) == 0 && (a.Evidence == nil || a.Evidence.Empty())
+	return len(a.Endpoints) == 0 && len(a.Rollouts) == 0 && (a.Evidence == nil || a.Evidence.Empty())
 }
 
 // ErrUnexpected: the peer sent a frame that does not fit here.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
@@ -24,6 +25,7 @@
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
 		Link: s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
 		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
+		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.registry = registration.New(registration.Config{
@@ -81,6 +83,11 @@
 	if evidence := s.suspects.Take(s.clock.Elapsed()); !evidence.Empty() {
 		announced.Evidence = &evidence
 	}
+	if s.gate != nil {
+		if report, running := s.gate.RolloutReport(); running {
+			announced.Rollouts = append(announced.Rollouts, report)
+		}
+	}
 	return announced
 }
 
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -116,7 +116,7 @@
 // attempt takes in an attempt that brought no answer.
 func (o *observer) attempt(a forward.Attempt) {
 	o.attempts.WithLabelValues(string(a.Reason)).Inc()
-	if a.Reason.Busy() && a.Retried {
+	if a.Retried && (a.Reason.Busy() || a.Reason == exchange.ReasonVersion) {
 		return
 	}
 	o.logger.Log("event", "attempt_failed", "request", a.RequestID, "route", a.Route, "service", a.Service,
@@ -137,7 +137,7 @@
 		o.service.Observe(call.Service.Seconds())
 		return
 	}
-	if call.Reason.Busy() {
+	if call.Reason.Busy() || call.Reason == exchange.ReasonVersion {
 		return
 	}
 	o.logger.Log("event", "gate_refused", "request", call.RequestID, "instance", call.Backend, "reason", string(call.Reason),
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/metrics"
+	"bramblelift/pkg/orders"
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
@@ -88,8 +89,9 @@
 	// seen of them.
 	quarantine quarantine.Filter
 	suspects   quarantine.Outbox
-	// table is the newest one; only putInForce uses it.
-	table *routing.Table
+	// table and orders are the newest ones; only putInForce uses them.
+	table  *routing.Table
+	orders *orders.Table
 }
 
 // New opens the node's sockets and reads its last configuration.
@@ -328,6 +330,7 @@
 	if s.registry != nil {
 		s.registry.Observe(state.Endpoints)
 	}
+	s.followRollouts(state.Orders)
 	before := s.handler.Version()
 	s.handler.SetTable(table)
 	if table.Version != before {
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -167,7 +167,7 @@
 
 func (r *Registry) apply(h Heartbeat) {
 	if h.State == Ready {
-		r.config.Gate.SetBackend(gate.Backend{ID: h.ID, Service: h.Service, Address: h.Address, Capacity: h.Capacity})
+		r.config.Gate.SetBackend(gate.Backend{ID: h.ID, Service: h.Service, Address: h.Address, Capacity: h.Capacity, Version: h.Version})
 		return
 	}
 	r.config.Gate.RemoveBackend(h.ID)
--- a/pkg/relay/announced.go
+++ b/pkg/relay/announced.go
@@ -5,6 +5,7 @@
 
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
+	"bramblelift/pkg/rollout"
 )
 
 // maxAnnounced bounds what waits for the next ping; nodes announce for some seconds, or until the
@@ -25,10 +26,11 @@
 	if q.waiting.Evidence != nil {
 		evidence = *q.waiting.Evidence
 	}
-	if len(q.waiting.Endpoints)+len(evidence.Ends)+len(evidence.Answers) >= maxAnnounced {
+	if len(q.waiting.Endpoints)+len(evidence.Ends)+len(evidence.Answers)+len(q.waiting.Rollouts) >= maxAnnounced {
 		return false
 	}
 	q.waiting.Endpoints = append(q.waiting.Endpoints, announced.Endpoints...)
+	q.waiting.Rollouts = rollout.Newest(q.waiting.Rollouts, announced.Rollouts)
 	if announced.Evidence != nil {
 		joined := evidence.Join(*announced.Evidence)
 		q.waiting.Evidence = &joined
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -12,6 +12,8 @@
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/eligibility"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/orders"
+	"bramblelift/pkg/rollout"
 )
 
 // DefaultTimeout bounds calls of routes that set none.
@@ -85,6 +87,8 @@
 	// it bears until then; zero for no bound.
 	ColdStart time.Duration
 	ColdRate  float64
+	// Rollout is the one of the service that runs, nil for none.
+	Rollout   *rollout.Rollout
 	Endpoints []Endpoint
 }
 
@@ -121,6 +125,7 @@
 		table.Services = append(table.Services, Service{
 			Name: service.Name, MaxConcurrency: service.MaxConcurrency, MaxConnections: service.MaxConnections,
 			ColdStart: time.Duration(service.ColdStart), ColdRate: service.ColdRate,
+			Rollout:   running(state.Orders, service.Name),
 			Endpoints: endpoints(service, state.Endpoints[service.Name], table.Rules),
 		})
 	}
@@ -147,6 +152,15 @@
 	return resolved
 }
 
+// running returns a service's rollout if it runs, or else nil.
+func running(table *orders.Table, service string) *rollout.Rollout {
+	held, found := table.RolloutOf(service)
+	if !found || held.Phase != rollout.Running {
+		return nil
+	}
+	return &held
+}
+
 // endpoints joins the bundle's own endpoints with the platform's; the platform's word
 // on an ID goes first.
 func endpoints(service bundle.Service, listed map[string]distribution.Endpoint, rules *eligibility.Rules) []Endpoint {
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -385,7 +385,7 @@
 	}
 	if s.client.config.Announce != nil {
 		announced := s.client.config.Announce()
-		ping.Announcements, ping.Evidence = announced.Endpoints, announced.Evidence
+		ping.Announcements, ping.Evidence, ping.Rollouts = announced.Endpoints, announced.Evidence, announced.Rollouts
 	}
 	return s.conn.Send(protocol.KindPing, ping)
 }
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -251,7 +251,7 @@
 	if changed {
 		h.tellReport(s, true)
 	}
-	announced := protocol.Announce{Endpoints: ping.Announcements, Evidence: ping.Evidence}
+	announced := protocol.Announce{Endpoints: ping.Announcements, Evidence: ping.Evidence, Rollouts: ping.Rollouts}
 	if h.config.OnAnnounce != nil && !announced.Empty() {
 		h.config.OnAnnounce(announced)
 	}
