--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"fmt"
+	"slices"
 	"time"
 )
 
@@ -41,24 +43,261 @@
 	Gates []GateState
 }
 
+const (
+	// lookTime is how often the judge looks: windows count looks.
+	lookTime = 250 * time.Millisecond
+	// settleTime is how long a new judge moves no calls: its reports come within a second.
+	settleTime = time.Second
+	// minAnswers is how many answers of the new version a stage needs, fewer if half of what its share
+	// of the calls came to is less.
+	minAnswers = 50
+	// confirmTime is how long the last stage waits for nodes to confirm it.
+	confirmTime = 1500 * time.Millisecond
+	// drainTime is how long the calls of an old gate that control does not hear are waited for.
+	drainTime = 2 * time.Second
+	// closeLimit is how long Closing lasts at most: calls that are at work for longer are broken off.
+	closeLimit = 10 * time.Second
+)
+
 // Judge is held by control's leader while one rollout runs. A new leader starts a new one: reports count
 // from the order on, so that it knows the same within a second. It is not safe for concurrent use.
 type Judge struct {
-	policy Policy
-	number uint64
+	policy  Policy
+	service string
+	version string
+	number  uint64
+	lives   map[uint64]*life
+	// begun is when the judge was first asked, looked when it looked last.
+	begun, looked time.Time
+	// counts are the calls known to have reached the service, at the last looks.
+	counts []reachedAt
+	// stage is the share that base belongs to: how many calls the new version had ended when it began.
+	stage int
+	base  uint64
+	known bool
 }
 
+type reachedAt struct {
+	at      time.Time
+	reached uint64
+}
+
+// reachedLooks is how many looks the rate of calls is taken over.
+const reachedLooks = 8
+
 // NewJudge returns a judge for one rollout.
 func NewJudge(policy Policy, held Rollout) *Judge {
-	return &Judge{policy: policy, number: held.Number}
+	return &Judge{
+		policy:  policy,
+		service: held.Service,
+		version: held.Version,
+		number:  held.Number,
+		lives:   make(map[uint64]*life),
+	}
 }
 
 // Take keeps a gate's report if it is newer than the one held of the same life.
 func (j *Judge) Take(now time.Time, report Report) {
+	if report.Service != j.service || report.Number != j.number {
+		return
+	}
+	l := j.lives[report.Life]
+	if l == nil {
+		l = &life{target: report.Version == j.version, routes: make(map[string]*series)}
+		j.lives[report.Life] = l
+	}
+	if report.Admitted < l.report.Admitted {
+		return
+	}
+	l.take(now, report)
 }
 
 // Next returns the step that follows the held state, false if it stays. It is to be called several times
 // a second; the step acts once it is committed.
 func (j *Judge) Next(now time.Time, held Rollout, view View) (Rollout, bool) {
+	if j.begun.IsZero() {
+		j.begun = now
+	}
+	defer j.look(now)
+	switch held.Phase {
+	case Running:
+		return j.run(now, held, view)
+	case Closing:
+		return j.close(now, held, view)
+	case Reverting:
+		if reverted(now, held, view) {
+			return j.move(now, held, RolledBack, 0, held.Reason), true
+		}
+	}
 	return held, false
 }
+
+// look keeps counts for later windows, at most once each lookTime.
+func (j *Judge) look(now time.Time) {
+	if now.Sub(j.looked) < lookTime {
+		return
+	}
+	j.looked = now
+	for _, l := range j.lives {
+		for _, s := range l.routes {
+			s.look()
+		}
+	}
+	if len(j.counts) == reachedLooks {
+		j.counts = append(j.counts[:0], j.counts[1:]...)
+	}
+	j.counts = append(j.counts, reachedAt{at: now, reached: j.reached()})
+}
+
+// run is the step of a running rollout.
+func (j *Judge) run(now time.Time, held Rollout, view View) (Rollout, bool) {
+	v := j.judge()
+	if v.bad() {
+		return revert(held, now, v.reason), true
+	}
+	next, changed := j.grant(now, held, view)
+	since := now.Sub(time.UnixMilli(held.AtMillis))
+	p := planFor(held.Duration)
+	if !j.ripe(now, held, view, p) || v.suspicious() {
+		if since >= p.duration {
+			return revert(held, now, j.unripe(now, held, view, v)), true
+		}
+		return j.step(next, changed)
+	}
+	if held.Share == Thousandths {
+		next.Reason = j.evidence()
+		return j.move(now, next, Closing, Thousandths, next.Reason), true
+	}
+	share := stages[stageOf(held.Share)+1]
+	return j.move(now, next, Running, share, j.evidence()), true
+}
+
+// ripe reports whether a stage has lasted long enough and has brought evidence of its own.
+func (j *Judge) ripe(now time.Time, held Rollout, view View, p plan) bool {
+	begun := time.UnixMilli(held.ShareAtMillis).Sub(time.UnixMilli(held.AtMillis))
+	since := now.Sub(time.UnixMilli(held.AtMillis))
+	lasted := since - begun
+	enough := j.enough(now, held, lasted)
+	if now.Sub(j.begun) < settleTime && since > settleTime {
+		return false
+	}
+	if held.Share == canaryShare {
+		return enough && since >= p.rampAt() && lasted >= minStage && len(j.grantees(now, view)) > 0
+	}
+	if held.Share == Thousandths && lasted < confirmTime && !confirmed(view) {
+		return false
+	}
+	return enough && lasted >= p.stageTime(begun, held.Share)
+}
+
+// enough reports whether the new version has ended enough calls at this stage. A service that gets no
+// calls needs no evidence: there is nothing to be lost.
+func (j *Judge) enough(now time.Time, held Rollout, lasted time.Duration) bool {
+	ended := j.ended()
+	if !j.known || j.stage != held.Share {
+		j.stage, j.base, j.known = held.Share, ended, true
+		if held.Share == canaryShare {
+			j.base = 0
+		}
+	}
+	should := j.rate(now, held) * lasted.Seconds() * float64(held.Share) / Thousandths
+	return float64(ended-min(ended, j.base)) >= min(minAnswers, should/2)
+}
+
+// ended is how many calls the new version has answered or failed.
+func (j *Judge) ended() uint64 {
+	var sum uint64
+	for _, l := range j.lives {
+		if l.target {
+			sum += l.answered() + l.failed()
+		}
+	}
+	return sum
+}
+
+// close is the step of a rollout whose old gates close.
+func (j *Judge) close(now time.Time, held Rollout, view View) (Rollout, bool) {
+	if v := j.judge(); v.bad() {
+		return revert(held, now, v.reason), true
+	}
+	lasted := now.Sub(time.UnixMilli(held.ShareAtMillis))
+	if lasted >= closeLimit {
+		return j.move(now, held, Completed, Thousandths, "old back ends took too long to end their calls"), true
+	}
+	if !confirmed(view) {
+		return held, false
+	}
+	for _, g := range view.Gates {
+		if g.Version != held.Version && !idle(g, lasted) {
+			return held, false
+		}
+	}
+	return j.move(now, held, Completed, Thousandths, held.Reason), true
+}
+
+// idle reports whether a gate that should have closed is known to have no calls, or is cut off for so
+// long that none can be at work.
+func idle(g GateState, lasted time.Duration) bool {
+	if g.Silent <= LeaseTime {
+		return g.Confirmed && g.AtWork == 0
+	}
+	return min(g.Silent, lasted) >= LeaseTime+drainTime
+}
+
+// confirmed reports whether all nodes that control hears know the held step.
+func confirmed(view View) bool {
+	return !slices.ContainsFunc(view.Holders, func(h Holder) bool { return !h.Confirmed && h.Silent <= LeaseTime })
+}
+
+// reverted reports whether no gate of the new version lets in anything: each knows, or its lease is over.
+func reverted(now time.Time, held Rollout, view View) bool {
+	if now.Sub(time.UnixMilli(held.ShareAtMillis)) >= 2*LeaseTime {
+		return true
+	}
+	return !slices.ContainsFunc(view.Gates, func(g GateState) bool {
+		return g.Version == held.Version && !g.Confirmed && g.Silent <= LeaseTime
+	})
+}
+
+// move returns a step to another phase or share.
+func (j *Judge) move(now time.Time, held Rollout, phase Phase, share int, reason string) Rollout {
+	next := held
+	next.Step++
+	next.Phase, next.Share, next.Reason = phase, share, reason
+	next.ShareAtMillis = now.UnixMilli()
+	return next
+}
+
+// step numbers a step that changes grants only.
+func (j *Judge) step(next Rollout, changed bool) (Rollout, bool) {
+	if changed {
+		next.Step++
+	}
+	return next, changed
+}
+
+func (j *Judge) evidence() string {
+	return fmt.Sprintf("%d calls without signs against it", j.ended())
+}
+
+// unripe says why a rollout did not get through in its time.
+func (j *Judge) unripe(now time.Time, held Rollout, view View, v verdict) string {
+	switch {
+	case v.suspicious():
+		return "out of time, with signs against it: " + v.reason
+	case len(j.grantees(now, view)) == 0:
+		return "out of time: no back end of the version is heard"
+	}
+	return fmt.Sprintf("out of time: too little evidence, %d calls", j.ended())
+}
+
+// byRoute returns the series of all lives by route.
+func (j *Judge) byRoute() map[string][]*series {
+	all := make(map[string][]*series)
+	for _, l := range j.lives {
+		for route, s := range l.routes {
+			all[route] = append(all[route], s)
+		}
+	}
+	return all
+}
