--- /dev/null
+++ b/pkg/rollout/fake_test.go
@@ -0,0 +1,473 @@
+package rollout
+
+import (
+	"math"
+	"math/rand"
+	"time"
+)
+
+const fakeStep = 10 * time.Millisecond
+
+// badness is in which way a version is bad.
+type badness struct {
+	fails, slow float64 // share of the answers
+	factor      float64 // how much slower
+	from        time.Duration
+	route       int // -1: all
+	underLoad   bool
+}
+
+// world is what one seed plays.
+type world struct {
+	duration    time.Duration
+	rate        float64
+	old, new    int
+	zones       []float64 // weights of calls
+	bad         *badness
+	leaderLost  []time.Duration
+	silentThird [2]time.Duration // from, to: a third of the machines neither hears nor is heard
+	reportsLost float64
+	restart     time.Duration // all state is read back from what was committed; all gates start anew
+	burst       [2]time.Duration
+	sickOld     float64 // share of the old back ends that fail half of their calls
+	sickNew     bool    // one of the new ones does
+	zoneTrouble [2]time.Duration
+	coldReturn  time.Duration
+}
+
+type backend struct {
+	index    int
+	version  string
+	zone     string
+	speed    float64
+	sick     bool
+	start    time.Duration
+	cold     time.Duration // until
+	coldAt   time.Duration
+	life     uint64
+	tally    Tally
+	atWork   int
+	machine  *machine
+	admitted int
+}
+
+// machine holds a copy of the state; each back end and each client zone has one.
+type machine struct {
+	held      Rollout
+	confirmed time.Duration
+	told      uint64 // the step that control knows it has
+	heard     time.Duration
+	silent    bool
+	caution   Caution
+}
+
+type call struct {
+	route  int
+	zone   int
+	repeat bool
+	to     *backend
+	life   uint64
+	took   time.Duration
+	failed bool
+	slow   bool
+	from   *machine
+}
+
+type result struct {
+	phase         Phase
+	endedAt       time.Duration
+	exposed       int
+	allowed       float64
+	granted       uint64
+	lateAfterBad  int
+	endViolations int
+	reason        string
+	shares        []int
+}
+
+type delivery struct {
+	m    *machine
+	held Rollout
+}
+
+type fake struct {
+	world
+	rng      *rand.Rand
+	now      time.Duration
+	epoch    time.Time
+	backends []*backend
+	callers  []*machine
+	ends     map[int][]call
+	state    []Rollout
+	leaderAt time.Duration // when the leader is there again
+	judge    *Judge
+	pending  []Change
+	pendAt   []time.Duration
+	inbox    map[int][]delivery
+	reports  map[int][]Report
+	nextLife uint64
+	reached  int // distinct calls up to the deadline
+	exposed  int
+	bad      []time.Duration
+	newRate  float64
+	allRate  float64
+	res      result
+	rolled   bool
+	done     bool
+}
+
+var routeWork = []float64{60, 180, 400}
+
+var routeWeight = []float64{0.6, 0.9, 1}
+
+func newFake(seed int64, w world) *fake {
+	f := &fake{
+		world: w, rng: rand.New(rand.NewSource(seed)), epoch: time.UnixMilli(1_700_000_000_000),
+		ends: map[int][]call{}, inbox: map[int][]delivery{}, reports: map[int][]Report{},
+	}
+	speeds := []float64{0.7, 0.7, 1.6}
+	for i := 0; i < w.old+w.new; i++ {
+		b := &backend{index: i, version: "v1", zone: string(rune('a' + i%len(w.zones))), machine: &machine{}}
+		b.speed = speeds[f.rng.Intn(3)]
+		if i >= w.old {
+			b.version = "v2"
+			b.start = time.Duration(f.rng.Intn(1500)) * time.Millisecond
+			b.cold = b.start + 3*time.Second
+			b.sick = w.sickNew && i == w.old
+		} else {
+			b.sick = float64(i) < w.sickOld*float64(w.old)
+		}
+		f.nextLife++
+		b.life = f.nextLife
+		f.backends = append(f.backends, b)
+	}
+	for range 8 {
+		f.callers = append(f.callers, &machine{})
+	}
+	return f
+}
+
+func (f *fake) machines() []*machine {
+	list := append([]*machine{}, f.callers...)
+	for _, b := range f.backends {
+		list = append(list, b.machine)
+	}
+	return list
+}
+
+func (f *fake) tick() int { return int(f.now / fakeStep) }
+
+func (f *fake) later(min, max int) int {
+	return f.tick() + 1 + (min+f.rng.Intn(max-min+1))/int(fakeStep/time.Millisecond)
+}
+
+func within(now time.Duration, span [2]time.Duration) bool { return now >= span[0] && now < span[1] }
+
+func (f *fake) held() *Rollout { return &f.state[0] }
+
+func (f *fake) play() result {
+	start := Start(Order{Service: "s", Version: "v2", Duration: f.duration}, nil, f.epoch)
+	f.state, _ = Apply(nil, Change{start})
+	for _, m := range f.machines() {
+		m.held = start // those that do not know an order are the wiring's matter
+	}
+	f.judge = NewJudge(Policy{0.1, 50}, start)
+	for f.now = 0; f.now < f.duration+12*time.Second; f.now += fakeStep {
+		f.disturb()
+		f.commit()
+		f.talk()
+		f.finish()
+		f.send()
+		if !f.done && f.held().Phase.Ended() {
+			f.done = true
+			f.res.phase, f.res.endedAt, f.res.reason = f.held().Phase, f.now, f.held().Reason
+		}
+		if f.done && f.now > f.duration && f.now > f.res.endedAt+6*time.Second {
+			break
+		}
+	}
+	if !f.done {
+		f.res.phase, f.res.reason = f.held().Phase, f.held().Reason
+	}
+	f.res.exposed, f.res.allowed, f.res.granted = f.exposed, 0.1*float64(f.reached)+50, f.held().Exposed()
+	return f.res
+}
+
+func (f *fake) disturb() {
+	for _, at := range f.leaderLost {
+		if f.now == at {
+			f.leaderAt = f.now + time.Duration(500+f.rng.Intn(700))*time.Millisecond
+			f.judge = nil
+			f.bad = nil // the bound counts anew
+		}
+	}
+	if f.restart > 0 && f.now == f.restart {
+		f.judge, f.bad, f.leaderAt = nil, nil, f.now+time.Second
+		f.pending, f.pendAt, f.inbox, f.reports = nil, nil, map[int][]delivery{}, map[int][]Report{}
+		for _, b := range f.backends {
+			f.nextLife++
+			b.life, b.tally, b.atWork = f.nextLife, Tally{}, 0
+			b.machine.told, b.machine.confirmed = 0, -time.Hour
+		}
+		for _, m := range f.callers {
+			m.told, m.confirmed = 0, -time.Hour
+		}
+	}
+	silent := within(f.now, f.silentThird)
+	for i, m := range f.machines() {
+		m.silent = silent && i%3 == 0
+	}
+	if f.coldReturn > 0 && f.now == f.coldReturn {
+		for i, b := range f.backends {
+			if i%4 == 0 {
+				b.coldAt, b.cold = f.now, f.now+3*time.Second
+			}
+		}
+	}
+}
+
+func (f *fake) commit() {
+	for len(f.pending) > 0 && f.pendAt[0] <= f.now {
+		before := f.held().Step
+		f.state, _ = Apply(f.state, f.pending[0])
+		f.pending, f.pendAt = f.pending[1:], f.pendAt[1:]
+		if f.held().Step == before {
+			continue
+		}
+		f.res.shares = append(f.res.shares, f.held().Share)
+		if f.held().Phase == Completed {
+			f.checkCompleted()
+		}
+	}
+	if f.now < f.leaderAt || f.now%(200*time.Millisecond) != 0 {
+		return
+	}
+	if f.judge == nil {
+		f.judge = NewJudge(Policy{0.1, 50}, *f.held())
+	}
+	if len(f.pending) > 0 {
+		return
+	}
+	if next, changed := f.judge.Next(f.epoch.Add(f.now), *f.held(), f.view()); changed {
+		f.pending = append(f.pending, Change{next})
+		f.pendAt = append(f.pendAt, f.now+time.Duration(10+f.rng.Intn(60))*time.Millisecond)
+	}
+}
+
+// knows reports whether a step of the held phase and share is what a machine has.
+func (f *fake) knows(r Rollout) bool {
+	return r.Phase == f.held().Phase && r.Share == f.held().Share
+}
+
+func (f *fake) checkCompleted() {
+	for _, m := range f.machines() {
+		if !m.silent && f.now-m.heard < LeaseTime && m.held.Phase != Closing {
+			f.res.endViolations++
+		}
+	}
+	for _, b := range f.backends {
+		if b.version == "v1" && b.atWork > 0 && !b.machine.silent && f.now-b.machine.heard < LeaseTime {
+			f.res.endViolations++
+		}
+	}
+}
+
+func (f *fake) view() View {
+	var v View
+	for _, m := range f.callers {
+		v.Holders = append(v.Holders, Holder{Confirmed: f.told(m), Silent: f.now - m.heard})
+	}
+	for _, b := range f.backends {
+		if f.now >= b.start {
+			v.Gates = append(v.Gates, GateState{Version: b.version, Life: b.life, Confirmed: f.told(b.machine), AtWork: b.atWork, Silent: f.now - b.machine.heard})
+		}
+	}
+	return v
+}
+
+func (f *fake) told(m *machine) bool {
+	return m.told > 0 && f.knows(m.held)
+}
+
+// talk carries state to machines and reports to the leader.
+func (f *fake) talk() {
+	for _, d := range f.inbox[f.tick()] {
+		if d.m.silent {
+			continue
+		}
+		if d.held.Step >= d.m.held.Step {
+			d.m.held = d.held
+		}
+		d.m.confirmed, d.m.heard, d.m.told = f.now, f.now, 1
+	}
+	delete(f.inbox, f.tick())
+	if f.now < f.leaderAt {
+		return
+	}
+	for _, r := range f.reports[f.tick()] {
+		if f.judge != nil {
+			f.judge.Take(f.epoch.Add(f.now), r)
+		}
+	}
+	delete(f.reports, f.tick())
+	if f.now%(100*time.Millisecond) == 0 {
+		for _, m := range f.machines() {
+			if !m.silent && f.rng.Float64() > f.reportsLost/2 {
+				at := f.later(20, 250)
+				f.inbox[at] = append(f.inbox[at], delivery{m, *f.held()})
+			}
+		}
+	}
+	if f.now%(250*time.Millisecond) != 0 {
+		return
+	}
+	for _, b := range f.backends {
+		if f.now < b.start || b.machine.silent || f.rng.Float64() < f.reportsLost {
+			continue
+		}
+		r := Report{Service: "s", Number: f.held().Number, Version: b.version, Zone: b.zone, Life: b.life, Cold: f.cold(b)}
+		b.tally.Fill(&r)
+		at := f.later(10, 150)
+		f.reports[at] = append(f.reports[at], r)
+	}
+}
+
+func (f *fake) cold(b *backend) bool {
+	return f.now < b.cold && (b.coldAt > 0 || b.version == "v2")
+}
+
+func (f *fake) finish() {
+	for _, c := range f.ends[f.tick()] {
+		isBad := c.failed || c.slow
+		if c.to.version == "v2" {
+			c.from.caution.Note(c.from.held, c.failed)
+			if isBad && f.world.bad != nil {
+				f.bad = append(f.bad, f.now)
+			}
+		}
+		if c.to.life != c.life {
+			continue // the gate does not know it any more
+		}
+		c.to.atWork--
+		outcome := Answered
+		if c.failed {
+			outcome = Failed
+		}
+		c.to.tally.End(string(rune('0'+c.route)), outcome, c.took, f.cold(c.to))
+		if c.failed && !c.repeat && f.rng.Float64() < 0.7 {
+			f.dispatch(call{route: c.route, zone: c.zone, repeat: true, from: c.from})
+		}
+	}
+	delete(f.ends, f.tick())
+}
+
+func (f *fake) send() {
+	mean := f.rate * fakeStep.Seconds()
+	if within(f.now, f.burst) {
+		mean *= 2.5
+	}
+	n := int(mean + f.rng.Float64())
+	for range n {
+		c := call{route: 0, from: f.callers[f.rng.Intn(len(f.callers))]}
+		for p := f.rng.Float64(); p > routeWeight[c.route]; {
+			c.route++
+		}
+		for p := f.rng.Float64(); c.zone < len(f.zones)-1 && p > f.zones[c.zone]; c.zone++ {
+			p -= f.zones[c.zone]
+		}
+		if f.now < f.duration {
+			f.reached++
+		}
+		f.dispatch(c)
+	}
+	f.allRate = 0.98*f.allRate + float64(n)
+	f.newRate *= 0.98
+}
+
+func (f *fake) dispatch(c call) {
+	r := c.from.held
+	side := Choose(r, f.rng.Intn(Thousandths), c.repeat, c.from.caution.Careful(r))
+	for try := range 8 {
+		if try == 4 && r.Phase == Running {
+			side = OldVersions
+		}
+		b := f.pick(side, r, c.zone, try)
+		if b == nil {
+			continue
+		}
+		gate := Gate{Version: b.version, Life: b.life, Admitted: b.tally.Admitted(), Confirmed: f.now - b.machine.confirmed}
+		if !gate.Admits(b.machine.held) {
+			continue
+		}
+		f.enter(c, b)
+		return
+	}
+}
+
+func (f *fake) pick(side Side, r Rollout, zone, try int) *backend {
+	near := byte('a' + zone)
+	var list []*backend
+	for _, b := range f.backends {
+		if f.now < b.start || !side.Allows(r, b.version) {
+			continue
+		}
+		if try > 1 || b.zone[0] == near {
+			list = append(list, b)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[f.rng.Intn(len(list))]
+}
+
+func (f *fake) enter(c call, b *backend) {
+	b.tally.Admit(false)
+	b.atWork++
+	share := 0.0
+	if b.version == "v2" {
+		f.newRate++
+		f.exposed++
+		share = f.newRate / max(1, f.allRate)
+		f.checkEntry()
+	} else {
+		share = 1 - f.newRate/max(1, f.allRate)
+	}
+	took := routeWork[c.route] * b.speed * math.Exp(0.25*f.rng.NormFloat64()) * (0.9 + 0.4*share)
+	if within(f.now, f.burst) {
+		took *= 1.4
+	}
+	if f.cold(b) {
+		took *= 2
+	}
+	c.failed = f.rng.Float64() < 0.002
+	if b.sick && f.rng.Float64() < 0.5 {
+		c.failed = true
+	}
+	if b.zone == "a" && within(f.now, f.zoneTrouble) && f.rng.Float64() < 0.4 {
+		c.failed = true
+	}
+	if w := f.world.bad; w != nil && b.version == "v2" && f.now >= w.from && (w.route < 0 || w.route == c.route) && (!w.underLoad || share >= 0.15) {
+		if f.rng.Float64() < w.fails {
+			c.failed = true
+		}
+		if f.rng.Float64() < w.slow {
+			c.slow = true
+			took *= w.factor
+		}
+	}
+	c.took = time.Duration(took * float64(time.Millisecond))
+	c.to, c.life = b, b.life
+	at := f.tick() + 1 + int(c.took/fakeStep)
+	f.ends[at] = append(f.ends[at], c)
+}
+
+// checkEntry counts calls that the new version must not get.
+func (f *fake) checkEntry() {
+	if len(f.bad) >= 50 && f.now > f.bad[49]+5*time.Second {
+		f.res.lateAfterBad++
+	}
+	if f.held().Phase == RolledBack {
+		f.res.endViolations++
+	}
+}
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -55,6 +55,8 @@
 	confirmTime = 1500 * time.Millisecond
 	// drainTime is how long the calls of an old gate that control does not hear are waited for.
 	drainTime = 2 * time.Second
+	// leaseSpare is how long a confirmation is on its way at most, beside LeaseTime.
+	leaseSpare = time.Second
 	// closeLimit is how long Closing lasts at most: calls that are at work for longer are broken off.
 	closeLimit = 10 * time.Second
 )
@@ -251,12 +253,10 @@
 
 // reverted reports whether no gate of the new version lets in anything: each knows, or its lease is over.
 func reverted(now time.Time, held Rollout, view View) bool {
-	if now.Sub(time.UnixMilli(held.ShareAtMillis)) >= 2*LeaseTime {
+	if now.Sub(time.UnixMilli(held.ShareAtMillis)) >= LeaseTime+leaseSpare {
 		return true
 	}
-	return !slices.ContainsFunc(view.Gates, func(g GateState) bool {
-		return g.Version == held.Version && !g.Confirmed && g.Silent <= LeaseTime
-	})
+	return !slices.ContainsFunc(view.Gates, func(g GateState) bool { return g.Version == held.Version && !g.Confirmed })
 }
 
 // move returns a step to another phase or share.
--- /dev/null
+++ b/pkg/rollout/proof_test.go
@@ -0,0 +1,167 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+var goodKind = "good"
+
+var kinds = []string{goodKind, "fails", "fails-later", "fails-under-load", "fails-on-a-route", "slow", "slow-later"}
+
+var troubles = []string{"none", "leader", "silent-third", "reports-lost", "restart", "burst", "sick-old", "sick-new", "zone", "cold"}
+
+func between(rng *rand.Rand, low, high float64) float64 { return low + (high-low)*rng.Float64() }
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s*100) * 10 * time.Millisecond
+}
+
+// worldOf returns a version of a kind and one trouble, or two.
+func worldOf(seed int64) (string, string, world) {
+	rng := rand.New(rand.NewSource(seed))
+	kind := kinds[int(seed)%len(kinds)]
+	trouble := troubles[int(seed)/len(kinds)%len(troubles)]
+	d := between(rng, 12, 24)
+	w := world{duration: seconds(d), rate: between(rng, 300, 900), old: 8 + rng.Intn(8), zones: []float64{0.5, 0.3, 0.2}, reportsLost: 0.05}
+	w.new = max(4, w.old-rng.Intn(4))
+	at := between(rng, 0.05, 0.95) * d
+	switch trouble {
+	case "leader":
+		w.leaderLost = []time.Duration{seconds(at)}
+	case "silent-third":
+		w.silentThird = [2]time.Duration{seconds(at), seconds(at + between(rng, 3, 12))}
+	case "reports-lost":
+		w.reportsLost = 0.4
+	case "restart":
+		w.restart = seconds(between(rng, 0.1, 0.6) * d)
+	case "burst":
+		w.burst = [2]time.Duration{seconds(at), seconds(at + 3)}
+	case "sick-old":
+		w.sickOld = between(rng, 0.1, 0.3)
+	case "sick-new":
+		w.sickNew = true
+	case "zone":
+		w.zoneTrouble = [2]time.Duration{seconds(at), seconds(at + 3)}
+	case "cold":
+		w.coldReturn = seconds(at)
+	}
+	if rng.Intn(4) == 0 && trouble != "restart" {
+		w.leaderLost = []time.Duration{seconds(between(rng, 0.05, 0.95) * d)}
+	}
+	b := &badness{route: -1}
+	switch kind {
+	case goodKind:
+		return kind, trouble, w
+	case "fails":
+		b.fails = between(rng, 0.15, 1)
+	case "fails-later":
+		b.fails, b.from = between(rng, 0.15, 1), seconds(between(rng, 0.1, 0.5)*d)
+	case "fails-under-load":
+		b.fails, b.underLoad = between(rng, 0.2, 1), true
+	case "fails-on-a-route":
+		b.fails, b.route = between(rng, 0.3, 1), rng.Intn(3)
+	case "slow":
+		b.slow, b.factor = between(rng, 0.3, 1), between(rng, 3, 6)
+	case "slow-later":
+		b.slow, b.factor, b.from = between(rng, 0.3, 1), between(rng, 3, 6), seconds(between(rng, 0.1, 0.5)*d)
+	}
+	w.bad = b
+	return kind, trouble, w
+}
+
+// figures are what many seeds came to.
+type figures struct {
+	mu                           sync.Mutex
+	runs, ended                  map[string]int
+	exposure, late, ends, budget int
+	faults                       []string
+}
+
+func (fig *figures) note(seed int64, kind, trouble string, w world, r result) {
+	fig.mu.Lock()
+	defer fig.mu.Unlock()
+	fig.runs[kind]++
+	fault := func(format string, args ...any) {
+		fig.faults = append(fig.faults, fmt.Sprintf("seed %d %s/%s d=%v: ", seed, kind, trouble, w.duration)+fmt.Sprintf(format, args...))
+	}
+	if r.endViolations > 0 {
+		fig.ends++
+		fault("ends violated %d times, %v", r.endViolations, r.phase)
+	}
+	if w.bad == nil {
+		if r.phase == Completed && r.endedAt < w.duration {
+			fig.ended[kind]++
+		} else {
+			fault("%v after %v: %s", r.phase, r.endedAt, r.reason)
+		}
+		return
+	}
+	if r.phase == RolledBack {
+		fig.ended[kind]++
+	} else {
+		fault("%v after %v: %s; exposed %d of %.0f; %+v", r.phase, r.endedAt, r.reason, r.exposed, r.allowed, *w.bad)
+	}
+	if float64(r.exposed) > r.allowed {
+		fig.exposure++
+		fault("exposed %d of %.0f: %v %s after %v", r.exposed, r.allowed, r.phase, r.reason, r.endedAt)
+	}
+	if r.lateAfterBad > 0 {
+		fig.late++
+		fault("%d calls later than 5 s after the 50th bad answer", r.lateAfterBad)
+	}
+}
+
+func seedsToPlay() int64 {
+	if n, err := strconv.ParseInt(os.Getenv("ROLLOUT_SEEDS"), 10, 64); err == nil {
+		return n
+	}
+	return 1000
+}
+
+func playAll(from, to int64) *figures {
+	fig := &figures{runs: map[string]int{}, ended: map[string]int{}}
+	seeds := make(chan int64)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for seed := range seeds {
+				kind, trouble, w := worldOf(seed)
+				fig.note(seed, kind, trouble, w, newFake(seed, w).play())
+			}
+		}()
+	}
+	for seed := from; seed < to; seed++ {
+		seeds <- seed
+	}
+	close(seeds)
+	wg.Wait()
+	return fig
+}
+
+func TestVersionsEndAsTheyShould(t *testing.T) {
+	fig := playAll(0, seedsToPlay())
+	for _, fault := range fig.faults {
+		t.Log(fault)
+	}
+	for _, kind := range kinds {
+		t.Logf("%-18s %3d of %3d ended as they should", kind, fig.ended[kind], fig.runs[kind])
+		if kind != goodKind && fig.ended[kind] < fig.runs[kind] {
+			t.Errorf("not all rolled back: %s", kind)
+		}
+	}
+	t.Logf("violations: exposure %d, time %d, ends %d", fig.exposure, fig.late, fig.ends)
+	if float64(fig.ended[goodKind]) < 0.99*float64(fig.runs[goodKind]) {
+		t.Error("too few good versions completed")
+	}
+	if fig.exposure+fig.late+fig.ends > 0 {
+		t.Error("bounds violated")
+	}
+}
