--- a/pkg/balancer/version.go
+++ b/pkg/balancer/version.go
@@ -1,22 +1,24 @@
 package balancer
 
-import "slices"
+import (
+	"slices"
+
+	"bramblelift/pkg/rollout"
+)
 
 // VersionChoice is which side of a rollout a call goes to. The zero value has no preference.
 type VersionChoice struct {
-	// Version is the one that the rollout brings, empty for no rollout.
-	Version string
-	// New prefers back ends of that version, otherwise those of all others.
-	New bool
+	Rollout *rollout.Rollout
+	Side    rollout.Side
 }
 
-// prefer returns the candidates on the preferred side, or all of them if there is none: the gates of the
-// new version still let in only what they are granted.
+// prefer returns the candidates on the chosen side, or all of them if there is none: gates let in only
+// what their version may get in any case.
 func (c VersionChoice) prefer(candidates []*endpoint) []*endpoint {
-	if c.Version == "" {
+	if c.Rollout == nil {
 		return candidates
 	}
-	preferred := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return (e.target.Version == c.Version) != c.New })
+	preferred := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return !c.Side.Allows(*c.Rollout, e.target.Version) })
 	if len(preferred) == 0 {
 		return candidates
 	}
--- a/pkg/eligibility/eligibility.go
+++ b/pkg/eligibility/eligibility.go
@@ -51,7 +51,7 @@
 	if r.orders.Evacuated(b.Zone) {
 		return exchange.ReasonEvacuated
 	}
-	if held, found := r.orders.RolloutOf(b.Service); found && held.Phase == rollout.RolledBack && b.Version == held.Version {
+	if held, found := r.orders.RolloutOf(b.Service); found && (held.Phase == rollout.Reverting || held.Phase == rollout.RolledBack) && b.Version == held.Version {
 		return exchange.ReasonVersion
 	}
 	return ""
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -71,7 +71,7 @@
 
 // gateRequest is what both searches have in common.
 func (g *gatedCall) gateRequest(now time.Duration) balancer.GateRequest {
-	request := balancer.GateRequest{LeftOut: g.done, Regions: g.route.Regions, Patience: g.patience(now), Repeatable: g.safe, Version: g.version}
+	request := balancer.GateRequest{LeftOut: g.done, Regions: g.route.Regions, Patience: g.patience(now), Repeatable: g.safe, Version: g.versionChoice(now)}
 	if g.tries == 0 {
 		request.OwnWork = g.ownWork(now)
 	}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -12,7 +12,6 @@
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/retry"
-	"bramblelift/pkg/rollout"
 )
 
 // Bounds of calls through gates.
@@ -24,8 +23,6 @@
 	stoppingPause    = 1500 * time.Millisecond
 	absentPause      = 400 * time.Millisecond
 	downPause        = 250 * time.Millisecond
-	// versionPause is about half the time between two steps of a rollout.
-	versionPause = 250 * time.Millisecond
 	// gateRetryShare of the time left is when to come back after a refusal.
 	gateRetryShare = 3
 	minGateRetry   = 20 * time.Millisecond
@@ -51,11 +48,8 @@
 	linkBusy bool
 	throttle *retry.Throttle
 	// last is why the latest gate refused.
-	last exchange.Reason
-	// rollout is the one that runs of the service, nil for none; version is the side that the call
-	// goes to.
-	rollout *rollout.Rollout
-	version balancer.VersionChoice
+	last    exchange.Reason
+	version versionDraw
 	// held is a back end's failure that another attempt may yet make good, nil for none.
 	held *http.Response
 }
@@ -114,7 +108,7 @@
 	g.noteAsked(ticket, failure)
 	if failure == nil {
 		g.attempts++
-		g.noteVersion(ticket, exchange.ServerFailed(response.StatusCode), workOf(response))
+		g.noteVersion(ticket, exchange.ServerFailed(response.StatusCode))
 		if exchange.ServerFailed(response.StatusCode) && g.mayMakeGood(ctx, ticket, response) {
 			g.tellAttempt(ticket, &gateFailure{reason: exchange.ReasonServerError, peer: ticket.Address}, wait, now, true)
 			return nil, true
@@ -192,14 +186,14 @@
 		ticket.Avoid(now, versionPause)
 	case exchange.ReasonBroken, exchange.ReasonEnded:
 		if g.request.Context().Err() == nil && now < g.deadline {
-			g.noteVersion(ticket, true, 0)
+			g.noteVersion(ticket, true)
 			learned = balancer.Failed
 		}
 	}
 	if !failure.reason.Busy() {
 		g.done = ticket.LeftOut(g.done)
 	}
-	g.preferOld()
+	g.version.elsewhere = true
 	ticket.Done(now, learned)
 }
 
@@ -228,7 +222,7 @@
 // answer is here whole: the caller may take its time, or wait for answers before this one.
 func (g *gatedCall) answer(ticket *balancer.Ticket, response *http.Response) {
 	g.dropHeld()
-	work := workOf(response)
+	work, _ := exchange.ReadMicros(response.Header, exchange.HeaderWork)
 	if !exchange.ServerFailed(response.StatusCode) {
 		g.handler.work.note(g.route.Name, work, max(0, int(response.ContentLength)))
 	}
@@ -245,12 +239,6 @@
 	}
 }
 
-// workOf is how long the back end took, as its gate says.
-func workOf(response *http.Response) time.Duration {
-	work, _ := exchange.ReadMicros(response.Header, exchange.HeaderWork)
-	return work
-}
-
 // learnedFrom is what the end of a streamed answer says of its back end.
 func learnedFrom(err error) balancer.Outcome {
 	if err != nil {
@@ -286,7 +274,7 @@
 	g.dropHeld()
 	g.record.Note(Unknown)
 	g.held = response
-	g.preferOld()
+	g.version.elsewhere = true
 	g.done = ticket.LeftOut(g.done)
 	ticket.Done(g.now(), balancer.Answered)
 	return true
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -19,7 +19,6 @@
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/retry"
-	"bramblelift/pkg/rollout"
 	"bramblelift/pkg/routing"
 	"bramblelift/pkg/settings"
 )
@@ -124,9 +123,7 @@
 	// word that it has not begun the call, which cost it next to nothing.
 	budget   *retry.Budget
 	declines *retry.Budget
-	// rollout is the running one of the service, nil for none; versions is what the node sees of it.
-	rollout  atomic.Pointer[rollout.Rollout]
-	versions versionWatch
+	versions versions
 }
 
 // view is what calls see: one table with its services, swapped whole.
@@ -169,7 +166,7 @@
 			held = h.newService(definition)
 		}
 		held.pool.Update(h.config.Now(), definition)
-		held.setRollout(definition)
+		held.versions.set(h.config.Now(), definition.Rollout)
 		next.services[definition.Name] = held
 	}
 	h.view.Store(next)
--- a/pkg/forward/version.go
+++ b/pkg/forward/version.go
@@ -4,121 +4,133 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramblelift/pkg/balancer"
-	"bramblelift/pkg/clock"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/rollout"
-	"bramblelift/pkg/routing"
 )
 
-// Bounds of what a node decides of a version by itself. Control decides for all nodes, on far more calls;
-// the node only spares its own callers until then.
 const (
-	// signMemory is after how long what calls came to counts half.
-	signMemory = 5 * time.Second
-	// minSigns is how many failures of the new version, or slow answers, say anything, and
-	// signFactor how many times as often as on the old one they must come.
-	minSigns   = 3
-	signFactor = 3
-	// slowFactor times the mean of the old version's time is a slow answer.
-	slowFactor = 3
-	// signPause is for how long the node then gives the version nothing.
-	signPause = 2 * time.Second
+	// completedMemory is for how long after a rollout has completed calls still prefer the new version:
+	// the old back ends are stopped then, which takes some seconds to be known. Later back ends of other
+	// versions are ordinary ones.
+	completedMemory = 15 * time.Second
+	// versionPause is for how long a back end is left out whose version gets no more calls: about half
+	// the time between two steps of a rollout.
+	versionPause = 250 * time.Millisecond
 )
 
-// side is what a node's own calls to one side of a rollout came to.
-type side struct {
-	calls, failed, slow, work float64
+// versions is a node's view of the rollout of one service.
+type versions struct {
+	// held is nil while there is no rollout to go by.
+	held    atomic.Pointer[heldRollout]
+	mu      sync.Mutex
+	caution rollout.Caution
 }
 
-func (s *side) fade(kept float64) {
-	s.calls, s.failed, s.slow, s.work = s.calls*kept, s.failed*kept, s.slow*kept, s.work*kept
+type heldRollout struct {
+	rollout.Rollout
+	// until is when the rollout is no matter of calls any more, zero for no bound.
+	until time.Duration
 }
 
-// versionWatch is a node's own view of a rollout. It is safe for concurrent use.
-type versionWatch struct {
-	mu       sync.Mutex
-	number   uint64
-	at       time.Duration
-	old, new side
-	pausedTo time.Duration
+// set takes in the newest rollout of the service, nil if it never had one. Calls of one service are
+// answered by one table at a time, so that only one goroutine is here.
+func (v *versions) set(now time.Duration, newest *rollout.Rollout) {
+	before := v.held.Load()
+	if newest == nil {
+		v.held.Store(nil)
+		return
+	}
+	next := &heldRollout{Rollout: *newest}
+	switch newest.Phase {
+	case rollout.RolledBack:
+		// The table refuses the version's back ends.
+		next = nil
+	case rollout.Completed:
+		if before == nil || before.Number != newest.Number {
+			next = nil
+			break
+		}
+		next.until = before.until
+		if next.until == 0 {
+			next.until = now + completedMemory
+		}
+	}
+	v.held.Store(next)
 }
 
-// mayGive reports whether the node gives calls to the new version of a rollout.
-func (w *versionWatch) mayGive(now time.Duration, number uint64) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.number != number || now >= w.pausedTo
+// inForce returns the rollout that calls go by, nil for none.
+func (v *versions) inForce(now time.Duration) *rollout.Rollout {
+	held := v.held.Load()
+	if held == nil || (held.until != 0 && now > held.until) {
+		return nil
+	}
+	return &held.Rollout
 }
 
-// note takes in what a call came to.
-func (w *versionWatch) note(now time.Duration, number uint64, onNew, failed bool, work time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.number != number {
-		w.number, w.at, w.old, w.new, w.pausedTo = number, now, side{}, side{}, 0
-	}
-	kept := clock.Kept(now-w.at, signMemory)
-	w.at = now
-	w.old.fade(kept)
-	w.new.fade(kept)
-	s := &w.old
-	if onNew {
-		s = &w.new
-	}
-	s.calls++
-	switch {
-	case failed:
-		s.failed++
-	case onNew && w.old.calls >= minSigns && float64(work) > slowFactor*w.old.work/w.old.calls:
-		s.slow++
-	}
-	s.work += float64(work)
-	if onNew && w.bad() {
-		w.pausedTo = now + signPause
-	}
+// careful reports whether the node's own calls give it cause to spare the new version.
+func (v *versions) careful(r rollout.Rollout) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.caution.Careful(r)
 }
 
-// bad reports whether the new version shows signs that the old one does not; the mutex is held.
-func (w *versionWatch) bad() bool {
-	worse := func(signs, before float64) bool {
-		return signs >= minSigns-0.5 && signs*max(1, w.old.calls) > signFactor*before*w.new.calls
-	}
-	return worse(w.new.failed, w.old.failed) || worse(w.new.slow, w.old.slow)
+func (v *versions) note(r rollout.Rollout, failed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.caution.Note(r, failed)
 }
 
-// drawVersion chooses the side of a rollout for a call, once: repeats of the call stay with it as far as
-// there are back ends. A node that is not sure of what it holds gives the new version nothing.
+// versionDraw is a call's part in a rollout: the draw is made once, so that repeats do not draw again.
+type versionDraw struct {
+	// rollout is nil for none.
+	rollout *rollout.Rollout
+	draw    int
+	// elsewhere is set once the call came back from a back end without an answer.
+	elsewhere bool
+}
+
+// drawVersion takes a call's draw.
 func (g *gatedCall) drawVersion(now time.Duration) {
-	held := g.service.rollout.Load()
-	if held == nil {
-		return
+	g.version.rollout = g.service.versions.inForce(now)
+	if g.version.rollout != nil {
+		g.version.draw = rand.IntN(rollout.Thousandths)
 	}
-	g.rollout = held
-	g.version = balancer.VersionChoice{Version: held.Version}
-	if !held.Closing() && (!g.handler.sure(now) || !g.service.versions.mayGive(now, held.Number)) {
-		return
-	}
-	g.version.New = rand.IntN(rollout.Thousandths) < held.Share
 }
 
-// preferOld lets what the new version did not take, or failed, go to the old one at once.
-func (g *gatedCall) preferOld() {
-	if g.rollout != nil && !g.rollout.Closing() {
-		g.version.New = false
+// versionChoice returns which back ends the call prefers now. A node that has not heard lately what is in
+// force gives the new version nothing.
+func (g *gatedCall) versionChoice(now time.Duration) balancer.VersionChoice {
+	r := g.version.rollout
+	if r == nil {
+		return balancer.VersionChoice{}
 	}
+	careful := !g.handler.sure(now) || g.service.versions.careful(*r)
+	return balancer.VersionChoice{Rollout: r, Side: rollout.Choose(*r, g.version.draw, g.version.elsewhere, careful)}
 }
 
 // headVersion tells the gate what it must know of the rollout.
 func (g *gatedCall) headVersion(header http.Header, ticket *balancer.Ticket) {
-	if g.rollout == nil {
+	r := g.version.rollout
+	if r == nil {
 		return
 	}
 	header.Set(exchange.HeaderRoute, g.route.Name)
-	if ticket.Version == g.rollout.Version {
-		header.Set(exchange.HeaderRollout, g.rollout.Version)
+	if ticket.Version == r.Version {
+		header.Set(exchange.HeaderRollout, r.Version)
+	}
+	if g.attempts > 0 {
+		header.Set(exchange.HeaderRetry, "1")
+	}
+}
+
+// noteVersion keeps what a call to the new version came to.
+func (g *gatedCall) noteVersion(ticket *balancer.Ticket, failed bool) {
+	if r := g.version.rollout; r != nil && ticket.Version == r.Version {
+		g.service.versions.note(*r, failed)
 	}
 }
 
@@ -130,14 +142,3 @@
 	at, confirmed := h.config.ConfirmedAt()
 	return confirmed && now-at <= h.config.StaleLimit
 }
-
-// noteVersion keeps what a call came to for the node's own view of a rollout.
-func (g *gatedCall) noteVersion(ticket *balancer.Ticket, failed bool, work time.Duration) {
-	if g.rollout == nil {
-		return
-	}
-	g.service.versions.note(g.now(), g.rollout.Number, ticket.Version == g.rollout.Version, failed, work)
-}
-
-// setRollout takes in the rollout of a service, nil while none runs.
-func (s *service) setRollout(definition routing.Service) { s.rollout.Store(definition.Rollout) }
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -92,9 +92,7 @@
 	work       time.Duration
 	generation uint64
 	at         time.Duration
-	// order is the number of the rollout that the call counts for, zero for none.
-	order uint64
-	route string
+	counted    counted
 }
 
 // request is what admission must know of a call.
@@ -114,15 +112,13 @@
 	// lateAt is when the call becomes late unless the back end has begun it, zero if it has
 	// no target latency.
 	lateAt time.Duration
-	// route is only known while a rollout of the service runs.
-	route string
-	// rollout is the version that a rollout brings which the caller knows of, empty if it knows of none.
-	rollout string
+	// version is what the caller's node says of a rollout, zero if none is under way.
+	version versionHint
 }
 
 func (r request) waiter() *waiter {
 	return &waiter{
-		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline, route: r.route,
+		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline, version: r.version,
 		admitted: make(chan struct{}), dropped: make(chan struct{}),
 	}
 }
@@ -136,7 +132,7 @@
 		return admittance{}, reason
 	}
 	if g.running < g.backend.Capacity && len(g.queue) == 0 {
-		granted := g.grant(now, r.work, r.route)
+		granted := g.grantCounted(now, r.work, r.version)
 		g.mu.Unlock()
 		return granted, ""
 	}
@@ -187,16 +183,16 @@
 	case now >= r.deadline:
 		return exchange.ReasonDeadline
 	}
-	if r.rollout != "" && r.rollout == g.backend.Version && !g.versions.held {
+	if g.unknownRollout(r.version) {
 		return exchange.ReasonVersion
 	}
 	return g.refusesVersion(now)
 }
 
 // grant takes a slot; the mutex is held.
-func (g *Gate) grant(now, work time.Duration, route string) admittance {
+func (g *Gate) grant(now, work time.Duration) admittance {
 	g.running++
-	return admittance{backend: g.backend, work: work, generation: g.generation, at: now, order: g.noteAdmitted(), route: route}
+	return admittance{backend: g.backend, work: work, generation: g.generation, at: now}
 }
 
 // expectedWait estimates how long a call would wait; the mutex is held.
@@ -284,7 +280,7 @@
 		return
 	}
 	g.running--
-	g.tallyEnding(a, end)
+	a.counted.ended(end)
 	if end.failed || end.service > 0 {
 		g.health.note(g.config.Now(), end.failed)
 	}
@@ -305,7 +301,7 @@
 		if w == nil {
 			return
 		}
-		w.granted = g.grant(now, w.work, w.route)
+		w.granted = g.grantCounted(now, w.work, w.version)
 		close(w.admitted)
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -238,9 +238,10 @@
 		wanted.late = lastStart <= 0
 		wanted.lateAt = now + max(lastStart, 1)
 	}
-	wanted.rollout = header.Get(exchange.HeaderRollout)
+	wanted.version.target = header.Get(exchange.HeaderRollout)
 	if g.watching.Load() {
-		wanted.route = header.Get(exchange.HeaderRoute)
+		wanted.version.route = header.Get(exchange.HeaderRoute)
+		wanted.version.repeat = header.Get(exchange.HeaderRetry) != ""
 	}
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -15,14 +15,14 @@
 	work     time.Duration
 	priority int
 	deadline time.Duration
-	route    string
+	version  versionHint
 	// admitted is closed when the call may go on, dropped when it must not.
 	admitted chan struct{}
 	dropped  chan struct{}
 	// granted is set before admitted is closed.
 	granted admittance
-	// refused is why it must not go on; it is set before dropped is closed.
-	refused exchange.Reason
+	// reason is why it must not go on; it is set before dropped is closed.
+	reason exchange.Reason
 	index   int
 }
 
--- a/pkg/gate/version.go
+++ b/pkg/gate/version.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,14 +10,8 @@
 	"bramblelift/pkg/rollout"
 )
 
-// grantLease is for how long after the held state was last confirmed a grant holds. A gate that is cut
-// off from the control plane lets nothing more into a version that may have turned out bad meanwhile. It
-// is some pings long, so that a lost one closes nothing, and short beside the seconds in which a version
-// that was rolled back must get nothing.
-const grantLease = 1500 * time.Millisecond
-
-// maxTalliedRoutes bounds the routes that a report tells apart.
-const maxTalliedRoutes = 64
+// neverConfirmed is the age of a state that was never confirmed.
+const neverConfirmed = time.Duration(math.MaxInt64)
 
 // versions is the gate's side of a rollout of its back end's service: it lets calls into the new version
 // only as they are granted, and none into the old one once the new one has taken over. The gate's mutex
@@ -26,15 +21,13 @@
 	rollouts []rollout.Rollout
 	// life is drawn anew for each back end: what was let in before is not known.
 	life uint64
-	// current is the rollout of the back end's service, held if there is one.
+	// current is the newest rollout of the back end's service; held is false if there is none.
 	current rollout.Rollout
 	held    bool
-	// admitted and routes count from the order on.
-	admitted uint64
-	routes   []rollout.RouteCount
-	// closed is set once the new version has taken over from the back end's: it never opens again for
-	// this back end, while one that registers after the rollout has ended is no matter of it.
-	closed bool
+	// ordinary back ends registered after the rollout had completed: they are no matter of it, and
+	// neither old nor new.
+	ordinary bool
+	tally    *rollout.Tally
 }
 
 // SetRollouts takes in the rollouts in force.
@@ -51,7 +44,7 @@
 	g.followRollout()
 }
 
-// followRollout puts the rollout of the back end's service in force; the mutex is held.
+// followRollout puts the newest rollout of the back end's service in force; the mutex is held.
 func (g *Gate) followRollout() {
 	v := &g.versions
 	i := slices.IndexFunc(v.rollouts, func(r rollout.Rollout) bool { return r.Service == g.backend.Service })
@@ -61,15 +54,12 @@
 		return
 	}
 	next := v.rollouts[i]
-	if v.held && next.Number != v.current.Number {
-		v.admitted, v.routes = 0, nil
+	if !v.held || next.Number != v.current.Number {
+		v.tally = &rollout.Tally{}
+		v.ordinary = next.Phase == rollout.Completed && g.backend.Version != next.Version
 	}
-	known := v.held && next.Number == v.current.Number
 	v.current, v.held = next, true
-	g.watching.Store(next.Phase == rollout.Running)
-	if g.backend.Version != next.Version && (next.Closing() || (known && next.Phase == rollout.Completed)) {
-		v.closed = true
-	}
+	g.watching.Store(!next.Phase.Ended())
 	if reason := g.refusesVersion(g.config.Now()); reason != "" {
 		g.dropWaiting(reason)
 	}
@@ -78,84 +68,100 @@
 // refusesVersion returns why the back end's version gets no more calls at the moment; the mutex is held.
 func (g *Gate) refusesVersion(now time.Duration) exchange.Reason {
 	v := &g.versions
-	if !v.held {
+	if !v.held || v.ordinary {
 		return ""
 	}
-	if g.backend.Version != v.current.Version {
-		if v.closed {
-			return exchange.ReasonVersion
-		}
+	asked := rollout.Gate{Version: g.backend.Version, Life: v.life, Admitted: v.tally.Admitted(), Confirmed: g.confirmedAge(now)}
+	if asked.Admits(v.current) {
 		return ""
 	}
-	if v.current.Phase == rollout.RolledBack || (v.current.Phase == rollout.Running && !v.current.Closing() && !g.granted(now)) {
-		return exchange.ReasonVersion
-	}
-	return ""
+	return exchange.ReasonVersion
 }
 
-// granted reports whether the new version's back end may get one more call; the mutex is held.
-func (g *Gate) granted(now time.Duration) bool {
-	v := &g.versions
-	if v.admitted >= v.current.Allowed(v.life) || g.config.ConfirmedAt == nil {
-		return false
+// confirmedAge is how long ago the held state was confirmed.
+func (g *Gate) confirmedAge(now time.Duration) time.Duration {
+	if g.config.ConfirmedAt == nil {
+		return neverConfirmed
 	}
 	at, confirmed := g.config.ConfirmedAt()
-	return confirmed && now-at <= grantLease
+	if !confirmed {
+		return neverConfirmed
+	}
+	return now - at
 }
 
-// noteAdmitted counts a call that is let in, and returns the number of the order that it counts for, zero
-// for none; the mutex is held.
-func (g *Gate) noteAdmitted() uint64 {
-	v := &g.versions
-	if !v.held || v.current.Phase != rollout.Running {
-		return 0
-	}
-	v.admitted++
-	return v.current.Number
+// counted is what a call counts for in a rollout; tally is nil for nothing.
+type counted struct {
+	tally *rollout.Tally
+	route string
+}
+
+// grantCounted is grant for a call that may count for a rollout; the mutex is held.
+func (g *Gate) grantCounted(now, work time.Duration, hint versionHint) admittance {
+	granted := g.grant(now, work)
+	granted.counted = g.noteAdmitted(hint)
+	return granted
 }
 
-// noteEnded counts what a call that was let in during a rollout came to; the mutex is held.
-func (g *Gate) tallyEnding(a admittance, end ending) {
+// noteAdmitted counts a call that is let in; the mutex is held.
+func (g *Gate) noteAdmitted(hint versionHint) counted {
 	v := &g.versions
-	if a.order == 0 || !v.held || a.order != v.current.Number {
-		return
+	if !v.held || v.current.Phase.Ended() {
+		return counted{}
 	}
-	count := v.route(a.route)
-	if end.failed {
-		count.Failed++
+	v.tally.Admit(hint.repeat)
+	return counted{tally: v.tally, route: hint.route}
+}
+
+// ended counts what a call that was let in during a rollout came to; the gate's mutex is held.
+func (c counted) ended(end ending) {
+	if c.tally == nil {
 		return
 	}
-	if end.service > 0 {
-		count.Answered++
-		count.Times.Note(end.service)
+	outcome := rollout.GivenUp
+	switch {
+	case end.failed:
+		outcome = rollout.Failed
+	case end.service > 0:
+		outcome = rollout.Answered
 	}
+	c.tally.End(c.route, outcome, end.service, false)
 }
 
-// route returns a route's counters. Routes beyond the bound are counted as one without a name.
-func (v *versions) route(name string) *rollout.RouteCount {
-	i := slices.IndexFunc(v.routes, func(c rollout.RouteCount) bool { return c.Route == name })
-	if i < 0 && len(v.routes) >= maxTalliedRoutes && name != "" {
-		return v.route("")
-	}
-	if i < 0 {
-		v.routes = append(v.routes, rollout.RouteCount{Route: name})
-		i = len(v.routes) - 1
-	}
-	return &v.routes[i]
+// versionHint is what a call says of a rollout that its caller's node knows.
+type versionHint struct {
+	// target is the version that the rollout brings, on calls that are meant for it.
+	target string
+	route  string
+	// repeat is set if another back end had the call before.
+	repeat bool
+}
+
+// unknownRollout reports whether a call is meant for a new version of whose rollout the gate has not heard
+// yet, as after its start: it must not let in what it cannot count; the mutex is held.
+func (g *Gate) unknownRollout(hint versionHint) bool {
+	return hint.target != "" && hint.target == g.backend.Version && !g.versions.held
+}
+
+// RolloutReport describes the gate while a rollout of its back end's service is under way.
+type RolloutReport struct {
+	rollout.Report
+	// AtWork is how many calls the back end works on.
+	AtWork int
 }
 
-// RolloutReport returns what the gate has seen of its back end while a rollout of its service runs, false
-// if none does.
-func (g *Gate) RolloutReport() (rollout.Report, bool) {
+// RolloutReport returns what the gate has seen of its back end, false if no rollout of its service is
+// under way.
+func (g *Gate) RolloutReport() (RolloutReport, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	v := &g.versions
-	if !g.present || !v.held || v.current.Phase != rollout.Running {
-		return rollout.Report{}, false
+	if !g.present || !v.held || v.current.Phase.Ended() {
+		return RolloutReport{}, false
 	}
-	return rollout.Report{
-		Service: g.backend.Service, Number: v.current.Number, Version: g.backend.Version, Instance: g.backend.ID,
-		Life: v.life, Admitted: v.admitted, Routes: slices.Clone(v.routes),
-		Closed: v.closed, Running: g.running,
-	}, true
+	report := RolloutReport{AtWork: g.running, Report: rollout.Report{
+		Service: g.backend.Service, Number: v.current.Number, Version: g.backend.Version, Instance: g.backend.ID, Life: v.life,
+	}}
+	v.tally.Fill(&report.Report)
+	return report, true
 }
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -16,7 +16,6 @@
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
-	"bramblelift/pkg/rollout"
 	"bramblelift/pkg/wire"
 )
 
@@ -145,7 +144,7 @@
 	// nothing.
 	Evidence *quarantine.Evidence
 	// Rollouts are what the subscriber's gate, or those below a relay, have seen of running rollouts.
-	Rollouts []rollout.Report
+	Rollouts []RolloutReport
 }
 
 // Pong answers a Ping.
@@ -194,7 +193,7 @@
 type Announce struct {
 	Endpoints []distribution.Endpoint
 	Evidence  *quarantine.Evidence
-	Rollouts  []rollout.Report
+	Rollouts  []RolloutReport
 }
 
 // Empty reports whether nothing is announced.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -24,7 +24,7 @@
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
 		Link: s.link, Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
-		OnSender: func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
+		OnSender:    func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
@@ -83,11 +83,7 @@
 	if evidence := s.suspects.Take(s.clock.Elapsed()); !evidence.Empty() {
 		announced.Evidence = &evidence
 	}
-	if s.gate != nil {
-		if report, running := s.gate.RolloutReport(); running {
-			announced.Rollouts = append(announced.Rollouts, report)
-		}
-	}
+	announced.Rollouts = s.rolloutReports()
 	return announced
 }
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -89,9 +89,10 @@
 	// seen of them.
 	quarantine quarantine.Filter
 	suspects   quarantine.Outbox
-	// table and orders are the newest ones; only putInForce uses them.
-	table  *routing.Table
-	orders *orders.Table
+	// table is the newest one; only putInForce uses it.
+	table *routing.Table
+	// orders are the newest ones in force.
+	orders atomic.Pointer[orders.Table]
 }
 
 // New opens the node's sockets and reads its last configuration.
@@ -327,12 +328,15 @@
 	s.watch(state.Watchlist, state.Revision)
 	table := routing.Next(s.table, state, s.settings.Zones)
 	s.table = table
+	if s.gate != nil && state.Orders != nil {
+		s.gate.SetRollouts(state.Orders.Rollouts)
+	}
 	if s.registry != nil {
 		s.registry.Observe(state.Endpoints)
 	}
-	s.followRollouts(state.Orders)
 	before := s.handler.Version()
 	s.handler.SetTable(table)
+	s.followRollouts(state.Orders)
 	if table.Version != before {
 		s.logger.Log("event", "version_in_force", "version", table.Version, "revision", table.Revision)
 	}
--- a/pkg/relay/announced.go
+++ b/pkg/relay/announced.go
@@ -5,7 +5,6 @@
 
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
-	"bramblelift/pkg/rollout"
 )
 
 // maxAnnounced bounds what waits for the next ping; nodes announce for some seconds, or until the
@@ -30,7 +29,7 @@
 		return false
 	}
 	q.waiting.Endpoints = append(q.waiting.Endpoints, announced.Endpoints...)
-	q.waiting.Rollouts = rollout.Newest(q.waiting.Rollouts, announced.Rollouts)
+	q.waiting.Rollouts = protocol.NewestRollouts(q.waiting.Rollouts, announced.Rollouts)
 	if announced.Evidence != nil {
 		joined := evidence.Join(*announced.Evidence)
 		q.waiting.Evidence = &joined
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -87,7 +87,7 @@
 	// it bears until then; zero for no bound.
 	ColdStart time.Duration
 	ColdRate  float64
-	// Rollout is the one of the service that runs, nil for none.
+	// Rollout is the newest one of the service, nil if it never had one.
 	Rollout   *rollout.Rollout
 	Endpoints []Endpoint
 }
@@ -125,7 +125,7 @@
 		table.Services = append(table.Services, Service{
 			Name: service.Name, MaxConcurrency: service.MaxConcurrency, MaxConnections: service.MaxConnections,
 			ColdStart: time.Duration(service.ColdStart), ColdRate: service.ColdRate,
-			Rollout:   running(state.Orders, service.Name),
+			Rollout:   newestRollout(state.Orders, service.Name),
 			Endpoints: endpoints(service, state.Endpoints[service.Name], table.Rules),
 		})
 	}
@@ -152,10 +152,9 @@
 	return resolved
 }
 
-// running returns a service's rollout if it runs, or else nil.
-func running(table *orders.Table, service string) *rollout.Rollout {
+func newestRollout(table *orders.Table, service string) *rollout.Rollout {
 	held, found := table.RolloutOf(service)
-	if !found || held.Phase != rollout.Running {
+	if !found {
 		return nil
 	}
 	return &held
