--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -23,7 +23,7 @@
 	granted admittance
 	// reason is why it must not go on; it is set before dropped is closed.
 	reason exchange.Reason
-	index   int
+	index  int
 }
 
 // waitQueue orders waiters: those that can still be answered within their target latency first,
