--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -29,6 +29,8 @@
 	Capacity int
 	// Version is that of the back end's software, empty if unknown.
 	Version string
+	// Zone is where it runs, empty for that of the gate.
+	Zone string
 }
 
 // SetBackend names the back end that takes calls from now on.
@@ -40,6 +42,7 @@
 	defer g.mu.Unlock()
 	if g.present && g.backend.ID == backend.ID {
 		g.backend = backend
+		g.applyRules()
 		return
 	}
 	g.left = g.backend.ID
@@ -48,6 +51,8 @@
 	g.running, g.service, g.pace, g.health, g.downUntil = 0, 0, pace{}, health{}, 0
 	g.dropWaiting(exchange.ReasonAbsent)
 	g.setVersion()
+	g.closing = closing{}
+	g.applyRules()
 }
 
 // RemoveBackend lets nothing new reach a back end.
@@ -77,7 +82,7 @@
 	g.dropWaiting(exchange.ReasonAbsent)
 }
 
-// dropWaiting refuses all that waits; the mutex is held.
+// dropWaiting lets all waiters go; the mutex is held.
 func (g *Gate) dropWaiting(reason exchange.Reason) {
 	for w := g.queue.first(); w != nil; w = g.queue.first() {
 		w.reason = reason
@@ -178,6 +183,8 @@
 		return exchange.ReasonLeft
 	case !g.present || (r.instance != "" && r.instance != g.backend.ID):
 		return exchange.ReasonAbsent
+	case g.closing.reason != "":
+		return g.closing.reason
 	case now < g.downUntil:
 		return exchange.ReasonUnreachable
 	case now >= r.deadline:
@@ -291,6 +298,7 @@
 		g.service += time.Duration(serviceWeight * float64(end.service-g.service))
 		g.pace.note(a.work, end.service)
 	}
+	g.noteQuiet()
 	for g.running < g.backend.Capacity {
 		now := g.config.Now()
 		if reason := g.refusesVersion(now); reason != "" {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramblelift/pkg/eligibility"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/quarantine"
@@ -61,6 +62,11 @@
 	// ConfirmedAt returns up to when the held state is known to be current, false if that was never
 	// known. Without it nothing is let into a version that a rollout brings.
 	ConfirmedAt func() (time.Duration, bool)
+	// Zone is that of back ends which do not tell theirs.
+	Zone string
+	// OnClosing, if set, is told when orders close the gate, when it is quiet and when it opens again.
+	// It must not call the gate.
+	OnClosing func(Closing)
 }
 
 // Call describes a finished call, for logs and metrics.
@@ -93,7 +99,10 @@
 	// generation counts the back ends; slots of an earlier one do not count any more.
 	generation uint64
 	stopping   bool
-	running    int
+	// rules are those of the node's state, nil before it has one.
+	rules   *eligibility.Rules
+	closing closing
+	running int
 	// receiving counts the calls whose bodies are on their way here.
 	receiving int
 	queue     waitQueue
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -19,11 +19,11 @@
 	// admitted is closed when the call may go on, dropped when it must not.
 	admitted chan struct{}
 	dropped  chan struct{}
+	// reason is why it was dropped; it is set before dropped is closed.
+	reason exchange.Reason
 	// granted is set before admitted is closed.
 	granted admittance
-	// reason is why it must not go on; it is set before dropped is closed.
-	reason exchange.Reason
-	index  int
+	index   int
 }
 
 // waitQueue orders waiters: those that can still be answered within their target latency first,
--- a/pkg/orders/table.go
+++ b/pkg/orders/table.go
@@ -43,6 +43,14 @@
 	return found
 }
 
+// EvacuatedZones returns the orders about zones, by zone.
+func (t *Table) EvacuatedZones() []Evacuation {
+	if t == nil {
+		return nil
+	}
+	return t.Evacuations
+}
+
 func (t *Table) findZone(zone string) (int, bool) {
 	return slices.BinarySearchFunc(t.Evacuations, zone, func(e Evacuation, zone string) int { return cmp.Compare(e.Zone, zone) })
 }
@@ -110,3 +118,11 @@
 	}
 	return []any{"order", "none"}
 }
+
+// AllRollouts returns the newest rollout of each service that had one.
+func (t *Table) AllRollouts() []rollout.Rollout {
+	if t == nil {
+		return nil
+	}
+	return t.Rollouts
+}
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -14,6 +14,7 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/catalog"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
 	"bramblelift/pkg/wire"
@@ -145,6 +146,15 @@
 	Evidence *quarantine.Evidence
 	// Rollouts are what the subscriber's gate, or those below a relay, have seen of running rollouts.
 	Rollouts []RolloutReport
+	// Closed is the state of the subscriber's gate while orders keep it closed, nil otherwise.
+	Closed *ClosedGate
+}
+
+// ClosedGate is the state of a gate that orders keep closed.
+type ClosedGate struct {
+	Reason exchange.Reason
+	// Running are the calls that are still at work behind it.
+	Running int
 }
 
 // Pong answers a Ping.
@@ -173,6 +183,8 @@
 	Zone      string
 	Position  distribution.Position
 	Connected bool
+	// Closed is the state of the node's gate while orders keep it closed, nil otherwise.
+	Closed *ClosedGate
 }
 
 // RaftMessage carries one consensus message.
@@ -194,6 +206,8 @@
 	Endpoints []distribution.Endpoint
 	Evidence  *quarantine.Evidence
 	Rollouts  []RolloutReport
+	// Closed goes no further than the server that hears it.
+	Closed *ClosedGate
 }
 
 // Empty reports whether nothing is announced.
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -385,7 +385,8 @@
 	}
 	if s.client.config.Announce != nil {
 		announced := s.client.config.Announce()
-		ping.Announcements, ping.Evidence, ping.Rollouts = announced.Endpoints, announced.Evidence, announced.Rollouts
+		ping.Announcements, ping.Evidence, ping.Closed = announced.Endpoints, announced.Evidence, announced.Closed
+		ping.Rollouts = announced.Rollouts
 	}
 	return s.conn.Send(protocol.KindPing, ping)
 }
