--- a/pkg/rollout/budget.go
+++ b/pkg/rollout/budget.go
@@ -28,18 +28,17 @@
 	return uint64(spendable*j.policy.ExposureShare*calls) + slack
 }
 
-// reached is how many calls are known to have reached the service since the order. A call that fails at
-// the new version comes again and would count twice, so it counts only where it is answered.
+// reached is how many calls are known to have reached the service since the order: what all gates have
+// counted, or what was committed before this judge and what gates counted since, whichever is more. Either
+// may have missed some; neither counts one twice.
 func (j *Judge) reached() uint64 {
-	var sum uint64
+	all, since := uint64(0), j.before
 	for _, l := range j.lives {
-		known := l.report.Admitted - min(l.report.Admitted, l.report.Repeats)
-		if l.target {
-			known -= min(known, l.failed())
-		}
-		sum += known
+		counted := l.counted()
+		all += counted
+		since += counted - min(counted, l.first)
 	}
-	return sum
+	return max(all, since)
 }
 
 // expected is how many more calls will reach the service until the deadline, if they come as they did:
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -68,7 +68,9 @@
 	service string
 	version string
 	number  uint64
-	lives   map[uint64]*life
+	// before is how many calls had reached the service by what was committed before this judge.
+	before uint64
+	lives  map[uint64]*life
 	// begun is when the judge was first asked, looked when it looked last.
 	begun, looked time.Time
 	// counts are the calls known to have reached the service, at the last looks.
@@ -94,6 +96,7 @@
 		service: held.Service,
 		version: held.Version,
 		number:  held.Number,
+		before:  held.Reached,
 		lives:   make(map[uint64]*life),
 	}
 }
@@ -265,6 +268,7 @@
 	next.Step++
 	next.Phase, next.Share, next.Reason = phase, share, reason
 	next.ShareAtMillis = now.UnixMilli()
+	next.Reached = max(held.Reached, j.reached())
 	return next
 }
 
@@ -272,6 +276,7 @@
 func (j *Judge) step(next Rollout, changed bool) (Rollout, bool) {
 	if changed {
 		next.Step++
+		next.Reached = max(next.Reached, j.reached())
 	}
 	return next, changed
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -84,6 +84,9 @@
 	Grants []Grant `json:"grants,omitempty"`
 	// Spent is what gates that have no grant any more were allowed to let in.
 	Spent uint64 `json:"spent"`
+	// Reached is how many calls were known to have reached the service since the order, at this step: gates
+	// that start anew forget theirs.
+	Reached uint64 `json:"reached"`
 	// Reason says why the rollout is where it is, for people.
 	Reason string `json:"reason,omitempty"`
 }
--- a/pkg/rollout/series.go
+++ b/pkg/rollout/series.go
@@ -95,7 +95,9 @@
 type life struct {
 	report Report
 	target bool
-	heard  time.Time
+	// first is what the first report here said of calls that count.
+	first uint64
+	heard time.Time
 	// perSecond is how many calls the gate let in a second between its last two reports.
 	perSecond float64
 	routes    map[string]*series
@@ -105,7 +107,11 @@
 	if span := now.Sub(l.heard).Seconds(); !l.heard.IsZero() && span > 0 {
 		l.perSecond = float64(report.Admitted-l.report.Admitted) / span
 	}
+	fresh := l.heard.IsZero()
 	l.report, l.heard = report, now
+	if fresh {
+		l.first = l.counted()
+	}
 	for _, r := range report.Routes {
 		s := l.routes[r.Route]
 		if s == nil {
@@ -116,6 +122,16 @@
 	}
 }
 
+// counted is how many of a gate's calls count as having reached the service: repeats do not, and a call
+// that failed at the new version comes again, so it counts only where it is answered.
+func (l *life) counted() uint64 {
+	known := l.report.Admitted - min(l.report.Admitted, l.report.Repeats)
+	if l.target {
+		known -= min(known, l.failed())
+	}
+	return known
+}
+
 func (l *life) failed() uint64 {
 	var sum uint64
 	for _, r := range l.report.Routes {
