--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -274,7 +274,7 @@
 
 func (f *fake) view() View {
 	var v View
-	for _, m := range f.callers {
+	for _, m := range f.machines() {
 		v.Holders = append(v.Holders, Holder{Confirmed: f.told(m), Silent: f.now - m.heard})
 	}
 	for _, b := range f.backends {
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -143,6 +143,7 @@
 		return
 	}
 	j.looked = now
+	j.allow()
 	for _, l := range j.lives {
 		for _, s := range l.routes {
 			s.look()
@@ -240,13 +241,13 @@
 	return j.move(now, held, Completed, Thousandths, held.Reason), true
 }
 
-// idle reports whether a gate that should have closed is known to have no calls, or is cut off for so
-// long that none can be at work.
+// idle reports whether a gate that should have closed is known to have no calls, or is cut off and has had
+// the time to end its calls: nodes that control hears give it none.
 func idle(g GateState, lasted time.Duration) bool {
 	if g.Silent <= LeaseTime {
 		return g.Confirmed && g.AtWork == 0
 	}
-	return min(g.Silent, lasted) >= LeaseTime+drainTime
+	return lasted >= drainTime
 }
 
 // confirmed reports whether all nodes that control hears know the held step.
@@ -295,14 +296,3 @@
 	}
 	return fmt.Sprintf("out of time: too little evidence, %d calls", j.ended())
 }
-
-// byRoute returns the series of all lives by route.
-func (j *Judge) byRoute() map[string][]*series {
-	all := make(map[string][]*series)
-	for _, l := range j.lives {
-		for route, s := range l.routes {
-			all[route] = append(all[route], s)
-		}
-	}
-	return all
-}
--- a/pkg/rollout/schedule.go
+++ b/pkg/rollout/schedule.go
@@ -18,8 +18,9 @@
 	usualStage   = 600 * time.Millisecond
 	maxStage     = 3 * time.Second
 	stagesInTime = 20
-	// closeTime is how long the old gates take to close and to end their calls, usually.
-	closeTime = 1500 * time.Millisecond
+	// closeTime is how long the old gates take to close and to end their calls, with some that control
+	// does not hear.
+	closeTime = 2 * time.Second
 	// minReserve and maxReserve bound the part of the duration that is kept for a change of leader, a
 	// fifth of the duration between them.
 	minReserve    = time.Second
--- a/pkg/rollout/series.go
+++ b/pkg/rollout/series.go
@@ -7,6 +7,9 @@
 // looks is how many looks a series keeps: the widest window but that since the order.
 const looks = 32
 
+// recentLooks is how many looks the old version's failures are taken from for what the new one is allowed.
+const recentLooks = 8
+
 // counts are one route's calls at one back end, summed.
 type counts struct {
 	answered, failed uint64
@@ -15,9 +18,8 @@
 
 // series is how one route's calls at one back end came along, look by look.
 type series struct {
-	zone   string
-	target bool
-	now    counts
+	life *life
+	now  counts
 	// past holds what now was at the last looks, the oldest first.
 	past []counts
 }
@@ -47,48 +49,145 @@
 	return c
 }
 
-// usual is the bucket of a back end's usual time, its lower quartile, false if too few are known. The
-// lower quartile stays that of the good answers while up to three in four turn slow.
-func (s *series) usual() (int, bool) {
-	var sum uint64
-	for _, n := range s.now.times {
-		sum += uint64(n)
+// route is what the judge measures one route's times by.
+type route struct {
+	series []*series
+	// median is the bucket of the old version's median time.
+	median int
+	// slowBy is by how many buckets an answer must be slower than usual for its back end to be slow, tail
+	// the bucket beyond which it is slow for the service: few of the old version's answers are.
+	slowBy, tail int
+}
+
+// prepare works out what times are measured by, from all answers since the order.
+func (j *Judge) prepare() map[string]*route {
+	routes := make(map[string]*route)
+	for _, l := range j.lives {
+		for name, s := range l.routes {
+			r := routes[name]
+			if r == nil {
+				r = &route{}
+				routes[name] = r
+			}
+			r.series = append(r.series, s)
+		}
+	}
+	for _, r := range routes {
+		old := r.oldTimes()
+		r.median, r.tail = old.quantile(0.5), old.quantile(1-slowUsual)
+	}
+	for _, l := range j.lives {
+		l.findUsual(routes)
+	}
+	for _, r := range routes {
+		r.slowBy = r.findSlowBy()
+	}
+	return routes
+}
+
+func (r *route) oldTimes() Times {
+	var sum Times
+	for _, s := range r.series {
+		if s.life.target {
+			continue
+		}
+		for i, n := range s.now.times {
+			sum[i] += n
+		}
+	}
+	return sum
+}
+
+// findSlowBy returns the least distance from a back end's usual time that few of the old version's
+// answers have.
+func (r *route) findSlowBy() int {
+	var beyond [2 * timeBuckets]float64
+	calls := 0.0
+	for _, s := range r.series {
+		if s.life.target || !s.life.known {
+			continue
+		}
+		for i, n := range s.now.times {
+			calls += float64(n)
+			beyond[max(0, min(i-r.median-s.life.usual, len(beyond)-1))] += float64(n)
+		}
 	}
-	if sum < minTimes {
-		return 0, false
+	slow := 0.0
+	for by := len(beyond) - 1; by > minSlowBuckets; by-- {
+		if slow += beyond[by]; slow > slowUsual*calls {
+			return by
+		}
 	}
-	var below uint64
-	for i, n := range s.now.times {
-		if below += uint64(n); 4*below >= sum {
-			return i, true
+	return minSlowBuckets
+}
+
+// quantile returns the bucket that a part of the answers lies below or in.
+func (t Times) quantile(part float64) int {
+	var sum, below float64
+	for _, n := range t {
+		sum += float64(n)
+	}
+	for i, n := range t {
+		if below += float64(n); below >= part*sum {
+			return i
 		}
 	}
-	return timeBuckets - 1, true
+	return timeBuckets - 1
 }
 
-// slower counts the answers whose times are known, and those of them beyond a bucket.
-func (c counts) slower(bucket int) (calls, slow float64) {
-	for i, n := range c.times {
-		calls += float64(n)
-		if i > bucket {
-			slow += float64(n)
+// minUsual is how many times a back end's usual one is taken from.
+const minUsual = 6
+
+// findUsual finds a back end's usual time over all routes: the lower quartile of the distances from the
+// routes' medians. It stays that of the good answers while up to three in four turn slow.
+func (l *life) findUsual(routes map[string]*route) {
+	var distances [2 * timeBuckets]float64
+	sum := 0.0
+	for name, s := range l.routes {
+		for i, n := range s.now.times {
+			distances[timeBuckets+i-routes[name].median] += float64(n)
+			sum += float64(n)
+		}
+	}
+	l.known = sum >= minUsual
+	below := 0.0
+	for i, n := range distances {
+		if below += n; 4*below >= sum {
+			l.usual = i - timeBuckets
+			return
 		}
 	}
-	return calls, slow
 }
 
-// meanDoubles is the mean time as a power of two, and of how many answers.
-func (c counts) meanDoubles() (float64, uint64) {
-	var sum float64
-	var times uint64
-	for i, n := range c.times {
-		sum += float64(i) * float64(n) / bucketsPerDouble
-		times += uint64(n)
+// observe returns what came in a window, measured.
+func (s *series) observe(w int, r *route) sample {
+	d := s.since(w)
+	one := sample{
+		life:   s.life.report.Life,
+		zone:   s.life.report.Zone,
+		target: s.life.target,
+		calls:  float64(d.answered + d.failed),
+		failed: float64(d.failed),
 	}
-	if times == 0 {
-		return 0, 0
+	for i, n := range d.times {
+		if n == 0 {
+			continue
+		}
+		n := float64(n)
+		one.times += n
+		one.doubles += n * float64(i-r.median) / bucketsPerDouble
+		if i > r.tail {
+			one.tail += n
+		}
+		if !s.life.known {
+			continue
+		}
+		one.own += n
+		if i > r.median+s.life.usual+r.slowBy {
+			one.slow += n
+		}
 	}
-	return sum / float64(times), times
+	return one
 }
 
 // life is what is known of one gate's process with one back end.
@@ -101,6 +200,12 @@
 	// perSecond is how many calls the gate let in a second between its last two reports.
 	perSecond float64
 	routes    map[string]*series
+	// usual is how far from the routes' medians its usual time is, in buckets, if known.
+	usual int
+	known bool
+	// allowed is how many failures a back end of the new version is allowed, of its calls that ended.
+	allowed float64
+	ended   uint64
 }
 
 func (l *life) take(now time.Time, report Report) {
@@ -115,7 +220,7 @@
 	for _, r := range report.Routes {
 		s := l.routes[r.Route]
 		if s == nil {
-			s = &series{zone: report.Zone, target: l.target}
+			s = &series{life: l}
 			l.routes[r.Route] = s
 		}
 		s.now = counts{answered: r.Answered, failed: r.Failed, times: r.Times}
@@ -147,3 +252,14 @@
 	}
 	return sum
 }
+
+// recent returns the calls of the last looks.
+func (l *life) recent() sample {
+	one := sample{zone: l.report.Zone}
+	for _, s := range l.routes {
+		d := s.since(recentLooks)
+		one.calls += float64(d.answered + d.failed)
+		one.failed += float64(d.failed)
+	}
+	return one
+}
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -13,32 +13,37 @@
 	threshold = 12
 	// suspicion is the part of the threshold from which on the share stays.
 	suspicion = 0.5
+	// elsewhere is how much of a zone's part of the evidence the other zones must show, too: a zone in
+	// trouble is not the version's fault.
+	elsewhere = 0.5
 	// minBaseline is how many calls of old back ends a window needs; with fewer a wider one is asked.
 	minBaseline = 50
-	// failureFloor is the share of failures that any version is allowed, slowFloor that of slow answers.
+	// failureFloor, slowFloor and tailFloor are what share of failures, of answers slow by the back
+	// end's own measure and of answers slow by the service's measure any version is allowed.
 	failureFloor = 0.01
 	slowFloor    = 0.08
+	tailFloor    = 0.15
 	// slowUsual is the share of the old version's answers that count as slow.
 	slowUsual = 0.05
 	// minSlowBuckets is how much slower than usual for the back end a slow answer is: two to three times.
 	minSlowBuckets = 2
-	// minTimes is how many times a back end's usual one is taken from.
-	minTimes = 12
 	// shiftMargin, in doublings, is how much slower than the old the new back ends may be on the whole,
 	// besides shiftSigmas times the spread between back ends, which is at least minSpread.
 	shiftMargin = 0.7
 	shiftSigmas = 3
 	minSpread   = 0.3
-	minShift    = 5
+	// minShift is how many times of a back end its mean is taken from.
+	minShift = 5
 	// maxFailures is how many failures of the new version, those of its worst back ends left out, end a
 	// rollout without a test if they are far more than the old version's share.
 	maxFailures = 20
 )
 
-// failureSteps and slowSteps are how much more than the baseline a bad version fails, or is slow.
+// How much more than the baseline a bad version fails, or is slow.
 var (
 	failureSteps = []float64{0.04, 0.12, 0.4}
 	slowSteps    = []float64{0.1, 0.3}
+	tailSteps    = []float64{0.15, 0.4}
 )
 
 // windows are how many looks back the judge compares; allTime stands for since the order. Several windows
@@ -63,238 +68,269 @@
 func (v verdict) bad() bool        { return v.score >= 1 }
 func (v verdict) suspicious() bool { return v.score >= suspicion }
 
-// sample is one back end's calls of one route in a window.
+// sample is one back end's calls of one route, or of all, in a window.
 type sample struct {
-	zone        string
-	calls, bad  float64
-	meanDoubles float64
-	times       uint64
+	life   uint64
+	zone   string
+	target bool
+	// calls are those that ended, failed those of them that failed.
+	calls, failed float64
+	// times are the answers whose times are known, tail those slow by the service's measure; own are
+	// those at back ends whose usual time is known, slow those of them slow by that measure.
+	times, tail, own, slow float64
+	// doubles sums how far the times lie from the old version's median, in powers of two.
+	doubles float64
 }
 
-func (s sample) rate() float64 {
-	if s.calls == 0 {
-		return 0
-	}
-	return s.bad / s.calls
+func (s sample) meanDoubles() float64 { return s.doubles / s.times }
+
+// measure is what a test asks of a sample: of how many calls how many are bad.
+type measure func(s sample) (calls, bad float64)
+
+func failures(s sample) (calls, bad float64) { return s.calls, s.failed }
+func ownSlow(s sample) (calls, bad float64)  { return s.own, s.slow }
+func inTail(s sample) (calls, bad float64)   { return s.times, s.tail }
+
+// sides are the samples of one window.
+type sides struct {
+	fresh, old []sample
 }
 
-// judge compares the new version with the old one on each route.
+// judge compares the new version with the old one on each route, and on all together.
 func (j *Judge) judge() verdict {
 	var v verdict
-	for route, list := range j.byRoute() {
-		for _, w := range windows {
-			j.judgeFailures(&v, route, list, w)
-			j.judgeSlow(&v, route, list, w)
-			j.judgeShift(&v, route, list, w)
+	routes := j.prepare()
+	pooled := make([]map[uint64]sample, len(windows))
+	for i := range pooled {
+		pooled[i] = make(map[uint64]sample)
+	}
+	for name, r := range routes {
+		looks := make([]sides, len(windows))
+		for i, w := range windows {
+			for _, s := range r.series {
+				one := s.observe(w, r)
+				looks[i].put(one)
+				pooled[i][one.life] = pooled[i][one.life].plus(one)
+			}
+		}
+		judgeWindows(&v, "route "+name, looks)
+	}
+	looks := make([]sides, len(windows))
+	for i, byLife := range pooled {
+		for _, one := range byLife {
+			looks[i].put(one)
 		}
 	}
+	judgeWindows(&v, "service", looks)
 	j.judgeSum(&v)
 	return v
 }
 
-// compare finds evidence that new samples are bad more often than the old ones.
-func compare(fresh []sample, base func(zone string) float64, steps []float64) float64 {
-	best := 0.0
-	limit := threshold / float64(witnesses(len(fresh)))
-	for _, step := range steps {
-		sum := 0.0
-		for _, s := range fresh {
-			p0 := min(base(s.zone), 0.95)
-			p1 := min(p0+step, 0.98)
-			ratio := s.bad*math.Log(p1/p0) + (s.calls-s.bad)*math.Log((1-p1)/(1-p0))
-			sum += min(ratio, limit)
-		}
-		best = max(best, sum)
+func (s *sides) put(one sample) {
+	if one.calls == 0 {
+		return
+	}
+	if one.target {
+		s.fresh = append(s.fresh, one)
+	} else {
+		s.old = append(s.old, one)
 	}
-	return best / threshold
 }
 
-// witnesses is how many of a version's back ends must speak against it: one that fails by itself is
-// not the version's fault.
-func witnesses(backends int) int {
-	return max(1, min(backends, 2+backends/8))
+func (s sample) plus(o sample) sample {
+	o.calls, o.failed = o.calls+s.calls, o.failed+s.failed
+	o.times, o.tail = o.times+s.times, o.tail+s.tail
+	o.own, o.slow = o.own+s.own, o.slow+s.slow
+	o.doubles += s.doubles
+	return o
 }
 
-func (j *Judge) judgeFailures(v *verdict, route string, list []*series, w int) {
-	pick := func(s *series, w int) (sample, bool) {
-		d := s.since(w)
-		calls := float64(d.answered + d.failed)
-		return sample{zone: s.zone, calls: calls, bad: float64(d.failed)}, calls > 0
-	}
-	fresh := collect(list, true, w, pick)
-	if len(fresh) == 0 {
-		return
+// judgeWindows runs all tests on all windows.
+func judgeWindows(v *verdict, what string, looks []sides) {
+	for i, look := range looks {
+		if len(look.fresh) == 0 {
+			continue
+		}
+		v.test(what, "fails", look.fresh, looks[i:], failures, failureSteps, robustRate, failureFloor)
+		v.test(what, "slow in part", look.fresh, looks[i:], ownSlow, slowSteps, robustRate, slowFloor)
+		v.test(what, "slow", look.fresh, looks[i:], inTail, tailSteps, slowestRate, tailFloor)
+		v.judgeShift(what, look.fresh, looks[i:])
 	}
-	base := baseline(list, w, failureFloor, pick)
-	v.add(compare(fresh, base, failureSteps), func() string {
-		return fmt.Sprintf("route %s fails %s", route, describe(fresh, collect(list, false, w, pick)))
-	})
 }
 
-// judgeSlow looks for answers that are slow by their own back end's measure: that finds a version a part
-// of whose answers are slow, or that turned slow, however fast the machines are.
-func (j *Judge) judgeSlow(v *verdict, route string, list []*series, w int) {
-	by := slowBuckets(list)
-	pick := func(s *series, w int) (sample, bool) {
-		usual, known := s.usual()
-		if !known {
-			return sample{}, false
+// test finds evidence that new samples are bad more often than the old ones of the same window, or of a
+// wider one if that has too few calls.
+func (v *verdict) test(what, how string, fresh []sample, looks []sides, m measure, steps []float64,
+	rate func([]sample, string, measure) float64, floor float64) {
+	var old []sample
+	for _, look := range looks {
+		old = look.old
+		if calls, _ := total(old, m); calls >= minBaseline {
+			break
 		}
-		d := s.since(w)
-		calls, slow := d.slower(usual + by)
-		return sample{zone: s.zone, calls: calls, bad: slow}, calls > 0
 	}
-	fresh := collect(list, true, w, pick)
-	if len(fresh) == 0 || len(collect(list, false, allTime, pick)) == 0 {
-		return
+	known := make(map[string]float64)
+	base := func(zone string) float64 {
+		p, ok := known[zone]
+		if !ok {
+			p = max(floor, rate(old, zone, m))
+			known[zone] = p
+		}
+		return p
 	}
-	base := baseline(list, w, slowFloor, pick)
-	v.add(compare(fresh, base, slowSteps), func() string {
-		return fmt.Sprintf("route %s slow in part: %s", route, describe(fresh, collect(list, false, w, pick)))
+	v.add(compare(fresh, base, m, steps), func() string {
+		calls, bad := total(fresh, m)
+		oldCalls, oldBad := total(old, m)
+		return fmt.Sprintf("%s %s: %.0f of %.0f calls, old version %.0f of %.0f", what, how, bad, calls, oldBad, oldCalls)
 	})
 }
 
-// slowBuckets is by how many buckets an answer must be slower than usual to be slow: the least by
-// which few of the old version's answers are.
-func slowBuckets(list []*series) int {
-	for by := minSlowBuckets; by < timeBuckets; by++ {
-		var calls, slow float64
-		for _, s := range list {
-			usual, known := s.usual()
-			if s.target || !known {
-				continue
-			}
-			c, b := s.now.slower(usual + by)
-			calls, slow = calls+c, slow+b
+// compare returns the evidence against new samples as part of the threshold.
+func compare(fresh []sample, base func(zone string) float64, m measure, steps []float64) float64 {
+	best := 0.0
+	limit := threshold / float64(witnesses(len(fresh)))
+	for _, step := range steps {
+		byZone, callsIn := make(map[string]float64), make(map[string]float64)
+		sum, all := 0.0, 0.0
+		for _, s := range fresh {
+			calls, bad := m(s)
+			p0 := min(base(s.zone), 0.95)
+			p1 := min(p0+step, 0.98)
+			ratio := min(limit, bad*math.Log(p1/p0)+(calls-bad)*math.Log((1-p1)/(1-p0)))
+			sum, all = sum+ratio, all+calls
+			byZone[s.zone] += ratio
+			callsIn[s.zone] += calls
 		}
-		if slow <= slowUsual*calls {
-			return by
+		score := sum / threshold
+		for zone, part := range byZone {
+			if rest := 1 - callsIn[zone]/max(1, all); rest > 0.01 {
+				score = min(score, (sum-part)/(elsewhere*rest*threshold))
+			}
 		}
+		best = max(best, score)
 	}
-	return timeBuckets
+	return best
+}
+
+// witnesses is how many of a version's back ends must speak against it: one that fails by itself is
+// not the version's fault.
+func witnesses(backends int) int {
+	return max(1, min(backends, 2+backends/8))
 }
 
 // judgeShift compares whole back ends: that finds a version all of whose answers are slow.
-func (j *Judge) judgeShift(v *verdict, route string, list []*series, w int) {
-	pick := func(s *series, w int) (sample, bool) {
-		mean, times := s.since(w).meanDoubles()
-		return sample{meanDoubles: mean, times: times}, times >= minShift
-	}
-	fresh, old := collect(list, true, w, pick), collect(list, false, w, pick)
-	if len(old) < 2 {
-		old = collect(list, false, allTime, pick)
+func (v *verdict) judgeShift(what string, fresh []sample, looks []sides) {
+	few := func(s sample) bool { return s.times < minShift }
+	fresh = slices.DeleteFunc(slices.Clone(fresh), few)
+	var old []sample
+	for _, look := range looks {
+		if old = slices.DeleteFunc(slices.Clone(look.old), few); len(old) > 2 {
+			break
+		}
 	}
 	if len(fresh) == 0 || len(old) < 2 {
 		return
 	}
-	fresh = withoutWorst(fresh, 5, func(s sample) float64 { return s.meanDoubles })
+	fresh = withoutWorst(fresh, 5, sample.meanDoubles)
 	newMean, _ := spread(fresh)
 	oldMean, sd := spread(old)
-	sd = max(sd, minSpread)
-	allowed := shiftMargin + shiftSigmas*sd*math.Sqrt(1/float64(len(fresh))+1/float64(len(old)))
+	allowed := shiftMargin + shiftSigmas*max(sd, minSpread)*math.Sqrt(1/float64(len(fresh))+1/float64(len(old)))
 	v.add(max(0, (newMean-oldMean)/allowed), func() string {
-		return fmt.Sprintf("route %s takes %.1f times as long", route, math.Pow(2, newMean-oldMean))
+		return fmt.Sprintf("%s takes %.1f times as long", what, math.Pow(2, newMean-oldMean))
 	})
 }
 
-// judgeSum is the rule besides the tests: some tens of failures, far more than the old version's.
+// judgeSum is the rule besides the tests: some tens of failures, far more than the old version's share in
+// the same seconds would have come to.
 func (j *Judge) judgeSum(v *verdict) {
-	var fresh, old []sample
+	var failed, calls, allowed, worstZone float64
+	var fresh []*life
 	for _, l := range j.lives {
-		failed, answered := l.failed(), l.answered()
-		s := sample{zone: l.report.Zone, calls: float64(failed + answered), bad: float64(failed)}
-		if s.calls == 0 {
-			continue
-		}
 		if l.target {
-			fresh = append(fresh, s)
-		} else {
-			old = append(old, s)
+			fresh = append(fresh, l)
 		}
 	}
-	fresh = withoutWorst(fresh, 5, func(s sample) float64 { return s.bad })
-	var failed, calls, allowed float64
-	for _, s := range fresh {
-		failed, calls = failed+s.bad, calls+s.calls
-		allowed += s.calls * (2*robustRate(old, s.zone, 0) + failureFloor)
+	slices.SortFunc(fresh, func(a, b *life) int { return cmp.Compare(a.failed(), b.failed()) })
+	if len(fresh) >= 3 {
+		fresh = fresh[:len(fresh)-(len(fresh)+4)/5]
+	}
+	byZone := make(map[string]float64)
+	for _, l := range fresh {
+		n := float64(l.failed())
+		failed, calls, allowed = failed+n, calls+n+float64(l.answered()), allowed+l.allowed
+		byZone[l.report.Zone] += n
+		worstZone = max(worstZone, byZone[l.report.Zone])
 	}
-	if calls == 0 || failed < maxFailures || failed <= allowed {
+	if failed < maxFailures || failed <= allowed || len(byZone) > 1 && worstZone > 0.9*failed {
 		return
 	}
 	v.add(1, func() string { return fmt.Sprintf("%.0f of %.0f calls failed", failed, calls) })
 }
 
-// collect returns the samples of one side in a window.
-func collect(list []*series, target bool, w int, pick func(*series, int) (sample, bool)) []sample {
-	var out []sample
-	for _, s := range list {
-		if s.target != target {
-			continue
-		}
-		if one, ok := pick(s, w); ok {
-			out = append(out, one)
-		}
-	}
-	return out
-}
-
-// baseline returns what share of calls is bad at the old version's back ends, by zone: in the window, or
-// in a wider one if that has too few calls.
-func baseline(list []*series, w int, floor float64, pick func(*series, int) (sample, bool)) func(zone string) float64 {
+// allow counts at each look how many failures each new back end is allowed.
+func (j *Judge) allow() {
 	var old []sample
-	for i := slices.Index(windows, w); i < len(windows); i++ {
-		old = collect(list, false, windows[i], pick)
-		if total(old) >= minBaseline {
-			break
+	for _, l := range j.lives {
+		if !l.target {
+			old = append(old, l.recent())
 		}
 	}
-	known := make(map[string]float64)
-	return func(zone string) float64 {
-		p, ok := known[zone]
-		if !ok {
-			p = robustRate(old, zone, floor)
-			known[zone] = p
+	for _, l := range j.lives {
+		if !l.target {
+			continue
 		}
-		return p
+		ended := l.answered() + l.failed()
+		l.allowed += float64(ended-min(ended, l.ended)) * (2*robustRate(old, l.report.Zone, failures) + failureFloor)
+		l.ended = ended
 	}
 }
 
-func total(list []sample) float64 {
-	sum := 0.0
+func total(list []sample, m measure) (calls, bad float64) {
 	for _, s := range list {
-		sum += s.calls
+		c, b := m(s)
+		calls, bad = calls+c, bad+b
 	}
-	return sum
+	return calls, bad
 }
 
 // robustRate is the share of bad calls of the old back ends, the worst third left out: some that fail by
 // themselves must not save a bad version. Where the new back end's own zone is worse, that counts: a
 // zone in trouble must not condemn a good one.
-func robustRate(old []sample, zone string, floor float64) float64 {
+func robustRate(old []sample, zone string, m measure) float64 {
 	near := slices.DeleteFunc(slices.Clone(old), func(s sample) bool { return s.zone != zone })
-	return max(floor, upperRate(old), upperRate(near))
+	return max(upperRate(withoutWorst(old, 3, rateBy(m)), m), upperRate(withoutWorst(near, 3, rateBy(m)), m))
+}
+
+// slowestRate is the share of bad calls of the worst third of the old back ends, the very worst left out:
+// the new version's back ends may all stand on slow machines.
+func slowestRate(old []sample, _ string, m measure) float64 {
+	old = withoutWorst(old, 8, rateBy(m))
+	slices.SortFunc(old, func(a, b sample) int { return cmp.Compare(rateBy(m)(a), rateBy(m)(b)) })
+	return upperRate(old[len(old)*2/3:], m)
+}
+
+func rateBy(m measure) func(sample) float64 {
+	return func(s sample) float64 {
+		calls, bad := m(s)
+		return bad / max(1, calls)
+	}
 }
 
 // upperRate is an upper bound of the pooled rate.
-func upperRate(list []sample) float64 {
-	list = withoutWorst(list, 3, sample.rate)
-	calls := total(list)
+func upperRate(list []sample, m measure) float64 {
+	calls, bad := total(list, m)
 	if calls < 1 {
 		return 0
 	}
-	bad := 0.0
-	for _, s := range list {
-		bad += s.bad
-	}
 	return min(1, (1.1*bad+math.Sqrt(bad))/calls)
 }
 
 // withoutWorst leaves out one in some back ends, the worst by a measure, if there are three or more.
 func withoutWorst(list []sample, oneIn int, worse func(sample) float64) []sample {
+	list = slices.Clone(list)
 	if len(list) < 3 {
 		return list
 	}
-	list = slices.Clone(list)
 	slices.SortFunc(list, func(a, b sample) int { return cmp.Compare(worse(a), worse(b)) })
 	return list[:len(list)-(len(list)+oneIn-1)/oneIn]
 }
@@ -302,21 +338,10 @@
 // spread returns mean and standard deviation of the back ends' mean times.
 func spread(list []sample) (mean, sd float64) {
 	for _, s := range list {
-		mean += s.meanDoubles / float64(len(list))
+		mean += s.meanDoubles() / float64(len(list))
 	}
 	for _, s := range list {
-		sd += (s.meanDoubles - mean) * (s.meanDoubles - mean)
+		sd += (s.meanDoubles() - mean) * (s.meanDoubles() - mean)
 	}
 	return mean, math.Sqrt(sd / max(1, float64(len(list)-1)))
 }
-
-func describe(fresh, old []sample) string {
-	var a, b float64
-	for _, s := range fresh {
-		a += s.bad
-	}
-	for _, s := range old {
-		b += s.bad
-	}
-	return fmt.Sprintf("%.0f of %.0f calls, old version %.0f of %.0f", a, total(fresh), b, total(old))
-}
