--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -114,6 +114,14 @@
 	CodeUnknownSuspect Code = "unknown-suspect"
 	// CodeUnknownZone: the deployment has no such zone.
 	CodeUnknownZone Code = "unknown-zone"
+	// CodeUnknownService: the service is neither configured nor has it back ends.
+	CodeUnknownService Code = "unknown-service"
+	// CodeNothingToDo: the version runs already as the only one.
+	CodeNothingToDo Code = "nothing-to-do"
+	// CodeRolloutUnderWay: another rollout of the service is under way.
+	CodeRolloutUnderWay Code = "rollout-under-way"
+	// CodeNoRollout: no rollout of the service is under way.
+	CodeNoRollout Code = "no-rollout"
 	// CodeNotApproved: the version has no approval yet.
 	CodeNotApproved Code = "not-approved"
 	// CodeSuperseded: a later version is in force already.
--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -28,6 +28,9 @@
 	if announced.Evidence != nil && !announced.Evidence.Empty() {
 		s.takeEvidence(*announced.Evidence)
 	}
+	if len(announced.Rollouts) > 0 {
+		s.takeRollouts(announced.Rollouts)
+	}
 }
 
 // takeAnnouncements takes in back ends that nodes announce. They come again until the
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -40,6 +40,7 @@
 	mux.HandleFunc("GET "+operator.PathSuspects, s.handleSuspects)
 	mux.HandleFunc("POST "+operator.PathSuspects+"/{fingerprint}/lift", s.handleLift)
 	mux.HandleFunc("GET "+operator.PathZones, s.handleZones)
+	s.routeRollouts(mux)
 	mux.HandleFunc("POST "+operator.PathEvacuations+"{zone}", s.handleEvacuation(true))
 	mux.HandleFunc("DELETE "+operator.PathEvacuations+"{zone}", s.handleEvacuation(false))
 }
@@ -64,6 +65,10 @@
 	catalog.CodeUnknownVersion:  http.StatusNotFound,
 	catalog.CodeUnknownSuspect:  http.StatusNotFound,
 	catalog.CodeUnknownZone:     http.StatusNotFound,
+	catalog.CodeUnknownService:  http.StatusNotFound,
+	catalog.CodeNothingToDo:     http.StatusUnprocessableEntity,
+	catalog.CodeRolloutUnderWay: http.StatusConflict,
+	catalog.CodeNoRollout:       http.StatusConflict,
 	catalog.CodeNotApproved:     http.StatusConflict,
 	catalog.CodeSuperseded:      http.StatusConflict,
 	catalog.CodeInvalidBundle:   http.StatusUnprocessableEntity,
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -16,6 +16,7 @@
 	"bramblelift/pkg/clock"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/metrics"
+	"bramblelift/pkg/operator"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
@@ -77,9 +78,16 @@
 	evidence      chan []quarantine.Evidence
 	// suspicion holds at most one token: the suspects have changed.
 	suspicion chan struct{}
-	levels    levelTable
-	known     atomic.Pointer[knownMembership]
-	seeds     atomic.Pointer[[]string]
+	// rolloutReports are what nodes told of rollouts; rolloutSteps holds at most one token: a rollout that
+	// is under way has changed.
+	rolloutReports chan []protocol.RolloutReport
+	rolloutSteps   chan struct{}
+	rolloutHistory rolloutHistory
+	// rolloutSeen is what the leader goes by, by service; nil where this replica does not lead.
+	rolloutSeen atomic.Pointer[map[string]operator.RolloutSeen]
+	levels      levelTable
+	known       atomic.Pointer[knownMembership]
+	seeds       atomic.Pointer[[]string]
 
 	newInterface      func(*Server) http.Handler
 	interfaceListener net.Listener
@@ -107,6 +115,7 @@
 	s := &Server{
 		newInterface: newInterface, announced: make(chan []distribution.Endpoint, inboxSize),
 		evidence: make(chan []quarantine.Evidence, inboxSize), suspicion: make(chan struct{}, 1),
+		rolloutReports: make(chan []protocol.RolloutReport, inboxSize), rolloutSteps: make(chan struct{}, 1),
 		settings: config, logger: logger, clock: clock.New(),
 		messages: make(chan received, inboxSize),
 		joins:    make(chan protocol.Join, inboxSize),
@@ -207,6 +216,7 @@
 	group.Go(func() { s.proposeAnnounced(ctx) })
 	group.Go(func() { s.proposeEvidence(ctx) })
 	group.Go(func() { s.judgeSuspects(ctx) })
+	group.Go(func() { s.conductRollouts(ctx) })
 	group.Go(func() { s.serveInterface(ctx) })
 	err := s.drive(ctx)
 	s.peers.close()
@@ -288,6 +298,7 @@
 	if output.StateChanged {
 		s.hub.SetState(s.replica.State())
 		s.noteSuspects()
+		s.noteRollouts()
 	}
 	// Only after the hub has the state may it be called confirmed.
 	if at, confirmed := s.replica.Node().ConfirmedAt(s.clock.Elapsed()); confirmed {
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -70,12 +70,18 @@
 	Key struct {
 		Generate generateCommand `command:"generate" description:"make an approval key"`
 	} `command:"key" description:"work with approval keys"`
-	Status     statusCommand     `command:"status" description:"show the control plane"`
-	Proxies    proxiesCommand    `command:"proxies" description:"show which node holds which version"`
-	Diff       diffCommand       `command:"diff" description:"show what changed between two versions"`
-	Suspects   suspectsCommand   `command:"suspects" description:"show requests under which back ends ended, or let one through again"`
-	Evacuate   evacuateCommand   `command:"evacuate" description:"let a zone's back ends get nothing new, or take that back"`
-	Zones      zonesCommand      `command:"zones" description:"show the zones, which are evacuated, and what still runs there"`
+	Status   statusCommand   `command:"status" description:"show the control plane"`
+	Proxies  proxiesCommand  `command:"proxies" description:"show which node holds which version"`
+	Diff     diffCommand     `command:"diff" description:"show what changed between two versions"`
+	Suspects suspectsCommand `command:"suspects" description:"show requests under which back ends ended, or let one through again"`
+	Evacuate evacuateCommand `command:"evacuate" description:"let a zone's back ends get nothing new, or take that back"`
+	Zones    zonesCommand    `command:"zones" description:"show the zones, which are evacuated, and what still runs there"`
+	Rollout  struct {
+		Start   rolloutStartCommand   `command:"start" description:"move a service's calls to a new version, by evidence"`
+		Status  rolloutStatusCommand  `command:"status" description:"show rollouts, what they have exposed and why they are where they are"`
+		Stop    rolloutStopCommand    `command:"stop" description:"take a rollout back"`
+		History rolloutHistoryCommand `command:"history" description:"show the steps of a service's rollouts"`
+	} `command:"rollout" description:"work with rollouts of a service's new version"`
 	Watch      watchCommand      `command:"watch" description:"follow a version until every connected node has it in force"`
 	Explain    explainCommand    `command:"explain" description:"find a request in logs, with what led to its end"`
 	Completion completionCommand `command:"completion" description:"print a completion script for bash"`
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -139,6 +139,8 @@
 	SourceURL         string          `toml:"source_url"`
 	ElectionTimeout   bundle.Duration `toml:"election_timeout"`
 	HeartbeatInterval bundle.Duration `toml:"heartbeat_interval"`
+	// Rollouts bound what a version that turns out bad may get.
+	Rollouts Rollouts `toml:"rollouts,omitempty"`
 }
 
 // Relay are the settings of a relay.
@@ -343,6 +345,7 @@
 
 // checkReplicas checks how the replica finds the others: by a fixed list, or by seeds.
 func (p *problems) checkReplicas(c *Control) {
+	p.checkRollouts(c.Rollouts)
 	if len(c.Seeds) > 0 {
 		setDefault(&c.RemoveAfter, defaultRemoveAfter)
 		if len(c.Replicas) > 0 {
