--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -58,6 +58,7 @@
 	told      uint64 // the step that control knows it has
 	heard     time.Duration
 	silent    bool
+	silentAt  time.Duration // was silent last
 	caution   Caution
 }
 
@@ -216,6 +217,9 @@
 	silent := within(f.now, f.silentThird)
 	for i, m := range f.machines() {
 		m.silent = silent && i%3 == 0
+		if m.silent {
+			m.silentAt = f.now
+		}
 	}
 	if f.coldReturn > 0 && f.now == f.coldReturn {
 		for i, b := range f.backends {
@@ -259,14 +263,19 @@
 	return r.Phase == f.held().Phase && r.Share == f.held().Share
 }
 
+// inTouch reports whether a machine has been connected for some seconds.
+func (f *fake) inTouch(m *machine) bool {
+	return m.silentAt == 0 || f.now-m.silentAt > 3*time.Second
+}
+
 func (f *fake) checkCompleted() {
 	for _, m := range f.machines() {
-		if !m.silent && f.now-m.heard < LeaseTime && m.held.Phase != Closing {
+		if f.inTouch(m) && m.held.Phase != Closing {
 			f.res.endViolations++
 		}
 	}
 	for _, b := range f.backends {
-		if b.version == "v1" && b.atWork > 0 && !b.machine.silent && f.now-b.machine.heard < LeaseTime {
+		if b.version == "v1" && b.atWork > 0 && f.inTouch(b.machine) {
 			f.res.endViolations++
 		}
 	}
--- a/pkg/rollout/proof_test.go
+++ b/pkg/rollout/proof_test.go
@@ -113,7 +113,7 @@
 	}
 	if r.lateAfterBad > 0 {
 		fig.late++
-		fault("%d calls later than 5 s after the 50th bad answer", r.lateAfterBad)
+		fault("%d calls later than 5 s after the 50th bad answer: %+v", r.lateAfterBad, *w.bad)
 	}
 }
 
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -18,6 +18,10 @@
 	elsewhere = 0.5
 	// minBaseline is how many calls of old back ends a window needs; with fewer a wider one is asked.
 	minBaseline = 50
+	// leastBaseline is with how few of them nothing is known of the old version: unknownFloor is the share
+	// of failures allowed then.
+	leastBaseline = 20
+	unknownFloor  = 0.05
 	// failureFloor, slowFloor and tailFloor are what share of failures, of answers slow by the back
 	// end's own measure and of answers slow by the service's measure any version is allowed.
 	failureFloor = 0.01
@@ -39,12 +43,24 @@
 	maxFailures = 20
 )
 
-// How much more than the baseline a bad version fails, or is slow.
-var (
-	failureSteps = []float64{0.04, 0.12, 0.4}
-	slowSteps    = []float64{0.1, 0.3}
-	tailSteps    = []float64{0.15, 0.4}
-)
+// test is one way in which a version may be bad.
+type test struct {
+	how     string
+	measure measure
+	// steps are how much more than the baseline a bad version has, floor is what any version is allowed.
+	steps []float64
+	floor float64
+	// rate is the old version's, for a zone.
+	rate func(old []sample, zone string, m measure) float64
+	// needsOld is set if nothing can be said without the old version's calls.
+	needsOld bool
+}
+
+var tests = []test{
+	{how: "fails", measure: failures, steps: []float64{0.04, 0.12, 0.4}, floor: failureFloor, rate: robustRate},
+	{how: "slow in part", measure: ownSlow, steps: []float64{0.1, 0.3}, floor: slowFloor, rate: robustRate, needsOld: true},
+	{how: "slow", measure: inTail, steps: []float64{0.15, 0.4}, floor: tailFloor, rate: slowestRate, needsOld: true},
+}
 
 // windows are how many looks back the judge compares; allTime stands for since the order. Several windows
 // find both a weak fault that was always there and a strong one that just began.
@@ -151,17 +167,17 @@
 		if len(look.fresh) == 0 {
 			continue
 		}
-		v.test(what, "fails", look.fresh, looks[i:], failures, failureSteps, robustRate, failureFloor)
-		v.test(what, "slow in part", look.fresh, looks[i:], ownSlow, slowSteps, robustRate, slowFloor)
-		v.test(what, "slow", look.fresh, looks[i:], inTail, tailSteps, slowestRate, tailFloor)
+		for _, t := range tests {
+			v.test(t, what, look.fresh, looks[i:])
+		}
 		v.judgeShift(what, look.fresh, looks[i:])
 	}
 }
 
 // test finds evidence that new samples are bad more often than the old ones of the same window, or of a
 // wider one if that has too few calls.
-func (v *verdict) test(what, how string, fresh []sample, looks []sides, m measure, steps []float64,
-	rate func([]sample, string, measure) float64, floor float64) {
+func (v *verdict) test(t test, what string, fresh []sample, looks []sides) {
+	m := t.measure
 	var old []sample
 	for _, look := range looks {
 		old = look.old
@@ -169,19 +185,25 @@
 			break
 		}
 	}
+	if calls, _ := total(old, m); calls < leastBaseline {
+		if t.needsOld {
+			return
+		}
+		t.floor = max(t.floor, unknownFloor)
+	}
 	known := make(map[string]float64)
 	base := func(zone string) float64 {
 		p, ok := known[zone]
 		if !ok {
-			p = max(floor, rate(old, zone, m))
+			p = max(t.floor, t.rate(old, zone, m))
 			known[zone] = p
 		}
 		return p
 	}
-	v.add(compare(fresh, base, m, steps), func() string {
+	v.add(compare(fresh, base, m, t.steps), func() string {
 		calls, bad := total(fresh, m)
 		oldCalls, oldBad := total(old, m)
-		return fmt.Sprintf("%s %s: %.0f of %.0f calls, old version %.0f of %.0f", what, how, bad, calls, oldBad, oldCalls)
+		return fmt.Sprintf("%s %s: %.0f of %.0f calls, old version %.0f of %.0f", what, t.how, bad, calls, oldBad, oldCalls)
 	})
 }
 
@@ -228,12 +250,17 @@
 			break
 		}
 	}
+	all := slices.DeleteFunc(slices.Clone(looks[len(looks)-1].old), few)
+	if 2*len(old) < len(all) {
+		old = all
+	}
 	if len(fresh) == 0 || len(old) < 2 {
 		return
 	}
 	fresh = withoutWorst(fresh, 5, sample.meanDoubles)
 	newMean, _ := spread(fresh)
-	oldMean, sd := spread(old)
+	oldMean, _ := spread(old)
+	_, sd := spread(all)
 	allowed := shiftMargin + shiftSigmas*max(sd, minSpread)*math.Sqrt(1/float64(len(fresh))+1/float64(len(old)))
 	v.add(max(0, (newMean-oldMean)/allowed), func() string {
 		return fmt.Sprintf("%s takes %.1f times as long", what, math.Pow(2, newMean-oldMean))
