--- /dev/null
+++ b/pkg/balancer/version_test.go
@@ -0,0 +1,36 @@
+package balancer
+
+import (
+	"testing"
+
+	"bramblelift/pkg/rollout"
+	"bramblelift/pkg/routing"
+
+	"github.com/matryer/is"
+)
+
+func TestCallsPreferTheirSideOfARollout(t *testing.T) {
+	is := is.New(t)
+	r := &rollout.Rollout{Version: "v2", Phase: rollout.Running}
+	pool := NewPool(Config{Node: "n", Zone: "z", OwnGate: "gate-new", Random: func(int) int { return 0 }})
+	pool.Update(0, routing.Service{Name: "s", Endpoints: []routing.Endpoint{
+		{ID: "new", Zone: "z", Gate: "gate-new", Version: "v2"}, {ID: "old", Zone: "z", Gate: "gate-old", Version: "v1"},
+	}})
+	choose := func(side rollout.Side, leftOut ...string) string {
+		ticket, _, err := pool.AcquireGate(0, GateRequest{OwnWork: 1, LeftOut: leftOut, Version: VersionChoice{Rollout: r, Side: side}})
+		is.NoErr(err)
+		defer ticket.Done(0, Canceled)
+		return ticket.ID
+	}
+	is.Equal(choose(rollout.AnyVersion), "new") // the one beside the node
+	is.Equal(choose(rollout.OldVersions), "old")
+	is.Equal(choose(rollout.NewVersion), "new")
+	is.Equal(choose(rollout.NewVersion, "new"), "old")
+	is.Equal(choose(rollout.OldVersions, "old"), "new") // its gate lets in what it may
+}
+
+func TestNoRolloutCostsNothing(t *testing.T) {
+	is := is.New(t)
+	candidates := []*endpoint{{}, {}}
+	is.Equal(testing.AllocsPerRun(100, func() { _ = VersionChoice{}.prefer(candidates) }), 0.0)
+}
