--- a/pkg/rollout/budget.go
+++ b/pkg/rollout/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -81,7 +82,7 @@
 	short, wanted := false, make([]uint64, len(gates))
 	var sum uint64
 	for i, l := range gates {
-		need := max(minGrant, uint64(share), 2*uint64(l.perSecond*grantTime.Seconds()))
+		need := needFor(max(share, l.perSecond*grantTime.Seconds()))
 		upto := next.upto(l.report.Life)
 		if target := l.report.Admitted + need; target > upto {
 			wanted[i] = target - upto
@@ -111,6 +112,11 @@
 	return next, granted || next.Spent != held.Spent
 }
 
+// needFor is how many calls a gate needs that expects some number: as many, and what chance adds.
+func needFor(expected float64) uint64 {
+	return max(minGrant, uint64(expected+2*math.Sqrt(expected)))
+}
+
 // grantees are the lives of the new version that control hears, in order of life.
 func (j *Judge) grantees(now time.Time, view View) []*life {
 	var list []*life
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -34,7 +34,7 @@
 	// shiftMargin, in doublings, is how much slower than the old the new back ends may be on the whole,
 	// besides shiftSigmas times the spread between back ends, which is at least minSpread.
 	shiftMargin = 0.7
-	shiftSigmas = 3
+	shiftSigmas = 2
 	minSpread   = 0.3
 	// minShift is how many times of a back end its mean is taken from.
 	minShift = 5
@@ -178,6 +178,9 @@
 // wider one if that has too few calls.
 func (v *verdict) test(t test, what string, fresh []sample, looks []sides) {
 	m := t.measure
+	if calls, bad := total(fresh, m); bad <= t.floor*calls {
+		return // no baseline is below the floor
+	}
 	var old []sample
 	for _, look := range looks {
 		old = look.old
@@ -257,7 +260,7 @@
 	if len(fresh) == 0 || len(old) < 2 {
 		return
 	}
-	fresh = withoutWorst(fresh, 5, sample.meanDoubles)
+	fresh = withoutEnds(fresh, sample.meanDoubles)
 	newMean, _ := spread(fresh)
 	oldMean, _ := spread(old)
 	_, sd := spread(all)
@@ -362,6 +365,17 @@
 	return list[:len(list)-(len(list)+oneIn-1)/oneIn]
 }
 
+// withoutEnds leaves out the best and the worst back ends by a measure, one in eight at each end, if there
+// are five or more.
+func withoutEnds(list []sample, by func(sample) float64) []sample {
+	if len(list) < 5 {
+		return list
+	}
+	slices.SortFunc(list, func(a, b sample) int { return cmp.Compare(by(a), by(b)) })
+	out := (len(list) + 7) / 8
+	return list[out : len(list)-out]
+}
+
 // spread returns mean and standard deviation of the back ends' mean times.
 func spread(list []sample) (mean, sd float64) {
 	for _, s := range list {
