--- a/pkg/rollout/report.go
+++ b/pkg/rollout/report.go
@@ -97,8 +97,8 @@
 	return t.admitted
 }
 
-// End counts how a call that was let in ended. A cold back end's times are left out: they say nothing of
-// its version.
+// End counts how a call that was let in ended. Cold is set if the back end was cold when the call came or
+// when it ended: such times say nothing of the version.
 func (t *Tally) End(route string, outcome Outcome, took time.Duration, cold bool) {
 	if outcome == GivenUp {
 		return
--- a/pkg/rollout/series.go
+++ b/pkg/rollout/series.go
@@ -20,16 +20,19 @@
 type series struct {
 	life *life
 	now  counts
-	// past holds what now was at the last looks, the oldest first.
+	// past holds what now was at the last looks, in a ring whose next place is that of the oldest.
 	past []counts
+	next int
 }
 
 // look keeps what is known now for later windows.
 func (s *series) look() {
-	if len(s.past) == looks {
-		s.past = append(s.past[:0], s.past[1:]...)
+	if len(s.past) < looks {
+		s.past = append(s.past, s.now)
+		return
 	}
-	s.past = append(s.past, s.now)
+	s.past[s.next] = s.now
+	s.next = (s.next + 1) % looks
 }
 
 // since returns what came in the last looks, or since the order.
@@ -37,7 +40,7 @@
 	if back == allTime || back > len(s.past) {
 		return s.now
 	}
-	return s.now.minus(s.past[len(s.past)-back])
+	return s.now.minus(s.past[(s.next+len(s.past)-back)%len(s.past)])
 }
 
 func (c counts) minus(before counts) counts {
@@ -200,6 +203,8 @@
 	// perSecond is how many calls the gate let in a second between its last two reports.
 	perSecond float64
 	routes    map[string]*series
+	// pooled are the calls of all routes, by window.
+	pooled [len(windows)]sample
 	// usual is how far from the routes' medians its usual time is, in buckets, if known.
 	usual int
 	known bool
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -32,12 +32,16 @@
 	// minSlowBuckets is how much slower than usual for the back end a slow answer is: two to three times.
 	minSlowBuckets = 2
 	// shiftMargin, in doublings, is how much slower than the old the new back ends may be on the whole,
-	// besides shiftSigmas times the spread between back ends, which is at least minSpread.
+	// besides some times the spread between back ends, which is at least minSpread.
 	shiftMargin = 0.7
 	shiftSigmas = 2
+	// fewSigmas is added to shiftSigmas for a single back end, half of it for two, and so on.
+	fewSigmas = 2
 	minSpread   = 0.3
 	// minShift is how many times of a back end its mean is taken from.
 	minShift = 5
+	// shiftLooks is the narrowest window for it: in a narrower one quick answers come first.
+	shiftLooks = 8
 	// maxFailures is how many failures of the new version, those of its worst back ends left out, end a
 	// rollout without a test if they are far more than the old version's share.
 	maxFailures = 20
@@ -66,7 +70,7 @@
 // find both a weak fault that was always there and a strong one that just began.
 const allTime = 0
 
-var windows = []int{1, 2, 4, 8, 16, 32, allTime}
+var windows = [...]int{1, 2, 4, 8, 16, 32, allTime}
 
 // verdict is what the judge finds.
 type verdict struct {
@@ -116,9 +120,8 @@
 func (j *Judge) judge() verdict {
 	var v verdict
 	routes := j.prepare()
-	pooled := make([]map[uint64]sample, len(windows))
-	for i := range pooled {
-		pooled[i] = make(map[uint64]sample)
+	for _, l := range j.lives {
+		clear(l.pooled[:])
 	}
 	for name, r := range routes {
 		looks := make([]sides, len(windows))
@@ -126,15 +129,15 @@
 			for _, s := range r.series {
 				one := s.observe(w, r)
 				looks[i].put(one)
-				pooled[i][one.life] = pooled[i][one.life].plus(one)
+				s.life.pooled[i].add(one)
 			}
 		}
 		judgeWindows(&v, "route "+name, looks)
 	}
 	looks := make([]sides, len(windows))
-	for i, byLife := range pooled {
-		for _, one := range byLife {
-			looks[i].put(one)
+	for _, l := range j.lives {
+		for i := range looks {
+			looks[i].put(l.pooled[i])
 		}
 	}
 	judgeWindows(&v, "service", looks)
@@ -153,12 +156,13 @@
 	}
 }
 
-func (s sample) plus(o sample) sample {
-	o.calls, o.failed = o.calls+s.calls, o.failed+s.failed
-	o.times, o.tail = o.times+s.times, o.tail+s.tail
-	o.own, o.slow = o.own+s.own, o.slow+s.slow
-	o.doubles += s.doubles
-	return o
+// add puts another route's calls of the same back end in.
+func (s *sample) add(o sample) {
+	s.life, s.zone, s.target = o.life, o.zone, o.target
+	s.calls, s.failed = s.calls+o.calls, s.failed+o.failed
+	s.times, s.tail = s.times+o.times, s.tail+o.tail
+	s.own, s.slow = s.own+o.own, s.slow+o.slow
+	s.doubles += o.doubles
 }
 
 // judgeWindows runs all tests on all windows.
@@ -170,7 +174,9 @@
 		for _, t := range tests {
 			v.test(t, what, look.fresh, looks[i:])
 		}
-		v.judgeShift(what, look.fresh, looks[i:])
+		if windows[i] == allTime || windows[i] >= shiftLooks {
+			v.judgeShift(what, look.fresh, looks[i:])
+		}
 	}
 }
 
@@ -264,7 +270,8 @@
 	newMean, _ := spread(fresh)
 	oldMean, _ := spread(old)
 	_, sd := spread(all)
-	allowed := shiftMargin + shiftSigmas*max(sd, minSpread)*math.Sqrt(1/float64(len(fresh))+1/float64(len(old)))
+	n := float64(len(fresh))
+	allowed := shiftMargin + (shiftSigmas+fewSigmas/n)*max(sd, minSpread)*math.Sqrt(1/n+1/float64(len(old)))
 	v.add(max(0, (newMean-oldMean)/allowed), func() string {
 		return fmt.Sprintf("%s takes %.1f times as long", what, math.Pow(2, newMean-oldMean))
 	})
