--- a/pkg/rollout/budget.go
+++ b/pkg/rollout/budget.go
@@ -69,12 +69,16 @@
 	return rate
 }
 
-// grant returns the rollout with the grants that the budget allows, and whether gates need them now.
+// grant returns the rollout with the grants that the budget allows, and whether gates need them now. Cold
+// back ends get none before the canary ends: their answers tell nothing of times.
 func (j *Judge) grant(now time.Time, held Rollout, view View) (Rollout, bool) {
 	next := held
 	next.Grants = slices.Clone(held.Grants)
 	next.endLives(view)
 	gates := j.grantees(now, view)
+	if held.Share == canaryShare && now.Sub(time.UnixMilli(held.AtMillis)) < planFor(held.Duration).rampAt() {
+		gates = slices.DeleteFunc(gates, func(l *life) bool { return l.report.Cold })
+	}
 	if len(gates) == 0 {
 		return next, next.Spent != held.Spent
 	}
--- a/pkg/rollout/schedule.go
+++ b/pkg/rollout/schedule.go
@@ -4,7 +4,7 @@
 
 // canaryShare is what a new version gets for most of the duration: enough calls for a verdict, a third
 // of the usual exposure.
-const canaryShare = 30
+const canaryShare = 40
 
 // stages are the shares on the way from the canary to all calls. They come as late and as fast as the
 // duration allows: a version that turns bad at one of them has had little before.
@@ -22,10 +22,10 @@
 	// does not hear.
 	closeTime = 2 * time.Second
 	// minReserve and maxReserve bound the part of the duration that is kept for a change of leader, a
-	// fifth of the duration between them.
+	// quarter of the duration between them.
 	minReserve    = time.Second
 	maxReserve    = 5 * time.Second
-	reserveInTime = 5
+	reserveInTime = 4
 )
 
 // plan is when a rollout's stages come, counted from the order.
