--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -46,6 +46,9 @@
 const (
 	// lookTime is how often the judge looks: windows count looks.
 	lookTime = 250 * time.Millisecond
+	// suspectTime is for how long a version may be suspicious without a break: whole seconds of signs that
+	// are too weak for a look condemn it, too.
+	suspectTime = 3 * time.Second
 	// settleTime is how long a new judge moves no calls: its reports come within a second.
 	settleTime = time.Second
 	// minAnswers is how many answers of the new version a stage needs, fewer if half of what its share
@@ -73,6 +76,8 @@
 	// before is how many calls had reached the service by what was committed before this judge.
 	before uint64
 	lives  map[uint64]*life
+	// suspected is since when the version has been suspicious without a break.
+	suspected time.Time
 	// begun is when the judge was first asked, looked when it looked last.
 	begun, looked time.Time
 	// counts are the calls known to have reached the service, at the last looks.
@@ -139,6 +144,18 @@
 	return held, false
 }
 
+// lasting reports whether the version has been suspicious for so long that it is condemned.
+func (j *Judge) lasting(now time.Time, v verdict) bool {
+	if !v.suspicious() {
+		j.suspected = time.Time{}
+		return false
+	}
+	if j.suspected.IsZero() {
+		j.suspected = now
+	}
+	return now.Sub(j.suspected) >= suspectTime
+}
+
 // look keeps counts for later windows, at most once each lookTime.
 func (j *Judge) look(now time.Time) {
 	if now.Sub(j.looked) < lookTime {
@@ -160,7 +177,7 @@
 // run is the step of a running rollout.
 func (j *Judge) run(now time.Time, held Rollout, view View) (Rollout, bool) {
 	v := j.judge()
-	if v.bad() {
+	if v.bad() || j.lasting(now, v) {
 		return revert(held, now, v.reason), true
 	}
 	next, changed := j.grant(now, held, view)
--- a/pkg/rollout/proof_test.go
+++ b/pkg/rollout/proof_test.go
@@ -134,6 +134,9 @@
 			defer wg.Done()
 			for seed := range seeds {
 				kind, trouble, w := worldOf(seed)
+				if only := os.Getenv("ROLLOUT_KIND"); only != "" && only != kind {
+					continue
+				}
 				fig.note(seed, kind, trouble, w, newFake(seed, w).play())
 			}
 		}()
