--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -25,8 +25,8 @@
 	// failureFloor, slowFloor and tailFloor are what share of failures, of answers slow by the back
 	// end's own measure and of answers slow by the service's measure any version is allowed.
 	failureFloor = 0.01
-	slowFloor    = 0.08
-	tailFloor    = 0.15
+	slowFloor    = 0.1
+	tailFloor    = 0.2
 	// slowUsual is the share of the old version's answers that count as slow.
 	slowUsual = 0.05
 	// minSlowBuckets is how much slower than usual for the back end a slow answer is: two to three times.
@@ -37,7 +37,7 @@
 	shiftSigmas = 2
 	// fewSigmas is added to shiftSigmas for a single back end, half of it for two, and so on.
 	fewSigmas = 2
-	minSpread   = 0.3
+	minSpread = 0.3
 	// minShift is how many times of a back end its mean is taken from.
 	minShift = 5
 	// shiftLooks is the narrowest window for it: in a narrower one quick answers come first.
@@ -56,14 +56,15 @@
 	floor float64
 	// rate is the old version's, for a zone.
 	rate func(old []sample, zone string, m measure) float64
-	// needsOld is set if nothing can be said without the old version's calls.
-	needsOld bool
+	// times is set for tests of times: nothing can be said without the old version's calls, and its rate
+	// since the order counts, too, since it comes from the machines and stays.
+	times bool
 }
 
 var tests = []test{
 	{how: "fails", measure: failures, steps: []float64{0.04, 0.12, 0.4}, floor: failureFloor, rate: robustRate},
-	{how: "slow in part", measure: ownSlow, steps: []float64{0.1, 0.3}, floor: slowFloor, rate: robustRate, needsOld: true},
-	{how: "slow", measure: inTail, steps: []float64{0.15, 0.4}, floor: tailFloor, rate: slowestRate, needsOld: true},
+	{how: "slow in part", measure: ownSlow, steps: []float64{0.1, 0.3}, floor: slowFloor, rate: robustRate, times: true},
+	{how: "slow", measure: inTail, steps: []float64{0.15, 0.4}, floor: tailFloor, rate: slowestRate, times: true},
 }
 
 // windows are how many looks back the judge compares; allTime stands for since the order. Several windows
@@ -77,6 +78,8 @@
 	// score is the strongest evidence against the version as part of what condemns it.
 	score  float64
 	reason string
+	// witnesses is how many of the new version's back ends must speak against it.
+	witnesses int
 }
 
 func (v *verdict) add(score float64, why func() string) {
@@ -118,7 +121,7 @@
 
 // judge compares the new version with the old one on each route, and on all together.
 func (j *Judge) judge() verdict {
-	var v verdict
+	v := verdict{witnesses: witnesses(j.backends())}
 	routes := j.prepare()
 	for _, l := range j.lives {
 		clear(l.pooled[:])
@@ -195,7 +198,7 @@
 		}
 	}
 	if calls, _ := total(old, m); calls < leastBaseline {
-		if t.needsOld {
+		if t.times {
 			return
 		}
 		t.floor = max(t.floor, unknownFloor)
@@ -205,11 +208,14 @@
 		p, ok := known[zone]
 		if !ok {
 			p = max(t.floor, t.rate(old, zone, m))
+			if t.times {
+				p = max(p, t.rate(looks[len(looks)-1].old, zone, m))
+			}
 			known[zone] = p
 		}
 		return p
 	}
-	v.add(compare(fresh, base, m, t.steps), func() string {
+	v.add(compare(fresh, v.witnesses, base, m, t.steps), func() string {
 		calls, bad := total(fresh, m)
 		oldCalls, oldBad := total(old, m)
 		return fmt.Sprintf("%s %s: %.0f of %.0f calls, old version %.0f of %.0f", what, t.how, bad, calls, oldBad, oldCalls)
@@ -217,9 +223,9 @@
 }
 
 // compare returns the evidence against new samples as part of the threshold.
-func compare(fresh []sample, base func(zone string) float64, m measure, steps []float64) float64 {
+func compare(fresh []sample, witnesses int, base func(zone string) float64, m measure, steps []float64) float64 {
 	best := 0.0
-	limit := threshold / float64(witnesses(len(fresh)))
+	limit := threshold / float64(witnesses)
 	for _, step := range steps {
 		byZone, callsIn := make(map[string]float64), make(map[string]float64)
 		sum, all := 0.0, 0.0
@@ -249,6 +255,17 @@
 	return max(1, min(backends, 2+backends/8))
 }
 
+// backends is how many back ends of the new version have been heard of.
+func (j *Judge) backends() int {
+	n := 0
+	for _, l := range j.lives {
+		if l.target {
+			n++
+		}
+	}
+	return n
+}
+
 // judgeShift compares whole back ends: that finds a version all of whose answers are slow.
 func (v *verdict) judgeShift(what string, fresh []sample, looks []sides) {
 	few := func(s sample) bool { return s.times < minShift }
@@ -278,9 +295,8 @@
 }
 
 // judgeSum is the rule besides the tests: some tens of failures, far more than the old version's share in
-// the same seconds would have come to.
+// the same seconds would have come to, and not in one zone only.
 func (j *Judge) judgeSum(v *verdict) {
-	var failed, calls, allowed, worstZone float64
 	var fresh []*life
 	for _, l := range j.lives {
 		if l.target {
@@ -291,17 +307,40 @@
 	if len(fresh) >= 3 {
 		fresh = fresh[:len(fresh)-(len(fresh)+4)/5]
 	}
-	byZone := make(map[string]float64)
+	var all tallied
+	byZone := make(map[string]tallied)
 	for _, l := range fresh {
-		n := float64(l.failed())
-		failed, calls, allowed = failed+n, calls+n+float64(l.answered()), allowed+l.allowed
-		byZone[l.report.Zone] += n
-		worstZone = max(worstZone, byZone[l.report.Zone])
+		one := tallied{failed: float64(l.failed()), ended: float64(l.failed() + l.answered()), allowed: l.allowed}
+		all = all.plus(one)
+		byZone[l.report.Zone] = byZone[l.report.Zone].plus(one)
 	}
-	if failed < maxFailures || failed <= allowed || len(byZone) > 1 && worstZone > 0.9*failed {
+	if !all.tooMany(maxFailures) {
 		return
 	}
-	v.add(1, func() string { return fmt.Sprintf("%.0f of %.0f calls failed", failed, calls) })
+	for _, part := range byZone {
+		if rest := all.minus(part); len(byZone) > 1 && !rest.tooMany(maxFailures*elsewhere*rest.ended/all.ended) {
+			return
+		}
+	}
+	v.add(1, func() string { return fmt.Sprintf("%.0f of %.0f calls failed", all.failed, all.ended) })
+}
+
+// tallied are calls of new back ends, and how many of them may fail.
+type tallied struct {
+	failed, ended, allowed float64
+}
+
+func (t tallied) plus(o tallied) tallied {
+	return tallied{t.failed + o.failed, t.ended + o.ended, t.allowed + o.allowed}
+}
+
+func (t tallied) minus(o tallied) tallied {
+	return tallied{t.failed - o.failed, t.ended - o.ended, t.allowed - o.allowed}
+}
+
+// tooMany reports whether some number of calls or more failed, and more than allowed.
+func (t tallied) tooMany(number float64) bool {
+	return t.failed >= number && t.failed > t.allowed+2*math.Sqrt(max(0, t.allowed))
 }
 
 // allow counts at each look how many failures each new back end is allowed.
