--- a/pkg/control/rollout.go
+++ b/pkg/control/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -139,14 +140,31 @@
 	for _, report := range reports {
 		c.take(now, report)
 	}
-	seen := map[string]operator.RolloutSeen{}
-	for _, held := range state.Orders.AllRollouts() {
-		if !held.Phase.Ended() {
-			seen[held.Service] = c.judge(ctx, now, held, state.Endpoints[held.Service])
-		}
+	c.judgeAll(ctx, now, state)
+	return len(c.judges) > 0
+}
+
+// judgeAll judges the rollouts under way, and keeps what the others were judged by last.
+func (c *conductor) judgeAll(ctx context.Context, now time.Time, state *distribution.State) {
+	var before map[string]seenRollout
+	if held := c.server.rolloutSeen.Load(); held != nil {
+		before = *held
+	}
+	seen := maps.Clone(before)
+	if seen == nil {
+		seen = map[string]seenRollout{}
+	}
+	for service := range c.judges {
+		held, _ := state.Orders.RolloutOf(service)
+		seen[service] = seenRollout{number: held.Number, RolloutSeen: c.judge(ctx, now, held, state.Endpoints[service])}
 	}
 	c.server.rolloutSeen.Store(&seen)
-	return len(seen) > 0
+}
+
+// seenRollout is what the leader went by last in one rollout.
+type seenRollout struct {
+	operator.RolloutSeen
+	number uint64
 }
 
 // follow keeps judges of just the rollouts that are under way.
--- a/pkg/control/rollout_operator.go
+++ b/pkg/control/rollout_operator.go
@@ -23,23 +23,23 @@
 	list := operator.RolloutList{Rollouts: []operator.Rollout{}}
 	err := s.readLeased(r.Context(), func(time.Duration) {
 		for _, held := range s.replica.State().Orders.AllRollouts() {
-			list.Rollouts = append(list.Rollouts, operator.DescribeRollout(held, s.seenOf(held.Service)))
+			list.Rollouts = append(list.Rollouts, operator.DescribeRollout(held, s.seenOf(held)))
 		}
 	})
 	answer(w, list, err)
 }
 
-// seenOf returns what the leader goes by, nil if that is not known here.
-func (s *Server) seenOf(service string) *operator.RolloutSeen {
+// seenOf returns what the leader goes by in a rollout, or went by last, nil if that is not known here.
+func (s *Server) seenOf(held rollout.Rollout) *operator.RolloutSeen {
 	all := s.rolloutSeen.Load()
 	if all == nil {
 		return nil
 	}
-	seen, found := (*all)[service]
-	if !found {
+	seen, found := (*all)[held.Service]
+	if !found || seen.number != held.Number {
 		return nil
 	}
-	return &seen
+	return &seen.RolloutSeen
 }
 
 func (s *Server) handleRolloutStart(w http.ResponseWriter, r *http.Request) {
@@ -100,7 +100,7 @@
 		gauge(rolloutPhase, 1, held.Service, held.Version, held.Phase.String())
 		gauge(rolloutShare, float64(held.Share)/rollout.Thousandths, held.Service, held.Version)
 		gauge(rolloutGranted, float64(held.Exposed()), held.Service, held.Version)
-		if seen := m.server.seenOf(held.Service); seen != nil {
+		if seen := m.server.seenOf(held); seen != nil {
 			for side, sums := range map[string]operator.RolloutSide{"new": seen.New, "old": seen.Old} {
 				gauge(rolloutCalls, float64(sums.Answered), held.Service, side, "answered")
 				gauge(rolloutCalls, float64(sums.Failed), held.Service, side, "failed")
--- a/pkg/control/rollout_test.go
+++ b/pkg/control/rollout_test.go
@@ -160,7 +160,7 @@
 	}
 	is.True(granted <= 150) // a tenth of 1000 calls, and 50
 	is.Equal(rollout.Allowance(held, '1'), uint64(0))
-	seen := server.seenOf("orders")
+	seen := server.seenOf(held)
 	is.True(seen != nil)
 	is.Equal(seen.Gates, 2)
 	is.Equal(seen.Nodes, 2)
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -16,7 +16,6 @@
 	"bramblelift/pkg/clock"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/metrics"
-	"bramblelift/pkg/operator"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
@@ -83,8 +82,9 @@
 	rolloutReports chan []protocol.RolloutReport
 	rolloutSteps   chan struct{}
 	rolloutHistory rolloutHistory
-	// rolloutSeen is what the leader goes by, by service; nil where this replica does not lead.
-	rolloutSeen atomic.Pointer[map[string]operator.RolloutSeen]
+	// rolloutSeen is what the leader goes by, or went by last, by service; nil where this replica does
+	// not lead.
+	rolloutSeen atomic.Pointer[map[string]seenRollout]
 	levels      levelTable
 	known       atomic.Pointer[knownMembership]
 	seeds       atomic.Pointer[[]string]
--- a/pkg/operator/rollout.go
+++ b/pkg/operator/rollout.go
@@ -28,7 +28,7 @@
 	// far.
 	State   string `json:"state"`
 	Granted uint64 `json:"granted"`
-	// Seen is what the leader goes by, nil if the rollout has ended.
+	// Seen is what the leader goes by, or went by last, nil if it does not know.
 	Seen *RolloutSeen `json:"seen,omitempty"`
 }
 
