--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -77,7 +77,7 @@
 	defer p.mu.Unlock()
 	first := len(p.endpoints) == 0
 	var next []*endpoint
-	for _, target := range p.subset(service.Endpoints) {
+	for _, target := range p.subset(service) {
 		e := p.find(target)
 		if e == nil {
 			e = p.newEndpoint(now, target)
@@ -126,12 +126,13 @@
 // subset picks the node's share of a large service by rendezvous hashing: the one beside the
 // node, then those of its own zone up to localSubset, then those of others, so that a zone
 // which fails leaves enough. Those that get nothing new come last.
-func (p *Pool) subset(all []routing.Endpoint) []routing.Endpoint {
+func (p *Pool) subset(service routing.Service) []routing.Endpoint {
+	all := service.Endpoints
 	if len(all) <= subsetSize {
 		return all
 	}
 	rank := func(e routing.Endpoint) uint64 { return xxhash.Sum64String(p.config.Node + "\x00" + e.ID) }
-	idle := func(e routing.Endpoint) bool { return e.Leaving || e.Refused != "" }
+	idle := func(e routing.Endpoint) bool { return e.Leaving || e.Refused != "" || closes(service.Rollout, e) }
 	own := func(e routing.Endpoint) bool { return e.Gate != "" && e.Gate == p.config.OwnGate }
 	sorted := slices.Clone(all)
 	slices.SortFunc(sorted, func(a, b routing.Endpoint) int {
--- a/pkg/balancer/version.go
+++ b/pkg/balancer/version.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"bramblelift/pkg/rollout"
+	"bramblelift/pkg/routing"
 )
 
 // VersionChoice is which side of a rollout a call goes to. The zero value has no preference.
@@ -24,3 +25,8 @@
 	}
 	return preferred
 }
+
+// closes reports whether a rollout closes the gate of a back end.
+func closes(r *rollout.Rollout, e routing.Endpoint) bool {
+	return r != nil && r.Phase == rollout.Closing && e.Version != r.Version
+}
--- a/pkg/balancer/version_test.go
+++ b/pkg/balancer/version_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 
 	"bramblelift/pkg/rollout"
@@ -34,3 +35,25 @@
 	candidates := []*endpoint{{}, {}}
 	is.Equal(testing.AllocsPerRun(100, func() { _ = VersionChoice{}.prefer(candidates) }), 0.0)
 }
+
+// Near the end of a rollout a node must not know the old back ends of a large service instead of the new.
+func TestNodesKnowTheBackEndsThatTakeOver(t *testing.T) {
+	is := is.New(t)
+	service := routing.Service{Name: "s", Rollout: &rollout.Rollout{Version: "v2", Phase: rollout.Closing}}
+	for i := range 4 * subsetSize {
+		version := "v1"
+		if i%8 == 0 {
+			version = "v2"
+		}
+		service.Endpoints = append(service.Endpoints, routing.Endpoint{ID: fmt.Sprint(i), Zone: "z", Gate: fmt.Sprint("gate-", i), Version: version})
+	}
+	pool := NewPool(Config{Node: "n", Zone: "z", Random: func(int) int { return 0 }})
+	pool.Update(0, service)
+	known := 0
+	for _, e := range pool.endpoints {
+		if e.target.Version == "v2" {
+			known++
+		}
+	}
+	is.Equal(known, subsetSize/2) // all that there are
+}
--- a/pkg/control/rollout.go
+++ b/pkg/control/rollout.go
@@ -119,7 +119,7 @@
 	err := c.server.inspect(ctx, func(now time.Duration) {
 		node := c.server.replica.Node()
 		state = c.server.replica.State()
-		leading = node.LeaseValid(now) && c.server.replica.Applied() >= node.Commit()
+		leading = node.LeaseValid(now) && c.server.replica.Applied() >= node.Commit() && c.server.commonLevel() >= catalog.LevelOrders
 		if !leading && node.Leader() != node.ID() && len(reports) > 0 {
 			c.server.peers.announce(node.Leader(), protocol.Announce{Rollouts: reports})
 		}
