--- a/pkg/rollout/series.go
+++ b/pkg/rollout/series.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 )
 
@@ -52,14 +53,15 @@
 	return c
 }
 
-// route is what the judge measures one route's times by.
+// route is what the judge measures one route's times by. Positions count buckets: bucket i reaches from i
+// to i+1, its answers spread evenly, so that little hangs on where the edges of the buckets lie.
 type route struct {
 	series []*series
-	// median is the bucket of the old version's median time.
-	median int
-	// slowBy is by how many buckets an answer must be slower than usual for its back end to be slow, tail
-	// the bucket beyond which it is slow for the service: few of the old version's answers are.
-	slowBy, tail int
+	// median is the old version's median time.
+	median float64
+	// slowBy is how much slower than usual for its back end a slow answer is, tail the time from which
+	// one is slow for the service: few of the old version's answers are.
+	slowBy, tail float64
 }
 
 // prepare works out what times are measured by, from all answers since the order.
@@ -101,41 +103,63 @@
 	return sum
 }
 
-// findSlowBy returns the least distance from a back end's usual time that few of the old version's
-// answers have.
-func (r *route) findSlowBy() int {
-	var beyond [2 * timeBuckets]float64
-	calls := 0.0
-	for _, s := range r.series {
-		if s.life.target || !s.life.known {
+// parts is how many parts of a bucket distances are told apart by.
+const parts = 4
+
+// distances counts answers by how far from a position they lie.
+type distances [2 * parts * timeBuckets]float64
+
+func (d *distances) add(times Times, from float64) {
+	for i, n := range times {
+		if n == 0 {
 			continue
 		}
-		for i, n := range s.now.times {
-			calls += float64(n)
-			beyond[max(0, min(i-r.median-s.life.usual, len(beyond)-1))] += float64(n)
+		first := int(math.Floor((float64(i)-from)*parts)) + len(d)/2
+		for part := range parts {
+			d[max(0, min(first+part, len(d)-1))] += float64(n) / parts
 		}
 	}
-	slow := 0.0
-	for by := len(beyond) - 1; by > minSlowBuckets; by-- {
-		if slow += beyond[by]; slow > slowUsual*calls {
-			return by
+}
+
+// quantile returns the distance that a part of the answers lies within.
+func (d *distances) quantile(part float64) float64 {
+	var sum, below float64
+	for _, n := range d {
+		sum += n
+	}
+	for i, n := range d {
+		if below += n; below >= part*sum {
+			return float64(i+1-len(d)/2) / parts
 		}
 	}
-	return minSlowBuckets
+	return timeBuckets
 }
 
-// quantile returns the bucket that a part of the answers lies below or in.
-func (t Times) quantile(part float64) int {
+// findSlowBy returns the least distance from a back end's usual time that few of the old version's
+// answers have.
+func (r *route) findSlowBy() float64 {
+	var d distances
+	for _, s := range r.series {
+		if !s.life.target && s.life.known {
+			d.add(s.now.times, r.median+s.life.usual)
+		}
+	}
+	return max(minSlowBuckets, d.quantile(1-slowUsual))
+}
+
+// quantile returns the position that a part of the answers lies before.
+func (t Times) quantile(part float64) float64 {
 	var sum, below float64
 	for _, n := range t {
 		sum += float64(n)
 	}
 	for i, n := range t {
-		if below += float64(n); below >= part*sum {
-			return i
+		if n := float64(n); n > 0 && below+n >= part*sum {
+			return float64(i) + (part*sum-below)/n
 		}
+		below += float64(n)
 	}
-	return timeBuckets - 1
+	return timeBuckets
 }
 
 // minUsual is how many times a back end's usual one is taken from.
@@ -144,24 +168,31 @@
 // findUsual finds a back end's usual time over all routes: the lower quartile of the distances from the
 // routes' medians. It stays that of the good answers while up to three in four turn slow.
 func (l *life) findUsual(routes map[string]*route) {
-	var distances [2 * timeBuckets]float64
-	sum := 0.0
+	var d distances
+	sum := uint64(0)
 	for name, s := range l.routes {
-		for i, n := range s.now.times {
-			distances[timeBuckets+i-routes[name].median] += float64(n)
-			sum += float64(n)
-		}
+		d.add(s.now.times, routes[name].median)
+		sum += s.now.times.total()
 	}
 	l.known = sum >= minUsual
-	below := 0.0
-	for i, n := range distances {
-		if below += n; 4*below >= sum {
-			l.usual = i - timeBuckets
-			return
-		}
+	if l.known {
+		l.usual = d.quantile(0.25)
 	}
 }
 
+func (t Times) total() uint64 {
+	var sum uint64
+	for _, n := range t {
+		sum += uint64(n)
+	}
+	return sum
+}
+
+// beyond is which part of a bucket's answers lie beyond a position.
+func beyond(bucket int, position float64) float64 {
+	return max(0, min(1, float64(bucket+1)-position))
+}
+
 // observe returns what came in a window, measured.
 func (s *series) observe(w int, r *route) sample {
 	d := s.since(w)
@@ -178,17 +209,13 @@
 		}
 		n := float64(n)
 		one.times += n
-		one.doubles += n * float64(i-r.median) / bucketsPerDouble
-		if i > r.tail {
-			one.tail += n
-		}
+		one.doubles += n * (float64(i) + 0.5 - r.median) / bucketsPerDouble
+		one.tail += n * beyond(i, r.tail)
 		if !s.life.known {
 			continue
 		}
 		one.own += n
-		if i > r.median+s.life.usual+r.slowBy {
-			one.slow += n
-		}
+		one.slow += n * beyond(i, r.median+s.life.usual+r.slowBy)
 	}
 	return one
 }
@@ -206,7 +233,7 @@
 	// pooled are the calls of all routes, by window.
 	pooled [len(windows)]sample
 	// usual is how far from the routes' medians its usual time is, in buckets, if known.
-	usual int
+	usual float64
 	known bool
 	// allowed is how many failures a back end of the new version is allowed, of its calls that ended.
 	allowed float64
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -29,8 +29,8 @@
 	tailFloor    = 0.2
 	// slowUsual is the share of the old version's answers that count as slow.
 	slowUsual = 0.05
-	// minSlowBuckets is how much slower than usual for the back end a slow answer is: two to three times.
-	minSlowBuckets = 2
+	// minSlowBuckets is how much slower than usual for the back end a slow answer is at least: 2.4 times.
+	minSlowBuckets = 2.5
 	// shiftMargin, in doublings, is how much slower than the old the new back ends may be on the whole,
 	// besides some times the spread between back ends, which is at least minSpread.
 	shiftMargin = 0.7
@@ -40,8 +40,9 @@
 	minSpread = 0.3
 	// minShift is how many times of a back end its mean is taken from.
 	minShift = 5
-	// shiftLooks is the narrowest window for it: in a narrower one quick answers come first.
-	shiftLooks = 8
+	// timeLooks is the narrowest window in which times are compared: when a back end gets more calls all
+	// at once its quick answers come first, when it gets none any more its slow ones come last.
+	timeLooks = 8
 	// maxFailures is how many failures of the new version, those of its worst back ends left out, end a
 	// rollout without a test if they are far more than the old version's share.
 	maxFailures = 20
@@ -174,10 +175,14 @@
 		if len(look.fresh) == 0 {
 			continue
 		}
+		wide := windows[i] == allTime || windows[i] >= timeLooks
 		for _, t := range tests {
+			if t.times && !wide {
+				continue
+			}
 			v.test(t, what, look.fresh, looks[i:])
 		}
-		if windows[i] == allTime || windows[i] >= shiftLooks {
+		if wide {
 			v.judgeShift(what, look.fresh, looks[i:])
 		}
 	}
