--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -207,6 +207,9 @@
 			f.leaderAt = f.now + time.Duration(500+f.rng.Intn(700))*time.Millisecond
 			f.judge = nil
 			f.bad = nil // the bound counts anew
+			for _, m := range f.all {
+				m.told, m.heard = 0, f.leaderAt // a new leader knows no better
+			}
 		}
 	}
 	if f.restart > 0 && f.now == f.restart {
@@ -274,7 +277,7 @@
 
 // inTouch reports whether a machine has been connected for some seconds.
 func (f *fake) inTouch(m *machine) bool {
-	return m.silentAt == 0 || f.now-m.silentAt > 3*time.Second
+	return f.now-m.heard <= LeaseTime && (m.silentAt == 0 || f.now-m.silentAt > 3*time.Second)
 }
 
 func (f *fake) checkCompleted() {
@@ -316,6 +319,9 @@
 		if d.held.Step >= d.m.held.Step {
 			d.m.held = d.held
 		}
+		if f.now-d.m.heard > LeaseTime {
+			d.m.silentAt = f.now
+		}
 		d.m.confirmed, d.m.heard, d.m.told = f.now, f.now, 1
 	}
 	delete(f.inbox, f.tick())
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -19,7 +19,7 @@
 	Name string
 	// Confirmed is set once the node has confirmed the held step's phase and share.
 	Confirmed bool
-	// Silent is how long control has not heard from it.
+	// Silent is how long this leader has not heard from it, at most how long it leads.
 	Silent time.Duration
 }
 
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -130,6 +130,7 @@
 	for name, r := range routes {
 		looks := make([]sides, len(windows))
 		for i, w := range windows {
+			looks[i].reserve(len(r.series))
 			for _, s := range r.series {
 				one := s.observe(w, r)
 				looks[i].put(one)
@@ -139,6 +140,9 @@
 		judgeWindows(&v, "route "+name, looks)
 	}
 	looks := make([]sides, len(windows))
+	for i := range looks {
+		looks[i].reserve(len(j.lives))
+	}
 	for _, l := range j.lives {
 		for i := range looks {
 			looks[i].put(l.pooled[i])
@@ -149,6 +153,10 @@
 	return v
 }
 
+func (s *sides) reserve(n int) {
+	s.fresh, s.old = make([]sample, 0, n), make([]sample, 0, n)
+}
+
 func (s *sides) put(one sample) {
 	if one.calls == 0 {
 		return
@@ -356,12 +364,17 @@
 			old = append(old, l.recent())
 		}
 	}
+	rates := make(map[string]float64)
 	for _, l := range j.lives {
 		if !l.target {
 			continue
 		}
+		zone := l.report.Zone
+		if _, ok := rates[zone]; !ok {
+			rates[zone] = robustRate(old, zone, failures)
+		}
 		ended := l.answered() + l.failed()
-		l.allowed += float64(ended-min(ended, l.ended)) * (2*robustRate(old, l.report.Zone, failures) + failureFloor)
+		l.allowed += float64(ended-min(ended, l.ended)) * (2*rates[zone] + failureFloor)
 		l.ended = ended
 	}
 }
