--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -34,6 +34,7 @@
 	sickNew     bool    // one of the new ones does
 	zoneTrouble [2]time.Duration
 	coldReturn  time.Duration
+	restarts    time.Duration    // how often the gate of a new back end is started again
 	stateLost   [2]time.Duration // most of what control sends is lost
 }
 
@@ -86,13 +87,14 @@
 	granted       uint64
 	lateAfterBad  int
 	endViolations int
+	overBudget    int // calls let in beyond the exposure so far, whatever the verdict
 	reason        string
 	shares        []int
 }
 
 type delivery struct {
 	m    *machine
-	held Rollout
+	held *Rollout
 }
 
 type fake struct {
@@ -216,14 +218,15 @@
 		f.judge, f.bad, f.leaderAt = nil, nil, f.now+time.Second
 		f.pending, f.pendAt, f.inbox, f.reports = nil, nil, map[int][]delivery{}, map[int][]Report{}
 		for _, b := range f.backends {
-			f.nextLife++
-			b.life, b.tally, b.atWork = f.nextLife, Tally{}, 0
-			b.machine.told, b.machine.confirmed = 0, -time.Hour
+			f.restartGate(b)
 		}
 		for _, m := range f.callers {
 			m.told, m.confirmed = 0, -time.Hour
 		}
 	}
+	if f.restarts > 0 && f.now%f.restarts == 0 && f.now > 0 {
+		f.restartGate(f.backends[f.old+f.rng.Intn(f.new)])
+	}
 	silent := within(f.now, f.silentThird)
 	for i, m := range f.machines() {
 		m.silent = silent && i%3 == 0
@@ -240,6 +243,12 @@
 	}
 }
 
+func (f *fake) restartGate(b *backend) {
+	f.nextLife++
+	b.life, b.tally, b.atWork = f.nextLife, Tally{}, 0
+	b.machine.told, b.machine.confirmed = 0, -time.Hour
+}
+
 func (f *fake) commit() {
 	for len(f.pending) > 0 && f.pendAt[0] <= f.now {
 		before := f.held().Step
@@ -317,7 +326,7 @@
 			continue
 		}
 		if d.held.Step >= d.m.held.Step {
-			d.m.held = d.held
+			d.m.held = *d.held
 		}
 		if f.now-d.m.heard > LeaseTime {
 			d.m.silentAt = f.now
@@ -335,6 +344,7 @@
 	}
 	delete(f.reports, f.tick())
 	if f.now%(100*time.Millisecond) == 0 {
+		held := *f.held()
 		lost := f.reportsLost / 2
 		if within(f.now, f.stateLost) {
 			lost = 0.9
@@ -342,7 +352,7 @@
 		for _, m := range f.machines() {
 			if !m.silent && f.rng.Float64() > lost {
 				at := f.later(20, 250)
-				f.inbox[at] = append(f.inbox[at], delivery{m, *f.held()})
+				f.inbox[at] = append(f.inbox[at], delivery{m, &held})
 			}
 		}
 	}
@@ -493,6 +503,9 @@
 
 // checkEntry counts calls that the new version must not get.
 func (f *fake) checkEntry() {
+	if f.held().Phase == Running && f.held().Share < Thousandths && float64(f.exposed) > 0.1*float64(f.reached)+50 {
+		f.res.overBudget++
+	}
 	if len(f.bad) >= 50 && f.now > f.bad[49]+5*time.Second {
 		f.res.lateAfterBad++
 	}
--- a/pkg/rollout/proof_test.go
+++ b/pkg/rollout/proof_test.go
@@ -14,7 +14,7 @@
 
 var kinds = []string{goodKind, "fails", "fails-later", "fails-under-load", "fails-on-a-route", "slow", "slow-later"}
 
-var troubles = []string{"none", "leader", "silent-third", "reports-lost", "restart", "burst", "sick-old", "sick-new", "zone", "cold", "state-lost"}
+var troubles = []string{"none", "leader", "silent-third", "reports-lost", "restart", "burst", "sick-old", "sick-new", "zone", "cold", "state-lost", "gate-restarts"}
 
 func between(rng *rand.Rand, low, high float64) float64 { return low + (high-low)*rng.Float64() }
 
@@ -49,6 +49,8 @@
 		w.sickNew = true
 	case "zone":
 		w.zoneTrouble = [2]time.Duration{seconds(at), seconds(at + 3)}
+	case "gate-restarts":
+		w.restarts = seconds(between(rng, 1, 3))
 	case "state-lost":
 		w.stateLost = [2]time.Duration{seconds(at), seconds(at + between(rng, 2, 5))}
 	case "cold":
@@ -97,6 +99,10 @@
 		fig.ends++
 		fault("ends violated %d times, %v", r.endViolations, r.phase)
 	}
+	if r.overBudget > 0 {
+		fig.budget++
+		fault("%d calls beyond the exposure so far", r.overBudget)
+	}
 	if w.bad == nil {
 		if r.phase == Completed && r.endedAt < w.duration {
 			fig.ended[kind]++
@@ -163,11 +169,11 @@
 			t.Errorf("not all rolled back: %s", kind)
 		}
 	}
-	t.Logf("violations: exposure %d, time %d, ends %d", fig.exposure, fig.late, fig.ends)
+	t.Logf("violations: exposure %d, budget %d, time %d, ends %d", fig.exposure, fig.budget, fig.late, fig.ends)
 	if float64(fig.ended[goodKind]) < 0.99*float64(fig.runs[goodKind]) {
 		t.Error("too few good versions completed")
 	}
-	if fig.exposure+fig.late+fig.ends > 0 {
+	if fig.exposure+fig.budget+fig.late+fig.ends > 0 {
 		t.Error("bounds violated")
 	}
 }
