--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -48,7 +48,7 @@
 	lookTime = 250 * time.Millisecond
 	// suspectTime is for how long a version may be suspicious without a break: whole seconds of signs that
 	// are too weak for a look condemn it, too.
-	suspectTime = 3 * time.Second
+	suspectTime = 2 * time.Second
 	// settleTime is how long a new judge moves no calls: its reports come within a second.
 	settleTime = time.Second
 	// minAnswers is how many answers of the new version a stage needs, fewer if half of what its share
