--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -19,7 +19,7 @@
 	Name string
 	// Confirmed is set once the node has confirmed the held step's phase and share.
 	Confirmed bool
-	// Silent is how long control has not heard from it.
+	// Silent is how long this leader has not heard from it, at most how long it leads.
 	Silent time.Duration
 }
 
@@ -48,7 +48,7 @@
 	lookTime = 250 * time.Millisecond
 	// suspectTime is for how long a version may be suspicious without a break: whole seconds of signs that
 	// are too weak for a look condemn it, too.
-	suspectTime = 3 * time.Second
+	suspectTime = 2 * time.Second
 	// settleTime is how long a new judge moves no calls: its reports come within a second.
 	settleTime = time.Second
 	// minAnswers is how many answers of the new version a stage needs, fewer if half of what its share
