--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -31,6 +31,9 @@
 	if len(announced.Rollouts) > 0 {
 		s.takeRollouts(announced.Rollouts)
 	}
+	if announced.Earlier != nil {
+		s.subscribers.note(announced.Earlier.Level, s.clock.Elapsed())
+	}
 }
 
 // takeAnnouncements takes in back ends that nodes announce. They come again until the
--- a/pkg/control/rollout_order.go
+++ b/pkg/control/rollout_order.go
@@ -23,6 +23,7 @@
 	rollout.ErrNothingToDo:    catalog.CodeNothingToDo,
 	rollout.ErrConflict:       catalog.CodeRolloutUnderWay,
 	rollout.ErrNotRunning:     catalog.CodeNoRollout,
+	errEarlierRelease:         catalog.CodeUnavailable,
 }
 
 // refuseRollout makes a refusal of an order.
@@ -69,6 +70,10 @@
 		if before != nil {
 			held = *before
 		}
+		if s.contentLevel() < catalog.LevelOrders {
+			refused = errEarlierRelease
+			return
+		}
 		if done = sentAgain(order, before, time.Now()); !done {
 			refused = rollout.Check(order, before, knowsService(state, order.Service), versionsOf(state.Endpoints[order.Service]))
 		}
@@ -82,6 +87,9 @@
 	return held, done, err
 }
 
+// errEarlierRelease: a gate beside a node of an earlier release lets everything into a new version.
+var errEarlierRelease = errors.New("a replica or a node runs a release that does not know rollouts: upgrade it first")
+
 // sentAgain reports whether an order is the newest one, sent again after it has ended.
 func sentAgain(order rollout.Order, held *rollout.Rollout, now time.Time) bool {
 	return held != nil && held.Phase.Ended() && held.Version == order.Version && held.Duration == order.Duration &&
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -86,6 +86,8 @@
 	// not lead.
 	rolloutSeen atomic.Pointer[map[string]seenRollout]
 	levels      levelTable
+	// subscribers is what other replicas tell of theirs.
+	subscribers subscriberLevel
 	known       atomic.Pointer[knownMembership]
 	seeds       atomic.Pointer[[]string]
 
@@ -217,6 +219,7 @@
 	group.Go(func() { s.proposeEvidence(ctx) })
 	group.Go(func() { s.judgeSuspects(ctx) })
 	group.Go(func() { s.conductRollouts(ctx) })
+	group.Go(func() { s.tellSubscriberLevel(ctx) })
 	group.Go(func() { s.serveInterface(ctx) })
 	err := s.drive(ctx)
 	s.peers.close()
