--- a/pkg/control/rollout.go
+++ b/pkg/control/rollout.go
@@ -98,8 +98,6 @@
 	number uint64
 	judge  *rollout.Judge
 	heard  map[string]heardNode
-	// shown is the newest verdict that was logged.
-	shown rollout.Rollout
 }
 
 // heardNode is what one node reported last.
