--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -35,6 +35,11 @@
 	zoneTrouble [2]time.Duration
 	coldReturn  time.Duration
 	restarts    time.Duration    // how often the gate of a new back end is started again
+	eager       bool             // nodes offer every call to the new version, whatever its share
+	abuse       bool             // clients send every call twice at once, the second marked as a repeat
+	slowNode    bool             // one node hears a second late or more
+	coldFactor  float64          // how much slower cold back ends are
+	allCold     bool             // all new back ends come back cold, not one in four of all
 	stateLost   [2]time.Duration // most of what control sends is lost
 }
 
@@ -121,6 +126,8 @@
 	allRate  float64
 	res      result
 	picked   []*backend
+	strays   []Change
+	strayAt  time.Duration
 	done     bool
 }
 
@@ -207,6 +214,7 @@
 	for _, at := range f.leaderLost {
 		if f.now == at {
 			f.leaderAt = f.now + time.Duration(500+f.rng.Intn(700))*time.Millisecond
+			f.stray()
 			f.judge = nil
 			f.bad = nil // the bound counts anew
 			for _, m := range f.all {
@@ -236,13 +244,26 @@
 	}
 	if f.coldReturn > 0 && f.now == f.coldReturn {
 		for i, b := range f.backends {
-			if i%4 == 0 {
+			if i%4 == 0 && !f.allCold || f.allCold && b.version == "v2" {
 				b.coldAt, b.cold = f.now, f.now+3*time.Second
 			}
 		}
 	}
 }
 
+// stray has the leader that is lost propose once more: that is committed when its successor has made steps.
+func (f *fake) stray() {
+	if f.judge == nil {
+		return
+	}
+	next, changed := f.judge.Next(f.epoch.Add(f.now), *f.held(), f.view())
+	if !changed {
+		next.Step++
+	}
+	f.strays = append(f.strays, Change{next})
+	f.strayAt = f.now + 4*time.Second
+}
+
 func (f *fake) restartGate(b *backend) {
 	f.nextLife++
 	b.life, b.tally, b.atWork = f.nextLife, Tally{}, 0
@@ -250,13 +271,20 @@
 }
 
 func (f *fake) commit() {
+	if len(f.strays) > 0 && f.now >= f.strayAt {
+		f.pending, f.pendAt = append(f.strays, f.pending...), append([]time.Duration{f.now}, f.pendAt...)
+		f.strays = nil
+	}
 	for len(f.pending) > 0 && f.pendAt[0] <= f.now {
-		before := f.held().Step
+		before := *f.held()
 		f.state, _ = Apply(f.state, f.pending[0])
 		f.pending, f.pendAt = f.pending[1:], f.pendAt[1:]
-		if f.held().Step == before {
+		if f.held().Step == before.Step {
 			continue
 		}
+		if f.held().Exposed() < before.Exposed() || before.Phase.Ended() {
+			f.res.overBudget++ // what was granted is forgotten, or an end is taken back
+		}
 		if n := len(f.res.shares); n == 0 || f.res.shares[n-1] != f.held().Share {
 			f.res.shares = append(f.res.shares, int(f.now/time.Millisecond), f.held().Share)
 		}
@@ -352,6 +380,9 @@
 		for _, m := range f.machines() {
 			if !m.silent && f.rng.Float64() > lost {
 				at := f.later(20, 250)
+				if f.slowNode && m == f.callers[0] {
+					at = f.later(1000, 1500)
+				}
 				f.inbox[at] = append(f.inbox[at], delivery{m, &held})
 			}
 		}
@@ -417,6 +448,10 @@
 			f.reached++
 		}
 		f.dispatch(c)
+		if f.abuse {
+			c.again, c.repeat = true, true
+			f.dispatch(c)
+		}
 	}
 	f.allRate = 0.98*f.allRate + float64(n)
 	f.newRate *= 0.98
@@ -425,8 +460,11 @@
 func (f *fake) dispatch(c call) {
 	r := c.from.held
 	side := Choose(r, f.rng.Intn(Thousandths), c.repeat, c.from.caution.Careful(r))
+	if f.eager {
+		side = NewVersion
+	}
 	for try := range 8 {
-		if try == 4 && r.Phase == Running {
+		if try == 4 && r.Phase != Closing && r.Phase != Completed {
 			side = OldVersions
 		}
 		b := f.pick(side, r, c.zone, try)
@@ -477,7 +515,7 @@
 		took *= 1.4
 	}
 	if c.cold = f.cold(b); c.cold {
-		took *= 2
+		took *= f.coldFactor
 	}
 	c.failed = f.rng.Float64() < 0.002
 	if b.sick && f.rng.Float64() < 0.5 {
--- a/pkg/rollout/proof_test.go
+++ b/pkg/rollout/proof_test.go
@@ -14,7 +14,8 @@
 
 var kinds = []string{goodKind, "fails", "fails-later", "fails-under-load", "fails-on-a-route", "slow", "slow-later"}
 
-var troubles = []string{"none", "leader", "silent-third", "reports-lost", "restart", "burst", "sick-old", "sick-new", "zone", "cold", "state-lost", "gate-restarts"}
+var troubles = []string{"none", "leader", "silent-third", "reports-lost", "restart", "burst", "sick-old", "sick-new", "zone", "cold", "all-cold",
+	"state-lost", "gate-restarts", "slow-node", "eager", "eager-restarts", "eager-abuse"}
 
 func between(rng *rand.Rand, low, high float64) float64 { return low + (high-low)*rng.Float64() }
 
@@ -28,7 +29,10 @@
 	kind := kinds[int(seed)%len(kinds)]
 	trouble := troubles[int(seed)/len(kinds)%len(troubles)]
 	d := between(rng, 12, 24)
-	w := world{duration: seconds(d), rate: between(rng, 300, 900), old: 8 + rng.Intn(8), zones: []float64{0.5, 0.3, 0.2}, reportsLost: 0.05}
+	w := world{duration: seconds(d), rate: between(rng, 300, 900), old: 8 + rng.Intn(8), zones: []float64{0.5, 0.3, 0.2}, reportsLost: 0.05, coldFactor: 2}
+	if rng.Intn(4) == 0 {
+		w.zones = []float64{1}
+	}
 	w.anySpeeds = os.Getenv("ROLLOUT_SPEEDS") == "any"
 	w.new = max(4, w.old-rng.Intn(4))
 	at := between(rng, 0.05, 0.95) * d
@@ -51,6 +55,16 @@
 		w.zoneTrouble = [2]time.Duration{seconds(at), seconds(at + 3)}
 	case "gate-restarts":
 		w.restarts = seconds(between(rng, 1, 3))
+	case "all-cold":
+		w.coldReturn, w.allCold, w.coldFactor = seconds(at), true, 5
+	case "slow-node":
+		w.slowNode = true
+	case "eager":
+		w.eager = true
+	case "eager-restarts":
+		w.eager, w.restarts = true, seconds(between(rng, 2, 4))
+	case "eager-abuse":
+		w.eager, w.abuse = true, true
 	case "state-lost":
 		w.stateLost = [2]time.Duration{seconds(at), seconds(at + between(rng, 2, 5))}
 	case "cold":
