--- a/pkg/rollout/series.go
+++ b/pkg/rollout/series.go
@@ -8,19 +8,25 @@
 // looks is how many looks a series keeps: the widest window but that since the order.
 const looks = 32
 
-// recentLooks is how many looks the old version's failures are taken from for what the new one is allowed.
-const recentLooks = 8
+// recentLooks are how many looks back the old version's failures are taken from for what the new one is
+// expected to have: the worst of them, since a trouble that just began is in the shortest only.
+var recentLooks = [...]int{1, 2, 4, 8}
 
 // counts are one route's calls at one back end, summed.
 type counts struct {
 	answered, failed uint64
-	times            Times
+	// expected is how many of a new back end's calls would have failed at the old version's rate in the
+	// same seconds.
+	expected float64
+	times    Times
 }
 
 // series is how one route's calls at one back end came along, look by look.
 type series struct {
 	life *life
 	now  counts
+	// ended is how many calls had ended at the last look.
+	ended uint64
 	// past holds what now was at the last looks, in a ring whose next place is that of the oldest.
 	past []counts
 	next int
@@ -47,6 +53,7 @@
 func (c counts) minus(before counts) counts {
 	c.answered -= min(c.answered, before.answered)
 	c.failed -= min(c.failed, before.failed)
+	c.expected -= before.expected
 	for i := range c.times {
 		c.times[i] -= min(c.times[i], before.times[i])
 	}
@@ -202,6 +209,8 @@
 		target: s.life.target,
 		calls:  float64(d.answered + d.failed),
 		failed: float64(d.failed),
+
+		expected: d.expected,
 	}
 	for i, n := range d.times {
 		if n == 0 {
@@ -235,9 +244,6 @@
 	// usual is how far from the routes' medians its usual time is, in buckets, if known.
 	usual float64
 	known bool
-	// allowed is how many failures a back end of the new version is allowed, of its calls that ended.
-	allowed float64
-	ended   uint64
 }
 
 func (l *life) take(now time.Time, report Report) {
@@ -255,7 +261,7 @@
 			s = &series{life: l}
 			l.routes[r.Route] = s
 		}
-		s.now = counts{answered: r.Answered, failed: r.Failed, times: r.Times}
+		s.now.answered, s.now.failed, s.now.times = r.Answered, r.Failed, r.Times
 	}
 }
 
@@ -286,12 +292,30 @@
 }
 
 // recent returns the calls of the last looks.
-func (l *life) recent() sample {
+func (l *life) recent(back int) sample {
 	one := sample{zone: l.report.Zone}
 	for _, s := range l.routes {
-		d := s.since(recentLooks)
+		d := s.since(back)
 		one.calls += float64(d.answered + d.failed)
 		one.failed += float64(d.failed)
 	}
 	return one
 }
+
+// expected is how many of a new back end's calls would have failed at the old version's rate.
+func (l *life) expected() float64 {
+	sum := 0.0
+	for _, s := range l.routes {
+		sum += s.now.expected
+	}
+	return sum
+}
+
+// expect counts the failures to be expected of the calls that ended since the last look.
+func (l *life) expect(rate float64) {
+	for _, s := range l.routes {
+		ended := s.now.answered + s.now.failed
+		s.now.expected += rate * float64(ended-min(ended, s.ended))
+		s.ended = ended
+	}
+}
--- a/pkg/rollout/verdict.go
+++ b/pkg/rollout/verdict.go
@@ -102,6 +102,8 @@
 	// times are the answers whose times are known, tail those slow by the service's measure; own are
 	// those at back ends whose usual time is known, slow those of them slow by that measure.
 	times, tail, own, slow float64
+	// expected is how many would have failed at the old version's rate in the same seconds.
+	expected float64
 	// doubles sums how far the times lie from the old version's median, in powers of two.
 	doubles float64
 }
@@ -175,6 +177,7 @@
 	s.times, s.tail = s.times+o.times, s.tail+o.tail
 	s.own, s.slow = s.own+o.own, s.slow+o.slow
 	s.doubles += o.doubles
+	s.expected += o.expected
 }
 
 // judgeWindows runs all tests on all windows.
@@ -228,7 +231,7 @@
 		}
 		return p
 	}
-	v.add(compare(fresh, v.witnesses, base, m, t.steps), func() string {
+	v.add(compare(fresh, v.witnesses, base, t), func() string {
 		calls, bad := total(fresh, m)
 		oldCalls, oldBad := total(old, m)
 		return fmt.Sprintf("%s %s: %.0f of %.0f calls, old version %.0f of %.0f", what, t.how, bad, calls, oldBad, oldCalls)
@@ -236,15 +239,19 @@
 }
 
 // compare returns the evidence against new samples as part of the threshold.
-func compare(fresh []sample, witnesses int, base func(zone string) float64, m measure, steps []float64) float64 {
+func compare(fresh []sample, witnesses int, base func(zone string) float64, t test) float64 {
 	best := 0.0
 	limit := threshold / float64(witnesses)
-	for _, step := range steps {
+	for _, step := range t.steps {
 		byZone, callsIn := make(map[string]float64), make(map[string]float64)
 		sum, all := 0.0, 0.0
 		for _, s := range fresh {
-			calls, bad := m(s)
-			p0 := min(base(s.zone), 0.95)
+			calls, bad := t.measure(s)
+			p0 := base(s.zone)
+			if !t.times {
+				p0 = max(p0, s.expected/max(1, calls))
+			}
+			p0 = min(p0, 0.95)
 			p1 := min(p0+step, 0.98)
 			ratio := min(limit, bad*math.Log(p1/p0)+(calls-bad)*math.Log((1-p1)/(1-p0)))
 			sum, all = sum+ratio, all+calls
@@ -323,7 +330,7 @@
 	var all tallied
 	byZone := make(map[string]tallied)
 	for _, l := range fresh {
-		one := tallied{failed: float64(l.failed()), ended: float64(l.failed() + l.answered()), allowed: l.allowed}
+		one := tallied{failed: float64(l.failed()), ended: float64(l.failed() + l.answered()), allowed: 2 * l.expected()}
 		all = all.plus(one)
 		byZone[l.report.Zone] = byZone[l.report.Zone].plus(one)
 	}
@@ -353,15 +360,19 @@
 
 // tooMany reports whether some number of calls or more failed, and more than allowed.
 func (t tallied) tooMany(number float64) bool {
-	return t.failed >= number && t.failed > t.allowed+2*math.Sqrt(max(0, t.allowed))
+	allowed := t.allowed + failureFloor*t.ended
+	return t.failed >= number && t.failed > allowed+2*math.Sqrt(max(0, allowed))
 }
 
-// allow counts at each look how many failures each new back end is allowed.
-func (j *Judge) allow() {
-	var old []sample
-	for _, l := range j.lives {
-		if !l.target {
-			old = append(old, l.recent())
+// expect counts how many calls of each new back end would have failed at the old version's rate in the
+// seconds when they ended. It is asked before each look is judged.
+func (j *Judge) expect() {
+	var looks [len(recentLooks)][]sample
+	for i, back := range recentLooks {
+		for _, l := range j.lives {
+			if !l.target {
+				looks[i] = append(looks[i], l.recent(back))
+			}
 		}
 	}
 	rates := make(map[string]float64)
@@ -371,12 +382,21 @@
 		}
 		zone := l.report.Zone
 		if _, ok := rates[zone]; !ok {
-			rates[zone] = robustRate(old, zone, failures)
+			rates[zone] = recentRate(looks[:], zone)
+		}
+		l.expect(rates[zone])
+	}
+}
+
+// recentRate is the old version's rate of failures of late.
+func recentRate(looks [][]sample, zone string) float64 {
+	rate := 0.0
+	for _, old := range looks {
+		if calls, _ := total(old, failures); calls >= minBaseline {
+			rate = max(rate, robustRate(old, zone, failures))
 		}
-		ended := l.answered() + l.failed()
-		l.allowed += float64(ended-min(ended, l.ended)) * (2*rates[zone] + failureFloor)
-		l.ended = ended
 	}
+	return rate
 }
 
 func total(list []sample, m measure) (calls, bad float64) {
