--- /dev/null
+++ b/pkg/rollout/gate_test.go
@@ -0,0 +1,110 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestGatesLetInWhatTheyWereGranted(t *testing.T) {
+	is := is.New(t)
+	r := Rollout{Version: "v2", Phase: Running, Share: 40, Grants: []Grant{{Life: 7, Upto: 5}}}
+	fresh := Gate{Version: "v2", Life: 7, Admitted: 4}
+	is.True(fresh.Admits(r))
+	fresh.Admitted = 5
+	is.True(!fresh.Admits(r)) // used up
+	fresh.Admitted = 4
+	fresh.Confirmed = LeaseTime + time.Millisecond
+	is.True(!fresh.Admits(r)) // the lease is over
+	is.True(!Gate{Version: "v2", Life: 8}.Admits(r))
+	is.True(Gate{Version: "v1", Life: 9}.Admits(r))
+	is.True(Gate{Version: "v1", Life: 9, Confirmed: time.Hour}.Admits(r)) // the old version needs no lease
+}
+
+func TestGatesAtTheEnds(t *testing.T) {
+	for _, c := range []struct {
+		phase             Phase
+		fresh, old        bool
+		freshCut, oldOpen bool // without control
+	}{
+		{Closing, true, false, false, true},
+		{Completed, true, false, true, false},
+		{Reverting, false, true, false, true},
+		{RolledBack, false, true, false, true},
+	} {
+		is := is.New(t)
+		r := Rollout{Version: "v2", Phase: c.phase, Grants: []Grant{{Life: 7, Upto: 5}}}
+		is.Equal(Gate{Version: "v2", Life: 7}.Admits(r), c.fresh)
+		is.Equal(Gate{Version: "v1"}.Admits(r), c.old)
+		is.Equal(Gate{Version: "v2", Life: 7, Confirmed: time.Minute}.Admits(r), c.freshCut)
+		is.Equal(Gate{Version: "v1", Confirmed: time.Minute}.Admits(r), c.oldOpen)
+	}
+}
+
+func TestNodesChooseAVersion(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Choose(Rollout{}, 0, false, false), AnyVersion)
+	r := Rollout{Version: "v2", Phase: Running, Share: 40}
+	is.Equal(Choose(r, 39, false, false), NewVersion)
+	is.Equal(Choose(r, 40, false, false), OldVersions)
+	is.Equal(Choose(r, 0, true, false), OldVersions) // a repeat
+	is.Equal(Choose(r, 0, false, true), OldVersions) // a careful node
+	r.Phase = Closing
+	is.Equal(Choose(r, 999, true, true), NewVersion) // nobody else takes it
+	r.Phase = Reverting
+	is.Equal(Choose(r, 0, false, false), OldVersions)
+
+	is.True(NewVersion.Allows(r, "v2") && !NewVersion.Allows(r, "v1"))
+	is.True(OldVersions.Allows(r, "v1") && !OldVersions.Allows(r, "v2"))
+	is.True(AnyVersion.Allows(r, "v1") && AnyVersion.Allows(r, "v2"))
+}
+
+func TestNodesActOnFirstSigns(t *testing.T) {
+	is := is.New(t)
+	r := Rollout{Number: 1, Phase: Running, Share: 40}
+	var c Caution
+	for range carefulFailures - 1 {
+		c.Note(r, true)
+	}
+	is.True(!c.Careful(r))
+	c.Note(r, false)
+	c.Note(r, true)
+	is.True(!c.Careful(r))
+	c.Note(r, true)
+	is.True(c.Careful(r))
+	c.Note(r, false)
+	is.True(c.Careful(r)) // until control says more
+	r.Share = 250
+	is.True(!c.Careful(r))
+}
+
+func TestTalliesLeaveOutColdTimes(t *testing.T) {
+	is := is.New(t)
+	var tally Tally
+	for range 4 {
+		tally.Admit(false)
+	}
+	tally.Admit(true)
+	tally.End("r", Answered, 100*time.Millisecond, false)
+	tally.End("r", Answered, time.Second, true)
+	tally.End("r", Failed, time.Second, false)
+	tally.End("r", GivenUp, time.Second, false)
+	var report Report
+	tally.Fill(&report)
+	is.Equal(report.Admitted, uint64(5))
+	is.Equal(report.Repeats, uint64(1))
+	is.Equal(len(report.Routes), 1)
+	is.Equal(report.Routes[0].Answered, uint64(2))
+	is.Equal(report.Routes[0].Failed, uint64(1))
+	is.Equal(report.Routes[0].Times.total(), uint64(1))
+}
+
+func TestBucketsDoubleEveryTwo(t *testing.T) {
+	is := is.New(t)
+	is.Equal(bucketOf(0), 0)
+	is.Equal(bucketOf(firstBucket), 0)
+	is.Equal(bucketOf(2*firstBucket), bucketsPerDouble)
+	is.Equal(bucketOf(4*firstBucket), 2*bucketsPerDouble)
+	is.Equal(bucketOf(time.Hour), timeBuckets-1)
+}
--- /dev/null
+++ b/pkg/rollout/judge_test.go
@@ -0,0 +1,108 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// endOf plays a world and returns how it ended.
+func endOf(w world) result {
+	if w.zones == nil {
+		w.zones = []float64{0.5, 0.3, 0.2}
+	}
+	w.coldFactor = 2
+	return newFake(1, w).play()
+}
+
+func TestAServiceWithoutCallsIsRolledOut(t *testing.T) {
+	is := is.New(t)
+	r := endOf(world{duration: 12 * time.Second, old: 4, new: 4})
+	is.Equal(r.phase, Completed)
+	is.True(r.endedAt < 12*time.Second)
+}
+
+func TestAVersionWithoutBackendsIsRolledBack(t *testing.T) {
+	is := is.New(t)
+	r := endOf(world{duration: 12 * time.Second, rate: 500, old: 8})
+	is.Equal(r.phase, RolledBack)
+	is.Equal(r.exposed, 0)
+}
+
+func TestOldVersionsThatFailAreReplaced(t *testing.T) {
+	is := is.New(t)
+	r := endOf(world{duration: 12 * time.Second, rate: 500, old: 8, new: 8, sickOld: 1})
+	is.Equal(r.phase, Completed)
+}
+
+func TestClosingWaitsForNodesAndCalls(t *testing.T) {
+	held := Rollout{Service: "s", Version: "v2", Number: 1, Phase: Closing, Share: Thousandths, Duration: 12 * time.Second,
+		AtMillis: noon.UnixMilli(), ShareAtMillis: noon.UnixMilli()}
+	ready := func() View {
+		return View{
+			Holders: []Holder{{Name: "a", Confirmed: true}, {Name: "b", Confirmed: true}},
+			Gates:   []GateState{{Version: "v1", Confirmed: true}, {Version: "v2", Life: 7}},
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		edit  func(*View)
+		after time.Duration
+		done  bool
+	}{
+		{"all is done", func(*View) {}, time.Second, true},
+		{"a node has not heard", func(v *View) { v.Holders[1].Confirmed = false }, time.Second, false},
+		{"a gate has not heard", func(v *View) { v.Gates[0].Confirmed = false }, time.Second, false},
+		{"calls are at work", func(v *View) { v.Gates[0].AtWork = 1 }, 5 * time.Second, false},
+		{"calls are at work for too long", func(v *View) { v.Gates[0].AtWork = 1 }, closeLimit, true},
+		{"a node is cut off", func(v *View) { v.Holders[1] = Holder{Silent: time.Minute} }, time.Second, true},
+		{"a gate is cut off", func(v *View) { v.Gates[0] = GateState{Version: "v1", Silent: time.Minute} }, time.Second, false},
+		{"a gate is cut off for long", func(v *View) { v.Gates[0] = GateState{Version: "v1", Silent: time.Minute} }, drainTime, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			view := ready()
+			c.edit(&view)
+			next, _ := NewJudge(Policy{0.1, 50}, held).Next(noon.Add(c.after), held, view)
+			is.Equal(next.Phase == Completed, c.done)
+		})
+	}
+}
+
+func TestRolledBackIsSaidOnceGatesKnowOrLeasesAreOver(t *testing.T) {
+	is := is.New(t)
+	held := Rollout{Service: "s", Version: "v2", Number: 1, Phase: Reverting, AtMillis: noon.UnixMilli(), ShareAtMillis: noon.UnixMilli()}
+	view := View{Gates: []GateState{{Version: "v1"}, {Version: "v2", Silent: time.Minute}}}
+	judge := NewJudge(Policy{0.1, 50}, held)
+	_, changed := judge.Next(noon.Add(LeaseTime), held, view)
+	is.True(!changed)
+	next, _ := judge.Next(noon.Add(LeaseTime+leaseSpare), held, view)
+	is.Equal(next.Phase, RolledBack)
+	view.Gates[1].Confirmed = true
+	next, _ = judge.Next(noon.Add(time.Millisecond), held, view)
+	is.Equal(next.Phase, RolledBack)
+}
+
+func TestGrantsStayWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	held := Start(Order{Service: "s", Version: "v2", Duration: 12 * time.Second}, nil, noon)
+	judge := NewJudge(Policy{0.1, 50}, held)
+	now := noon.Add(time.Second)
+	judge.Take(now, Report{Service: "s", Number: 1, Version: "v1", Life: 1, Admitted: 1000})
+	judge.Take(now, Report{Service: "s", Number: 1, Version: "v2", Life: 2})
+	judge.Take(now, Report{Service: "s", Number: 2, Version: "v2", Life: 3}) // another order's
+	view := View{Gates: []GateState{{Version: "v1", Life: 1}, {Version: "v2", Life: 2}}}
+	next, changed := judge.Next(now, held, view)
+	is.True(changed)
+	is.Equal(len(next.Grants), 1)
+	is.True(next.Exposed() > 0 && next.Exposed() <= 150)
+
+	// The gate is gone: what it was granted stays spent, also for a new leader.
+	later := NewJudge(Policy{0.1, 50}, next)
+	after, changed := later.Next(now, next, View{})
+	is.True(changed)
+	is.Equal(len(after.Grants), 0)
+	is.Equal(after.Spent, next.Exposed())
+	is.Equal(after.Reached, uint64(1000))
+}
