--- a/pkg/rollout/proof_test.go
+++ b/pkg/rollout/proof_test.go
@@ -191,3 +191,33 @@
 		t.Error("bounds violated")
 	}
 }
+
+// A version that turns bad while it takes over is found then, or it is not: once it is completed nothing
+// can be done, and in the last two seconds the old back ends are closed. This counts what that costs.
+func TestVersionsThatTurnBadOnTheLastWay(t *testing.T) {
+	const seeds = 140
+	rolledBack, within, before, worst := 0, 0, 0, 0.0
+	for seed := range int64(seeds) {
+		_, _, w := worldOf(seed*int64(len(kinds)) + 1) // fails at once
+		p := planFor(w.duration)
+		rng := rand.New(rand.NewSource(seed))
+		w.bad.from = p.rampAt() + time.Duration(rng.Int63n(int64(w.duration-p.rampAt())))
+		r := newFake(seed, w).play()
+		if r.overBudget > 0 {
+			t.Errorf("seed %d: %d calls beyond the exposure so far", seed, r.overBudget)
+		}
+		if r.phase == Completed && r.endedAt <= w.bad.from {
+			before++
+			continue
+		}
+		if r.phase == RolledBack {
+			rolledBack++
+		}
+		if float64(r.exposed) <= r.allowed {
+			within++
+		}
+		worst = max(worst, float64(r.exposed)/r.allowed)
+	}
+	t.Logf("%d of %d were completed before they turned bad; of the others %d were rolled back, %d stayed within the exposure; the worst had %.1f times as much",
+		before, seeds, rolledBack, within, worst)
+}
