--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -53,6 +53,9 @@
 	g.setVersion()
 	g.closing = closing{}
 	g.applyRules()
+	now := g.config.Now()
+	g.cold.assumeNew(now)
+	g.wasCold = false
 }
 
 // RemoveBackend lets nothing new reach a back end.
@@ -136,17 +139,21 @@
 		g.mu.Unlock()
 		return admittance{}, reason
 	}
-	if g.running < g.backend.Capacity && len(g.queue) == 0 {
+	g.noteCold(now)
+	g.lookIfUnsure(now)
+	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.openAt(now) <= now {
 		granted := g.grantCounted(now, r.work, r.version)
 		g.mu.Unlock()
 		return granted, ""
 	}
 	w := r.waiter()
-	if g.expectedWait(w) > r.wait {
+	if g.expectedWait(now, w) > r.wait {
+		reason := g.busyReason(now)
 		g.mu.Unlock()
-		return admittance{}, exchange.ReasonFull
+		return admittance{}, reason
 	}
 	g.queue.add(w)
+	g.dispatch()
 	g.mu.Unlock()
 	return g.await(ctx, w, r)
 }
@@ -156,9 +163,13 @@
 func (g *Gate) expectBody(r request) exchange.Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if reason := g.mayEnter(g.config.Now(), r); reason != "" {
+	now := g.config.Now()
+	if reason := g.mayEnter(now, r); reason != "" {
 		return reason
 	}
+	if g.cold.wait(now, g.receiving+g.queue.ahead(r.waiter())) > r.wait {
+		return exchange.ReasonCold
+	}
 	ahead := max(0, g.running+g.receiving+1-g.backend.Capacity) + g.queue.ahead(r.waiter())
 	if g.serviceTime()*time.Duration(ahead)/time.Duration(g.backend.Capacity) > r.wait {
 		return exchange.ReasonFull
@@ -199,13 +210,18 @@
 // grant takes a slot; the mutex is held.
 func (g *Gate) grant(now, work time.Duration) admittance {
 	g.running++
+	g.cold.rate.note(now)
 	return admittance{backend: g.backend, work: work, generation: g.generation, at: now}
 }
 
 // expectedWait estimates how long a call would wait; the mutex is held.
-func (g *Gate) expectedWait(w *waiter) time.Duration {
+func (g *Gate) expectedWait(now time.Duration, w *waiter) time.Duration {
 	ahead := g.queue.ahead(w)
-	return time.Duration(float64(g.serviceTime()) * float64(ahead+1) / float64(g.backend.Capacity))
+	cold := g.cold.wait(now, ahead)
+	if g.running < g.backend.Capacity && cold > 0 {
+		return cold
+	}
+	return max(cold, time.Duration(float64(g.serviceTime())*float64(ahead+1)/float64(g.backend.Capacity)))
 }
 
 func (g *Gate) serviceTime() time.Duration {
@@ -221,7 +237,7 @@
 	defer timer.Stop()
 	early := time.NewTimer(r.early)
 	defer early.Stop()
-	reason := exchange.ReasonFull
+	reason := exchange.Reason("")
 	for waiting := true; waiting; {
 		select {
 		case <-w.admitted:
@@ -239,6 +255,9 @@
 	}
 	g.mu.Lock()
 	stillWaiting := g.queue.remove(w)
+	if reason == "" {
+		reason = g.busyReason(g.config.Now())
+	}
 	g.mu.Unlock()
 	if stillWaiting {
 		return admittance{}, reason
@@ -260,7 +279,7 @@
 func (g *Gate) hopeful(w *waiter, left time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Duration(hopeMargin*float64(g.expectedWait(w))) <= left
+	return time.Duration(hopeMargin*float64(g.expectedWait(g.config.Now(), w))) <= left
 }
 
 // ending is what the end of a call says of the back end.
@@ -287,7 +306,7 @@
 		return
 	}
 	g.running--
-	a.counted.ended(end)
+	a.counted.ended(end, g.cold.remaining(g.config.Now()) > 0)
 	if end.failed || end.service > 0 {
 		g.health.note(g.config.Now(), end.failed)
 	}
@@ -299,19 +318,7 @@
 		g.pace.note(a.work, end.service)
 	}
 	g.noteQuiet()
-	for g.running < g.backend.Capacity {
-		now := g.config.Now()
-		if reason := g.refusesVersion(now); reason != "" {
-			g.dropWaiting(reason)
-			return
-		}
-		w := g.queue.firstInTime(now)
-		if w == nil {
-			return
-		}
-		w.granted = g.grantCounted(now, w.work, w.version)
-		close(w.admitted)
-	}
+	g.dispatch()
 }
 
 // markDown notes that the back end took no connection.
@@ -319,7 +326,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if a.generation == g.generation {
-		g.downUntil = g.config.Now() + downPause
+		now := g.config.Now()
+		g.downUntil = now + downPause
+		g.cold.assume(now)
+		g.noteCold(now)
 	}
 }
 
@@ -332,8 +342,10 @@
 
 // report is Report; the mutex is held.
 func (g *Gate) report() exchange.Report {
+	now := g.config.Now()
+	g.noteCold(now)
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		Service: g.service, Failing: g.health.failing(g.config.Now()),
+		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now),
 	}
 }
--- a/pkg/gate/version.go
+++ b/pkg/gate/version.go
@@ -94,27 +94,29 @@
 type counted struct {
 	tally *rollout.Tally
 	route string
+	// cold is set if the back end was cold then.
+	cold bool
 }
 
 // grantCounted is grant for a call that may count for a rollout; the mutex is held.
 func (g *Gate) grantCounted(now, work time.Duration, hint versionHint) admittance {
 	granted := g.grant(now, work)
-	granted.counted = g.noteAdmitted(hint)
+	granted.counted = g.noteAdmitted(now, hint)
 	return granted
 }
 
 // noteAdmitted counts a call that is let in; the mutex is held.
-func (g *Gate) noteAdmitted(hint versionHint) counted {
+func (g *Gate) noteAdmitted(now time.Duration, hint versionHint) counted {
 	v := &g.versions
 	if !v.held || v.current.Phase.Ended() {
 		return counted{}
 	}
 	v.tally.Admit(hint.repeat)
-	return counted{tally: v.tally, route: hint.route}
+	return counted{tally: v.tally, route: hint.route, cold: g.cold.remaining(now) > 0}
 }
 
 // ended counts what a call that was let in during a rollout came to; the gate's mutex is held.
-func (c counted) ended(end ending) {
+func (c counted) ended(end ending, cold bool) {
 	if c.tally == nil {
 		return
 	}
@@ -125,7 +127,7 @@
 	case end.service > 0:
 		outcome = rollout.Answered
 	}
-	c.tally.End(c.route, outcome, end.service, false)
+	c.tally.End(c.route, outcome, end.service, c.cold || cold)
 }
 
 // versionHint is what a call says of a rollout that its caller's node knows.
@@ -161,6 +163,7 @@
 	}
 	report := RolloutReport{AtWork: g.running, Report: rollout.Report{
 		Service: g.backend.Service, Number: v.current.Number, Version: g.backend.Version, Instance: g.backend.ID, Life: v.life,
+		Cold: g.cold.remaining(g.config.Now()) > 0,
 	}}
 	v.tally.Fill(&report.Report)
 	return report, true
--- a/pkg/gate/version_test.go
+++ b/pkg/gate/version_test.go
@@ -244,3 +244,21 @@
 		is.Equal(route.Answered, 1-failed)
 	}
 }
+
+// How long a cold back end takes says nothing of its version.
+func TestTimesOfColdBackEndsAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	v := newVersionedGate(answeringBackend(t), "v2")
+	v.SetColdBounds(ColdBounds{Start: time.Hour, Rate: 1000})
+	v.SetRollouts(granting(v.versions.life, 5))
+	is.Equal(v.ask(t, exchange.HeaderRoute, "r"), exchange.Reason(""))
+	report, _ := v.RolloutReport()
+	is.True(report.Cold)
+	is.Equal(report.Routes, []rollout.RouteCount{{Route: "r", Answered: 1}})
+	v.HeardCold("b1", 0)
+	is.Equal(v.ask(t, exchange.HeaderRoute, "r"), exchange.Reason(""))
+	report, _ = v.RolloutReport()
+	is.True(!report.Cold)
+	is.Equal(report.Routes[0].Answered, uint64(2))
+	is.True(report.Routes[0].Times != rollout.Times{})
+}
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -13,6 +13,7 @@
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/registration"
+	"bramblelift/pkg/routing"
 	"bramblelift/pkg/wire"
 )
 
@@ -27,6 +28,7 @@
 		Zone: s.settings.Zone, OnClosing: s.noteClosing,
 		OnSender:    func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() },
+		OnCold:      s.observer.coldChanged, OnColdUnknown: s.observer.coldUnknown,
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.observer.watchBackend(s.admin.Registry, s.gate)
@@ -127,3 +129,15 @@
 		s.interfaceListener.Close()
 	}
 }
+
+// setColdBounds tells the gate what the service beside the node bears.
+func (s *Server) setColdBounds(table *routing.Table) {
+	if s.gate == nil {
+		return
+	}
+	for _, service := range table.Services {
+		if service.Name == s.settings.Service {
+			s.gate.SetColdBounds(gate.ColdBounds{Start: service.ColdStart, Rate: service.ColdRate, HealthPath: service.HealthPath})
+		}
+	}
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -332,6 +332,7 @@
 		s.gate.SetRules(table.Rules)
 		s.gate.SetRollouts(state.Orders.AllRollouts())
 	}
+	s.setColdBounds(table)
 	if s.registry != nil {
 		s.registry.Observe(state.Endpoints)
 	}
--- a/pkg/registration/registration_test.go
+++ b/pkg/registration/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/gate"
@@ -11,11 +12,18 @@
 )
 
 // recordingGate notes what it is told.
-type recordingGate struct{ told []string }
+type recordingGate struct {
+	told []string
+	cold []string
+}
 
 func (g *recordingGate) SetBackend(b gate.Backend) {
 	g.told = append(g.told, fmt.Sprintf("set %s %d", b.ID, b.Capacity))
 }
+func (g *recordingGate) HeardCold(id string, remaining time.Duration) {
+	g.cold = append(g.cold, fmt.Sprint(id, " ", remaining))
+}
+
 func (g *recordingGate) RemoveBackend(id string) { g.told = append(g.told, "remove "+id) }
 
 func newRegistry() (*Registry, *recordingGate) {
@@ -104,3 +112,19 @@
 	r.Observe(distribution.EndpointTable{})
 	is.Equal(len(r.Announcements()), 0)
 }
+
+// The gate hears of each heartbeat how cold the back end is, but not of a late one.
+func TestHeartbeatsTellHowColdTheBackEndIs(t *testing.T) {
+	is := is.New(t)
+	r, g := newRegistry()
+	cold := func(sequence uint64, remaining time.Duration) {
+		h := beat("a", sequence, Ready)
+		h.Cold = remaining
+		r.Take(h)
+	}
+	cold(1, 2*time.Second)
+	cold(3, 500*time.Millisecond)
+	cold(2, time.Second)
+	cold(4, 0)
+	is.Equal(g.cold, []string{"a 2s", "a 500ms", "a 0s"})
+}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -88,8 +88,10 @@
 	ColdStart time.Duration
 	ColdRate  float64
 	// Rollout is the newest one of the service, nil if it never had one.
-	Rollout   *rollout.Rollout
-	Endpoints []Endpoint
+	Rollout *rollout.Rollout
+	// HealthPath is where back ends say how they are, empty for nowhere.
+	HealthPath string
+	Endpoints  []Endpoint
 }
 
 // Table answers which route takes a path.
@@ -124,7 +126,7 @@
 	for _, service := range content.Services {
 		table.Services = append(table.Services, Service{
 			Name: service.Name, MaxConcurrency: service.MaxConcurrency, MaxConnections: service.MaxConnections,
-			ColdStart: time.Duration(service.ColdStart), ColdRate: service.ColdRate,
+			ColdStart: time.Duration(service.ColdStart), ColdRate: service.ColdRate, HealthPath: service.HealthPath,
 			Rollout:   newestRollout(state.Orders, service.Name),
 			Endpoints: endpoints(service, state.Endpoints[service.Name], table.Rules),
 		})
