--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -10,9 +10,6 @@
 
 // Tuning of the choice between gates.
 const (
-	// remoteShare is what another zone adds to a score, in service times of the fastest
-	// back end: a call that crosses zones costs bytes and time.
-	remoteShare = 0.3
 	// loadShare is what a fully used back end adds, in its own service times: many slow
 	// down before they are full.
 	loadShare = 0.5
@@ -58,6 +55,9 @@
 	LeftOut []string
 	// Regions are the only ones that may serve the call; empty means all.
 	Regions []string
+	// Spared are other regions whose back ends are left out, if the own one has any that may serve the
+	// call: the link there is crowded.
+	Spared []string
 	// LocalWait is for how long the call may wait at a gate of the node's own zone while
 	// another zone might take it at once: bytes between zones cost.
 	LocalWait time.Duration
@@ -66,6 +66,9 @@
 	AskLocal bool
 	// Patience is for how long it may wait where nobody takes it at once.
 	Patience time.Duration
+	// LargeAnswer is set if the answer is expected to be large: back ends whose link is full are
+	// passed over while others have room.
+	LargeAnswer bool
 	// Repeatable is set if another back end may run the call after one that failed.
 	Repeatable bool
 	// OwnWork is up to which service time the back end beside the node is preferred to all
@@ -95,7 +98,11 @@
 func (p *Pool) AcquireGate(now time.Duration, r GateRequest) (*Ticket, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := r.Version.prefer(p.candidates(now, r.LeftOut, r.Regions))
+	candidates := p.candidates(now, r.LeftOut, r.Regions)
+	if len(r.Spared) > 0 && p.servedNear(r.Regions) {
+		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return slices.Contains(r.Spared, e.target.Region) })
+	}
+	candidates = r.Version.prefer(candidates)
 	if len(candidates) == 0 {
 		return nil, 0, p.noEndpoint()
 	}
@@ -106,7 +113,7 @@
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
 		return p.acquired(own), max(r.OwnWait, own.coldWait(now)), nil
 	}
-	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost()}
+	rating := gateRating{now: now, fastest: fastestService(candidates), failureCost: r.failureCost(), largeAnswer: r.LargeAnswer}
 	if free := p.freeGate(candidates, rating, r.FreeWork); free != nil {
 		return p.acquired(free), r.Patience, nil
 	}
@@ -164,6 +171,9 @@
 	}
 	free := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool {
 		known := e.gate.reported && rating.now-e.gate.at <= reportMemory
+		if rating.largeAnswer && e.linkWait(rating.now) > e.gate.report.Service {
+			return true
+		}
 		return !known || e.gateLoad(rating.now) >= e.gateCapacity() || e.gate.report.Service > work || e.coldLeft(rating.now) > 0
 	})
 	return p.bestGate(free, rating)
@@ -243,6 +253,7 @@
 	// fastest is the least service time of the candidates.
 	fastest     time.Duration
 	failureCost float64
+	largeAnswer bool
 }
 
 // staysLocal reports whether a back end is of the node's own zone and good enough to be
@@ -255,7 +266,7 @@
 	if risk > remoteShare*float64(rating.fastest) && risk > float64(r.LocalWait) {
 		return false
 	}
-	return r.AskLocal || e.gateWait(rating.now) <= r.LocalWait
+	return r.AskLocal || e.roomWait(rating) <= r.LocalWait
 }
 
 // failureRisk is what the back end's failures add to its score.
@@ -281,10 +292,8 @@
 	}
 	share := float64(e.gateLoad(now)) / float64(e.gateCapacity())
 	service *= e.slowness(now)
-	score := float64(e.gateWait(now)) + service*(1+loadShare*share)
-	if e.remote {
-		score += remoteShare * float64(fastest)
-	}
+	score := float64(e.roomWait(rating)) + service*(1+loadShare*share)
+	score += e.distanceCost(fastest)
 	score += e.failureRisk(rating)
 	return score / e.weight(now)
 }
@@ -299,6 +308,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.endpoint.heard(now, report)
+	t.endpoint.link = linkView{wait: report.LinkWait, at: now}
 }
 
 // HearOf takes in a report of a back end that did not come with an answer. One that the pool does
--- a/pkg/balancer/version.go
+++ b/pkg/balancer/version.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"bramblelift/pkg/rollout"
-	"bramblelift/pkg/routing"
 )
 
 // VersionChoice is which side of a rollout a call goes to. The zero value has no preference.
@@ -25,8 +24,3 @@
 	}
 	return preferred
 }
-
-// closes reports whether a rollout closes the gate of a back end.
-func closes(r *rollout.Rollout, e routing.Endpoint) bool {
-	return r != nil && r.Phase == rollout.Closing && e.Version != r.Version
-}
--- a/pkg/balancer/version_test.go
+++ b/pkg/balancer/version_test.go
@@ -39,13 +39,13 @@
 // Near the end of a rollout a node must not know the old back ends of a large service instead of the new.
 func TestNodesKnowTheBackEndsThatTakeOver(t *testing.T) {
 	is := is.New(t)
-	service := routing.Service{Name: "s", Rollout: &rollout.Rollout{Version: "v2", Phase: rollout.Closing}}
+	service := routing.Service{Name: "s"}
 	for i := range 4 * subsetSize {
 		version := "v1"
 		if i%8 == 0 {
 			version = "v2"
 		}
-		service.Endpoints = append(service.Endpoints, routing.Endpoint{ID: fmt.Sprint(i), Zone: "z", Gate: fmt.Sprint("gate-", i), Version: version})
+		service.Endpoints = append(service.Endpoints, routing.Endpoint{ID: fmt.Sprint(i), Zone: "z", Gate: fmt.Sprint("gate-", i), Version: version, Closing: version == "v1"})
 	}
 	pool := NewPool(Config{Node: "n", Zone: "z", Random: func(int) int { return 0 }})
 	pool.Update(0, service)
--- a/pkg/eligibility/eligibility.go
+++ b/pkg/eligibility/eligibility.go
@@ -57,6 +57,16 @@
 	return ""
 }
 
+// Closes reports whether a rollout closes the back end's gate: the new version takes all calls by now, while
+// the old one stays the way back.
+func (r *Rules) Closes(b Backend) bool {
+	if r == nil {
+		return false
+	}
+	held, found := r.orders.RolloutOf(b.Service)
+	return found && held.Phase == rollout.Closing && b.Version != held.Version
+}
+
 // InRegions reports whether a back end of a zone may take calls that only some regions may serve. None
 // named means all.
 func (r *Rules) InRegions(zone string, allowed []string) bool {
--- a/pkg/eligibility/eligibility_test.go
+++ b/pkg/eligibility/eligibility_test.go
@@ -5,6 +5,7 @@
 
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/orders"
+	"bramblelift/pkg/rollout"
 
 	"github.com/matryer/is"
 )
@@ -24,3 +25,24 @@
 	is.Equal(none.Refuses(Backend{Zone: "a"}), exchange.Reason(""))
 	is.True(none.InRegions("a", nil))
 }
+
+func TestRolloutsRefuseAndClose(t *testing.T) {
+	is := is.New(t)
+	for phase, want := range map[rollout.Phase]struct {
+		new exchange.Reason
+		old bool
+	}{
+		rollout.Running: {}, rollout.Closing: {old: true}, rollout.Completed: {},
+		rollout.Reverting: {new: exchange.ReasonVersion}, rollout.RolledBack: {new: exchange.ReasonVersion},
+	} {
+		rules := New(&orders.Table{Rollouts: []rollout.Rollout{{Service: "s", Version: "v2", Phase: phase}}}, nil)
+		is.Equal(rules.Refuses(Backend{Service: "s", Version: "v2"}), want.new)
+		is.Equal(rules.Refuses(Backend{Service: "s", Version: "v1"}), exchange.Reason(""))
+		is.Equal(rules.Refuses(Backend{Service: "t", Version: "v2"}), exchange.Reason(""))
+		is.Equal(rules.Closes(Backend{Service: "s", Version: "v1"}), want.old)
+		is.True(!rules.Closes(Backend{Service: "s", Version: "v2"}))
+		is.True(!rules.Closes(Backend{Service: "t", Version: "v1"}))
+	}
+	var none *Rules
+	is.True(!none.Closes(Backend{Service: "s", Version: "v1"}))
+}
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -75,6 +75,8 @@
 	if g.besideNode(ticket) && g.handler.config.Gate != nil {
 		return g.readGate(ticket, g.handler.config.Gate(request.WithContext(ctx), g.body))
 	}
+	g.askHeld(ticket, request)
+	sent := g.now()
 	var delivery exchange.Delivery
 	response, err := g.handler.gates.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, delivery.Trace())))
 	if err != nil {
@@ -84,6 +86,7 @@
 		}
 		return nil, failure
 	}
+	g.noteDelay(ticket, sent, response.Header)
 	return g.readGate(ticket, response)
 }
 
@@ -106,12 +109,15 @@
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: exchange.ErrWrongAnswer}
 	}
-	data, rest, err := exchange.ReadWhole(response.Body, response.ContentLength)
+	data, rest, release, err := g.handler.config.Holding.ReadWhole(response)
 	if err != nil {
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: err}
 	}
-	response.Body = newWholeBody(data, rest, response.Body)
+	if rest == nil && response.ContentLength < 0 {
+		response.ContentLength = int64(len(data))
+	}
+	response.Body = newWholeBody(data, rest, response.Body, release)
 	return response, nil
 }
 
@@ -134,6 +140,9 @@
 		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.begun))
 	}
 	request.Header.Set(exchange.HeaderExpectedWork, strconv.FormatInt(g.work.Microseconds(), 10))
+	if g.largeAnswer() {
+		request.Header.Set(exchange.HeaderExpectedAnswer, strconv.Itoa(g.answerBytes))
+	}
 	if sender := g.sender(ticket); sender != "" {
 		request.Header.Set(exchange.HeaderSender, sender)
 	}
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -27,10 +27,9 @@
 	Service  string
 	Address  string
 	Capacity int
+	Zone     string
 	// Version is that of the back end's software, empty if unknown.
 	Version string
-	// Zone is where it runs, empty for that of the gate.
-	Zone string
 }
 
 // SetBackend names the back end that takes calls from now on.
@@ -50,12 +49,12 @@
 	g.generation++
 	g.running, g.service, g.pace, g.health, g.downUntil = 0, 0, pace{}, health{}, 0
 	g.dropWaiting(exchange.ReasonAbsent)
-	g.setVersion()
-	g.closing = closing{}
-	g.applyRules()
 	now := g.config.Now()
 	g.cold.assumeNew(now)
 	g.wasCold = false
+	g.closing = closing{}
+	g.applyRules()
+	g.setVersion()
 }
 
 // RemoveBackend lets nothing new reach a back end.
@@ -117,6 +116,8 @@
 	// early is until when a refusal helps the caller most.
 	early time.Duration
 	work  time.Duration
+	// answer is how many bytes a large answer is expected to have, zero for one that is not large.
+	answer int64
 	// lateAt is when the call becomes late unless the back end has begun it, zero if it has
 	// no target latency.
 	lateAt time.Duration
@@ -346,6 +347,6 @@
 	g.noteCold(now)
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now),
+		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now), LinkWait: g.toldLinkWait(),
 	}
 }
--- a/pkg/gate/warming.go
+++ b/pkg/gate/warming.go
@@ -39,9 +39,11 @@
 	})
 }
 
-// Rested takes the back end for cold until it says otherwise: it got no calls for a while.
-func (g *Gate) Rested() {
-	g.changeCold(g.cold.assume)
+// rested takes the back end for cold until it says otherwise: it got nothing new for a while, and may have
+// turned cold meanwhile without a word. The mutex is held.
+func (g *Gate) rested(now time.Duration) {
+	g.cold.assume(now)
+	g.noteCold(now)
 }
 
 // changeCold changes what is known, and lets in what may go on for it.
--- a/pkg/gate/warming_test.go
+++ b/pkg/gate/warming_test.go
@@ -172,14 +172,16 @@
 	is.True(g.Report().Cold.Remaining > 30*time.Second)
 }
 
-// So does one that was at rest.
+// So does one whose zone is no longer evacuated.
 func TestRestedBackEndIsAsked(t *testing.T) {
 	is := is.New(t)
 	b := newColdBackend(t, 0)
 	g := b.gateBeside(20)
 	g.HeardCold("b1", 0)
 	is.Equal(g.Report().Cold, exchange.Cold{})
-	g.Rested()
+	g.SetBackend(Backend{ID: "b1", Address: g.backend.Address, Capacity: g.backend.Capacity, Zone: "a"})
+	g.SetRules(evacuated("a"))
+	g.SetRules(evacuated())
 	is.True(g.Report().Cold.Remaining > 0)
 	flood(t, g, 100*time.Millisecond, exchange.HeaderWait, "200")
 	is.Equal(b.looks.Load(), int64(1))
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -74,6 +74,8 @@
 	Region string
 	// Version is that of the back end's software, empty if unknown.
 	Version string
+	// Closing is set while a rollout closes its gate: it takes calls only if that fails.
+	Closing bool
 	// Refused is why the back end may get nothing new for the time being, empty if it may.
 	Refused exchange.Reason
 }
@@ -183,7 +185,8 @@
 	for i := range all {
 		e := &all[i]
 		e.Region = rules.Region(e.Zone)
-		e.Refused = rules.Refuses(eligibility.Backend{Service: service.Name, Zone: e.Zone, Version: e.Version})
+		backend := eligibility.Backend{Service: service.Name, Zone: e.Zone, Version: e.Version}
+		e.Refused, e.Closing = rules.Refuses(backend), rules.Closes(backend)
 	}
 	slices.SortFunc(all, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return all
@@ -200,6 +203,16 @@
 	return *found, true
 }
 
+// ServedIn reports whether back ends of a zone may take a call. A call without a route is not judged: the
+// table may be older than the caller's.
+func (t *Table) ServedIn(zone, host, path string) bool {
+	if !t.routes.regional {
+		return true
+	}
+	route, found := t.Match(host, path)
+	return !found || t.Rules.InRegions(zone, route.Regions)
+}
+
 // hostName strips the port of a Host header and folds its case.
 func hostName(host string) string {
 	if strings.IndexByte(host, ':') >= 0 {
