Rollouts: a new leader takes no gate for gone before it has heard of it

With the wiring a gate that the leader has not heard is in the view without its life; its grant was counted as spent and granted again at each change of leader.

--- a/pkg/rollout/budget.go
+++ b/pkg/rollout/budget.go
@@ -74,7 +74,9 @@
 func (j *Judge) grant(now time.Time, held Rollout, view View) (Rollout, bool) {
 	next := held
 	next.Grants = slices.Clone(held.Grants)
-	next.endLives(view)
+	if now.Sub(j.begun) >= settleTime {
+		next.endLives(view)
+	}
 	gates := j.grantees(now, view)
 	if held.Share == canaryShare && now.Sub(time.UnixMilli(held.AtMillis)) < planFor(held.Duration).rampAt() {
 		gates = slices.DeleteFunc(gates, func(l *life) bool { return l.report.Cold })
@@ -134,8 +136,13 @@
 	return list
 }
 
-// endLives counts what gates that are gone were granted as spent.
+// endLives counts what gates that are gone were granted as spent. While a gate of the new version is there
+// that has not told its life, any of the lives may be its.
 func (r *Rollout) endLives(view View) {
+	unknown := func(g GateState) bool { return g.Version == r.Version && g.Life == 0 }
+	if slices.ContainsFunc(view.Gates, unknown) {
+		return
+	}
 	r.Grants = slices.DeleteFunc(r.Grants, func(grant Grant) bool {
 		if slices.ContainsFunc(view.Gates, func(g GateState) bool { return g.Life == grant.Life }) {
 			return false
--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -337,7 +337,11 @@
 	}
 	for _, b := range f.backends {
 		if f.now >= b.start {
-			v.Gates = append(v.Gates, GateState{Version: b.version, Life: b.life, Confirmed: f.told(b.machine), AtWork: b.atWork, Silent: f.now - b.machine.heard})
+			life := b.life
+			if f.judge.lives[life] == nil {
+				life = 0 // the leader has not heard of it
+			}
+			v.Gates = append(v.Gates, GateState{Version: b.version, Life: life, Confirmed: f.told(b.machine), AtWork: b.atWork, Silent: f.now - b.machine.heard})
 		}
 	}
 	return v
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -27,7 +27,8 @@
 type GateState struct {
 	Instance string
 	Version  string
-	Life     uint64
+	// Life is zero until this leader has heard from the gate.
+	Life uint64
 	// Confirmed is set once the gate's node has confirmed the held step's phase and share.
 	Confirmed bool
 	// AtWork is how many calls its back end works on, by what the gate told after it confirmed.
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -98,9 +98,17 @@
 	is.Equal(len(next.Grants), 1)
 	is.True(next.Exposed() > 0 && next.Exposed() <= 150)
 
+	// A new leader has not heard of the gate yet: the grant stays the gate's.
+	young := NewJudge(Policy{0.1, 50}, next)
+	_, changed = young.Next(now, next, View{})
+	is.True(!changed)
+	_, changed = young.Next(now.Add(settleTime), next, View{Gates: []GateState{{Version: "v2"}}})
+	is.True(!changed)
+
 	// The gate is gone: what it was granted stays spent, also for a new leader.
 	later := NewJudge(Policy{0.1, 50}, next)
-	after, changed := later.Next(now, next, View{})
+	later.Next(now, next, View{})
+	after, changed := later.Next(now.Add(settleTime), next, View{})
 	is.True(changed)
 	is.Equal(len(after.Grants), 0)
 	is.Equal(after.Spent, next.Exposed())
