Rollouts: a new leader ends nothing before it has heard of the nodes

Nodes that it has not heard of are not in its view, so that none seemed to be missing: 'completed' could follow a change of leader at once.

--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -333,6 +333,9 @@
 func (f *fake) view() View {
 	var v View
 	for _, m := range f.machines() {
+		if m.told == 0 {
+			continue // this leader has not heard of it
+		}
 		v.Holders = append(v.Holders, Holder{Confirmed: f.told(m), Silent: f.now - m.heard})
 	}
 	for _, b := range f.backends {
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -38,6 +38,7 @@
 
 // View is what the leader knows besides reports.
 type View struct {
+	// Holders are the nodes that this leader has heard of.
 	Holders []Holder
 	// Gates are those of all registered back ends of the service that do not leave; a life that is not
 	// among them any more has ended.
@@ -50,7 +51,7 @@
 	// suspectTime is for how long a version may be suspicious without a break: whole seconds of signs that
 	// are too weak for a look condemn it, too.
 	suspectTime = 2 * time.Second
-	// settleTime is how long a new judge moves no calls: its reports come within a second.
+	// settleTime is how long a new judge moves no calls and ends nothing: its reports come within a second.
 	settleTime = time.Second
 	// minAnswers is how many answers of the new version a stage needs, fewer if half of what its share
 	// of the calls came to is less.
@@ -254,7 +255,7 @@
 	if lasted >= closeLimit {
 		return j.move(now, held, Completed, Thousandths, "old back ends took too long to end their calls"), true
 	}
-	if !confirmed(view) {
+	if !confirmed(view) || now.Sub(j.begun) < settleTime {
 		return held, false
 	}
 	for _, g := range view.Gates {
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -64,7 +64,10 @@
 			is := is.New(t)
 			view := ready()
 			c.edit(&view)
-			next, _ := NewJudge(Policy{0.1, 50}, held).Next(noon.Add(c.after), held, view)
+			judge := NewJudge(Policy{0.1, 50}, held)
+			_, changed := judge.Next(noon, held, View{})
+			is.True(!changed) // a new leader has not heard of all nodes
+			next, _ := judge.Next(noon.Add(c.after), held, view)
 			is.Equal(next.Phase == Completed, c.done)
 		})
 	}
