--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -64,7 +64,10 @@
 			is := is.New(t)
 			view := ready()
 			c.edit(&view)
-			next, _ := NewJudge(Policy{0.1, 50}, held).Next(noon.Add(c.after), held, view)
+			judge := NewJudge(Policy{0.1, 50}, held)
+			_, changed := judge.Next(noon, held, View{})
+			is.True(!changed) // a new leader has not heard of all nodes
+			next, _ := judge.Next(noon.Add(c.after), held, view)
 			is.Equal(next.Phase == Completed, c.done)
 		})
 	}
@@ -98,9 +101,17 @@
 	is.Equal(len(next.Grants), 1)
 	is.True(next.Exposed() > 0 && next.Exposed() <= 150)
 
+	// A new leader has not heard of the gate yet: the grant stays the gate's.
+	young := NewJudge(Policy{0.1, 50}, next)
+	_, changed = young.Next(now, next, View{})
+	is.True(!changed)
+	_, changed = young.Next(now.Add(settleTime), next, View{Gates: []GateState{{Version: "v2"}}})
+	is.True(!changed)
+
 	// The gate is gone: what it was granted stays spent, also for a new leader.
 	later := NewJudge(Policy{0.1, 50}, next)
-	after, changed := later.Next(now, next, View{})
+	later.Next(now, next, View{})
+	after, changed := later.Next(now.Add(settleTime), next, View{})
 	is.True(changed)
 	is.Equal(len(after.Grants), 0)
 	is.Equal(after.Spent, next.Exposed())
