--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -31,9 +31,7 @@
 	if len(announced.Rollouts) > 0 {
 		s.takeRollouts(announced.Rollouts)
 	}
-	if announced.Earlier != nil {
-		s.subscribers.note(announced.Earlier.Level, s.clock.Elapsed())
-	}
+	s.noteEarlier(announced.Earlier)
 }
 
 // takeAnnouncements takes in back ends that nodes announce. They come again until the
