--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -58,6 +58,9 @@
 	minAnswers = 50
 	// fewAnswers are enough for a stage that lasted twice its time: the budget may allow no more.
 	fewAnswers = 20
+	// troubleRate is the old version's share of failures, in the last looks, above which no calls are moved.
+	troubleRate  = 0.1
+	troubleLooks = 4
 	// confirmTime is how long the last stage waits for nodes to confirm it.
 	confirmTime = 1500 * time.Millisecond
 	// drainTime is how long the calls of an old gate that control does not hear are waited for.
@@ -208,6 +211,9 @@
 	if now.Sub(j.begun) < settleTime && since > settleTime {
 		return false
 	}
+	if j.troubled() && since < p.lastChance() {
+		return false
+	}
 	if held.Share == canaryShare {
 		return enough && since >= p.rampAt() && lasted >= minStage && len(j.grantees(now, view)) > 0
 	}
@@ -217,6 +223,19 @@
 	return enough && lasted >= p.stageTime(begun, held.Share)
 }
 
+// troubled reports whether the old version itself fails so much of late that the new one can't be told from
+// it: no more calls are moved then while there is time.
+func (j *Judge) troubled() bool {
+	var old []sample
+	for _, l := range j.lives {
+		if !l.target {
+			old = append(old, l.recent(troubleLooks))
+		}
+	}
+	calls, _ := total(old, failures)
+	return calls >= minBaseline && robustRate(old, "", failures) > troubleRate
+}
+
 // enough reports whether the new version has ended enough calls at this stage. A service that gets no
 // calls needs no evidence: there is nothing to be lost.
 func (j *Judge) enough(now time.Time, held Rollout, lasted time.Duration) bool {
