--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -211,7 +211,7 @@
 	if now.Sub(j.begun) < settleTime && since > settleTime {
 		return false
 	}
-	if j.troubled() && since < p.lastChance() {
+	if since < p.lastChance() && (j.troubled() || j.cold()) {
 		return false
 	}
 	if held.Share == canaryShare {
@@ -236,6 +236,22 @@
 	return calls >= minBaseline && robustRate(old, "", failures) > troubleRate
 }
 
+// cold reports whether most back ends of the new version are cold: their times are not known then, and they
+// bear little.
+func (j *Judge) cold() bool {
+	cold, all := 0, 0
+	for _, l := range j.lives {
+		if !l.target || j.looked.Sub(l.heard) > LeaseTime {
+			continue
+		}
+		all++
+		if l.report.Cold {
+			cold++
+		}
+	}
+	return 2*cold > all
+}
+
 // enough reports whether the new version has ended enough calls at this stage. A service that gets no
 // calls needs no evidence: there is nothing to be lost.
 func (j *Judge) enough(now time.Time, held Rollout, lasted time.Duration) bool {
