--- a/pkg/rollout/fake_test.go
+++ b/pkg/rollout/fake_test.go
@@ -44,19 +44,18 @@
 }
 
 type backend struct {
-	index    int
-	version  string
-	zone     string
-	speed    float64
-	sick     bool
-	start    time.Duration
-	cold     time.Duration // until
-	coldAt   time.Duration
-	life     uint64
-	tally    Tally
-	atWork   int
-	machine  *machine
-	admitted int
+	index   int
+	version string
+	zone    string
+	speed   float64
+	sick    bool
+	start   time.Duration
+	cold    time.Duration // until
+	coldAt  time.Duration
+	life    uint64
+	tally   Tally
+	atWork  int
+	machine *machine
 }
 
 // machine holds a copy of the state; each back end and each client zone has one.
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -58,7 +58,8 @@
 	minAnswers = 50
 	// fewAnswers are enough for a stage that lasted twice its time: the budget may allow no more.
 	fewAnswers = 20
-	// troubleRate is the old version's share of failures, in the last looks, above which no calls are moved.
+	// troubleRate is the old version's share of failures, in the last looks, above which no calls are moved
+	// unless the new version has less than half of it.
 	troubleRate  = 0.1
 	troubleLooks = 4
 	// confirmTime is how long the last stage waits for nodes to confirm it.
@@ -223,17 +224,22 @@
 	return enough && lasted >= p.stageTime(begun, held.Share)
 }
 
-// troubled reports whether the old version itself fails so much of late that the new one can't be told from
-// it: no more calls are moved then while there is time.
+// troubled reports whether both versions fail so much of late that a bad one can't be told: no more calls are
+// moved then while there is time.
 func (j *Judge) troubled() bool {
-	var old []sample
+	var fresh, old []sample
 	for _, l := range j.lives {
-		if !l.target {
+		if l.target {
+			fresh = append(fresh, l.recent(troubleLooks))
+		} else {
 			old = append(old, l.recent(troubleLooks))
 		}
 	}
-	calls, _ := total(old, failures)
-	return calls >= minBaseline && robustRate(old, "", failures) > troubleRate
+	if calls, _ := total(old, failures); calls < minBaseline || robustRate(old, "", failures) <= troubleRate {
+		return false
+	}
+	calls, failed := total(fresh, failures)
+	return failed > troubleRate/2*calls
 }
 
 // cold reports whether most back ends of the new version are cold: their times are not known then, and they
