--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -58,6 +58,10 @@
 	minAnswers = 50
 	// fewAnswers are enough for a stage that lasted twice its time: the budget may allow no more.
 	fewAnswers = 20
+	// troubleRate is the old version's share of failures, in the last looks, above which no calls are moved
+	// unless the new version has less than half of it.
+	troubleRate  = 0.1
+	troubleLooks = 4
 	// confirmTime is how long the last stage waits for nodes to confirm it.
 	confirmTime = 1500 * time.Millisecond
 	// drainTime is how long the calls of an old gate that control does not hear are waited for.
@@ -208,6 +212,9 @@
 	if now.Sub(j.begun) < settleTime && since > settleTime {
 		return false
 	}
+	if since < p.lastChance() && (j.troubled() || j.cold()) {
+		return false
+	}
 	if held.Share == canaryShare {
 		return enough && since >= p.rampAt() && lasted >= minStage && len(j.grantees(now, view)) > 0
 	}
@@ -217,6 +224,40 @@
 	return enough && lasted >= p.stageTime(begun, held.Share)
 }
 
+// troubled reports whether both versions fail so much of late that a bad one can't be told: no more calls are
+// moved then while there is time.
+func (j *Judge) troubled() bool {
+	var fresh, old []sample
+	for _, l := range j.lives {
+		if l.target {
+			fresh = append(fresh, l.recent(troubleLooks))
+		} else {
+			old = append(old, l.recent(troubleLooks))
+		}
+	}
+	if calls, _ := total(old, failures); calls < minBaseline || robustRate(old, "", failures) <= troubleRate {
+		return false
+	}
+	calls, failed := total(fresh, failures)
+	return failed > troubleRate/2*calls
+}
+
+// cold reports whether most back ends of the new version are cold: their times are not known then, and they
+// bear little.
+func (j *Judge) cold() bool {
+	cold, all := 0, 0
+	for _, l := range j.lives {
+		if !l.target || j.looked.Sub(l.heard) > LeaseTime {
+			continue
+		}
+		all++
+		if l.report.Cold {
+			cold++
+		}
+	}
+	return 2*cold > all
+}
+
 // enough reports whether the new version has ended enough calls at this stage. A service that gets no
 // calls needs no evidence: there is nothing to be lost.
 func (j *Judge) enough(now time.Time, held Rollout, lasted time.Duration) bool {
