--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -80,6 +80,8 @@
 	// FreeWork, if not zero, prefers back ends that are known to have a free slot and whose
 	// service time is no more than that, wherever they are and however much slower than others.
 	FreeWork time.Duration
+	// Version is which side of a rollout the call goes to.
+	Version VersionChoice
 }
 
 // failureCost is what a certain failure of the call adds to a score, in service times.
@@ -100,6 +102,7 @@
 	if len(r.Spared) > 0 && p.servedNear(r.Regions) {
 		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return slices.Contains(r.Spared, e.target.Region) })
 	}
+	candidates = r.Version.prefer(candidates)
 	if len(candidates) == 0 {
 		return nil, 0, p.noEndpoint()
 	}
@@ -136,7 +139,7 @@
 	e.gate.sent++
 	return &Ticket{
 		pool: p, endpoint: e, Address: e.target.Gate,
-		ID: e.target.ID, Incarnation: e.target.Incarnation,
+		ID: e.target.ID, Incarnation: e.target.Incarnation, Version: e.target.Version,
 	}
 }
 
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -144,7 +144,7 @@
 }
 
 // closed reports whether a back end gets nothing new.
-func closed(e routing.Endpoint) bool { return e.Leaving || e.Refused != "" }
+func closed(e routing.Endpoint) bool { return e.Leaving || e.Refused != "" || e.Closing }
 
 func boolCompare(a, b bool) int {
 	if a == b {
@@ -179,6 +179,8 @@
 	ID       string
 	// Incarnation is the one that the node knows.
 	Incarnation uint64
+	// Version is that of the back end's software, empty if unknown.
+	Version string
 }
 
 // Acquire picks a back end of the regions that may serve the call (none named means all), leaving
--- a/pkg/control/announce.go
+++ b/pkg/control/announce.go
@@ -28,6 +28,9 @@
 	if announced.Evidence != nil && !announced.Evidence.Empty() {
 		s.takeEvidence(*announced.Evidence)
 	}
+	if len(announced.Rollouts) > 0 {
+		s.takeRollouts(announced.Rollouts)
+	}
 	s.noteEarlier(announced.Earlier)
 }
 
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -77,7 +77,15 @@
 	evidence      chan []quarantine.Evidence
 	// suspicion holds at most one token: the suspects have changed.
 	suspicion chan struct{}
-	levels    levelTable
+	// rolloutReports are what nodes told of rollouts; rolloutSteps holds at most one token: a rollout that
+	// is under way has changed.
+	rolloutReports chan []protocol.RolloutReport
+	rolloutSteps   chan struct{}
+	rolloutHistory rolloutHistory
+	// rolloutSeen is what the leader goes by, or went by last, by service; nil where this replica does
+	// not lead.
+	rolloutSeen atomic.Pointer[map[string]seenRollout]
+	levels      levelTable
 	// subscribers is what other replicas tell of theirs.
 	subscribers subscriberLevel
 	known       atomic.Pointer[knownMembership]
@@ -109,6 +117,7 @@
 	s := &Server{
 		newInterface: newInterface, announced: make(chan []distribution.Endpoint, inboxSize),
 		evidence: make(chan []quarantine.Evidence, inboxSize), suspicion: make(chan struct{}, 1),
+		rolloutReports: make(chan []protocol.RolloutReport, inboxSize), rolloutSteps: make(chan struct{}, 1),
 		settings: config, logger: logger, clock: clock.New(),
 		messages: make(chan received, inboxSize),
 		joins:    make(chan protocol.Join, inboxSize),
@@ -209,6 +218,7 @@
 	group.Go(func() { s.proposeAnnounced(ctx) })
 	group.Go(func() { s.proposeEvidence(ctx) })
 	group.Go(func() { s.judgeSuspects(ctx) })
+	group.Go(func() { s.conductRollouts(ctx) })
 	group.Go(func() { s.tellSubscriberLevel(ctx) })
 	group.Go(func() { s.serveInterface(ctx) })
 	err := s.drive(ctx)
@@ -291,6 +301,7 @@
 	if output.StateChanged {
 		s.hub.SetState(s.replica.State())
 		s.noteSuspects()
+		s.noteRollouts()
 	}
 	// Only after the hub has the state may it be called confirmed.
 	if at, confirmed := s.replica.Node().ConfirmedAt(s.clock.Elapsed()); confirmed {
--- a/pkg/eligibility/eligibility.go
+++ b/pkg/eligibility/eligibility.go
@@ -10,6 +10,7 @@
 
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/orders"
+	"bramblelift/pkg/rollout"
 )
 
 // Backend is what the rules must know of a back end.
@@ -44,12 +45,28 @@
 // Refuses returns why a back end may get nothing new for the time being, of any route; empty if it may.
 // One that leaves never comes back and is no matter of orders.
 func (r *Rules) Refuses(b Backend) exchange.Reason {
-	if r != nil && r.orders.Evacuated(b.Zone) {
+	if r == nil {
+		return ""
+	}
+	if r.orders.Evacuated(b.Zone) {
 		return exchange.ReasonEvacuated
 	}
+	if held, found := r.orders.RolloutOf(b.Service); found && (held.Phase == rollout.Reverting || held.Phase == rollout.RolledBack) && b.Version == held.Version {
+		return exchange.ReasonVersion
+	}
 	return ""
 }
 
+// Closes reports whether a rollout closes the back end's gate: the new version takes all calls by now, while
+// the old one stays the way back.
+func (r *Rules) Closes(b Backend) bool {
+	if r == nil {
+		return false
+	}
+	held, found := r.orders.RolloutOf(b.Service)
+	return found && held.Phase == rollout.Closing && b.Version != held.Version
+}
+
 // InRegions reports whether a back end of a zone may take calls that only some regions may serve. None
 // named means all.
 func (r *Rules) InRegions(zone string, allowed []string) bool {
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -53,6 +53,11 @@
 	HeaderSender = "Gate-Sender"
 	// HeaderWork is how many microseconds a call took at the back end.
 	HeaderWork = "Gate-Work-Us"
+	// HeaderRoute is the name of the call's route; it is sent while a rollout of the service runs.
+	HeaderRoute = "Gate-Route"
+	// HeaderRollout is the version that a running rollout brings, on calls that go to it: a gate that
+	// does not know of the rollout must not let them in.
+	HeaderRollout = "Gate-Rollout"
 	// HeaderTellHeld asks a gate of another region to say how long it held the call, HeaderHeld is its
 	// answer in microseconds: what is left of the call's time was spent on the way.
 	HeaderTellHeld = "Gate-Tell-Held"
@@ -65,7 +70,7 @@
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
 	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender, HeaderCold, HeaderExpectedAnswer, HeaderLinkWait,
-	HeaderTellHeld, HeaderHeld,
+	HeaderTellHeld, HeaderHeld, HeaderRoute, HeaderRollout,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -74,6 +74,7 @@
 func (g *gatedCall) gateRequest(now time.Duration) balancer.GateRequest {
 	request := balancer.GateRequest{LeftOut: g.done, Regions: g.route.Regions, Patience: g.patience(now), Repeatable: g.safe, LargeAnswer: g.largeAnswer()}
 	request.Spared = g.handler.far.spared(now, g.largeAnswer() || g.body.Size() > largeBody)
+	request.Version = g.versionChoice(now)
 	if g.tries == 0 {
 		request.OwnWork = g.ownWork(now)
 	}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -52,6 +52,7 @@
 	// last is why the latest gate refused, linkWait the least wait for its link that one told.
 	last     exchange.Reason
 	linkWait time.Duration
+	version  versionDraw
 	// held is a back end's failure that another attempt may yet make good, nil for none.
 	held *http.Response
 	// colds counts the gates of cold back ends that had no room, warmIn is after how long the first
@@ -76,6 +77,7 @@
 		c.service.budget.Charge(c.started, c.handler.config.RepeatShare())
 	}
 	g := &gatedCall{call: c, body: body}
+	g.drawVersion(c.started)
 	for {
 		refusal, again := g.tryOne(ctx)
 		if !again {
@@ -118,6 +120,7 @@
 	g.noteAsked(ticket, failure)
 	if failure == nil {
 		g.attempts++
+		g.noteVersion(ticket, exchange.ServerFailed(response.StatusCode))
 		if exchange.ServerFailed(response.StatusCode) && g.mayMakeGood(ctx, ticket, response) {
 			g.tellAttempt(ticket, &gateFailure{reason: exchange.ReasonServerError, peer: ticket.Address}, wait, now, true)
 			return nil, true
@@ -197,18 +200,22 @@
 		ticket.Leave()
 	case exchange.ReasonAbsent:
 		ticket.Avoid(now, absentPause)
+	case exchange.ReasonVersion:
+		ticket.Avoid(now, versionPause)
 	case exchange.ReasonEvacuated:
 		ticket.Avoid(now, evacuatedPause)
 		// It costs the call none of its tries: the node is late, and the whole zone may answer so.
 		g.tries--
 	case exchange.ReasonBroken, exchange.ReasonEnded:
 		if g.request.Context().Err() == nil && now < g.deadline {
+			g.noteVersion(ticket, true)
 			learned = balancer.Failed
 		}
 	}
 	if !failure.reason.Busy() {
 		g.done = ticket.LeftOut(g.done)
 	}
+	g.version.elsewhere = true
 	ticket.Done(now, learned)
 }
 
@@ -291,6 +298,7 @@
 	g.dropHeld()
 	g.record.Note(Unknown)
 	g.held = response
+	g.version.elsewhere = true
 	g.done = ticket.LeftOut(g.done)
 	ticket.Done(g.now(), balancer.Answered)
 	return true
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -137,6 +137,7 @@
 	// word that it has not begun the call, which cost it next to nothing.
 	budget   *retry.Budget
 	declines *retry.Budget
+	versions versions
 }
 
 // view is what calls see: one table with its services, swapped whole.
@@ -181,6 +182,7 @@
 			held = h.newService(definition)
 		}
 		held.pool.Update(h.config.Now(), definition)
+		held.versions.set(h.config.Now(), definition.Rollout)
 		next.services[definition.Name] = held
 	}
 	h.view.Store(next)
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -28,6 +28,8 @@
 	Address  string
 	Capacity int
 	Zone     string
+	// Version is that of the back end's software, empty if unknown.
+	Version string
 }
 
 // SetBackend names the back end that takes calls from now on.
@@ -52,6 +54,7 @@
 	g.wasCold = false
 	g.closing = closing{}
 	g.applyRules()
+	g.setVersion()
 }
 
 // RemoveBackend lets nothing new reach a back end.
@@ -63,6 +66,7 @@
 	}
 	g.present, g.left = false, id
 	g.dropWaiting(exchange.ReasonAbsent)
+	g.followRollout()
 }
 
 // Present reports whether there is a back end that takes calls.
@@ -95,14 +99,13 @@
 	work       time.Duration
 	generation uint64
 	at         time.Duration
+	counted    counted
 	// repeat is set if the call was at another back end before.
 	repeat bool
 }
 
 // request is what admission must know of a call.
 type request struct {
-	// repeat is set if the call was at another back end before.
-	repeat   bool
 	instance string
 	// targetLeft is when the call should be answered, if it is targeted; late calls can no
 	// longer be.
@@ -120,11 +123,13 @@
 	// lateAt is when the call becomes late unless the back end has begun it, zero if it has
 	// no target latency.
 	lateAt time.Duration
+	// version is what the caller's node says of a rollout, zero if none is under way.
+	version versionHint
 }
 
 func (r request) waiter() *waiter {
 	return &waiter{
-		repeat: r.repeat, lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline,
+		lateAt: r.lateAt, late: r.late, priority: r.priority, work: r.work, deadline: r.deadline, version: r.version,
 		admitted: make(chan struct{}), dropped: make(chan struct{}),
 	}
 }
@@ -140,7 +145,7 @@
 	g.noteCold(now)
 	g.lookIfUnsure(now)
 	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.openAt(now) <= now {
-		granted := g.grantCall(now, r.work, r.repeat)
+		granted := g.grantCounted(now, r.work, r.version)
 		g.mu.Unlock()
 		return granted, ""
 	}
@@ -200,7 +205,10 @@
 	case now >= r.deadline:
 		return exchange.ReasonDeadline
 	}
-	return ""
+	if g.unknownRollout(r.version) {
+		return exchange.ReasonVersion
+	}
+	return g.refusesVersion(now)
 }
 
 // grant takes a slot; the mutex is held.
@@ -305,6 +313,7 @@
 	if a.repeat {
 		g.repeats--
 	}
+	a.counted.ended(end, g.cold.remaining(g.config.Now()) > 0)
 	if end.failed || end.service > 0 {
 		g.health.note(g.config.Now(), end.failed)
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramblelift/pkg/eligibility"
@@ -64,6 +65,9 @@
 	// OnSender, if set, is told what a call says of the back end beside its sender, and the service
 	// of that back end.
 	OnSender func(service string, sender exchange.Sender)
+	// ConfirmedAt returns up to when the held state is known to be current, false if that was never
+	// known. Without it nothing is let into a version that a rollout brings.
+	ConfirmedAt func() (time.Duration, bool)
 	// OnClosing, if set, is told when orders close the gate, when it is quiet and when it opens again.
 	// It must not call the gate.
 	OnClosing func(Closing)
@@ -117,7 +121,10 @@
 	pace      pace
 	health    health
 	downUntil time.Duration
-	cold      coldness
+	versions  versions
+	// watching is set while a rollout of the back end's service runs.
+	watching atomic.Bool
+	cold     coldness
 	// wasCold is what was told last.
 	wasCold bool
 	// wake dispatches at wakeDue, nil if that is not due.
@@ -281,7 +288,11 @@
 	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedAnswer), 10, 64); err == nil && size > 0 {
 		wanted.answer = size
 	}
-	wanted.repeat = header.Get(exchange.HeaderRetry) != ""
+	wanted.version.target = header.Get(exchange.HeaderRollout)
+	wanted.version.repeat = header.Get(exchange.HeaderRetry) != ""
+	if g.watching.Load() {
+		wanted.version.route = header.Get(exchange.HeaderRoute)
+	}
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -9,13 +9,13 @@
 
 // waiter is a call that waits for a free slot.
 type waiter struct {
-	repeat bool
-	late   bool
+	late bool
 	// lateAt is when the call becomes late, zero for never.
 	lateAt   time.Duration
 	work     time.Duration
 	priority int
 	deadline time.Duration
+	version  versionHint
 	// admitted is closed when the call may go on, dropped when it must not.
 	admitted chan struct{}
 	dropped  chan struct{}
--- a/pkg/gate/sender.go
+++ b/pkg/gate/sender.go
@@ -11,7 +11,9 @@
 func (g *Gate) Sender() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	free := g.present && !g.stopping && g.closing.reason == "" && g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.remaining(g.config.Now()) == 0
+	now := g.config.Now()
+	free := g.present && !g.stopping && g.closing.reason == "" && g.running < g.backend.Capacity && len(g.queue) == 0 &&
+		g.cold.remaining(now) == 0 && g.refusesVersion(now) == ""
 	if !free {
 		return ""
 	}
--- a/pkg/gate/warming.go
+++ b/pkg/gate/warming.go
@@ -124,8 +124,12 @@
 			g.wakeAt(now, open)
 			return
 		}
+		if reason := g.refusesVersion(now); reason != "" {
+			g.dropWaiting(reason)
+			return
+		}
 		w := g.queue.firstInTime(now)
-		w.granted = g.grantCall(now, w.work, w.repeat)
+		w.granted = g.grantCounted(now, w.work, w.version)
 		close(w.admitted)
 	}
 }
--- a/pkg/orders/table.go
+++ b/pkg/orders/table.go
@@ -118,3 +118,11 @@
 	}
 	return []any{"order", "none"}
 }
+
+// AllRollouts returns the newest rollout of each service that had one.
+func (t *Table) AllRollouts() []rollout.Rollout {
+	if t == nil {
+		return nil
+	}
+	return t.Rollouts
+}
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -146,6 +146,9 @@
 	// Evidence is what the subscriber's gate has seen of requests that end back ends, nil for
 	// nothing.
 	Evidence *quarantine.Evidence
+	// Rollouts are packed reports of the subscriber, or of those below a relay, on rollouts under way;
+	// empty for none.
+	Rollouts []byte
 	// Closed is the state of the subscriber's gate while orders keep it closed, nil otherwise.
 	Closed *ClosedGate
 }
@@ -202,11 +205,12 @@
 	Forwarded bool
 }
 
-// Announce passes on to the leader what nodes announce: back ends, and evidence of requests that
-// end them.
+// Announce passes on to the leader what nodes announce: back ends, evidence of requests that
+// end them, and what gates have seen of rollouts.
 type Announce struct {
 	Endpoints []distribution.Endpoint
 	Evidence  *quarantine.Evidence
+	Rollouts  []RolloutReport
 	// Closed goes no further than the server that hears it.
 	Closed *ClosedGate
 	// Earlier are the replica's subscribers of an earlier release, nil for none.
@@ -223,7 +227,7 @@
 
 // Empty reports whether nothing is announced.
 func (a Announce) Empty() bool {
-	return len(a.Endpoints) == 0 && (a.Evidence == nil || a.Evidence.Empty())
+	return len(a.Endpoints) == 0 && len(a.Rollouts) == 0 && (a.Evidence == nil || a.Evidence.Empty())
 }
 
 // ErrUnexpected: the peer sent a frame that does not fit here.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
@@ -30,6 +31,7 @@
 		OnClosing: s.noteClosing,
 		OnSender:  func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
 		OnCold:    s.observer.coldChanged, OnColdUnknown: s.observer.coldUnknown,
+		ConfirmedAt: func() (time.Duration, bool) { return s.client.ConfirmedAt() },
 	})
 	s.observer.watchGate(s.admin.Registry, s.gate)
 	s.observer.watchBackend(s.admin.Registry, s.gate)
@@ -101,6 +103,7 @@
 	if evidence := s.suspects.Take(s.clock.Elapsed()); !evidence.Empty() {
 		announced.Evidence = &evidence
 	}
+	announced.Rollouts = s.rolloutReports()
 	return announced
 }
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/metrics"
+	"bramblelift/pkg/orders"
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
@@ -97,6 +98,8 @@
 	suspects   quarantine.Outbox
 	// table is the newest one; only putInForce uses it.
 	table *routing.Table
+	// orders are the newest ones in force.
+	orders atomic.Pointer[orders.Table]
 }
 
 // New opens the node's sockets and reads its last configuration.
@@ -340,6 +343,7 @@
 	s.table = table
 	if s.gate != nil {
 		s.gate.SetRules(table.Rules)
+		s.gate.SetRollouts(state.Orders.AllRollouts())
 	}
 	s.setColdBounds(table)
 	if s.registry != nil {
@@ -347,6 +351,7 @@
 	}
 	before := s.handler.Version()
 	s.handler.SetTable(table)
+	s.followRollouts(state.Orders)
 	if table.Version != before {
 		s.logger.Log("event", "version_in_force", "version", table.Version, "revision", table.Revision)
 	}
--- a/pkg/relay/announced.go
+++ b/pkg/relay/announced.go
@@ -25,10 +25,11 @@
 	if q.waiting.Evidence != nil {
 		evidence = *q.waiting.Evidence
 	}
-	if len(q.waiting.Endpoints)+len(evidence.Ends)+len(evidence.Answers) >= maxAnnounced {
+	if len(q.waiting.Endpoints)+len(evidence.Ends)+len(evidence.Answers)+len(q.waiting.Rollouts) >= maxAnnounced {
 		return false
 	}
 	q.waiting.Endpoints = append(q.waiting.Endpoints, announced.Endpoints...)
+	q.waiting.Rollouts = protocol.NewestRollouts(q.waiting.Rollouts, announced.Rollouts)
 	if announced.Evidence != nil {
 		joined := evidence.Join(*announced.Evidence)
 		q.waiting.Evidence = &joined
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -12,6 +12,8 @@
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/eligibility"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/orders"
+	"bramblelift/pkg/rollout"
 )
 
 // DefaultTimeout bounds calls of routes that set none.
@@ -72,6 +74,8 @@
 	Region string
 	// Version is that of the back end's software, empty if unknown.
 	Version string
+	// Closing is set while a rollout closes its gate: it takes calls only if that fails.
+	Closing bool
 	// Refused is why the back end may get nothing new for the time being, empty if it may.
 	Refused exchange.Reason
 }
@@ -85,6 +89,8 @@
 	// it bears until then; zero for no bound.
 	ColdStart time.Duration
 	ColdRate  float64
+	// Rollout is the newest one of the service, nil if it never had one.
+	Rollout *rollout.Rollout
 	// HealthPath is where back ends say how they are, empty for nowhere.
 	HealthPath string
 	Endpoints  []Endpoint
@@ -123,6 +129,7 @@
 		table.Services = append(table.Services, Service{
 			Name: service.Name, MaxConcurrency: service.MaxConcurrency, MaxConnections: service.MaxConnections,
 			ColdStart: time.Duration(service.ColdStart), ColdRate: service.ColdRate, HealthPath: service.HealthPath,
+			Rollout:   newestRollout(state.Orders, service.Name),
 			Endpoints: endpoints(service, state.Endpoints[service.Name], table.Rules),
 		})
 	}
@@ -149,6 +156,14 @@
 	return resolved
 }
 
+func newestRollout(table *orders.Table, service string) *rollout.Rollout {
+	held, found := table.RolloutOf(service)
+	if !found {
+		return nil
+	}
+	return &held
+}
+
 // endpoints joins the bundle's own endpoints with the platform's; the platform's word
 // on an ID goes first.
 func endpoints(service bundle.Service, listed map[string]distribution.Endpoint, rules *eligibility.Rules) []Endpoint {
@@ -170,7 +185,8 @@
 	for i := range all {
 		e := &all[i]
 		e.Region = rules.Region(e.Zone)
-		e.Refused = rules.Refuses(eligibility.Backend{Service: service.Name, Zone: e.Zone, Version: e.Version})
+		backend := eligibility.Backend{Service: service.Name, Zone: e.Zone, Version: e.Version}
+		e.Refused, e.Closing = rules.Refuses(backend), rules.Closes(backend)
 	}
 	slices.SortFunc(all, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return all
