gate: give a large answer's time on the link back as it was booked

Three faults of one account, in one commit since they share its calls: 1. An answer that its caller did not take to the end kept its whole time on the link: 8 MB that were left after 50 kB had all large answers refused for some nine seconds on 8 Mbit/s. bookedBody gives back what is not read, as the pacer did already, and no more than what is still to come of it. What was given back was reckoned at the room of that moment, not of the booking: 100 kB booked on a busy link left 168 ms booked on a calm one. 3. The time that a large answer may take on its way was what the call had left when it came, not what it has once the answer is there.

Ruled out: the pacer's own account (gives back on Close), slots (freed on every path of sendBooked). Not mended: an answer given back after its time has passed shortens what others booked since, by that answer's time at most.

Before: TestAnswerThatIsNotTakenGivesItsLinkBack and TestBookedTimeIsGivenBackWhole fail (the latter 638 ms in place of 470 ms, in the form for the earlier amend); TestAnswerIsPacedWithinWhatIsLeft asks a function that was not there. After: pkg/gate passes.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -142,7 +142,7 @@
 	arrived := g.config.Now()
 	response := g.serve(r)
 	g.tellHeld(r.Header, response.Header, arrived)
-	g.paceAnswer(r, response)
+	g.paceAnswer(r, response, g.config.Now()-arrived)
 	defer response.Body.Close()
 	exchange.Copy(w.Header(), response.Header)
 	w.WriteHeader(response.StatusCode)
@@ -237,12 +237,13 @@
 // admitAndSend waits for a slot, and sends the call to the back end or makes a refusal.
 func (g *Gate) admitAndSend(r *http.Request, wanted request, attach attachBody) *http.Response {
 	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID)}
-	if !g.bookAnswer(wanted) {
+	booked, inTime := g.bookAnswer(wanted)
+	if !inTime {
 		call.Reason = exchange.ReasonLink
 		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	response := g.sendBooked(r, wanted, attach, &call)
-	g.settleAnswer(r.Method, wanted, response)
+	g.settleAnswer(r.Method, wanted, booked, response)
 	return response
 }
 
--- a/pkg/gate/outbound_test.go
+++ b/pkg/gate/outbound_test.go
@@ -177,3 +177,45 @@
 	first.Body.Close()
 	is.Equal(g.config.Holding.Held(), int64(0))
 }
+
+// A long answer that its caller does not take to the end leaves the rest of its time on the link to others.
+func TestAnswerThatIsNotTakenGivesItsLinkBack(t *testing.T) {
+	is := is.New(t)
+	g := gateOnLink(t, 1)
+	answer := get(t, g, "x", "Want-Bytes", "8000000", "Left-Ms", "60000")
+	defer answer.Body.Close()
+	is.True(g.outbound.wait(g.config.Now()) > 7*time.Second)
+	_, err := io.ReadFull(answer.Body, make([]byte, 50_000))
+	is.NoErr(err)
+	is.NoErr(answer.Body.Close())
+	is.True(g.outbound.wait(g.config.Now()) < 200*time.Millisecond)
+	is.NoErr(answer.Body.Close())
+	is.True(g.outbound.wait(g.config.Now()) < 200*time.Millisecond)
+}
+
+// What was booked is given back as it was booked, whatever else crosses the link by then.
+func TestBookedTimeIsGivenBackWhole(t *testing.T) {
+	is := is.New(t)
+	others := 0.0
+	l := newLinkRoom(1e6, outboundShare, outboundUsable, func(time.Duration) float64 { return others })
+	_, inTime := l.reserve(0, 400_000, 0)
+	is.True(inTime)
+	first := l.wait(0)
+	others = 0.6e6
+	booked := l.takes(0, 100_000)
+	_, inTime = l.reserve(0, 100_000, time.Minute)
+	is.True(inTime)
+	others = 0
+	l.amend(0, -booked)
+	is.Equal(l.wait(0), first)
+}
+
+// The time that an answer may take on its way to another node is what the call has left when it is known.
+func TestAnswerIsPacedWithinWhatIsLeft(t *testing.T) {
+	is := is.New(t)
+	r := newCall(t, "GET", "x", exchange.HeaderTarget, "1000", "Left-Ms", "2100")
+	g := gateOnLink(t, 1)
+	is.Equal(g.answerTime(r, 0), time.Second)
+	is.Equal(g.answerTime(r, 600*time.Millisecond), 500*time.Millisecond) // a third of what is left
+	is.Equal(g.answerTime(r, 5*time.Second), time.Duration(0))
+}
--- a/pkg/gate/room.go
+++ b/pkg/gate/room.go
@@ -8,6 +8,8 @@
 const (
 	// minBodyShare is left for bodies whatever else crosses the link.
 	minBodyShare = 0.1
+	// maxBooking bounds what one body is given of the link: no call is waited for longer.
+	maxBooking = time.Hour
 )
 
 // linkRoom shares the rate of the gate's link in one direction among large bodies: those that other
@@ -43,7 +45,8 @@
 
 // takes is how long a body keeps its share of the link busy.
 func (l *linkRoom) takes(now time.Duration, size int64) time.Duration {
-	return time.Duration(float64(size) / l.room(now) * float64(time.Second))
+	seconds := float64(size) / l.room(now)
+	return time.Duration(min(seconds, maxBooking.Seconds()) * float64(time.Second))
 }
 
 // reserve gives a body its time on the link and returns when it may cross, false if that is later
@@ -52,24 +55,28 @@
 	if l == nil {
 		return now, true
 	}
+	return l.book(now, l.takes(now, size), patience)
+}
+
+// book is reserve for a body that takes so long.
+func (l *linkRoom) book(now, takes, patience time.Duration) (due time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	due = max(l.free, now)
 	if due-now > patience {
 		return 0, false
 	}
-	l.free = due + l.takes(now, size)
+	l.free = due + takes
 	return due, true
 }
 
-// amend corrects what was reserved for a body by so many bytes, negative if it is shorter.
-func (l *linkRoom) amend(now time.Duration, size int64) {
-	if l == nil || size == 0 {
-		return
-	}
+// amend makes a booking longer by so much, shorter if that is negative, and returns when all that was
+// booked has crossed.
+func (l *linkRoom) amend(now, by time.Duration) (free time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.free = max(l.free, now) + l.takes(now, size)
+	l.free = max(l.free, now) + by
+	return l.free
 }
 
 // wait is how long the next body waits for its time on the link.
