forward: do not call a caller back at once where no gate told when

A refusal for want of link that told no wait, as for a large body on its way in, left linkWait at zero, which the choice of when to come back took for a link that is free: the caller of a large answer was told 20 ms and used its tries up. Without a word of any gate a third of the time that is left holds, as for full ones. Before: the new row of TestCallerWithoutRoomOnTheLinkComesBackWhenThereIsSome fails; after: pass.

--- a/pkg/forward/comeback.go
+++ b/pkg/forward/comeback.go
@@ -30,7 +30,7 @@
 	switch {
 	case g.last == exchange.ReasonCold:
 		allowed = g.comeBackWarm(left)
-	case g.last == exchange.ReasonLink && g.largeAnswer():
+	case g.last == exchange.ReasonLink && g.largeAnswer() && g.linkWait > 0:
 		allowed = min(allowed, g.linkWait)
 	}
 	return max(minGateRetry, min(maxGateRetry, allowed))
--- a/pkg/forward/comeback_test.go
+++ b/pkg/forward/comeback_test.go
@@ -70,9 +70,9 @@
 }
 
 // A caller whose answer has no room on a link is told to come back when there will be some, and no later
-// than after a third of its time.
+// than after a third of its time, also if no gate said when.
 func TestCallerWithoutRoomOnTheLinkComesBackWhenThereIsSome(t *testing.T) {
-	for wait, after := range map[time.Duration]time.Duration{60 * time.Millisecond: 60 * time.Millisecond, 9 * time.Second: 100 * time.Millisecond} {
+	for wait, after := range map[time.Duration]time.Duration{60 * time.Millisecond: 60 * time.Millisecond, 9 * time.Second: 100 * time.Millisecond, 0: 100 * time.Millisecond} {
 		is := is.New(t)
 		gate, _ := standInGate(t, largeRefusing(wait))
 		n := newGatedNode(t, 0, gate)
