stream: forget that a server was stale once it is not

The log of a later move to a nearer server said that the server was stale, with the figures of long ago. Before: TestServerThatWasStaleOnceIsNotSaidToBe fails; after: pass.

--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -517,6 +517,7 @@
 		}
 		return
 	}
+	s.leaving.Store(nil)
 	if !c.selector.Nearer(now) {
 		return
 	}
--- a/pkg/stream/leaving_test.go
+++ b/pkg/stream/leaving_test.go
@@ -128,3 +128,18 @@
 	_, known = testSelector("behind").OtherFor(0, Standing{Behind: true})
 	is.True(!known)
 }
+
+// Why a client moves is what holds when it does: a server that was stale once is not stale for ever.
+func TestServerThatWasStaleOnceIsNotSaidToBe(t *testing.T) {
+	is := is.New(t)
+	s := &session{client: &Client{
+		config:   ClientConfig{Now: func() time.Duration { return time.Minute }},
+		selector: testSelector("a", "b"),
+	}}
+	s.opening = true // no other is dialled here
+	s.client.selector.Next(0)
+	s.lookForAnother(context.Background(), Standing{Confirmed: true, Stale: time.Hour})
+	is.True(s.whyMoved() != errNearerServer.Error())
+	s.lookForAnother(context.Background(), Standing{Confirmed: true})
+	is.Equal(s.whyMoved(), errNearerServer.Error())
+}
