forward: do not spend tries on gates that may not serve the call

A node with an older configuration asked eight gates of its own region, which refuse since the route is bound to another, and gave up: calls to that route got 503 as long as the node was behind. Evacuated zones were treated better. Before: TestLateNodeIsSentOnByGatesOfOtherRegions fails with 503; after: pkg/forward passes.

--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -195,6 +195,9 @@
 		ticket.Avoid(now, evacuatedPause)
 		// It costs the call none of its tries: the node is late, and the whole zone may answer so.
 		g.tries--
+	case exchange.ReasonRegion:
+		// As above; the gate itself may serve other calls.
+		g.tries--
 	case exchange.ReasonBroken, exchange.ReasonEnded:
 		if g.request.Context().Err() == nil && now < g.deadline {
 			learned = balancer.Failed
--- a/pkg/forward/regions_test.go
+++ b/pkg/forward/regions_test.go
@@ -11,6 +11,7 @@
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/link"
+	"bramblelift/pkg/retry"
 	"bramblelift/pkg/routing"
 
 	"github.com/matryer/is"
@@ -131,3 +132,21 @@
 	mu.Unlock()
 	is.Equal(n.call(t, http.MethodGet, "/r/1", "").StatusCode, http.StatusOK)
 }
+
+// A node with an older configuration is told by the gates that their region may not serve the call: it
+// goes on to one that may, be it unsafe and the budget empty, however many refuse it first.
+func TestLateNodeIsSentOnByGatesOfOtherRegions(t *testing.T) {
+	is := is.New(t)
+	const refusals = maxGateTries + 4
+	var gates, zones []string
+	for range refusals {
+		gate, _ := standInGate(t, refusing(exchange.ReasonRegion, NotRun))
+		gates, zones = append(gates, gate), append(zones, "z")
+	}
+	open, served := standInGate(t, serving)
+	gates, zones = append(gates, open), append(zones, "y")
+	n := newGatedNodeWith(t, func(cfg *Config) { cfg.Retry = retry.Config{} }, zones, gates...)
+	is.Equal(n.call(t, "POST", "/unsafe/x", "body").StatusCode, http.StatusOK)
+	is.Equal(served.Load(), int64(1))
+	is.True(len(n.attempts) <= refusals+1) // none was asked twice
+}
