--- a/pkg/balancer/distance.go
+++ b/pkg/balancer/distance.go
@@ -114,7 +114,7 @@
 	return rank
 }
 
-// FarRegion returns the back end's region if that is another one than the node's, else an empty text.
+// FarRegion returns the back end's region if that is another one than the node's, else the empty string.
 func (t *Ticket) FarRegion() string {
 	if !t.endpoint.far {
 		return ""
