pkg/pipeline: a last look whether the caller is still there before a request is handled

Cause: a request is handled in a goroutine of its own while the reader goes on to the end of the connection. One whose caller had left before it was read (a node that stood still or was busy, then finds request and close in the same buffer) may be started first, and reaches a back end.

Ruled out: that callers who only close their sending direction lose something; the reader ends their calls, too, when it reads the end.

--- a/pkg/link/meter.go
+++ b/pkg/link/meter.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bramblelift/pkg/clock"
@@ -248,6 +250,14 @@
 	return n, err
 }
 
+// SyscallConn gives access to the connection's socket, if it has one.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // CloseWrite ends the sending direction, if the connection can.
 func (c *countedConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/pkg/pipeline/order.go
+++ b/pkg/pipeline/order.go
@@ -122,6 +122,13 @@
 	if waited := time.Since(x.arrived); waited >= noticeableWait {
 		x.request = x.request.WithContext(context.WithValue(c.ctx, waitedKey{}, waited))
 	}
+	// What nobody waits for must not reach a back end: a node that stood still finds requests whose callers
+	// have left meanwhile, and starts them before its reader is at the end of their connections. The look
+	// is one system call.
+	if c.callerLeft() {
+		c.kill()
+		return
+	}
 	w := newResponse(x)
 	if !x.handle(w) {
 		c.kill()
