Gates know how long calls were on their way: one whose time was over before it came is not run

At 10.4.0.29 calls of five nodes got no word for 691 to 731 ms, though they said that they may wait 340 to 368 ms there; all ended at their deadline and reached the back end 1.3 to 2.4 s after their callers had left, where they ran to a good end in 21 to 61 ms. So the gate had not seen the end of their connections even then: call and end wait on the gate's link one behind the other, and what is told as left of the time does not shrink there.

Nodes say when they sent a call, on the clock of their process; the gate compares it with the least difference of the two clocks in the last 10 to 20 s, and takes what is above it from the call's time, from what it may wait and from its target latency. Over after that: refused as not run, which is true. A clock that stood still is believed again after 20 s.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -65,7 +65,7 @@
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailing, HeaderReason, HeaderWork,
 	HeaderExpectedWork, HeaderEarly, HeaderTarget, HeaderSender, HeaderCold, HeaderExpectedAnswer, HeaderLinkWait,
-	HeaderTellHeld, HeaderHeld,
+	HeaderTellHeld, HeaderHeld, HeaderSent,
 }
 
 // RemoveInternal deletes what only nodes and gates tell each other.
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -135,6 +135,9 @@
 	request.Header.Set(headers.Caller, g.handler.config.Service)
 	request.Header.Set(exchange.HeaderPriority, strconv.Itoa(g.route.Priority))
 	exchange.SetMillis(request.Header, exchange.HeaderWait, wait)
+	if !g.besideNode(ticket) {
+		request.Header.Set(exchange.HeaderSent, exchange.Sent{Process: g.handler.process, At: g.now()}.String())
+	}
 	if target := g.route.TargetLatency; target > 0 {
 		exchange.SetMillis(request.Header, exchange.HeaderTarget, g.targetLeft(g.now()))
 		exchange.SetMillis(request.Header, exchange.HeaderEarly, target/earlyShare-(g.now()-g.begun))
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -152,6 +152,8 @@
 	// patience tells callers that come back from new ones.
 	patience *patiences
 	far      *farRegions
+	// process marks the handler's clock for gates.
+	process uint32
 }
 
 // New returns a handler that refuses every call until SetTable.
@@ -160,7 +162,7 @@
 		config.Headers.Deadline = exchange.HeaderTimeout
 	}
 	h := &Handler{config: config, gates: newGateTransport(config.Link), work: newWorkTimes(), asks: newThrottles(), patience: newPatiences(),
-		far: newFarRegions(config.OnCrowding)}
+		far: newFarRegions(config.OnCrowding), process: rand.Uint32()}
 	return h
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -95,6 +95,8 @@
 	transport *http.Transport
 	// inbound and outbound are what large bodies and large answers may take of the link.
 	inbound, outbound *linkRoom
+	// transit knows how long calls were on their way.
+	transit transit
 
 	mu      sync.Mutex
 	backend Backend
@@ -270,14 +272,17 @@
 	}
 	wanted.work, _ = exchange.ReadMicros(header, exchange.HeaderExpectedWork)
 	wanted.targetLeft, wanted.targeted = exchange.ReadMillis(header, exchange.HeaderTarget)
+	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedAnswer), 10, 64); err == nil && size > 0 {
+		wanted.answer = size
+	}
+	if sent, told := exchange.ParseSent(header.Get(exchange.HeaderSent)); told {
+		wanted.age(g.transit.late(now, sent))
+	}
 	if wanted.targeted {
 		lastStart := wanted.targetLeft - g.paced(wanted.work)
 		wanted.late = lastStart <= 0
 		wanted.lateAt = now + max(lastStart, 1)
 	}
-	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedAnswer), 10, 64); err == nil && size > 0 {
-		wanted.answer = size
-	}
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
