--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -116,6 +116,8 @@
 	// lateAt is when the call becomes late unless the back end has begun it, zero if it has
 	// no target latency.
 	lateAt time.Duration
+	// onItsWay is how much longer than others the call was on its way here.
+	onItsWay time.Duration
 }
 
 func (r request) waiter() *waiter {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -77,13 +77,15 @@
 type Call struct {
 	RequestID string
 	// Reason is empty if the back end answered.
-	Reason  exchange.Reason
-	Err     error
-	Status  int
-	Waited  time.Duration
-	Service time.Duration
-	Report  exchange.Report
-	Backend string
+	Reason exchange.Reason
+	Err    error
+	Status int
+	// OnItsWay is how much longer than others the call was on its way to the gate.
+	OnItsWay time.Duration
+	Waited   time.Duration
+	Service  time.Duration
+	Report   exchange.Report
+	Backend  string
 	// Fingerprint is that of a call under which this or other back ends ended.
 	Fingerprint quarantine.Fingerprint
 }
@@ -177,7 +179,7 @@
 func (g *Gate) receiveFirst(r *http.Request) *http.Response {
 	arrived := g.config.Now()
 	wanted := g.read(r.Header, arrived)
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: g.expectBody(wanted)}
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), OnItsWay: wanted.onItsWay, Reason: g.expectBody(wanted)}
 	if call.Reason != "" {
 		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
@@ -238,7 +240,7 @@
 
 // admitAndSend waits for a slot, and sends the call to the back end or makes a refusal.
 func (g *Gate) admitAndSend(r *http.Request, wanted request, attach attachBody) *http.Response {
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID)}
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), OnItsWay: wanted.onItsWay}
 	if !g.bookAnswer(wanted) {
 		call.Reason = exchange.ReasonLink
 		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
--- a/pkg/gate/transit.go
+++ b/pkg/gate/transit.go
@@ -81,6 +81,7 @@
 
 // age takes the time that a call was late on its way from what its sender said is left of it.
 func (r *request) age(late time.Duration) {
+	r.onItsWay = late
 	r.deadline -= late
 	r.wait = max(0, r.wait-late)
 	r.early = max(0, r.early-late)
