--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -125,6 +125,8 @@
 	lateAt time.Duration
 	// version is what the caller's node says of a rollout, zero if none is under way.
 	version versionHint
+	// onItsWay is how much longer than others the call was on its way here.
+	onItsWay time.Duration
 }
 
 func (r request) waiter() *waiter {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -81,13 +81,15 @@
 type Call struct {
 	RequestID string
 	// Reason is empty if the back end answered.
-	Reason  exchange.Reason
-	Err     error
-	Status  int
-	Waited  time.Duration
-	Service time.Duration
-	Report  exchange.Report
-	Backend string
+	Reason exchange.Reason
+	Err    error
+	Status int
+	// OnItsWay is how much longer than others the call was on its way to the gate.
+	OnItsWay time.Duration
+	Waited   time.Duration
+	Service  time.Duration
+	Report   exchange.Report
+	Backend  string
 	// Fingerprint is that of a call under which this or other back ends ended.
 	Fingerprint quarantine.Fingerprint
 }
@@ -99,6 +101,8 @@
 	transport *http.Transport
 	// inbound and outbound are what large bodies and large answers may take of the link.
 	inbound, outbound *linkRoom
+	// transit knows how long calls were on their way.
+	transit transit
 
 	mu      sync.Mutex
 	backend Backend
@@ -184,8 +188,8 @@
 // be told so sends it only then: a call that has no hope of a slot costs no more than its head.
 func (g *Gate) receiveFirst(r *http.Request) *http.Response {
 	arrived := g.config.Now()
-	wanted := g.read(r.Header, arrived)
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Reason: g.expectBody(wanted)}
+	wanted := g.arrive(r.Header, arrived)
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), OnItsWay: wanted.onItsWay, Reason: g.expectBody(wanted)}
 	if call.Reason != "" {
 		return g.refuse(&call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
@@ -241,12 +245,12 @@
 
 // do is Do with a body that attach gives to the request for the back end.
 func (g *Gate) do(r *http.Request, attach attachBody) *http.Response {
-	return g.admitAndSend(r, g.read(r.Header, g.config.Now()), attach)
+	return g.admitAndSend(r, g.arrive(r.Header, g.config.Now()), attach)
 }
 
 // admitAndSend waits for a slot, and sends the call to the back end or makes a refusal.
 func (g *Gate) admitAndSend(r *http.Request, wanted request, attach attachBody) *http.Response {
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID)}
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), OnItsWay: wanted.onItsWay}
 	booked, inTime := g.bookAnswer(wanted)
 	if !inTime {
 		call.Reason = exchange.ReasonLink
@@ -281,11 +285,6 @@
 	}
 	wanted.work, _ = exchange.ReadMicros(header, exchange.HeaderExpectedWork)
 	wanted.targetLeft, wanted.targeted = exchange.ReadMillis(header, exchange.HeaderTarget)
-	if wanted.targeted {
-		lastStart := wanted.targetLeft - g.paced(wanted.work)
-		wanted.late = lastStart <= 0
-		wanted.lateAt = now + max(lastStart, 1)
-	}
 	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedAnswer), 10, 64); err == nil && size > 0 {
 		wanted.answer = size
 	}
@@ -294,6 +293,7 @@
 	if g.watching.Load() {
 		wanted.version.route = header.Get(exchange.HeaderRoute)
 	}
+	wanted.aim(now, g.paced(wanted.work))
 	wanted.priority, _ = strconv.Atoi(header.Get(exchange.HeaderPriority))
 	return wanted
 }
