gate: one name each for what large bodies and answers share on the link

toldLinkWait was both a constant and a method of the same package; inboundSlack and inboundMargin were also used for what leaves; answerTimeShare = 3 was a divisor under the name of a share. They are minReportedLinkWait and reportedLinkWait, bodySlack and workMargin (beside linkRoom, which both directions use), and answerTimeDivisor. Behaviour as before.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -353,6 +353,6 @@
 	g.noteCold(now)
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now), LinkWait: g.toldLinkWait(),
+		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now), LinkWait: g.reportedLinkWait(),
 	}
 }
--- a/pkg/gate/inbound_test.go
+++ b/pkg/gate/inbound_test.go
@@ -57,9 +57,9 @@
 	call := request{work: 100 * time.Millisecond, wait: 5 * time.Second, targeted: true, targetLeft: time.Second}
 	is.Equal(g.linkPatience(call, size), time.Second-130*time.Millisecond-100*time.Millisecond)
 	call.targetLeft, call.late = 50*time.Millisecond, true
-	is.Equal(g.linkPatience(call, size), inboundSlack)
+	is.Equal(g.linkPatience(call, size), bodySlack)
 	is.Equal(g.linkPatience(request{wait: time.Second}, size), time.Second) // no target is known
-	is.Equal(g.linkPatience(request{}, size), inboundSlack)
+	is.Equal(g.linkPatience(request{}, size), bodySlack)
 }
 
 // post sends a large body that is sent once the gate asks for it.
@@ -95,7 +95,7 @@
 	t.Cleanup(server.Close)
 	started := time.Now()
 	// A body takes twice as long of the link as one may wait in any case.
-	const takes = 2 * inboundSlack
+	const takes = 2 * bodySlack
 	g := New(Config{Headers: testHeaders, Now: func() time.Duration { return time.Since(started) }, Link: link.NewMeter(100_000 / takes.Seconds() / inboundShare * 8)})
 	g.SetBackend(Backend{ID: "b1", Address: server.Listener.Addr().String(), Capacity: 4})
 	front := httptest.NewServer(g)
--- a/pkg/gate/outbound.go
+++ b/pkg/gate/outbound.go
@@ -16,12 +16,12 @@
 	// outboundUsable of the link's rate is for all that leaves. It is more than of what comes in, since
 	// the node paces what it sends.
 	outboundUsable = 0.95
-	// toldLinkWait is from which wait for the link on reports tell of it: about as long as one large
-	// answer takes.
-	toldLinkWait = 50 * time.Millisecond
-	// answerTimeShare of the time that the caller leaves is what a large answer may take on its way if its
-	// target latency leaves less.
-	answerTimeShare = 3
+	// minReportedLinkWait is the shortest wait for the link that reports mention: about as long as one
+	// large answer takes.
+	minReportedLinkWait = 50 * time.Millisecond
+	// answerTimeDivisor divides the time until the caller's deadline: a large answer may take that long on
+	// its way if the target latency leaves less.
+	answerTimeDivisor = 3
 )
 
 // bookAnswer gives a call's answer its time on the link if it is expected to be large, false if that
@@ -40,15 +40,15 @@
 // in time. One that is late already only takes what nobody else wants.
 func (g *Gate) answerPatience(r request) time.Duration {
 	if g.outbound == nil || r.late {
-		return inboundSlack
+		return bodySlack
 	}
 	now := g.config.Now()
 	left := (r.deadline - now) / 2
 	if r.targeted {
 		left = r.targetLeft
 	}
-	work := time.Duration(inboundMargin * float64(max(r.work, g.expectedWork())))
-	return max(inboundSlack, left-work-g.outbound.takes(now, r.answer))
+	work := time.Duration(workMargin * float64(max(r.work, g.expectedWork())))
+	return max(bodySlack, left-work-g.outbound.takes(now, r.answer))
 }
 
 // settleAnswer puts right what was booked for an answer once it is known, or known that there is none.
@@ -103,9 +103,9 @@
 	}
 }
 
-// toldLinkWait is what reports say of the wait for the link, zero if it is short.
-func (g *Gate) toldLinkWait() time.Duration {
-	if wait := g.outbound.wait(g.config.Now()); wait >= toldLinkWait {
+// reportedLinkWait is what reports say of the wait for the link, zero if it is short.
+func (g *Gate) reportedLinkWait() time.Duration {
+	if wait := g.outbound.wait(g.config.Now()); wait >= minReportedLinkWait {
 		return wait
 	}
 	return 0
@@ -123,6 +123,7 @@
 
 // answerTime is how long a large answer may take on its way to another node.
 func (g *Gate) answerTime(r *http.Request, held time.Duration) time.Duration {
+	// At 0 the deadline is read as the time that was left when the call came.
 	wanted := g.read(r.Header, 0)
-	return max(0, wanted.targetLeft-held, (wanted.deadline-held)/answerTimeShare)
+	return max(0, wanted.targetLeft-held, (wanted.deadline-held)/answerTimeDivisor)
 }
--- a/pkg/gate/room.go
+++ b/pkg/gate/room.go
@@ -10,6 +10,13 @@
 	minBodyShare = 0.1
 	// maxBooking bounds what one body is given of the link: no call is waited for longer.
 	maxBooking = time.Hour
+	// bodySlack is for how long a large body, or a large answer, may wait for the link even if it
+	// will be late, or its sender asked to be taken at once: about as long as another one takes on a
+	// link that is not overloaded.
+	bodySlack = 300 * time.Millisecond
+	// workMargin is how much longer than expected the work may take if the call of a body that waits
+	// for the link is still to be in time.
+	workMargin = 1.3
 )
 
 // linkRoom shares the rate of the gate's link in one direction among large bodies: those that other
