gate: probe is the word for asking a health path

A 'look' at the health path needed explaining, and wantsLook, which reads as a question, also marks the probe as under way. It is startProbe now; the others follow (probeIfUnsure, probeHealth, probeTimeout, probeInterval). Behaviour as before.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -143,7 +143,7 @@
 		return admittance{}, reason
 	}
 	g.noteCold(now)
-	g.lookIfUnsure(now)
+	g.probeIfUnsure(now)
 	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.openAt(now) <= now {
 		granted := g.grantCounted(now, r.work, r.version)
 		g.mu.Unlock()
--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -20,7 +20,7 @@
 	ColdAssumed ColdSource = "assumed"
 	// ColdHeartbeat: the back end's heartbeat said so.
 	ColdHeartbeat ColdSource = "heartbeat"
-	// ColdHealth: the answer of its health path did.
+	// ColdHealth: the answer of its health path said so.
 	ColdHealth ColdSource = "health"
 	// ColdElapsed: the time that was left has passed.
 	ColdElapsed ColdSource = "elapsed"
@@ -30,8 +30,9 @@
 	// heartbeatDelay is how long a heartbeat may be on its way: its sender gives it up after a second.
 	// One that comes sooner after the back end was away may have been sent before.
 	heartbeatDelay = time.Second
-	// lookPause is between two looks at the health path of a back end that does not answer.
-	lookPause = 300 * time.Millisecond
+	// probeInterval is the least time between two probes of the health path of a back end that does not
+	// answer.
+	probeInterval = 300 * time.Millisecond
 	// coldShare of the rate that a cold back end bears is let in. It falls over only with well more, and
 	// in a fleet that is cold as a whole each call that fits counts.
 	coldShare = 1.25
@@ -57,9 +58,10 @@
 	unsure    bool
 	trustFrom time.Duration
 	// doubts counts the assumptions: what was asked before one does not answer it.
-	doubts   uint64
-	looking  bool
-	nextLook time.Duration
+	doubts uint64
+	// probing is set while a probe of the health path is under way, nextProbe is when the next may start.
+	probing   bool
+	nextProbe time.Duration
 }
 
 // setBounds takes in the configuration.
@@ -137,11 +139,11 @@
 	return min(wait, c.until-now)
 }
 
-// wantsLook reports whether a look at the health path is due, and counts it as under way.
-func (c *coldness) wantsLook(now time.Duration) bool {
-	due := c.unsure && c.until > now && c.bounds.HealthPath != "" && !c.looking && now >= c.nextLook
+// startProbe reports whether a probe of the health path is due, and counts it as under way then.
+func (c *coldness) startProbe(now time.Duration) bool {
+	due := c.unsure && c.until > now && c.bounds.HealthPath != "" && !c.probing && now >= c.nextProbe
 	if due {
-		c.looking, c.nextLook = true, now+lookPause
+		c.probing, c.nextProbe = true, now+probeInterval
 	}
 	return due
 }
--- a/pkg/gate/cold_test.go
+++ b/pkg/gate/cold_test.go
@@ -21,13 +21,13 @@
 	c.assumeNew(time.Second)
 	is.Equal(c.remaining(time.Second), 3*time.Second)
 	is.True(c.limited(time.Second))
-	is.True(c.wantsLook(time.Second))
-	is.True(!c.wantsLook(time.Second)) // one is under way
+	is.True(c.startProbe(time.Second))
+	is.True(!c.startProbe(time.Second)) // one is under way
 	c.learn(1100*time.Millisecond, 0, ColdHealth)
 	is.True(!c.limited(1100 * time.Millisecond))
 	is.Equal(c.sourceAt(1100*time.Millisecond), ColdHealth)
-	c.looking = false
-	is.True(!c.wantsLook(10 * time.Second)) // known is known
+	c.probing = false
+	is.True(!c.startProbe(10 * time.Second)) // known is known
 }
 
 func TestHeartbeatOfANewBackEndIsBelieved(t *testing.T) {
@@ -51,7 +51,7 @@
 	c.assume(time.Second)
 	c.learn(1900*time.Millisecond, 0, ColdHeartbeat)
 	is.True(c.limited(1900 * time.Millisecond))
-	is.True(c.wantsLook(1900 * time.Millisecond))
+	is.True(c.startProbe(1900 * time.Millisecond))
 	c.learn(2000*time.Millisecond, 2500*time.Millisecond, ColdHealth)
 	c.learn(2100*time.Millisecond, 0, ColdHeartbeat)
 	is.Equal(c.remaining(2100*time.Millisecond), 2400*time.Millisecond)
@@ -64,12 +64,12 @@
 	is := is.New(t)
 	c := newColdness()
 	c.assume(0)
-	is.True(c.wantsLook(0))
-	c.looking = false
-	is.True(!c.wantsLook(lookPause - 1))
-	is.True(c.wantsLook(lookPause))
-	c.looking = false
-	is.True(!c.wantsLook(testBounds.Start))
+	is.True(c.startProbe(0))
+	c.probing = false
+	is.True(!c.startProbe(probeInterval - 1))
+	is.True(c.startProbe(probeInterval))
+	c.probing = false
+	is.True(!c.startProbe(testBounds.Start))
 	is.True(!c.limited(testBounds.Start))
 }
 
--- a/pkg/gate/warming.go
+++ b/pkg/gate/warming.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// lookTimeout bounds a look at the health path.
-	lookTimeout = 500 * time.Millisecond
+	// probeTimeout bounds a probe of the health path.
+	probeTimeout = 500 * time.Millisecond
 	// maxHealthBytes of the answer's body are read, so that its connection can be used again.
 	maxHealthBytes = 4 << 10
 )
@@ -68,17 +68,17 @@
 	}
 }
 
-// lookIfUnsure asks the back end whether it is cold if that is not known; the mutex is held. A call
-// that waits for it is let in by the rate of a cold one until then.
-func (g *Gate) lookIfUnsure(now time.Duration) {
-	if !g.cold.wantsLook(now) {
+// probeIfUnsure asks the back end whether it is cold if that is not known. Until it has answered, calls
+// are let in at the rate of a cold one. The mutex is held.
+func (g *Gate) probeIfUnsure(now time.Duration) {
+	if !g.cold.startProbe(now) {
 		return
 	}
 	backend, path, generation, doubts := g.backend, g.cold.bounds.HealthPath, g.generation, g.cold.doubts
 	go func() {
-		remaining, err := g.askHealth(backend.Address, path)
+		remaining, err := g.probeHealth(backend.Address, path)
 		g.changeCold(func(now time.Duration) {
-			g.cold.looking = false
+			g.cold.probing = false
 			if err == nil && generation == g.generation && doubts == g.cold.doubts {
 				g.cold.learn(now, remaining, ColdHealth)
 			}
@@ -89,10 +89,10 @@
 	}()
 }
 
-// askHealth returns for how much longer a back end is cold by the answer of its health path, whatever
+// probeHealth returns for how much longer a back end is cold by the answer of its health path, whatever
 // that says of its health.
-func (g *Gate) askHealth(address, path string) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+func (g *Gate) probeHealth(address, path string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
 	if err != nil {
