forward: retryAfter instead of comeBack, divisors under their own name

What Retry-After says is computed by comeBack and comeBackWarm, which a reader does not search for; gateRetryShare = 3 and coldRetryShare = 2 are divisors, not shares; colds counted refusals. They are retryAfter, retryAfterCold, gateRetryDivisor, coldRetryDivisor, coldRefusals and maxColdRefusals; the file is retry_after.go. Behaviour as before.

--- a/pkg/forward/cold_test.go
+++ b/pkg/forward/cold_test.go
@@ -39,7 +39,7 @@
 		response := n.call(t, "POST", "/unsafe/x", "body")
 		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
 		is.True(response.Header.Get("Retry-After") != "")
-		is.True(total(counts)-asked <= maxCold)
+		is.True(total(counts)-asked <= maxColdRefusals)
 		asked = total(counts)
 	}
 	is.Equal(asked, int64(8)) // each has said it once
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -55,10 +55,10 @@
 	version  versionDraw
 	// held is a back end's failure that another attempt may yet make good, nil for none.
 	held *http.Response
-	// colds counts the gates of cold back ends that had no room, warmIn is after how long the first
+	// coldRefusals counts the gates of cold back ends that had no room, warmIn is after how long the first
 	// back end is warm.
-	colds  int
-	warmIn time.Duration
+	coldRefusals int
+	warmIn       time.Duration
 }
 
 // serveThroughGates answers a call of a service whose back ends stand behind gates.
@@ -346,7 +346,7 @@
 		}
 		return refusal
 	}
-	refusal.RetryAfter = g.comeBack(g.now())
+	refusal.RetryAfter = g.retryAfter(g.now())
 	return refusal
 }
 
