balancer: unavailable back ends, and one word for a node's subset

closed(endpoint) said that a back end leaves, is refused or its gate is being closed, while a closed gate elsewhere is only the second or third of these; and Pool.share chose a subset in a file whose other shares are costs. They are unavailable and chooseSubset. Behaviour as before.

--- a/pkg/balancer/distance.go
+++ b/pkg/balancer/distance.go
@@ -55,17 +55,18 @@
 	return false
 }
 
-// share picks subsetSize of a service's back ends, which are in the node's order of preference: those of its
-// own zone up to localSubset, up to farSubset of each other region, so that one may stand in for another, and
-// for the rest those of the own region, so that a zone which fails leaves enough. What remains empty, any fill.
-func (p *Pool) share(sorted []routing.Endpoint) []routing.Endpoint {
+// chooseSubset picks subsetSize of a service's back ends, which are in the node's order of preference: those
+// of its own zone up to localSubset, up to farSubset of each other region, so that one may stand in for
+// another, and for the rest those of the own region, so that a zone which fails leaves enough. What remains
+// empty, any fill.
+func (p *Pool) chooseSubset(sorted []routing.Endpoint) []routing.Endpoint {
 	perRegion, farRoom := p.farRoom(sorted)
 	localRoom := min(localSubset, subsetSize-farRoom)
 	far := map[string]int{}
 	chosen, rest := make([]routing.Endpoint, 0, subsetSize), make([]routing.Endpoint, 0, len(sorted))
 	for _, e := range sorted {
 		switch {
-		case closed(e):
+		case unavailable(e):
 			rest = append(rest, e)
 		case e.Zone == p.config.Zone && localRoom > 0:
 			localRoom--
@@ -87,7 +88,7 @@
 func (p *Pool) farRoom(all []routing.Endpoint) (perRegion, total int) {
 	open := map[string]int{}
 	for _, e := range all {
-		if p.far(e) && !closed(e) {
+		if p.far(e) && !unavailable(e) {
 			open[e.Region]++
 		}
 	}
@@ -108,7 +109,7 @@
 	if p.far(e) {
 		rank = 1
 	}
-	if closed(e) {
+	if unavailable(e) {
 		rank += 2
 	}
 	return rank
--- a/pkg/balancer/distance_test.go
+++ b/pkg/balancer/distance_test.go
@@ -84,7 +84,7 @@
 	is.Equal(acquireAll(p, 10, GateRequest{})["west"], 10)
 	closedOnes := 0
 	for _, e := range p.endpoints {
-		if closed(e.target) {
+		if unavailable(e.target) {
 			closedOnes++
 		}
 	}
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -123,7 +123,7 @@
 }
 
 // subset picks the node's share of a large service by rendezvous hashing: the one beside the
-// node, then those of its own zone, then others (see share).
+// node, then those of its own zone, then others (see chooseSubset).
 func (p *Pool) subset(all []routing.Endpoint) []routing.Endpoint {
 	if len(all) <= subsetSize {
 		return all
@@ -135,16 +135,17 @@
 		if own(a) != own(b) {
 			return boolCompare(!own(a), !own(b))
 		}
-		if closed(a) != closed(b) {
-			return boolCompare(closed(a), closed(b))
+		if unavailable(a) != unavailable(b) {
+			return boolCompare(unavailable(a), unavailable(b))
 		}
 		return uintCompare(rank(a), rank(b))
 	})
-	return p.share(sorted)
+	return p.chooseSubset(sorted)
 }
 
-// closed reports whether a back end gets nothing new.
-func closed(e routing.Endpoint) bool { return e.Leaving || e.Refused != "" || e.Closing }
+// unavailable reports whether a back end gets nothing new: it leaves, orders refuse it, or a rollout closes its
+// gate.
+func unavailable(e routing.Endpoint) bool { return e.Leaving || e.Refused != "" || e.Closing }
 
 func boolCompare(a, b bool) int {
 	if a == b {
