exchange: AnswerBuffer instead of Holding

A 'holding' of large answers is the memory in which answers wait for slow callers: a buffer with a bound. Type, constructor, settings' fields and file are named for that. Behaviour as before, metric names too.

--- a/pkg/exchange/holding.go
+++ b/pkg/exchange/answer_buffer.go
@@ -7,29 +7,29 @@
 	"sync/atomic"
 )
 
-// Holding bounds what a process holds of large answers, however slowly their callers read. It is safe
+// AnswerBuffer bounds what a process holds of large answers, however slowly their callers read. It is safe
 // for concurrent use; nil has no bound.
-type Holding struct {
+type AnswerBuffer struct {
 	limit int64
 	held  atomic.Int64
 }
 
-// NewHolding returns a holding of so many bytes. One answer more may be held by each call that is being
+// NewAnswerBuffer returns a buffer of so many bytes. One answer more may be held by each call that is being
 // read when the bound is reached.
-func NewHolding(limit int64) *Holding { return &Holding{limit: limit} }
+func NewAnswerBuffer(limit int64) *AnswerBuffer { return &AnswerBuffer{limit: limit} }
 
 // Held returns the bytes that are held.
-func (h *Holding) Held() int64 { return h.held.Load() }
+func (b *AnswerBuffer) Held() int64 { return b.held.Load() }
 
 // ReadWhole is ReadWhole for an answer. A large one is passed on piece by piece while too much is held:
 // then rest is its body and data is empty. release must be called once what was read has been passed on.
-func (h *Holding) ReadWhole(response *http.Response) (data []byte, rest io.Reader, release func(), err error) {
-	if h == nil {
+func (b *AnswerBuffer) ReadWhole(response *http.Response) (data []byte, rest io.Reader, release func(), err error) {
+	if b == nil {
 		data, rest, err = ReadWhole(response.Body, response.ContentLength)
 		return data, rest, func() {}, err
 	}
 	small := response.ContentLength >= 0 && response.ContentLength < LargeAnswer
-	if !small && h.held.Load() >= h.limit {
+	if !small && b.held.Load() >= b.limit {
 		return nil, response.Body, func() {}, nil
 	}
 	data, rest, err = ReadWhole(response.Body, response.ContentLength)
@@ -37,6 +37,6 @@
 	if err != nil || size < LargeAnswer {
 		return data, rest, func() {}, err
 	}
-	h.held.Add(size)
-	return data, rest, sync.OnceFunc(func() { h.held.Add(-size) }), nil
+	b.held.Add(size)
+	return data, rest, sync.OnceFunc(func() { b.held.Add(-size) }), nil
 }
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -109,7 +109,7 @@
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: exchange.ErrWrongAnswer}
 	}
-	data, rest, release, err := g.handler.config.Holding.ReadWhole(response)
+	data, rest, release, err := g.handler.config.AnswerBuffer.ReadWhole(response)
 	if err != nil {
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: err}
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -77,8 +77,8 @@
 	Pacer *exchange.Pacer
 	// Answers, if set, spreads large answers over time.
 	Answers *exchange.Pacer
-	// Holding, if set, bounds what is held of large answers.
-	Holding *exchange.Holding
+	// AnswerBuffer, if set, bounds what is held of large answers.
+	AnswerBuffer *exchange.AnswerBuffer
 	// Quarantine knows requests that must not reach back ends; nil knows none.
 	Quarantine *quarantine.Filter
 	// OnEnded and OnAnswered, if set, are told when a back end without a gate ended while it had a
--- a/pkg/gate/body.go
+++ b/pkg/gate/body.go
@@ -34,7 +34,7 @@
 // holdWhole reads an answer whole if it is not too long, so that one which is cut off is
 // found out before any of it is passed on.
 func (g *Gate) holdWhole(response *http.Response) error {
-	data, rest, release, err := g.config.Holding.ReadWhole(response)
+	data, rest, release, err := g.config.AnswerBuffer.ReadWhole(response)
 	if err != nil {
 		response.Body.Close()
 		return err
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -52,8 +52,8 @@
 	Link *link.Meter
 	// Answers, if set, spreads large answers over time.
 	Answers *exchange.Pacer
-	// Holding, if set, bounds what is held of large answers.
-	Holding *exchange.Holding
+	// AnswerBuffer, if set, bounds what is held of large answers.
+	AnswerBuffer *exchange.AnswerBuffer
 	// Quarantine knows requests that must not reach the back end; nil knows none.
 	Quarantine *quarantine.Filter
 	// OnEnded and OnAnswered, if set, are told when the back end ended while it had a call, and when
--- a/pkg/gate/outbound_test.go
+++ b/pkg/gate/outbound_test.go
@@ -162,11 +162,11 @@
 func TestLargeAnswersBeyondTheBoundArePassedOnAsTheyCome(t *testing.T) {
 	is := is.New(t)
 	g := gateOnLink(t, 1)
-	g.config.Holding = exchange.NewHolding(150_000)
+	g.config.AnswerBuffer = exchange.NewAnswerBuffer(150_000)
 	first := get(t, g, "first", "Want-Bytes", "200000")
-	is.Equal(g.config.Holding.Held(), int64(200_000))
+	is.Equal(g.config.AnswerBuffer.Held(), int64(200_000))
 	second := get(t, g, "second", "Want-Bytes", "200000")
-	is.Equal(g.config.Holding.Held(), int64(200_000))                                          // not held
+	is.Equal(g.config.AnswerBuffer.Held(), int64(200_000))                                     // not held
 	is.Equal(reasonOf(get(t, g, "third", exchange.HeaderWait, "1")), exchange.ReasonFull)      // its slot is busy
 	is.Equal(get(t, g, "small", "Want-Bytes", "10", exchange.HeaderWait, "1").StatusCode, 503) // for whoever comes
 	data, err := io.ReadAll(second.Body)
@@ -175,7 +175,7 @@
 	second.Body.Close()
 	is.Equal(get(t, g, "small", "Want-Bytes", "10").StatusCode, http.StatusOK)
 	first.Body.Close()
-	is.Equal(g.config.Holding.Held(), int64(0))
+	is.Equal(g.config.AnswerBuffer.Held(), int64(0))
 }
 
 // A long answer that its caller does not take to the end leaves the rest of its time on the link to others.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -26,7 +26,7 @@
 	s.gate = gate.New(gate.Config{
 		Headers: s.settings.Headers, Now: s.clock.Elapsed, OnCall: s.observer.gateCall,
 		ServedHere: func(r *http.Request) bool { return s.handler.ServedIn(s.settings.Zone, r) },
-		Link:       s.link, Answers: s.answers, Holding: s.holding,
+		Link:       s.link, Answers: s.answers, AnswerBuffer: s.answerBuffer,
 		Quarantine: &s.quarantine, OnEnded: s.noteEnded, OnAnswered: s.noteAnswered,
 		OnClosing: s.noteClosing,
 		OnSender:  func(service string, sender exchange.Sender) { s.handler.HearOf(service, sender) },
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -121,7 +121,7 @@
 }
 
 // watchLargeAnswers shows what large bodies and answers take of the machine's link and of memory.
-func (o *observer) watchLargeAnswers(registry prometheus.Registerer, m *link.Meter, holding *exchange.Holding) {
+func (o *observer) watchLargeAnswers(registry prometheus.Registerer, m *link.Meter, buffer *exchange.AnswerBuffer) {
 	for direction, read := range map[string]func() int64{"received": m.BodiesReceived, "sent": m.AnswersSent} {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "bramblelift_link_large_bytes_total", Help: "Bytes of large request bodies received and of large answers sent.",
@@ -130,7 +130,7 @@
 	}
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "bramblelift_held_answer_bytes", Help: "Bytes of large answers that are held until their callers have read them.",
-	}, func() float64 { return float64(holding.Held()) }))
+	}, func() float64 { return float64(buffer.Held()) }))
 }
 
 // endAnswered names calls that a back end answered.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -75,11 +75,11 @@
 	link     *link.Meter
 	// answers spreads the large answers of the node and of its gate over time, nil without a bound.
 	answers *exchange.Pacer
-	// holding bounds what both hold of large answers.
-	holding  *exchange.Holding
-	calls    callsUnderWay
-	stopping atomic.Bool
-	failure  chan error
+	// answerBuffer bounds what both hold of large answers.
+	answerBuffer *exchange.AnswerBuffer
+	calls        callsUnderWay
+	stopping     atomic.Bool
+	failure      chan error
 	// lastCall is when the newest call came, stopsAt when the process ends, zero while
 	// that is not near.
 	lastCall atomic.Int64
@@ -106,7 +106,7 @@
 //
 // newInterface, if set, makes the handler of settings.InterfaceListen.
 func New(config settings.Proxy, logger log.Logger, newInterface func(*Server) http.Handler) (*Server, error) {
-	s := &Server{settings: config, logger: logger, clock: clock.New(), link: link.NewMeter(config.LinkMegabits * megabit), holding: exchange.NewHolding(maxHeldAnswers), failure: make(chan error, 1)}
+	s := &Server{settings: config, logger: logger, clock: clock.New(), link: link.NewMeter(config.LinkMegabits * megabit), answerBuffer: exchange.NewAnswerBuffer(maxHeldAnswers), failure: make(chan error, 1)}
 	if config.LinkMegabits > 0 {
 		s.answers = exchange.NewAnswerPacer(config.LinkMegabits*megabit, s.link.UnpacedRate, s.clock.Now)
 	}
@@ -123,7 +123,7 @@
 	}
 	s.observer = newObserver(s.admin.Registry, logger)
 	s.observer.watchLink(s.admin.Registry, s.link)
-	s.observer.watchLargeAnswers(s.admin.Registry, s.link, s.holding)
+	s.observer.watchLargeAnswers(s.admin.Registry, s.link, s.answerBuffer)
 	s.observer.watchQuarantine(s.admin.Registry, &s.quarantine, &s.suspects)
 	if err := s.openGate(); err != nil {
 		return nil, err
@@ -218,7 +218,7 @@
 	if s.settings.LinkMegabits > 0 {
 		config.Pacer = exchange.NewPacer(s.settings.LinkMegabits*megabit, exchange.RequestShare, s.clock.Now)
 	}
-	config.Answers, config.Holding = s.answers, s.holding
+	config.Answers, config.AnswerBuffer = s.answers, s.answerBuffer
 	if s.gate != nil {
 		config.BackendHost, config.RepeatShare = s.backendHost(), s.gate.RepeatShare
 		config.GateAddress, config.Gate, config.Sender = s.settings.GateAdvertise, s.gate.Do, s.gate.Sender
