--- a/pkg/bundle/content.go
+++ b/pkg/bundle/content.go
@@ -322,9 +322,7 @@
 func isControl(r rune) bool        { return r < ' ' || r == 0x7f }
 
 // ValidName reports whether a name of a service, a zone or the like is usable.
-func ValidName(s string) bool { return validName(s) }
-
-func validName(s string) bool { return nonEmpty(s) && len(s) <= maxNameLength && !hasControlByte(s) }
+func ValidName(s string) bool { return nonEmpty(s) && len(s) <= maxNameLength && !hasControlByte(s) }
 
 func sortedBy[T any](items []T, name func(T) string) []T {
 	sorted := slices.Clone(items)
--- a/pkg/bundle/validate.go
+++ b/pkg/bundle/validate.go
@@ -125,7 +125,7 @@
 }
 
 func (v *validator) checkName(kind, name, previous string, first bool) {
-	if !validName(name) || name == ScopeAll {
+	if !ValidName(name) || name == ScopeAll {
 		v.add(kind, name, "not a usable name")
 	}
 	if !first && name == previous {
@@ -173,7 +173,7 @@
 			v.add("route", route.Name, "timeout must be from 0 to %s", maxTimeout)
 		}
 		for _, group := range route.Sources {
-			if !validName(group) || group == ScopeAll {
+			if !ValidName(group) || group == ScopeAll {
 				v.add("route", route.Name, "source %q is not a usable node group", group)
 			}
 		}
@@ -195,7 +195,7 @@
 		v.add("route", route.Name, "host is not usable")
 	}
 	for _, region := range route.Regions {
-		if !validName(region) {
+		if !ValidName(region) {
 			v.add("route", route.Name, "region %q is not a usable name", region)
 		}
 	}
