gate, forward: RetryShare instead of RepeatShare

The budget that it draws on is pkg/retry's, the header Gate-Retry; 'repeat' was a second word for the same. The reason given for it, and that of retry.Budget.Charge, are said in plainer words. Behaviour as before.

--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -85,10 +85,10 @@
 	// call, and when it answered one that is watched. Gates tell of theirs themselves.
 	OnEnded    func(quarantine.End)
 	OnAnswered func(quarantine.Answer)
-	// BackendHost is the address from which the back end beside the node calls, RepeatShare the share of its
+	// BackendHost is the address from which the back end beside the node calls, RetryShare the share of its
 	// calls at work that were at another back end before; nil for none.
 	BackendHost netip.Addr
-	RepeatShare func() float64
+	RetryShare  func() float64
 	// OnCrowding, if set, is told when the way to another region gets crowded or clear, by how much its
 	// delay has risen.
 	OnCrowding func(region string, crowding link.Crowding, rise time.Duration)
--- a/pkg/forward/repeats_test.go
+++ b/pkg/forward/retries_test.go
@@ -33,7 +33,7 @@
 		other, otherCalls := standInGate(t, declining)
 		n := newGatedNodeWith(t, func(cfg *Config) {
 			cfg.Retry = retry.Config{Ratio: 0.2, Max: 6}
-			cfg.BackendHost, cfg.RepeatShare = netip.MustParseAddr(test.host), func() float64 { return test.share }
+			cfg.BackendHost, cfg.RetryShare = netip.MustParseAddr(test.host), func() float64 { return test.share }
 		}, []string{"z", "other"}, gate, other)
 		for range 100 {
 			n.call(t, http.MethodGet, "/safe/1", "")
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -311,7 +311,7 @@
 	}
 	g.running--
 	if a.repeat {
-		g.repeats--
+		g.retries--
 	}
 	a.counted.ended(end, g.cold.remaining(g.config.Now()) > 0)
 	if end.failed || end.service > 0 {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -112,8 +112,8 @@
 	rules   *eligibility.Rules
 	closing closing
 	running int
-	// repeats counts the running calls that were at another back end before.
-	repeats int
+	// retries counts the running calls that were at another back end before.
+	retries int
 	// receiving counts the calls whose bodies are on their way here.
 	receiving int
 	queue     waitQueue
--- a/pkg/gate/repeats_test.go
+++ b/pkg/gate/retries_test.go
@@ -19,7 +19,7 @@
 		return answering(conn, request, number)
 	})
 	g := gateTo(address, 2)
-	is.Equal(g.RepeatShare(), 0.0)
+	is.Equal(g.RetryShare(), 0.0)
 	done := make(chan int, 3)
 	for _, header := range [][]string{{}, {exchange.HeaderRetry, "1"}, {exchange.HeaderRetry, "1", exchange.HeaderWait, "1000"}} {
 		call := newCall(t, "POST", "id", header...)
@@ -27,11 +27,11 @@
 		time.Sleep(30 * time.Millisecond) // the third waits for a slot
 	}
 	is.Equal(calls.Load(), int64(2))
-	is.Equal(g.RepeatShare(), 0.5)
+	is.Equal(g.RetryShare(), 0.5)
 	close(release)
 	for range 3 {
 		is.Equal(<-done, http.StatusOK)
 	}
-	is.Equal(g.RepeatShare(), 0.0)
-	is.Equal(g.repeats, 0)
+	is.Equal(g.RetryShare(), 0.0)
+	is.Equal(g.retries, 0)
 }
--- a/pkg/gate/version.go
+++ b/pkg/gate/version.go
@@ -104,7 +104,7 @@
 	granted.counted = g.noteAdmitted(now, hint)
 	granted.repeat = hint.repeat
 	if hint.repeat {
-		g.repeats++
+		g.retries++
 	}
 	return granted
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -220,7 +220,7 @@
 	}
 	config.Answers, config.AnswerBuffer = s.answers, s.answerBuffer
 	if s.gate != nil {
-		config.BackendHost, config.RepeatShare = s.backendHost(), s.gate.RepeatShare
+		config.BackendHost, config.RetryShare = s.backendHost(), s.gate.RetryShare
 		config.GateAddress, config.Gate, config.Sender = s.settings.GateAdvertise, s.gate.Do, s.gate.Sender
 		config.Retry = retry.Config{Ratio: s.settings.Retries.Ratio, Max: gatedRetryMax}
 	}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -61,8 +61,8 @@
 	return true
 }
 
-// Charge draws for traffic that is more of the same but cannot be refused: calls that a repeat makes. What it
-// overdraws, at most as much as can be saved up, later attempts pay for before there is another retry.
+// Charge draws for calls that another service's retries cause here, which cannot be refused. It may overdraw the
+// budget by as much as can be saved up; later attempts make up for that before another retry is allowed.
 func (b *Budget) Charge(now time.Duration, amount float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
