settings: check the bounds of rollouts beside the other settings

The check stood in checkReplicas, which is about how replicas find each other; the defaults had no unit and no reason. Same checks, same order of problems.

--- a/pkg/settings/rollouts.go
+++ b/pkg/settings/rollouts.go
@@ -10,9 +10,10 @@
 	ExposureSlack uint64  `toml:"exposure_slack,omitempty"`
 }
 
-// Defaults of Rollouts.
 const (
+	// defaultExposureShare bounds what a version that turns out bad gets to a tenth of the calls.
 	defaultExposureShare = 0.1
+	// defaultExposureSlack, in calls, lets a service with few calls be judged at all.
 	defaultExposureSlack = 50
 )
 
@@ -28,7 +29,7 @@
 	return policy
 }
 
-// checkRollouts checks the bounds.
+// checkRollouts checks the bounds of rollouts. Any slack will do.
 func (p *problems) checkRollouts(r Rollouts) {
 	if r.ExposureShare < 0 || r.ExposureShare > 1 {
 		p.add("rollouts.exposure_share", "must be from 0 to 1")
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -337,6 +337,7 @@
 	if c.Data == "" {
 		p.add("data", "must be set")
 	}
+	p.checkRollouts(c.Rollouts)
 	p.checkReplicas(c)
 	p.checkPositive("platform_interval", c.PlatformInterval)
 	p.checkPositive("heartbeat_interval", c.HeartbeatInterval)
@@ -348,7 +349,6 @@
 
 // checkReplicas checks how the replica finds the others: by a fixed list, or by seeds.
 func (p *problems) checkReplicas(c *Control) {
-	p.checkRollouts(c.Rollouts)
 	if len(c.Seeds) > 0 {
 		setDefault(&c.RemoveAfter, defaultRemoveAfter)
 		if len(c.Replicas) > 0 {
