--- a/pkg/gate/evacuate.go
+++ b/pkg/gate/closing.go
@@ -7,15 +7,16 @@
 	"bramblelift/pkg/exchange"
 )
 
-// Closing tells that orders have closed the gate to new calls, or opened it again, for logs and metrics.
-type Closing struct {
+// ClosingChange tells that orders have closed the gate to new calls, or opened it again, for logs and metrics.
+type ClosingChange struct {
 	Backend string
 	// Reason is why the gate is closed, empty once it is open again.
 	Reason exchange.Reason
-	// Dropped are the calls that waited and were let go, Running those that are finished.
+	// Dropped are the calls that waited and were refused, Running those that go on to their end.
 	Dropped int
 	Running int
-	// Quiet is set once the last call that was at work has ended, Took after the gate was closed.
+	// Quiet is set once the last running call has ended. Took is the time since the gate was closed, zero
+	// when it closes.
 	Quiet bool
 	Took  time.Duration
 }
@@ -25,7 +26,7 @@
 	// reason is empty while the gate is open.
 	reason exchange.Reason
 	at     time.Duration
-	// quiet is set once nothing was at work any more.
+	// quiet is set once no call runs behind the closed gate any more.
 	quiet bool
 }
 
@@ -51,7 +52,8 @@
 }
 
 // applyRules closes the gate, or opens it again, as the rules say of the present back end. What is at
-// work is finished; the mutex is held.
+// work is finished. The back end's version is left out: refusesVersion decides on that for each call. The
+// mutex is held.
 func (g *Gate) applyRules() {
 	reason := g.rules.Refuses(eligibility.Backend{Service: g.backend.Service, Zone: g.backend.Zone})
 	before := g.closing
@@ -61,14 +63,14 @@
 	now := g.config.Now()
 	if reason == "" {
 		g.closing = closing{}
-		g.tellClosing(Closing{Took: now - before.at})
-		g.rested(now)
+		g.tellClosing(ClosingChange{Took: now - before.at})
+		g.assumeCold(now)
 		return
 	}
 	g.closing = closing{reason: reason, at: now}
 	dropped := len(g.queue)
 	g.dropWaiting(reason)
-	g.tellClosing(Closing{Reason: reason, Dropped: dropped})
+	g.tellClosing(ClosingChange{Reason: reason, Dropped: dropped})
 	g.noteQuiet()
 }
 
@@ -78,11 +80,11 @@
 		return
 	}
 	g.closing.quiet = true
-	g.tellClosing(Closing{Reason: g.closing.reason, Quiet: true, Took: g.config.Now() - g.closing.at})
+	g.tellClosing(ClosingChange{Reason: g.closing.reason, Quiet: true, Took: g.config.Now() - g.closing.at})
 }
 
 // tellClosing passes on what happened; the mutex is held.
-func (g *Gate) tellClosing(c Closing) {
+func (g *Gate) tellClosing(c ClosingChange) {
 	if g.config.OnClosing == nil {
 		return
 	}
--- a/pkg/gate/evacuate_test.go
+++ b/pkg/gate/closing_test.go
@@ -21,9 +21,9 @@
 }
 
 // closings collects what a gate tells of its closings.
-type closings struct{ told []Closing }
+type closings struct{ told []ClosingChange }
 
-func (c *closings) take(closing Closing) { c.told = append(c.told, closing) }
+func (c *closings) take(closing ClosingChange) { c.told = append(c.told, closing) }
 
 // zoneGate is a gate of zone a with a back end that works on one call at once.
 func zoneGate(now *time.Duration, c *closings) *Gate {
@@ -63,7 +63,7 @@
 	is.Equal(g.Sender(), "") // nobody is told that it has room
 	now = 3 * time.Second
 	g.release(atWork, ending{service: time.Second})
-	is.Equal(told.told, []Closing{
+	is.Equal(told.told, []ClosingChange{
 		{Backend: "i1", Reason: exchange.ReasonEvacuated, Dropped: 1, Running: 1},
 		{Backend: "i1", Reason: exchange.ReasonEvacuated, Quiet: true, Took: 3 * time.Second},
 	})
@@ -71,7 +71,7 @@
 	is.Equal(len(told.told), 2)
 	now = 5 * time.Second
 	g.SetRules(evacuated())
-	is.Equal(told.told[2], Closing{Backend: "i1", Took: 5 * time.Second})
+	is.Equal(told.told[2], ClosingChange{Backend: "i1", Took: 5 * time.Second})
 	_, reason = g.admitOne()
 	is.Equal(reason, exchange.Reason(""))
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -70,7 +70,7 @@
 	ConfirmedAt func() (time.Duration, bool)
 	// OnClosing, if set, is told when orders close the gate, when it is quiet and when it opens again.
 	// It must not call the gate.
-	OnClosing func(Closing)
+	OnClosing func(ClosingChange)
 	// OnCold, if set, is told when the back end turns cold or warm, OnColdUnknown when it could not be
 	// asked.
 	OnCold        func(ColdChange)
--- a/pkg/gate/warming.go
+++ b/pkg/gate/warming.go
@@ -39,9 +39,9 @@
 	})
 }
 
-// rested takes the back end for cold until it says otherwise: it got nothing new for a while, and may have
-// turned cold meanwhile without a word. The mutex is held.
-func (g *Gate) rested(now time.Duration) {
+// assumeCold takes the back end for cold until it says otherwise: while the gate was closed it got nothing new,
+// and may have turned cold without saying so. The mutex is held.
+func (g *Gate) assumeCold(now time.Duration) {
 	g.cold.assume(now)
 	g.noteCold(now)
 }
--- a/pkg/proxy/evacuate.go
+++ b/pkg/proxy/closing.go
@@ -11,7 +11,7 @@
 )
 
 // noteClosing logs that orders closed the gate, that it is quiet or that it opened again.
-func (s *Server) noteClosing(c gate.Closing) {
+func (s *Server) noteClosing(c gate.ClosingChange) {
 	s.client.PingSoon()
 	took := c.Took.Round(time.Millisecond)
 	switch {
