exchange: one Read for paced and queued bodies

The two Reads stood twice, line by line, and differed in when a piece is due. queuedBody embeds pacedBody, which asks a function for that. Behaviour as before.

--- a/pkg/exchange/pacer.go
+++ b/pkg/exchange/pacer.go
@@ -67,7 +67,11 @@
 	if p == nil || size <= p.piece {
 		return body
 	}
-	return &pacedBody{ReadCloser: body, pacer: p, size: size, start: p.now(), within: within}
+	due := func(n int) time.Duration {
+		due, _ := p.reserve(n)
+		return due
+	}
+	return &pacedBody{ReadCloser: body, pacer: p, size: size, start: p.now(), within: within, due: due}
 }
 
 // Answer returns a body of size bytes that is read in pieces once those before it have been read, and at
@@ -77,8 +81,10 @@
 	if p == nil || size <= p.piece {
 		return body
 	}
-	due, takes := p.reserve(size)
-	return &queuedBody{ReadCloser: body, pacer: p, size: size, due: due, takes: takes, start: p.now(), within: within}
+	first, takes := p.reserve(size)
+	b := &queuedBody{pacedBody: pacedBody{ReadCloser: body, pacer: p, size: size, start: p.now(), within: within}, takes: takes}
+	b.due = func(int) time.Duration { return first + b.part(b.sent) }
+	return b
 }
 
 // giveBack takes back time that was reserved and is not used.
@@ -99,7 +105,7 @@
 	return due, takes
 }
 
-// pacedBody is a body on its way.
+// pacedBody is a body on its way, read in pieces.
 type pacedBody struct {
 	io.ReadCloser
 	pacer  *Pacer
@@ -107,16 +113,18 @@
 	sent   int
 	start  time.Duration
 	within time.Duration
+	// due returns when the next piece, of n bytes, may go.
+	due func(n int) time.Duration
 }
 
-// Read implements io.Reader. It returns one piece when it is due.
+// Read implements io.Reader. It returns one piece when it is due, and no later than in step with within.
 func (b *pacedBody) Read(buf []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buf[:min(len(buf), b.pacer.piece)])
 	if n == 0 {
 		return n, err
 	}
 	latest := b.start + time.Duration(float64(b.within)*float64(b.sent)/float64(b.size))
-	due, _ := b.pacer.reserve(n)
+	due := b.due(n)
 	b.sent += n
 	if wait := min(due, latest) - b.pacer.now(); wait > 0 {
 		b.pacer.sleep(wait)
@@ -124,34 +132,13 @@
 	return n, err
 }
 
-// queuedBody is a body whose time on the link begins when that of those before it ends.
+// queuedBody is a paced body whose time on the link begins when that of those before it ends.
 type queuedBody struct {
-	io.ReadCloser
-	pacer  *Pacer
-	size   int
-	sent   int
-	due    time.Duration
+	pacedBody
 	takes  time.Duration
-	start  time.Duration
-	within time.Duration
 	closed sync.Once
 }
 
-// Read implements io.Reader. It returns one piece when it is due.
-func (b *queuedBody) Read(buf []byte) (int, error) {
-	n, err := b.ReadCloser.Read(buf[:min(len(buf), b.pacer.piece)])
-	if n == 0 {
-		return n, err
-	}
-	latest := b.start + time.Duration(float64(b.within)*float64(b.sent)/float64(b.size))
-	due := b.due + b.part(b.sent)
-	b.sent += n
-	if wait := min(due, latest) - b.pacer.now(); wait > 0 {
-		b.pacer.sleep(wait)
-	}
-	return n, err
-}
-
 // part is how long so many of the body's bytes take.
 func (b *queuedBody) part(n int) time.Duration {
 	return time.Duration(float64(b.takes) * float64(n) / float64(b.size))
