eligibility: say of which rollouts a version gets nothing more

The condition had two phases, two lookups and a comparison on one line; the two phases are takenBack now. That an empty version is not asked about is said where the field is, 'are those of the zones' was unclear. Behaviour as before.

--- a/pkg/eligibility/eligibility.go
+++ b/pkg/eligibility/eligibility.go
@@ -17,19 +17,20 @@
 type Backend struct {
 	Service string
 	Zone    string
+	// Version is that of the back end's software, empty if unknown: rollouts are not asked about then.
 	Version string
 }
 
-// Rules are what the held orders, and the deployment's map of regions, say of who may take calls. They
+// Rules say, by the held orders and the deployment's map of regions, which back ends may take calls. They
 // are immutable; nil has no rule.
 type Rules struct {
 	orders *orders.Table
-	// regions are those of the zones.
+	// regions holds the region of each zone.
 	regions map[string]string
 }
 
-// New returns the rules of the held orders. regions are those of the zones; a zone that is not in it
-// is in no region.
+// New returns the rules of the held orders. regions holds the region of each zone; a zone that is not in
+// it is in no region.
 func New(table *orders.Table, regions map[string]string) *Rules {
 	return &Rules{orders: table, regions: regions}
 }
@@ -51,12 +52,18 @@
 	if r.orders.Evacuated(b.Zone) {
 		return exchange.ReasonEvacuated
 	}
-	if held, found := r.orders.RolloutOf(b.Service); found && (held.Phase == rollout.Reverting || held.Phase == rollout.RolledBack) && b.Version == held.Version {
+	held, found := r.orders.RolloutOf(b.Service)
+	if found && takenBack(held) && b.Version == held.Version {
 		return exchange.ReasonVersion
 	}
 	return ""
 }
 
+// takenBack reports whether the version that a rollout brought gets nothing more.
+func takenBack(r rollout.Rollout) bool {
+	return r.Phase == rollout.Reverting || r.Phase == rollout.RolledBack
+}
+
 // Closes reports whether a rollout closes the back end's gate: the new version takes all calls by now, while
 // the old one stays the way back.
 func (r *Rules) Closes(b Backend) bool {
