--- a/pkg/link/delay.go
+++ b/pkg/link/delay.go
@@ -11,8 +11,9 @@
 	// crowdedDelay is how much longer than at best a message takes over a path on which packets queue. A
 	// controller that yields to others aims at no more than that (LEDBAT, RFC 6817: 100 ms).
 	crowdedDelay = 100 * time.Millisecond
-	// fullShare of crowdedDelay is from where on even small messages that could stay are kept away.
-	fullShare = 3
+	// fullDelay is from which delay on even small messages that could stay are kept away: the queue is
+	// three times what a crowded path has.
+	fullDelay = 3 * crowdedDelay
 	// delayHalfLife is after how long a delay counts half, delayMemory after how long without any the path
 	// must be tried again.
 	delayHalfLife = 300 * time.Millisecond
@@ -83,7 +84,7 @@
 // Crowding returns how much the path should be spared.
 func (d *Delay) Crowding(now time.Duration) Crowding {
 	switch rise := d.Rise(now); {
-	case rise > fullShare*crowdedDelay:
+	case rise > fullDelay:
 		return Full
 	case rise > crowdedDelay:
 		return Crowded
