control: read the earlier nodes and their least level under one lock

earlier locked twice, so that a node that came or went in between gave a count and a level of two moments. Found by reading; no test shows it.

--- a/pkg/control/nodes.go
+++ b/pkg/control/nodes.go
@@ -46,6 +46,11 @@
 func (r *nodeRegistry) least() catalog.Level {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.leastLocked()
+}
+
+// leastLocked is least; the mutex is held.
+func (r *nodeRegistry) leastLocked() catalog.Level {
 	least := catalog.NewestLevel
 	for _, level := range r.levels {
 		least = min(least, level)
@@ -55,13 +60,12 @@
 
 // earlier describes the connected nodes of an earlier release, nil if there are none.
 func (r *nodeRegistry) earlier() *protocol.EarlierSubscribers {
-	least := r.least()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.levels) == 0 {
 		return nil
 	}
-	return &protocol.EarlierSubscribers{Count: len(r.levels), Level: least}
+	return &protocol.EarlierSubscribers{Count: len(r.levels), Level: r.leastLocked()}
 }
 
 func closedGate(closed *protocol.ClosedGate) *operator.ClosedGate {
