Comments: units of Gate-Cold, dial time-outs, deliveries, regions

What was hard to read: the three fields of Gate-Cold had no unit; the sentence on dialsAtTimeout did not say after what; PackRollouts gave a byte count of one measurement in place of its reason; 'regions are those of the zones'. The period at which replicas look for earlier nodes is subscriberLevelCheck. Behaviour as before.

--- a/pkg/control/level.go
+++ b/pkg/control/level.go
@@ -94,9 +94,9 @@
 }
 
 const (
-	// subscriberLevelLook is how soon a replica tells the others that nodes of an earlier release have come
+	// subscriberLevelCheck is how soon a replica tells the others that nodes of an earlier release have come
 	// to it, and subscriberLevelInterval how often it repeats that. It does so during an upgrade only.
-	subscriberLevelLook     = 100 * time.Millisecond
+	subscriberLevelCheck    = 100 * time.Millisecond
 	subscriberLevelInterval = time.Second
 	// subscriberLevelMemory is for how long a replica goes by that: some messages may be lost.
 	subscriberLevelMemory = 4 * subscriberLevelInterval
@@ -143,7 +143,7 @@
 // tellSubscriberLevel tells the other replicas that nodes of an earlier release come to this one, for as
 // long as any does. All are told: whoever leads next must know when it takes its first publication.
 func (s *Server) tellSubscriberLevel(ctx context.Context) {
-	ticker := time.NewTicker(subscriberLevelLook)
+	ticker := time.NewTicker(subscriberLevelCheck)
 	defer ticker.Stop()
 	var told protocol.EarlierSubscribers
 	var next time.Time
--- a/pkg/exchange/cold.go
+++ b/pkg/exchange/cold.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// HeaderCold is the Cold of a gate's Report, if its back end is cold. Nodes that do not know it read
-// the rest of the report.
+// HeaderCold is the Cold of a gate's Report, if its back end is cold: remaining time, room and interval in
+// milliseconds, separated by commas. Nodes that do not know it read the rest of the report.
 const HeaderCold = "Gate-Cold"
 
 // Cold is what a gate says of a back end that is cold, its zero value of one that is not.
@@ -22,7 +22,10 @@
 	Interval time.Duration
 }
 
-// Set writes it into the headers of an answer.
+// coldFields is how many fields HeaderCold has.
+const coldFields = 3
+
+// Set writes it into the headers of an answer, nothing if the back end is warm.
 func (c Cold) Set(header http.Header) {
 	if c.Remaining > 0 {
 		header.Set(HeaderCold, fmt.Sprintf("%d,%d,%d", ceilMillis(c.Remaining), ceilMillis(c.Room), ceilMillis(c.Interval)))
@@ -37,10 +40,10 @@
 		return Cold{}
 	}
 	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
+	if len(parts) != coldFields {
 		return Cold{}
 	}
-	var values [3]time.Duration
+	var values [coldFields]time.Duration
 	for i, part := range parts {
 		value, err := strconv.ParseUint(part, 10, 32)
 		if err != nil {
@@ -51,6 +54,7 @@
 	return Cold{Remaining: values[0], Room: values[1], Interval: values[2]}
 }
 
+// ceilMillis rounds up: what is left of a time must not be told as over.
 func ceilMillis(d time.Duration) int64 {
 	return int64((max(0, d) + time.Millisecond - 1) / time.Millisecond)
 }
--- a/pkg/exchange/delivery.go
+++ b/pkg/exchange/delivery.go
@@ -27,8 +27,8 @@
 	return n, err
 }
 
-// CountWrites makes the connections of a transport such that a Delivery can tell whether any byte of a
-// request was sent on them.
+// CountWrites returns a dial function whose connections count their writes, so that a Delivery can tell
+// whether any byte of a request was sent on them.
 func CountWrites(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
@@ -44,19 +44,20 @@
 // Its zero value is ready for one request.
 type Delivery struct {
 	mu sync.Mutex
-	// conn is the latest connection, before the writes on it before the request; nil for none.
+	// conn is the latest connection, nil for none; before is how many writes it had before the request.
 	conn   *countedConn
 	before int64
-	// arrived is set once an earlier connection took some of the request, or one that does not count.
+	// arrived is set once an earlier connection took some of the request, or if the writes of one were not
+	// counted.
 	arrived bool
 }
 
-// Trace is for the request's context.
+// Trace returns the trace to put into the request's context.
 func (d *Delivery) Trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { d.use(info.Conn) }}
 }
 
-// use takes in that the transport tries a connection.
+// use notes the connection that the transport tries next.
 func (d *Delivery) use(conn net.Conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/pkg/protocol/rollout.go
+++ b/pkg/protocol/rollout.go
@@ -46,9 +46,8 @@
 	return kept
 }
 
-// PackRollouts packs reports for a Ping, nil for none. Unpacked in each Ping they would have their types
-// described on each connection: its first ping was 404 bytes longer (1,197 in place of 793), though most
-// never send a report.
+// PackRollouts packs reports for a Ping, nil for none. As a field of their own type, gob would describe that
+// type in the first ping of each connection (some 400 bytes), though most never send a report.
 func PackRollouts(reports []RolloutReport) ([]byte, error) {
 	if len(reports) == 0 {
 		return nil, nil
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -110,12 +110,12 @@
 	routes *routeIndex
 }
 
-// New builds the table of a state whose active bundle is consistent.
+// New builds the table of a state whose active bundle is consistent, without regions.
 func New(state *distribution.State) *Table { return Next(nil, state, nil) }
 
 // Next builds the table of a state that follows the one of an earlier table, which may be
-// nil. Endpoints change far more often than bundles: routes of the same bundle are shared. regions are
-// those of the zones.
+// nil. Endpoints change far more often than bundles: routes of the same bundle are shared. regions
+// holds the region of each zone.
 func Next(earlier *Table, state *distribution.State, regions map[string]string) *Table {
 	content := state.Active.Content
 	table := &Table{Version: state.Active.Manifest.Version, Revision: state.Revision, Limits: content.Limits, active: state.Active}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -65,9 +65,9 @@
 	// a loss of everything.
 	quickDials       = 6
 	quickDialTimeout = 150 * time.Millisecond
-	// After dialsAtTimeout more, the time doubles with each such number of dials up to
-	// maxDialTimeout: on a full link the packets that open a connection wait longer than any short
-	// time-out. The first packet that was lost is sent again after a second.
+	// After quickDials the configured time-out holds for dialsAtTimeout dials, and doubles after each
+	// dialsAtTimeout more up to maxDialTimeout: on a full link the packets that open a connection wait
+	// longer than a short time-out, and one that was lost is sent again only after a second.
 	dialsAtTimeout = 3
 	maxDialTimeout = 1600 * time.Millisecond
 )
@@ -270,8 +270,8 @@
 }
 
 // dialTimeout is short at first: a machine that has just been without power says nothing, and a
-// server that comes back meanwhile is found at the next try only. A network that takes longer is
-// given the whole time then, and more if that does not do.
+// server that comes back meanwhile is found at the next try only. After some failed dials it is the
+// configured one, for networks that take longer, and longer still after some more.
 func (c *Client) dialTimeout() time.Duration {
 	failed := c.failedDials.Load()
 	if failed < quickDials {
