balancer: ColdError.WarmIn instead of Room

Room of exchange.Cold is when a gate lets in the next call; here it was when the first back end is warm, which the caller keeps as warmIn. Behaviour as before.

--- a/pkg/balancer/cold.go
+++ b/pkg/balancer/cold.go
@@ -11,8 +11,8 @@
 // ColdError says that all back ends that might take a call are cold, and have no room for it in the
 // time that it may wait. No gate was asked.
 type ColdError struct {
-	// Room is after how long there is more room: the first back end is warm.
-	Room time.Duration
+	// WarmIn is after how long the first of them is warm, and has room again.
+	WarmIn time.Duration
 }
 
 // Error implements error.
@@ -59,7 +59,7 @@
 	}
 	room := slices.DeleteFunc(candidates, func(e *endpoint) bool { return e.coldWait(now) > patience })
 	if len(room) == 0 {
-		return nil, &ColdError{Room: warm}
+		return nil, &ColdError{WarmIn: warm}
 	}
 	return room, nil
 }
--- a/pkg/balancer/cold_test.go
+++ b/pkg/balancer/cold_test.go
@@ -59,7 +59,7 @@
 	_, _, err = p.AcquireGate(0, request)
 	var cold *ColdError
 	is.True(errors.As(err, &cold))
-	is.Equal(cold.Room, time.Second)
+	is.Equal(cold.WarmIn, time.Second)
 	_, _, err = p.AcquireGate(60*time.Millisecond, request)
 	is.NoErr(err) // room again
 }
--- a/pkg/forward/cold.go
+++ b/pkg/forward/cold.go
@@ -25,7 +25,7 @@
 func (g *gatedCall) noteCold(err error) {
 	if cold := (*balancer.ColdError)(nil); errors.As(err, &cold) {
 		g.last = exchange.ReasonCold
-		g.warmIn = cold.Room
+		g.warmIn = cold.WarmIn
 	}
 }
 
