--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 )
@@ -14,6 +15,15 @@
 // 10 Mbit/s it takes 13 ms, as long as some ten small messages.
 const LargeAnswer = 16 << 10
 
+// BodyStatus is the HTTP status of a call whose body could not be read.
+func BodyStatus(err error) int {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
 // ReadWhole reads a body up to MaxBuffered. If there is more, rest continues where data
 // ends.
 func ReadWhole(body io.Reader, sizeHint int64) (data []byte, rest io.Reader, err error) {
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -65,7 +64,7 @@
 func (c *call) serveThroughGates(timeout time.Duration) *Refusal {
 	body, err := exchange.ReadBody(c.request)
 	if err != nil {
-		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: bodyStatus(err)}
+		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: exchange.BodyStatus(err)}
 	}
 	if match := c.look(body.Data()); match.Standing == quarantine.Quarantined {
 		return quarantineRefusal(match)
@@ -86,15 +85,6 @@
 	}
 }
 
-// bodyStatus is the status of a call whose body could not be read.
-func bodyStatus(err error) int {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return http.StatusRequestEntityTooLarge
-	}
-	return http.StatusBadRequest
-}
-
 func (c *call) now() time.Duration { return c.handler.config.Now() }
 
 // tryOne sends the call to one gate. It returns again if another should be tried, or else
