--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -165,19 +165,9 @@
 func (g *gatedCall) learn(ticket *balancer.Ticket, failure *gateFailure) {
 	now := g.now()
 	learned := balancer.Canceled
-	if failure.reason == exchange.ReasonCold {
-		g.countCold(failure.report)
-	}
 	switch failure.reason {
 	case exchange.ReasonFull, exchange.ReasonLink, exchange.ReasonCold:
-		if told := failure.report.LinkWait; told > 0 && (g.linkWait == 0 || told < g.linkWait) {
-			g.linkWait = told
-		}
-		// The gate beside the node was asked for a short wait only, at no cost: the call
-		// may still wait there.
-		if g.tries > 1 || !g.besideNode(ticket) {
-			g.full = ticket.LeftOut(g.full)
-		}
+		g.learnBusy(ticket, failure)
 	case exchange.ReasonUnreachable:
 		pause := unreachablePause
 		if failure.refused {
@@ -197,7 +187,7 @@
 		// It costs the call none of its tries: the node is late, and the whole zone may answer so.
 		g.tries--
 	case exchange.ReasonRegion:
-		// As above; the gate itself may serve other calls.
+		// The node is late here, too, but the gate may serve other calls.
 		g.tries--
 	case exchange.ReasonBroken, exchange.ReasonEnded:
 		if g.request.Context().Err() == nil && now < g.deadline {
@@ -212,6 +202,20 @@
 	ticket.Done(now, learned)
 }
 
+// learnBusy keeps what a gate says that has no room for the call.
+func (g *gatedCall) learnBusy(ticket *balancer.Ticket, failure *gateFailure) {
+	if failure.reason == exchange.ReasonCold {
+		g.countCold(failure.report)
+	}
+	if told := failure.report.LinkWait; told > 0 && (g.linkWait == 0 || told < g.linkWait) {
+		g.linkWait = told
+	}
+	// The gate beside the node was asked for a short wait only, at no cost: the call may still wait there.
+	if g.tries > 1 || !g.besideNode(ticket) {
+		g.full = ticket.LeftOut(g.full)
+	}
+}
+
 // canTryAnother reports whether the call has time, tries and its body left for another gate.
 func (g *gatedCall) canTryAnother(ctx context.Context) bool {
 	return ctx.Err() == nil && g.tries < maxGateTries && g.body.Repeatable()
