catalog: CodeRolloutConflict for another rollout under way

rollout.ErrUnderWay means that the very same order runs already, rollout.ErrConflict that another one does; the code of the latter was named CodeRolloutUnderWay. Its value on the wire, rollout-under-way, stays. Behaviour as before.

--- a/pkg/catalog/command.go
+++ b/pkg/catalog/command.go
@@ -118,8 +118,8 @@
 	CodeUnknownService Code = "unknown-service"
 	// CodeNothingToDo: the version runs already as the only one.
 	CodeNothingToDo Code = "nothing-to-do"
-	// CodeRolloutUnderWay: another rollout of the service is under way.
-	CodeRolloutUnderWay Code = "rollout-under-way"
+	// CodeRolloutConflict: another rollout of the service is under way.
+	CodeRolloutConflict Code = "rollout-under-way"
 	// CodeNoRollout: no rollout of the service is under way.
 	CodeNoRollout Code = "no-rollout"
 	// CodeNotApproved: the version has no approval yet.
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -67,7 +67,7 @@
 	catalog.CodeUnknownZone:     http.StatusNotFound,
 	catalog.CodeUnknownService:  http.StatusNotFound,
 	catalog.CodeNothingToDo:     http.StatusUnprocessableEntity,
-	catalog.CodeRolloutUnderWay: http.StatusConflict,
+	catalog.CodeRolloutConflict: http.StatusConflict,
 	catalog.CodeNoRollout:       http.StatusConflict,
 	catalog.CodeNotApproved:     http.StatusConflict,
 	catalog.CodeSuperseded:      http.StatusConflict,
--- a/pkg/control/rollout_order.go
+++ b/pkg/control/rollout_order.go
@@ -21,7 +21,7 @@
 	rollout.ErrInvalid:        catalog.CodeInvalidRequest,
 	rollout.ErrUnknownService: catalog.CodeUnknownService,
 	rollout.ErrNothingToDo:    catalog.CodeNothingToDo,
-	rollout.ErrConflict:       catalog.CodeRolloutUnderWay,
+	rollout.ErrConflict:       catalog.CodeRolloutConflict,
 	rollout.ErrNotRunning:     catalog.CodeNoRollout,
 	errEarlierRelease:         catalog.CodeUnavailable,
 }
--- a/pkg/control/rollout_test.go
+++ b/pkg/control/rollout_test.go
@@ -60,8 +60,8 @@
 
 	_, err = server.StartRollout(context.Background(), toVersion("v2"))
 	is.NoErr(err)
-	refusedWith(t, server, toVersion("v3"), catalog.CodeRolloutUnderWay)
-	refusedWith(t, server, rollout.Order{Service: "orders", Version: "v2", Duration: time.Hour}, catalog.CodeRolloutUnderWay)
+	refusedWith(t, server, toVersion("v3"), catalog.CodeRolloutConflict)
+	refusedWith(t, server, rollout.Order{Service: "orders", Version: "v2", Duration: time.Hour}, catalog.CodeRolloutConflict)
 }
 
 func TestOrderOfARolloutSentAgainStartsNoOther(t *testing.T) {
