--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -55,17 +54,17 @@
 	version  versionDraw
 	// held is a back end's failure that another attempt may yet make good, nil for none.
 	held *http.Response
-	// colds counts the gates of cold back ends that had no room, warmIn is after how long the first
+	// coldRefusals counts the gates of cold back ends that had no room, warmIn is after how long the first
 	// back end is warm.
-	colds  int
-	warmIn time.Duration
+	coldRefusals int
+	warmIn       time.Duration
 }
 
 // serveThroughGates answers a call of a service whose back ends stand behind gates.
 func (c *call) serveThroughGates(timeout time.Duration) *Refusal {
 	body, err := exchange.ReadBody(c.request)
 	if err != nil {
-		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: bodyStatus(err)}
+		return &Refusal{Outcome: NotRun, Step: "request body", Reason: err.Error(), Status: exchange.BodyStatus(err)}
 	}
 	if match := c.look(body.Data()); match.Standing == quarantine.Quarantined {
 		return quarantineRefusal(match)
@@ -73,8 +72,8 @@
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
 	defer cancel()
 	c.service.budget.Attempt(c.started)
-	if c.ofBackendBeside() {
-		c.service.budget.Charge(c.started, c.handler.config.RepeatShare())
+	if c.fromLocalBackend() {
+		c.service.budget.Charge(c.started, c.handler.config.RetryShare())
 	}
 	g := &gatedCall{call: c, body: body}
 	g.drawVersion(c.started)
@@ -86,15 +85,6 @@
 	}
 }
 
-// bodyStatus is the status of a call whose body could not be read.
-func bodyStatus(err error) int {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return http.StatusRequestEntityTooLarge
-	}
-	return http.StatusBadRequest
-}
-
 func (c *call) now() time.Duration { return c.handler.config.Now() }
 
 // tryOne sends the call to one gate. It returns again if another should be tried, or else
@@ -175,19 +165,9 @@
 func (g *gatedCall) learn(ticket *balancer.Ticket, failure *gateFailure) {
 	now := g.now()
 	learned := balancer.Canceled
-	if failure.reason == exchange.ReasonCold {
-		g.countCold(failure.report)
-	}
 	switch failure.reason {
 	case exchange.ReasonFull, exchange.ReasonLink, exchange.ReasonCold:
-		if told := failure.report.LinkWait; told > 0 && (g.linkWait == 0 || told < g.linkWait) {
-			g.linkWait = told
-		}
-		// The gate beside the node was asked for a short wait only, at no cost: the call
-		// may still wait there.
-		if g.tries > 1 || !g.besideNode(ticket) {
-			g.full = ticket.LeftOut(g.full)
-		}
+		g.learnBusy(ticket, failure)
 	case exchange.ReasonUnreachable:
 		pause := unreachablePause
 		if failure.refused {
@@ -207,7 +187,7 @@
 		// It costs the call none of its tries: the node is late, and the whole zone may answer so.
 		g.tries--
 	case exchange.ReasonRegion:
-		// As above; the gate itself may serve other calls.
+		// The node is late here, too, but the gate may serve other calls.
 		g.tries--
 	case exchange.ReasonBroken, exchange.ReasonEnded:
 		if g.request.Context().Err() == nil && now < g.deadline {
@@ -222,6 +202,20 @@
 	ticket.Done(now, learned)
 }
 
+// learnBusy keeps what a gate says that has no room for the call.
+func (g *gatedCall) learnBusy(ticket *balancer.Ticket, failure *gateFailure) {
+	if failure.reason == exchange.ReasonCold {
+		g.countCold(failure.report)
+	}
+	if told := failure.report.LinkWait; told > 0 && (g.linkWait == 0 || told < g.linkWait) {
+		g.linkWait = told
+	}
+	// The gate beside the node was asked for a short wait only, at no cost: the call may still wait there.
+	if g.tries > 1 || !g.besideNode(ticket) {
+		g.full = ticket.LeftOut(g.full)
+	}
+}
+
 // canTryAnother reports whether the call has time, tries and its body left for another gate.
 func (g *gatedCall) canTryAnother(ctx context.Context) bool {
 	return ctx.Err() == nil && g.tries < maxGateTries && g.body.Repeatable()
@@ -346,7 +340,7 @@
 		}
 		return refusal
 	}
-	refusal.RetryAfter = g.comeBack(g.now())
+	refusal.RetryAfter = g.retryAfter(g.now())
 	return refusal
 }
 
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -145,7 +145,7 @@
 		return admittance{}, reason
 	}
 	g.noteCold(now)
-	g.lookIfUnsure(now)
+	g.probeIfUnsure(now)
 	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.openAt(now) <= now {
 		granted := g.grantCounted(now, r.work, r.version)
 		g.mu.Unlock()
@@ -313,7 +313,7 @@
 	}
 	g.running--
 	if a.repeat {
-		g.repeats--
+		g.retries--
 	}
 	a.counted.ended(end, g.cold.remaining(g.config.Now()) > 0)
 	if end.failed || end.service > 0 {
@@ -355,6 +355,6 @@
 	g.noteCold(now)
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now), LinkWait: g.toldLinkWait(),
+		Service: g.service, Failing: g.health.failing(now), Cold: g.coldReport(now), LinkWait: g.reportedLinkWait(),
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -52,8 +52,8 @@
 	Link *link.Meter
 	// Answers, if set, spreads large answers over time.
 	Answers *exchange.Pacer
-	// Holding, if set, bounds what is held of large answers.
-	Holding *exchange.Holding
+	// AnswerBuffer, if set, bounds what is held of large answers.
+	AnswerBuffer *exchange.AnswerBuffer
 	// Quarantine knows requests that must not reach the back end; nil knows none.
 	Quarantine *quarantine.Filter
 	// OnEnded and OnAnswered, if set, are told when the back end ended while it had a call, and when
@@ -70,7 +70,7 @@
 	ConfirmedAt func() (time.Duration, bool)
 	// OnClosing, if set, is told when orders close the gate, when it is quiet and when it opens again.
 	// It must not call the gate.
-	OnClosing func(Closing)
+	OnClosing func(ClosingChange)
 	// OnCold, if set, is told when the back end turns cold or warm, OnColdUnknown when it could not be
 	// asked.
 	OnCold        func(ColdChange)
@@ -116,8 +116,8 @@
 	rules   *eligibility.Rules
 	closing closing
 	running int
-	// repeats counts the running calls that were at another back end before.
-	repeats int
+	// retries counts the running calls that were at another back end before.
+	retries int
 	// receiving counts the calls whose bodies are on their way here.
 	receiving int
 	queue     waitQueue
