--- a/pkg/rollout/proof_test.go
+++ b/pkg/rollout/proof_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"os"
+	"runtime"
 	"strconv"
 	"sync"
 	"testing"
@@ -147,33 +148,39 @@
 	return 1000
 }
 
-func playAll(from, to int64) *figures {
-	fig := &figures{runs: map[string]int{}, ended: map[string]int{}}
-	seeds := make(chan int64)
-	var wg sync.WaitGroup
-	for range 4 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for seed := range seeds {
-				kind, trouble, w := worldOf(seed)
-				if only := os.Getenv("ROLLOUT_KIND"); only != "" && only != kind {
-					continue
-				}
-				fig.note(seed, kind, trouble, w, newFake(seed, w).play())
+// eachSeed plays seeds side by side.
+func eachSeed(seeds int64, play func(seed int64)) {
+	next := make(chan int64)
+	var group sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		group.Go(func() {
+			for seed := range next {
+				play(seed)
 			}
-		}()
+		})
 	}
-	for seed := from; seed < to; seed++ {
-		seeds <- seed
+	for seed := range seeds {
+		next <- seed
 	}
-	close(seeds)
-	wg.Wait()
+	close(next)
+	group.Wait()
+}
+
+func playAll(seeds int64) *figures {
+	fig := &figures{runs: map[string]int{}, ended: map[string]int{}}
+	eachSeed(seeds, func(seed int64) {
+		kind, trouble, w := worldOf(seed)
+		if only := os.Getenv("ROLLOUT_KIND"); only != "" && only != kind {
+			return
+		}
+		fig.note(seed, kind, trouble, w, newFake(seed, w).play())
+	})
 	return fig
 }
 
 func TestVersionsEndAsTheyShould(t *testing.T) {
-	fig := playAll(0, seedsToPlay())
+	t.Parallel()
+	fig := playAll(seedsToPlay())
 	for _, fault := range fig.faults {
 		t.Log(fault)
 	}
@@ -195,20 +202,24 @@
 // A version that turns bad while it takes over is found then, or it is not: once it is completed nothing
 // can be done, and in the last two seconds the old back ends are closed. This counts what that costs.
 func TestVersionsThatTurnBadOnTheLastWay(t *testing.T) {
+	t.Parallel()
 	const seeds = 140
 	rolledBack, within, before, worst := 0, 0, 0, 0.0
-	for seed := range int64(seeds) {
+	var mu sync.Mutex
+	eachSeed(seeds, func(seed int64) {
 		_, _, w := worldOf(seed*int64(len(kinds)) + 1) // fails at once
 		p := planFor(w.duration)
 		rng := rand.New(rand.NewSource(seed))
 		w.bad.from = p.rampAt() + time.Duration(rng.Int63n(int64(w.duration-p.rampAt())))
 		r := newFake(seed, w).play()
+		mu.Lock()
+		defer mu.Unlock()
 		if r.overBudget > 0 {
 			t.Errorf("seed %d: %d calls beyond the exposure so far", seed, r.overBudget)
 		}
 		if r.phase == Completed && r.endedAt <= w.bad.from {
 			before++
-			continue
+			return
 		}
 		if r.phase == RolledBack {
 			rolledBack++
@@ -217,7 +228,7 @@
 			within++
 		}
 		worst = max(worst, float64(r.exposed)/r.allowed)
-	}
+	})
 	t.Logf("%d of %d were completed before they turned bad; of the others %d were rolled back, %d stayed within the exposure; the worst had %.1f times as much",
 		before, seeds, rolledBack, within, worst)
 }
