Rollouts: an old gate that opened again does not count as closed

Cause: an old gate that was told to close opens again 2 s after control confirmed its state last, so that a node without control still serves. Where only the way to the node is lost or late, control goes on hearing it: its reports said that it goes by the closing and has no calls at work, and the rollout could be completed while the gate let calls in, whose back end is then stopped undrained.

Now the gate tells that it is open again, and its node reports the step that it goes by: control waits. The test failed before. What stays: a report is up to 2 s old when control goes by it.

Ruled out: keeping such gates closed; the new version's gates let in nothing without control either.

--- a/pkg/gate/version.go
+++ b/pkg/gate/version.go
@@ -154,6 +154,9 @@
 	rollout.Report
 	// AtWork is how many calls the back end works on.
 	AtWork int
+	// Reopened is set while the gate lets in calls of an old version though it was told to close: it has
+	// lost control since.
+	Reopened bool
 }
 
 // RolloutReport returns what the gate has seen of its back end, false if no rollout of its service is
@@ -165,11 +168,14 @@
 	if !g.present || !v.held || v.current.Phase.Ended() {
 		return RolloutReport{}, false
 	}
+	now := g.config.Now()
 	report := RolloutReport{AtWork: g.running, Report: rollout.Report{
 		Service: g.backend.Service, Number: v.current.Number, Version: g.backend.Version, Instance: g.backend.ID, Life: v.life,
 		Zone: g.backend.Zone,
-		Cold: g.cold.remaining(g.config.Now()) > 0,
+		Cold: g.cold.remaining(now) > 0,
 	}}
+	closes := v.current.Phase == rollout.Closing && g.backend.Version != v.current.Version
+	report.Reopened = closes && g.refusesVersion(now) == ""
 	v.tally.Fill(&report.Report)
 	return report, true
 }
--- a/pkg/gate/version_test.go
+++ b/pkg/gate/version_test.go
@@ -137,6 +137,31 @@
 	is.Equal(old.ask(t, exchange.HeaderRollout, "v2"), exchange.Reason(""))
 }
 
+// An old gate that has lost control while it should be closed is open, whatever it was told before.
+func TestOldGateWithoutControlTellsThatItIsOpen(t *testing.T) {
+	is := is.New(t)
+	old := newVersionedGate(answeringBackend(t), "v1")
+	old.SetRollouts(inPhase(rollout.Closing))
+	report, underWay := old.RolloutReport()
+	is.True(underWay && !report.Reopened)
+	old.cutOff(rollout.LeaseTime + time.Second)
+	report, _ = old.RolloutReport()
+	is.True(report.Reopened)
+	old.cutOff(0)
+	report, _ = old.RolloutReport()
+	is.True(!report.Reopened)
+	// Gates of the new version, and old ones before the closing, are never reopened.
+	old.SetRollouts(inPhase(rollout.Running))
+	old.cutOff(time.Hour)
+	report, _ = old.RolloutReport()
+	is.True(!report.Reopened)
+	fresh := newVersionedGate(answeringBackend(t), "v2")
+	fresh.SetRollouts(inPhase(rollout.Closing))
+	fresh.cutOff(time.Hour)
+	report, _ = fresh.RolloutReport()
+	is.True(!report.Reopened)
+}
+
 func TestEndsOfRolloutsCloseGates(t *testing.T) {
 	is := is.New(t)
 	for _, phase := range []rollout.Phase{rollout.Reverting, rollout.RolledBack} {
--- a/pkg/proxy/rollout.go
+++ b/pkg/proxy/rollout.go
@@ -50,6 +50,10 @@
 	if seen, underWay := s.gate.RolloutReport(); underWay && seen.Service == r.Service && seen.Number == r.Number {
 		seen.Zone = s.settings.Zone
 		report.Gate, report.AtWork = &seen.Report, seen.AtWork
+		if seen.Reopened {
+			// The node does not go by the closing: control must not take its gate for closed.
+			report.Phase = rollout.Running
+		}
 	}
 	return report
 }
