A cold new version without room leaves its calls to the old one

The version was chosen before the cold ones without room were left out. Change: the other way round. TestColdNewVersionLeavesCallsToTheOld: refused with ColdError before, passes now.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -102,7 +102,6 @@
 	if len(r.Spared) > 0 && p.servedNear(r.Regions) {
 		candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool { return slices.Contains(r.Spared, e.target.Region) })
 	}
-	candidates = r.Version.prefer(candidates)
 	if len(candidates) == 0 {
 		return nil, 0, p.noEndpoint()
 	}
@@ -110,6 +109,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	candidates = r.Version.prefer(candidates)
 	if own := p.ownGate(candidates, now, r.OwnWork); own != nil {
 		return p.acquired(own), r.OwnWait, nil
 	}
--- a/pkg/balancer/version_test.go
+++ b/pkg/balancer/version_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/rollout"
 	"bramblelift/pkg/routing"
 
@@ -30,6 +32,30 @@
 	is.Equal(choose(rollout.OldVersions, "old"), "new") // its gate lets in what it may
 }
 
+// The back ends of a new version were started just now: while they are cold and have no room, a warm one of the old
+// version takes the call at once.
+func TestColdNewVersionLeavesCallsToTheOld(t *testing.T) {
+	is := is.New(t)
+	r := &rollout.Rollout{Version: "v2", Phase: rollout.Running}
+	pool := NewPool(Config{Node: "n", Zone: "z", Random: func(int) int { return 0 }})
+	pool.Update(0, routing.Service{Name: "s", Endpoints: []routing.Endpoint{
+		{ID: "new", Zone: "z", Gate: "gate-new", Version: "v2"}, {ID: "old", Zone: "z", Gate: "gate-old", Version: "v1"},
+	}})
+	for _, e := range pool.endpoints {
+		if e.target.Version == "v2" {
+			e.heard(0, exchange.Report{Capacity: 4, Cold: exchange.Cold{Remaining: time.Second, Room: 300 * time.Millisecond, Interval: 100 * time.Millisecond}})
+		}
+	}
+	request := GateRequest{Patience: 200 * time.Millisecond, Version: VersionChoice{Rollout: r, Side: rollout.NewVersion}}
+	ticket, _, err := pool.AcquireGate(0, request)
+	is.NoErr(err)
+	is.Equal(ticket.ID, "old")
+	request.Patience = 400 * time.Millisecond // now it may wait there
+	ticket, _, err = pool.AcquireGate(0, request)
+	is.NoErr(err)
+	is.Equal(ticket.ID, "new")
+}
+
 func TestNoRolloutCostsNothing(t *testing.T) {
 	is := is.New(t)
 	candidates := []*endpoint{{}, {}}
