Silence of a service without back ends is no evidence against a request

Change: the judge asks whether the service has a registered back end that has not ended; only while it has does silence count. Five ends condemn in any case: a fatal request ends each back end that joins. Ruled out: load (the order of events in the logs suffices); longer answer time (a service may be without back ends for longer).

--- a/pkg/control/suspects.go
+++ b/pkg/control/suspects.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
 )
@@ -118,6 +120,26 @@
 	}
 }
 
+// answerable reports whether a service at which back ends ended under a suspect has one that could answer it:
+// registered, taking calls, and not among those that ended. One that the table does not list is named in the
+// bundle and is not known here to have ended. It runs in the driver's goroutine.
+func (s *Server) answerable(suspect *quarantine.Suspect) bool {
+	state := s.replica.State()
+	for _, end := range suspect.Ends {
+		listed := state.Endpoints[end.Way.Service]
+		if len(listed) == 0 {
+			return true
+		}
+		for id, endpoint := range listed {
+			ended := slices.ContainsFunc(suspect.Ends, func(e quarantine.End) bool { return e.Instance == id })
+			if endpoint.State == distribution.Live && !ended && !state.Orders.Evacuated(endpoint.Zone) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // judgeOnce proposes the verdicts that are due, and returns when to look again.
 func (s *Server) judgeOnce(ctx context.Context, judge *quarantine.Judge) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
@@ -131,6 +153,7 @@
 		if !leading {
 			table = nil
 		}
+		judge.Answerable = s.answerable
 		verdicts, wait = judge.Due(now, table)
 		if !leading && !s.replica.State().Suspects.Empty() {
 			wait = leadLook
--- a/pkg/quarantine/judge.go
+++ b/pkg/quarantine/judge.go
@@ -16,6 +16,11 @@
 	maxTerm   = 4 * time.Hour
 	// forgetTime is after how long a suspect that is not in quarantine is forgotten.
 	forgetTime = 10 * time.Minute
+	// certainEnds condemn a request also while its service has no back end that could answer: that many
+	// ended one after the other, each new one soon after it had joined.
+	certainEnds = 5
+	// answerableLook is how soon to look again whether a service has a back end again.
+	answerableLook = 100 * time.Millisecond
 	// idleLook is how long a judge sleeps that has nothing to decide, more than any term.
 	idleLook = 24 * time.Hour
 )
@@ -32,7 +37,10 @@
 // Judge decides on suspects by how long it has known them as they are; the leader has one, which
 // begins anew with each leader. It is not safe for concurrent use.
 type Judge struct {
-	known map[Fingerprint]knownSuspect
+	// Answerable, if set, reports whether a suspect's service has a back end that could answer it: one that
+	// has not ended. Silence is evidence only for as long as there is one.
+	Answerable func(*Suspect) bool
+	known      map[Fingerprint]knownSuspect
 }
 
 // knownSuspect is since when nodes have known a suspect, and since when it has been quarantined or
@@ -41,6 +49,9 @@
 	told, quarantined          bool
 	changed                    uint64
 	toldAt, since, unchangedAt time.Duration
+	// answerable is set while a back end could answer, silentSince is from when on that was so.
+	answerable  bool
+	silentSince time.Duration
 }
 
 // NewJudge returns a judge that knows nothing.
@@ -55,8 +66,13 @@
 		told[s.Request] = true
 	}
 	for _, s := range table.All() {
-		known[s.Request] = j.observe(now, &s, told[s.Request])
-		ruling, due := decide(&s, known[s.Request])
+		k := j.observe(now, &s, told[s.Request])
+		k.answerable = j.Answerable == nil || j.Answerable(&s)
+		if !k.answerable || !j.known[s.Request].answerable {
+			k.silentSince = now
+		}
+		known[s.Request] = k
+		ruling, due := decide(now, &s, k)
 		if due > now {
 			wait = min(wait, due-now)
 			continue
@@ -87,12 +103,16 @@
 }
 
 // decide returns the next ruling on a suspect and when it is due if nothing changes.
-func decide(s *Suspect, k knownSuspect) (Ruling, time.Duration) {
+func decide(now time.Duration, s *Suspect, k knownSuspect) (Ruling, time.Duration) {
 	switch {
 	case s.Quarantined:
 		return Lift, k.since + s.term()
-	case s.counted() >= quarantineEnds && k.told:
+	case s.counted() >= certainEnds && k.told:
 		return Impose, k.toldAt + answerTime
+	case s.counted() >= quarantineEnds && k.told && !k.answerable:
+		return Impose, now + answerableLook
+	case s.counted() >= quarantineEnds && k.told:
+		return Impose, max(k.toldAt, k.silentSince) + answerTime
 	}
 	return Forget, k.unchangedAt + forgetTime
 }
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -245,3 +245,30 @@
 	is.Equal(len(verdicts), 0)
 	is.Equal(wait, idleLook)
 }
+
+// While a service has no back end that could answer, silence says nothing of a request: three back ends that ended
+// at once, as all of a small service may, had whatever was asked most.
+func TestSilenceWithoutBackendsIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	table := after(nil, ended("r", "i1", shop), ended("r", "i2", shop), ended("r", "i3", shop))
+	judge := NewJudge()
+	answerable := false
+	judge.Answerable = func(*Suspect) bool { return answerable }
+	_, wait := judge.Due(0, table)
+	is.Equal(wait, answerableLook)
+	verdicts, _ := judge.Due(10*answerTime, table)
+	is.Equal(len(verdicts), 0)
+	answerable = true
+	_, wait = judge.Due(20*answerTime, table)
+	is.Equal(wait, answerTime)
+	verdicts, _ = judge.Due(21*answerTime, table)
+	is.Equal(verdicts, []Verdict{{Request: "r", Ruling: Impose}})
+
+	// A fatal request ends each back end that joins, too: that is evidence enough.
+	judge = NewJudge()
+	judge.Answerable = func(*Suspect) bool { return false }
+	table = after(table, ended("r", "i4", shop), ended("r", "i5", shop))
+	judge.Due(0, table)
+	verdicts, _ = judge.Due(answerTime, table)
+	is.Equal(verdicts, []Verdict{{Request: "r", Ruling: Impose}})
+}
