Less work for each call: no second look at a back end's pace, no caller's address parsed without retries

A gate worked out twice when a call becomes late, taking its mutex each time, though the age of nearly all calls is zero; a node parsed each caller's address though its gate nearly never has retries at work; the judge was given the same function at each look. No figure was measured.

--- a/pkg/control/suspects.go
+++ b/pkg/control/suspects.go
@@ -106,6 +106,7 @@
 // none.
 func (s *Server) judgeSuspects(ctx context.Context) {
 	judge := quarantine.NewJudge()
+	judge.Answerable = s.answerable
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -153,7 +154,6 @@
 		if !leading {
 			table = nil
 		}
-		judge.Answerable = s.answerable
 		verdicts, wait = judge.Due(now, table)
 		if !leading && !s.replica.State().Suspects.Empty() {
 			wait = leadLook
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -72,8 +72,8 @@
 	ctx, cancel := context.WithTimeout(c.request.Context(), timeout-(c.now()-c.started))
 	defer cancel()
 	c.service.budget.Attempt(c.started)
-	if c.fromLocalBackend() {
-		c.service.budget.Charge(c.started, c.handler.config.RetryShare())
+	if share := c.retryShare(); share > 0 {
+		c.service.budget.Charge(c.started, share)
 	}
 	g := &gatedCall{call: c, body: body}
 	g.drawVersion(c.started)
--- a/pkg/gate/transit.go
+++ b/pkg/gate/transit.go
@@ -87,8 +87,10 @@
 	if !told {
 		return wanted
 	}
-	wanted.age(g.transit.late(now, sent))
-	wanted.aim(now, g.paced(wanted.work))
+	if late := g.transit.late(now, sent); late > 0 {
+		wanted.age(late)
+		wanted.aim(now, g.paced(wanted.work))
+	}
 	return wanted
 }
 
