gate: read what a back end states in its answers, and log it

The record of the incident cannot tell a limit that nobody reads from one that is read and passed by other attempts: no line and no metric shows that a limit was named. Nothing is decided by it yet.

Values: a decimal number of at least 0 is a limit; of several the lowest counts. An empty, malformed, negative, infinite or not-a-number value neither sets a limit nor ends one. An answer without the header ends the limit unless its call was admitted before the limit was last named, or the back end declined it.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -72,7 +72,7 @@
 var internalHeaders = []string{
 	HeaderOutcome, HeaderRetry, HeaderPriority, HeaderWait, HeaderReport, HeaderFailureRate, HeaderReason, HeaderWork,
 	HeaderExpectedWork, HeaderEarlyRefusal, HeaderTarget, HeaderSender, HeaderCold, HeaderExpectedResponse, HeaderLinkWait,
-	HeaderRequestHeld, HeaderHeld, HeaderRoute, HeaderRollout, HeaderSent,
+	HeaderRequestHeld, HeaderHeld, HeaderRoute, HeaderRollout, HeaderSent, HeaderGateLimit, HeaderKnownLimit,
 }
 
 // RemoveInternal deletes the headers that are exchanged only between nodes and gates.
@@ -157,6 +157,8 @@
 	FailureRate float64
 	// Cold is the cold start state of the back end.
 	Cold Cold
+	// Limit is the limit that the back end names.
+	Limit Limit
 	// LinkWait is how long the next large response waits for the gate's link.
 	LinkWait time.Duration
 }
@@ -171,6 +173,7 @@
 		header.Set(HeaderFailureRate, strconv.Itoa(failing))
 	}
 	r.Cold.Set(header)
+	r.Limit.Set(header)
 	if r.LinkWait >= time.Millisecond {
 		SetMillis(header, HeaderLinkWait, r.LinkWait)
 	}
@@ -185,6 +188,7 @@
 	}
 	if ok {
 		report.Cold = ReadCold(header)
+		report.Limit = ReadLimit(header)
 	}
 	if wait, set := ReadMillis(header, HeaderLinkWait); ok && set {
 		report.LinkWait = wait
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -53,7 +53,7 @@
 	}
 	g.backend, g.present = backend, true
 	g.generation++
-	g.running, g.serviceTime, g.slowdown, g.health, g.unreachableUntil = 0, 0, slowdown{}, health{}, 0
+	g.running, g.serviceTime, g.slowdown, g.health, g.unreachableUntil, g.limit = 0, 0, slowdown{}, health{}, 0, namedLimit{}
 	g.dropWaiting(exchange.ReasonNoBackend)
 	now := g.config.Now()
 	g.cold.assumeNew(now)
@@ -366,6 +366,6 @@
 	g.reportColdChange(now)
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		ServiceTime: g.serviceTime, FailureRate: g.health.failing(now), Cold: g.coldReport(now), LinkWait: g.reportedLinkWait(),
+		ServiceTime: g.serviceTime, FailureRate: g.health.failing(now), Cold: g.coldReport(now), Limit: g.limitReport(now), LinkWait: g.reportedLinkWait(),
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -75,6 +75,10 @@
 	// when a probe of its health path failed.
 	OnCold            func(ColdChange)
 	OnColdProbeFailed func(backend string, err error)
+	// OnLimit is called with the gate locked when the limit that the back end names changes.
+	OnLimit func(LimitChange)
+	// OnLeaving is called when the back end first states in a response that it accepts no new calls.
+	OnLeaving func(id string, incarnation uint64)
 }
 
 // Call describes a finished call for logs and metrics.
@@ -132,6 +136,7 @@
 	// rolloutActive is set while a rollout of the back end's service is running.
 	rolloutActive atomic.Bool
 	cold          coldState
+	limit         namedLimit
 	// reportedCold is the state that was last passed to OnCold.
 	reportedCold bool
 	// dispatchTimer calls dispatch at dispatchDue, nil if none is scheduled.
@@ -331,6 +336,9 @@
 	if err == nil {
 		err = g.checkResponse(r.Header, response)
 	}
+	if err == nil {
+		g.recordStatement(adm, response)
+	}
 	if err == nil && g.declined(response) {
 		response.Body.Close()
 		cancel()
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -30,7 +30,7 @@
 		Quarantine: &s.quarantine, OnCrash: s.onCrash, OnSuspectResponse: s.onWatchedResponse,
 		OnClosing: s.onClosingChange,
 		OnSender:  func(service string, sender exchange.Sender) { s.forwarder.UpdateReport(service, sender) },
-		OnCold:    s.observer.logColdChange, OnColdProbeFailed: s.observer.logColdUnknown,
+		OnCold:    s.observer.logColdChange, OnColdProbeFailed: s.observer.logColdUnknown, OnLimit: s.observer.logLimitChange,
 		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() },
 	})
 	s.observer.registerGate(s.admin.Registry, s.gate)
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -83,6 +83,13 @@
 	gauge("bramblelift_gate_failing_ratio", "Share of the latest calls that the back end failed.", func(r exchange.Report) float64 { return r.FailureRate })
 	gauge("bramblelift_gate_cold_seconds", "For how much longer the back end is cold; zero if it is warm.",
 		func(r exchange.Report) float64 { return r.Cold.Remaining.Seconds() })
+	gauge("bramblelift_gate_named_limit", "Calls per second that the back end names as its limit; -1 if it names none.",
+		func(r exchange.Report) float64 {
+			if !r.Limit.Named {
+				return -1
+			}
+			return r.Limit.Rate
+		})
 }
 
 // logColdChange logs that the back end beside the node turned cold or warm.
@@ -95,6 +102,18 @@
 		"source", string(change.Source), "remaining", change.Remaining.Round(time.Millisecond))
 }
 
+// logLimitChange logs a change of the limit that the back end beside the node names.
+func (o *observer) logLimitChange(change gate.LimitChange) {
+	state, rate := "ended", any(nil)
+	switch {
+	case change.Invalid != "":
+		state, rate = "unreadable", change.Invalid
+	case change.Limited:
+		state, rate = "named", change.Rate
+	}
+	o.logger.Log("event", "backend_limit", "instance", change.Backend, "state", state, "rate", rate)
+}
+
 // logColdUnknown logs that the query whether the back end is cold failed.
 func (o *observer) logColdUnknown(backend string, err error) {
 	o.logger.Log("event", "cold_unknown", "instance", backend, "error", err)
--- a/pkg/settings/dataplane.go
+++ b/pkg/settings/dataplane.go
@@ -12,10 +12,12 @@
 	defaultCallerHeader           = "Request-Caller"
 	defaultKeyHeader              = "Api-Key"
 	defaultTenantHeader           = "Request-Tenant"
+	defaultLimitHeader            = "Backend-Limit"
+	defaultLeavingHeader          = "Backend-Draining"
 )
 
-// Headers are the names of the headers that calls carry. Deadline, ExpectedInstance, Caller, Key and Tenant have
-// defaults.
+// Headers are the names of the headers that calls carry. Deadline, ExpectedInstance, Caller, Key, Tenant, Limit and
+// Leaving have defaults.
 type Headers struct {
 	// RequestID is a header that back ends echo, to check that a response belongs to its call. Empty disables the
 	// check.
@@ -35,6 +37,11 @@
 	// Cold is a header in responses of a back end's health path: the milliseconds until the back end has warmed up
 	// (bundle.Service.ColdStart).
 	Cold string `toml:"cold,omitempty"`
+	// Limit are the names of the header in which a back end names the calls per second that it takes from all nodes
+	// together, for as long as it names them. Leaving are the names of the header, with any value but 0, in responses
+	// of a back end that accepts no new calls.
+	Limit   []string `toml:"limit,omitempty"`
+	Leaving []string `toml:"leaving,omitempty"`
 }
 
 // Retries bounds the retries of all nodes together.
@@ -55,6 +62,8 @@
 	setDefaultText(&x.Headers.Caller, defaultCallerHeader)
 	setDefaultText(&x.Headers.Key, defaultKeyHeader)
 	setDefaultText(&x.Headers.Tenant, defaultTenantHeader)
+	setDefaultTexts(&x.Headers.Limit, defaultLimitHeader)
+	setDefaultTexts(&x.Headers.Leaving, defaultLeavingHeader)
 	if x.Retries.Ratio < 0 || x.Retries.Ratio > 1 {
 		p.add("retries.ratio", "must be from 0 to 1")
 	}
@@ -76,3 +85,9 @@
 		*target = value
 	}
 }
+
+func setDefaultTexts(target *[]string, value string) {
+	if len(*target) == 0 {
+		*target = []string{value}
+	}
+}
