gate, balancer, forward: keep to the limit that a back end names, over all nodes

Callers saw nothing; a back end in need got all the calls that it got before. Cause: its header passed through gate and node like any other and nobody decided by it (class: a back end's statement without a reader).

All calls to a back end pass the gate beside it, so the gate bounds them: a queue-ordered rate limiter at the rate that the latest answer named, for calls of all nodes, its own machine's, retries, waiting calls and large bodies alike; it also counts resends by the HTTP transport and probes of the health path. Calls may run 250 ms ahead of the rate, so that uneven arrivals use all of it. Queued calls that can no longer be admitted in time, after a fall or behind higher priorities, are rejected at once. Gates report limit and delay to the nodes, which choose other back ends or reject the call with a Retry-After that is not before there is room.

A gate that restarts has forgotten the limit, other nodes have not: each node passes on with a call what the back end named to it last (Gate-Known-Limit, with the incarnation), and a gate that has not heard its back end yet keeps to the lowest of these. Zero and rates below 0.25 admit a call every 4 s, since only an answer can end a limit.

--- a/pkg/balancer/cold.go
+++ b/pkg/balancer/cold.go
@@ -1,9 +1,6 @@
 package balancer
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // coldServiceFactor multiplies the reported service time of a cold back end.
 const coldServiceFactor = 1.5
@@ -47,19 +44,3 @@
 	}
 	return 1
 }
-
-// excludeSaturatedCold removes, in place, the cold back ends that cannot admit a call within its patience. If
-// none remains it returns a ColdError.
-func excludeSaturatedCold(candidates []*endpoint, now, patience time.Duration) ([]*endpoint, error) {
-	var warmIn time.Duration
-	for _, e := range candidates {
-		if remaining := e.coldRemaining(now); warmIn == 0 || remaining < warmIn {
-			warmIn = remaining
-		}
-	}
-	available := slices.DeleteFunc(candidates, func(e *endpoint) bool { return e.coldWait(now) > patience })
-	if len(available) == 0 {
-		return nil, &ColdError{WarmIn: warmIn}
-	}
-	return available, nil
-}
--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -91,7 +91,7 @@
 
 // AcquireGate picks a gate: one of the own zone if the expected wait is at most LocalWait, otherwise the one
 // with the lowest expected completion time. It also returns how long the call may wait at the gate. The
-// error wraps ErrNoEndpoint or is a *ColdError.
+// error wraps ErrNoEndpoint or is a *ColdError or a *LimitError.
 func (p *Pool) AcquireGate(now time.Duration, r GateRequest) (*Ticket, time.Duration, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -102,7 +102,7 @@
 	if len(candidates) == 0 {
 		return nil, 0, p.noEndpointError()
 	}
-	candidates, err := excludeSaturatedCold(candidates, now, r.Patience)
+	candidates, err := excludeSaturated(candidates, now, r.Patience)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -124,7 +124,7 @@
 			wait = r.Patience
 		}
 	}
-	if best.coldRemaining(now) > 0 {
+	if best.rateLimited(now) {
 		wait = r.Patience
 	}
 	return p.issueTicket(best), wait, nil
@@ -158,7 +158,7 @@
 // admit the call without delay even if cold, so that it is preferred.
 func (e *endpoint) preferredAsOwnGate(now, maxService time.Duration) bool {
 	service := time.Duration(e.serviceFactor(now) * float64(e.gate.report.ServiceTime))
-	return service <= maxService && e.failureRate(now) <= maxOwnGateFailureRate && e.coldWait(now) == 0
+	return service <= maxService && e.failureRate(now) <= maxOwnGateFailureRate && e.rateWait(now) == 0
 }
 
 // bestFreeGate returns the best candidate whose recent report shows a free slot and a service time of at most
@@ -172,7 +172,7 @@
 		if params.largeResponse && e.linkWait(params.now) > e.gate.report.ServiceTime {
 			return true
 		}
-		return !recent || e.gateLoad(params.now) >= e.gateCapacity() || e.gate.report.ServiceTime > maxService || e.coldRemaining(params.now) > 0
+		return !recent || e.gateLoad(params.now) >= e.gateCapacity() || e.gate.report.ServiceTime > maxService || e.rateLimited(params.now)
 	})
 	return p.bestGate(free, params)
 }
@@ -194,7 +194,7 @@
 func (e *endpoint) slotWait(now time.Duration) time.Duration {
 	queued := e.gateLoad(now) + 1 - e.gateCapacity()
 	wait := time.Duration(max(0, queued)) * e.gate.report.ServiceTime / time.Duration(e.gateCapacity())
-	return max(wait, e.coldWait(now))
+	return max(wait, e.rateWait(now))
 }
 
 // minServiceTime returns the shortest reported service time among the candidates, zero if none is known.
@@ -307,6 +307,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.endpoint.recordReport(now, report)
+	t.pool.config.Statements.setLimit(t.ID, t.Incarnation, report.Limit)
 	t.endpoint.link = linkState{wait: report.LinkWait, at: now}
 }
 
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -50,6 +50,8 @@
 	OwnGate string
 	// Random returns a number in [0, n).
 	Random func(n int) int
+	// Statements holds what back ends have stated; nil means that the pool keeps its own.
+	Statements *Statements
 }
 
 // Pool holds the back ends of one service that one node uses. It is safe for concurrent use.
@@ -58,9 +60,6 @@
 
 	mu        sync.Mutex
 	endpoints []*endpoint
-	// leavingIncarnations maps IDs to the highest leaving incarnation, so that an outdated endpoint list cannot
-	// restore one.
-	leavingIncarnations map[string]uint64
 	// changed is closed and replaced when waiting calls should retry.
 	changed chan struct{}
 	waiting int
@@ -68,7 +67,10 @@
 
 // NewPool returns an empty pool.
 func NewPool(config Config) *Pool {
-	return &Pool{config: config, leavingIncarnations: map[string]uint64{}, changed: make(chan struct{})}
+	if config.Statements == nil {
+		config.Statements = NewStatements()
+	}
+	return &Pool{config: config, changed: make(chan struct{})}
 }
 
 // Update applies a service's definition. Back ends that remain in the list keep their state.
@@ -102,11 +104,10 @@
 }
 
 func (p *Pool) newEndpoint(now time.Duration, target routing.Endpoint) *endpoint {
-	e := &endpoint{target: target, addedAt: now, inOtherZone: target.Zone != p.config.Zone, inOtherRegion: p.inOtherRegion(target)}
-	if incarnation, known := p.leavingIncarnations[target.ID]; known && target.Incarnation <= incarnation {
-		e.leaving = true
+	return &endpoint{
+		target: target, addedAt: now, inOtherZone: target.Zone != p.config.Zone, inOtherRegion: p.inOtherRegion(target),
+		leaving: p.config.Statements.leaving(target.ID, target.Incarnation),
 	}
-	return e
 }
 
 // find returns the existing endpoint with the same ID, incarnation and address, nil if there is none.
@@ -168,7 +169,7 @@
 // markLeaving excludes an endpoint for good and records its incarnation; the mutex is held.
 func (p *Pool) markLeaving(e *endpoint) {
 	e.leaving = true
-	p.leavingIncarnations[e.target.ID] = max(p.leavingIncarnations[e.target.ID], e.target.Incarnation)
+	p.config.Statements.markLeaving(e.target.ID, e.target.Incarnation)
 }
 
 // Ticket is the permission to send one call to one back end. Done must be called exactly once.
--- a/pkg/exchange/delivery.go
+++ b/pkg/exchange/delivery.go
@@ -51,6 +51,8 @@
 	// arrivedEarlier is set if an earlier connection wrote part of the request, or if the writes of
 	// a connection were not counted.
 	arrivedEarlier bool
+	// resends counts the connections used after the request may have arrived over an earlier one.
+	resends int
 }
 
 // Trace returns the trace to attach to the request's context.
@@ -68,9 +70,19 @@
 		return
 	}
 	d.arrivedEarlier = d.mayHaveArrived()
+	if d.arrivedEarlier {
+		d.resends++
+	}
 	d.conn, d.writesBefore = counted, counted.writes.Load()
 }
 
+// Resends returns how many more times the transport sent the request after it may have arrived.
+func (d *Delivery) Resends() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.resends
+}
+
 // MayHaveArrived reports whether the peer may have received any part of the request.
 func (d *Delivery) MayHaveArrived() bool {
 	d.mu.Lock()
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -129,6 +129,8 @@
 	ReasonRegion Reason = "region"
 	// ReasonCold means that the back end is cold and currently admits no more calls.
 	ReasonCold Reason = "cold"
+	// ReasonLimit means that the back end names a limit that currently admits no more calls.
+	ReasonLimit Reason = "limit"
 	// ReasonVersion means that the back end has a version which currently may not receive more
 	// calls.
 	ReasonVersion Reason = "version"
@@ -142,7 +144,9 @@
 }
 
 // Busy reports whether the gate may admit the call a little later.
-func (r Reason) Busy() bool { return r == ReasonFull || r == ReasonLink || r == ReasonCold }
+func (r Reason) Busy() bool {
+	return r == ReasonFull || r == ReasonLink || r == ReasonCold || r == ReasonLimit
+}
 
 // Report is the state of a back end that its gate sends with each response.
 type Report struct {
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -139,6 +139,9 @@
 	if !g.isOwnGate(ticket) {
 		request.Header.Set(exchange.HeaderSent, exchange.Sent{Process: g.handler.clockID, At: g.now()}.String())
 	}
+	if known, named := ticket.KnownLimit(); named {
+		request.Header.Set(exchange.HeaderKnownLimit, known.String())
+	}
 	if target := g.route.TargetLatency; target > 0 {
 		exchange.SetMillis(request.Header, exchange.HeaderTarget, g.targetLeft(g.now()))
 		exchange.SetMillis(request.Header, exchange.HeaderEarlyRefusal, target/earlyDivisor-(g.now()-g.firstAttemptAt))
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -58,6 +58,10 @@
 	// of these back ends is warm.
 	coldRejections int
 	untilWarm      time.Duration
+	// limitRejections counts rejections because of the limits that back ends name; untilRoom is the shortest time until
+	// one of these back ends can be sent a call.
+	limitRejections int
+	untilRoom       time.Duration
 }
 
 // serveThroughGates serves a call to a service whose back ends have gates.
@@ -101,6 +105,7 @@
 	ticket, wait, err := g.chooseGate(now)
 	if err != nil {
 		g.recordAllCold(err)
+		g.recordAllLimited(err)
 		return g.giveUp("choose back end", fmt.Sprintf("service %s: %v (%s)", g.targetService, err, g.lastReason)), false
 	}
 	if !g.throttleAllows(ticket, now) {
@@ -169,7 +174,7 @@
 	now := g.now()
 	outcome := balancer.Canceled
 	switch failure.reason {
-	case exchange.ReasonFull, exchange.ReasonLink, exchange.ReasonCold:
+	case exchange.ReasonFull, exchange.ReasonLink, exchange.ReasonCold, exchange.ReasonLimit:
 		g.recordBusy(ticket, failure)
 	case exchange.ReasonUnreachable:
 		pause := unreachablePause
@@ -205,11 +210,14 @@
 	ticket.Done(now, outcome)
 }
 
-// recordBusy records the report of a gate that is full, cold or whose link is full.
+// recordBusy records the report of a gate that is full, cold, at a named limit, or whose link is full.
 func (g *gatedCall) recordBusy(ticket *balancer.Ticket, failure *gateFailure) {
 	if failure.reason == exchange.ReasonCold {
 		g.recordColdRejection(failure.report)
 	}
+	if failure.reason == exchange.ReasonLimit {
+		g.recordLimitRejection(failure.report)
+	}
 	if wait := failure.report.LinkWait; wait > 0 && (g.linkWait == 0 || wait < g.linkWait) {
 		g.linkWait = wait
 	}
@@ -230,7 +238,7 @@
 		return false
 	}
 	if !failure.reason.Reached() {
-		noMoreWaits := failure.reason.Busy() && (g.finalWait || g.coldLimitReached(failure))
+		noMoreWaits := failure.reason.Busy() && (g.finalWait || g.coldLimitReached(failure) || g.namedLimitsReached(failure))
 		final := failure.reason == exchange.ReasonDeadline || failure.reason == exchange.ReasonQuarantined
 		return !noMoreWaits && !final
 	}
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -166,6 +166,8 @@
 	// callerTimeouts estimate how long ago a retrying caller made its first attempt.
 	callerTimeouts *callerTimeouts
 	regionDelays   *regionDelays
+	// statements holds what back ends have stated about themselves in responses.
+	statements *balancer.Statements
 	// clockID identifies the handler's clock to gates.
 	clockID uint32
 }
@@ -176,7 +178,8 @@
 		config.Headers.Deadline = exchange.HeaderTimeout
 	}
 	h := &Handler{config: config, gates: newGateTransport(config.Link), serviceTime: newServiceTimes(), throttles: newThrottles(), callerTimeouts: newCallerTimeouts(),
-		regionDelays: newRegionDelays(config.OnCongestion), clockID: rand.Uint32()}
+		regionDelays: newRegionDelays(config.OnCongestion), clockID: rand.Uint32(),
+		statements: balancer.NewStatements()}
 	return h
 }
 
@@ -227,7 +230,7 @@
 		connections = max(definition.MaxConcurrency, balancer.DefaultConcurrency)
 	}
 	return &service{
-		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, Region: h.config.Region, OwnGate: h.config.GateAddress, Random: rand.IntN}),
+		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, Region: h.config.Region, OwnGate: h.config.GateAddress, Random: rand.IntN, Statements: h.statements}),
 		budget: retry.NewBudget(h.config.Retry), declinedRetries: retry.NewBudget(h.config.DeclinedRetries),
 		transport: &http.Transport{
 			DialContext:         dialer.DialContext,
--- a/pkg/forward/retry_after.go
+++ b/pkg/forward/retry_after.go
@@ -19,7 +19,7 @@
 
 // retryAfter returns when the caller should retry. After a random decline by a back end with a free
 // slot it returns minGateRetry. Otherwise it is a fraction of the time left, or the link wait that a gate
-// reported.
+// reported, or the time until a named limit has room.
 func (g *gatedCall) retryAfter(now time.Duration) time.Duration {
 	if g.lastReason == exchange.ReasonDeclined && g.service.pool.MeanFailureRate(now) <= maxRandomFailureRate {
 		return minGateRetry
@@ -29,6 +29,8 @@
 	switch {
 	case g.lastReason == exchange.ReasonCold:
 		allowed = g.retryAfterCold(left)
+	case g.lastReason == exchange.ReasonLimit:
+		return g.retryAfterLimit(left)
 	case g.lastReason == exchange.ReasonLink && g.largeResponse() && g.linkWait > 0:
 		allowed = min(allowed, g.linkWait)
 	}
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -135,13 +135,17 @@
 	lateAt time.Duration
 	// hint is the sending node's view of the rollout, zero if none is running.
 	hint versionHint
+	// knownLimit is the limit that the back end named to the sending node, if knowsLimit.
+	knownLimit exchange.KnownLimit
+	knowsLimit bool
 	// transitDelay is how much longer the call took to arrive than the fastest recent one.
 	transitDelay time.Duration
 }
 
-func (req request) waiter() *waiter {
+func (req request) waiter(now time.Duration) *waiter {
 	return &waiter{
-		lateAt: req.lateAt, late: req.late, priority: req.priority, work: req.work, deadline: req.deadline, hint: req.hint,
+		waitsUntil: now + req.wait,
+		lateAt:     req.lateAt, late: req.late, priority: req.priority, work: req.work, deadline: req.deadline, hint: req.hint,
 		admitted: make(chan struct{}), dropped: make(chan struct{}),
 	}
 }
@@ -154,20 +158,22 @@
 		g.mu.Unlock()
 		return admission{}, reason
 	}
+	g.adoptKnownLimit(now, req)
 	g.reportColdChange(now)
 	g.probeIfAssumed(now)
-	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.cold.nextAdmission(now) <= now {
+	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.nextAdmission(now) <= now {
 		adm := g.takeCountedSlot(now, req.work, req.hint)
 		g.mu.Unlock()
 		return adm, ""
 	}
-	w := req.waiter()
+	w := req.waiter(now)
 	if g.expectedWait(now, w) > req.wait {
 		reason := g.busyReason(now)
 		g.mu.Unlock()
 		return admission{}, reason
 	}
 	g.queue.add(w)
+	g.dropDisplaced(now)
 	g.dispatch()
 	g.mu.Unlock()
 	return g.awaitAdmission(ctx, w, req)
@@ -182,9 +188,10 @@
 	if reason := g.rejectReason(now, req); reason != "" {
 		return reason
 	}
-	queued := g.queue.ahead(req.waiter())
-	if g.cold.wait(now, g.receiving+queued) > req.wait {
-		return exchange.ReasonCold
+	g.adoptKnownLimit(now, req)
+	queued := g.queue.ahead(req.waiter(now))
+	if g.rateWait(now, g.receiving+queued) > req.wait {
+		return g.rateReason(now)
 	}
 	ahead := max(0, g.running+g.receiving+1-g.backend.Capacity) + queued
 	if g.expectedServiceTime()*time.Duration(ahead)/time.Duration(g.backend.Capacity) > req.wait {
@@ -228,17 +235,18 @@
 func (g *Gate) takeSlot(now, work time.Duration) admission {
 	g.running++
 	g.cold.rate.record(now)
+	g.limit.charge(now)
 	return admission{backend: g.backend, work: work, generation: g.generation, admittedAt: now}
 }
 
 // expectedWait estimates how long a call would wait. g.mu must be held.
 func (g *Gate) expectedWait(now time.Duration, w *waiter) time.Duration {
 	ahead := g.queue.ahead(w)
-	cold := g.cold.wait(now, ahead)
-	if g.running < g.backend.Capacity && cold > 0 {
-		return cold
+	rateWait := g.rateWait(now, ahead)
+	if g.running < g.backend.Capacity && rateWait > 0 {
+		return rateWait
 	}
-	return max(cold, time.Duration(float64(g.expectedServiceTime())*float64(ahead+1)/float64(g.backend.Capacity)))
+	return max(rateWait, time.Duration(float64(g.expectedServiceTime())*float64(ahead+1)/float64(g.backend.Capacity)))
 }
 
 // expectedServiceTime returns the mean service time of recent calls. g.mu must be held.
@@ -288,7 +296,7 @@
 	if ctx.Err() == nil {
 		return w.admission, ""
 	}
-	g.release(w.admission, callResult{})
+	g.releaseUnsent(w.admission)
 	return admission{}, reason
 }
 
@@ -341,6 +349,12 @@
 	g.dispatch()
 }
 
+// releaseUnsent frees the slot of a call that was not sent to the back end.
+func (g *Gate) releaseUnsent(adm admission) {
+	g.refundLimit(adm)
+	g.release(adm, callResult{})
+}
+
 // markUnreachable starts the backoff after a failed connection.
 func (g *Gate) markUnreachable(adm admission) {
 	g.mu.Lock()
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -77,8 +77,6 @@
 	OnColdProbeFailed func(backend string, err error)
 	// OnLimit is called with the gate locked when the limit that the back end names changes.
 	OnLimit func(LimitChange)
-	// OnLeaving is called when the back end first states in a response that it accepts no new calls.
-	OnLeaving func(id string, incarnation uint64)
 }
 
 // Call describes a finished call for logs and metrics.
@@ -298,6 +296,7 @@
 	if size, err := strconv.ParseInt(header.Get(exchange.HeaderExpectedResponse), 10, 64); err == nil && size > 0 {
 		req.expectedResponse = size
 	}
+	req.knownLimit, req.knowsLimit = exchange.ParseKnownLimit(header.Get(exchange.HeaderKnownLimit))
 	req.hint.target = header.Get(exchange.HeaderRollout)
 	req.hint.retry = header.Get(exchange.HeaderRetry) != ""
 	if g.rolloutActive.Load() {
@@ -317,22 +316,23 @@
 	if err != nil {
 		// The caller's body is at fault, not the back end.
 		cancel()
-		g.release(adm, callResult{})
+		g.releaseUnsent(adm)
 		call.Reason, call.Err = exchange.ReasonBroken, err
 		return g.reject(call, http.StatusBadGateway, exchange.NotRun)
 	}
 	if !g.regionServes(r) {
 		cancel()
-		g.release(adm, callResult{})
+		g.releaseUnsent(adm)
 		call.Reason = exchange.ReasonRegion
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	if g.quarantined(r, body, adm, call) {
 		cancel()
-		g.release(adm, callResult{})
+		g.releaseUnsent(adm)
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	response, err := g.transport.RoundTrip(outgoing)
+	g.chargeResends(adm, delivery.Resends())
 	if err == nil {
 		err = g.checkResponse(r.Header, response)
 	}
@@ -394,7 +394,7 @@
 func (g *Gate) failed(call *Call, adm admission, sent bool, ctx context.Context, deadline time.Duration, err error) *http.Response {
 	call.Err = err
 	if !sent {
-		g.release(adm, callResult{})
+		g.releaseUnsent(adm)
 		call.Reason = exchange.ReasonUnreachable
 		if ctx.Err() == nil {
 			g.markUnreachable(adm)
--- a/pkg/gate/gate_cold.go
+++ b/pkg/gate/gate_cold.go
@@ -75,15 +75,17 @@
 	if !g.cold.startProbe(now) {
 		return
 	}
+	g.limit.charge(now)
 	backend, path, generation, assumptions := g.backend, g.cold.bounds.HealthPath, g.generation, g.cold.assumptions
 	go func() {
-		remaining, err := g.probeHealth(backend.Address, path)
+		remaining, said, err := g.probeHealth(backend.Address, path)
 		g.updateCold(func(now time.Duration) {
 			g.cold.probing = false
 			if err == nil && generation == g.generation && assumptions == g.cold.assumptions {
 				g.cold.update(now, remaining, ColdHealth)
 			}
 		})
+		g.recordHealthStatement(admission{backend: backend, generation: generation}, said)
 		if err != nil && g.config.OnColdProbeFailed != nil {
 			g.config.OnColdProbeFailed(backend.ID, err)
 		}
@@ -91,36 +93,37 @@
 }
 
 // probeHealth returns how much longer a back end is cold according to its health path, whether or
-// not it is healthy.
-func (g *Gate) probeHealth(address, path string) (time.Duration, error) {
+// not it is healthy, and what else it states there.
+func (g *Gate) probeHealth(address, path string) (time.Duration, exchange.Statement, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
 	if err != nil {
-		return 0, fmt.Errorf("probe health path of %s: %w", address, err)
+		return 0, exchange.Statement{}, fmt.Errorf("probe health path of %s: %w", address, err)
 	}
 	response, err := g.transport.RoundTrip(request)
 	if err != nil {
-		return 0, fmt.Errorf("probe health path of %s: %w", address, err)
+		return 0, exchange.Statement{}, fmt.Errorf("probe health path of %s: %w", address, err)
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes)); err != nil {
-		return 0, fmt.Errorf("probe health path of %s: %w", address, err)
+		return 0, exchange.Statement{}, fmt.Errorf("probe health path of %s: %w", address, err)
 	}
+	said := exchange.ReadStatement(response.Header, g.config.Headers.Limit, g.config.Headers.Leaving)
 	if remaining, ok := exchange.ReadMillis(response.Header, g.config.Headers.Cold); ok {
-		return remaining, nil
+		return remaining, said, nil
 	}
 	if response.StatusCode >= http.StatusBadRequest {
-		return 0, fmt.Errorf("probe health path of %s: status %d without a cold state header", address, response.StatusCode)
+		return 0, exchange.Statement{}, fmt.Errorf("probe health path of %s: status %d without a cold state header", address, response.StatusCode)
 	}
-	return 0, nil
+	return 0, said, nil
 }
 
-// dispatch admits queued calls as far as free slots and the cold rate allow. g.mu must be held.
+// dispatch admits queued calls as far as free slots, the cold rate and the named limit allow. g.mu must be held.
 func (g *Gate) dispatch() {
 	for g.running < g.backend.Capacity && len(g.queue) > 0 {
 		now := g.config.Now()
-		if next := g.cold.nextAdmission(now); next > now {
+		if next := g.nextAdmission(now); next > now {
 			g.scheduleDispatch(now, next)
 			return
 		}
@@ -183,8 +186,8 @@
 
 // busyReason returns the reason to reject a call that would wait too long. g.mu must be held.
 func (g *Gate) busyReason(now time.Duration) exchange.Reason {
-	if g.cold.limited(now) && g.running < g.backend.Capacity {
-		return exchange.ReasonCold
+	if g.running < g.backend.Capacity && (g.cold.limited(now) || g.limit.limited) {
+		return g.rateReason(now)
 	}
 	return exchange.ReasonFull
 }
--- a/pkg/gate/limit.go
+++ b/pkg/gate/limit.go
@@ -3,16 +3,34 @@
 import (
 	"math"
 	"time"
+
+	"bramblelift/pkg/exchange"
+)
+
+const (
+	// limitBurst is how far calls may run ahead of a named rate, so that calls which arrive unevenly can use
+	// all of it.
+	limitBurst = 250 * time.Millisecond
+	// minNamedRate is the lowest rate in calls per second that is enforced. A back end that names a lower one, or zero,
+	// still gets a call now and then: only its answer can end the limit.
+	minNamedRate = 0.25
+	// reportedChange is the smallest relative change of a limit that is reported.
+	reportedChange = 0.2
 )
 
-// namedLimit is the rate of calls that the back end names in its responses. It does no I/O and reads no
-// clock. The zero value is no limit.
+// namedLimit limits the calls to the rate that the back end names in its responses. It does no I/O and
+// reads no clock. The zero value is no limit.
 type namedLimit struct {
 	// rate is in calls per second, if limited.
 	rate    float64
 	limited bool
+	// heard is set once the back end has named a limit, or none, to this gate; until then the gate keeps to
+	// what other nodes heard.
+	heard bool
 	// namedAt is when a response last named a limit.
 	namedAt time.Duration
+	// next is when the next call is due at the rate; it may be admitted limitBurst earlier.
+	next time.Duration
 	// reported and reportedLimited are rate and limited as of the last reported change.
 	reported        float64
 	reportedLimited bool
@@ -22,19 +40,65 @@
 
 // name applies the rate that a response names.
 func (l *namedLimit) name(now time.Duration, rate float64) {
-	l.rate, l.limited, l.namedAt = rate, true, now
+	l.setRate(now, rate)
+	l.heard, l.namedAt = true, now
 }
 
 // omit applies a response without a limit to a call admitted at the given time. A call that was admitted before the
 // limit was last named may have been answered before, too.
 func (l *namedLimit) omit(admittedAt time.Duration) {
+	l.heard = true
 	if l.limited && admittedAt >= l.namedAt {
 		l.rate, l.limited = 0, false
 	}
 }
 
-// reportedChange is the smallest relative change of a limit that is reported.
-const reportedChange = 0.2
+// adopt applies a limit that the back end named to another node, unless this gate has heard the back end itself. Of
+// several the lowest applies.
+func (l *namedLimit) adopt(now time.Duration, rate float64) {
+	if !l.heard && (!l.limited || rate < l.rate) {
+		l.setRate(now, rate)
+	}
+}
+
+// setRate changes the rate. Calls admitted ahead of the old rate count the same at the new one.
+func (l *namedLimit) setRate(now time.Duration, rate float64) {
+	before, ahead := l.interval(), max(0, l.next-now)
+	if !l.limited {
+		ahead = 0
+	}
+	l.rate, l.limited = rate, true
+	if ahead > 0 && before > 0 {
+		ahead = time.Duration(float64(ahead) / float64(before) * float64(l.interval()))
+	}
+	l.next = now + ahead
+}
+
+// interval returns the time between two calls at the rate, zero for no limit.
+func (l *namedLimit) interval() time.Duration {
+	if !l.limited {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / max(l.rate, minNamedRate))
+}
+
+// charge counts a call that is sent to the back end.
+func (l *namedLimit) charge(now time.Duration) {
+	if l.limited {
+		l.next = max(l.next, now) + l.interval()
+	}
+}
+
+// refund reverts the charge for a call that was not sent.
+func (l *namedLimit) refund() { l.next -= l.interval() }
+
+// wait returns how long a call waits for the limit with ahead calls before it.
+func (l *namedLimit) wait(now time.Duration, ahead int) time.Duration {
+	if !l.limited {
+		return 0
+	}
+	return max(0, l.next-limitBurst-now) + time.Duration(ahead)*l.interval()
+}
 
 // changed reports whether the limit differs from the last reported one by enough to be reported, and marks
 // it as reported.
@@ -46,3 +110,79 @@
 	l.reported, l.reportedLimited = l.rate, l.limited
 	return true
 }
+
+// adoptKnownLimit applies the limit that the back end named to the sender of a call. g.mu must be held.
+func (g *Gate) adoptKnownLimit(now time.Duration, req request) {
+	if !req.knowsLimit || req.instance != g.backend.ID || req.knownLimit.Incarnation != g.backend.Incarnation {
+		return
+	}
+	g.limit.adopt(now, req.knownLimit.Rate)
+	g.reportLimit(g.limit.invalid)
+}
+
+// chargeResends counts the requests that the transport sent to the back end beyond the first one.
+func (g *Gate) chargeResends(adm admission, resends int) {
+	if resends == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for range resends {
+		if adm.generation == g.generation {
+			g.limit.charge(g.config.Now())
+		}
+	}
+}
+
+// refundLimit reverts the charge for a call that was not sent.
+func (g *Gate) refundLimit(adm admission) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if adm.generation == g.generation {
+		g.limit.refund()
+	}
+}
+
+// nextAdmission returns the earliest time at which the cold rate and the named limit admit a call. g.mu must be held.
+func (g *Gate) nextAdmission(now time.Duration) time.Duration {
+	return max(g.cold.nextAdmission(now), now+g.limit.wait(now, 0))
+}
+
+// rateWait estimates how long a call waits for the cold rate and the named limit with ahead calls before it. g.mu must
+// be held.
+func (g *Gate) rateWait(now time.Duration, ahead int) time.Duration {
+	return max(g.cold.wait(now, ahead), g.limit.wait(now, ahead))
+}
+
+// rateReason returns the reason to reject a call that would wait too long for the cold rate or the named limit. g.mu must
+// be held.
+func (g *Gate) rateReason(now time.Duration) exchange.Reason {
+	queued := len(g.queue)
+	if g.limit.limited && g.limit.wait(now, queued) >= g.cold.wait(now, queued) {
+		return exchange.ReasonLimit
+	}
+	return exchange.ReasonCold
+}
+
+// dropDisplaced rejects queued calls that can no longer be admitted within their wait, because the named limit has
+// fallen or calls of higher priority have arrived. g.mu must be held.
+func (g *Gate) dropDisplaced(now time.Duration) {
+	if !g.limit.limited {
+		return
+	}
+	kept := 0
+	for _, w := range g.queue.inOrder() {
+		if now+g.limit.wait(now, kept) <= w.waitsUntil {
+			kept++
+			continue
+		}
+		g.queue.remove(w)
+		w.reason = exchange.ReasonLimit
+		close(w.dropped)
+	}
+}
+
+// limitReport returns the named limit for the load report. g.mu must be held.
+func (g *Gate) limitReport(now time.Duration) exchange.Limit {
+	return exchange.Limit{Named: g.limit.limited, Rate: g.limit.rate, AdmissionDelay: g.limit.wait(now, len(g.queue)+g.receiving)}
+}
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"bramblelift/pkg/exchange"
@@ -17,6 +18,8 @@
 	priority int
 	deadline time.Duration
 	hint     versionHint
+	// waitsUntil is when the call gives up waiting.
+	waitsUntil time.Duration
 	// admitted is closed when the call is admitted, dropped when it is rejected.
 	admitted chan struct{}
 	dropped  chan struct{}
@@ -80,6 +83,21 @@
 	return count
 }
 
+// inOrder returns the queued calls in the order in which they would be admitted.
+func (q waitQueue) inOrder() []*waiter {
+	sorted := slices.Clone(q)
+	slices.SortFunc(sorted, func(a, b *waiter) int {
+		switch {
+		case q.before(a, b):
+			return -1
+		case q.before(b, a):
+			return 1
+		}
+		return 0
+	})
+	return sorted
+}
+
 func (q *waitQueue) add(w *waiter) { heap.Push(q, w) }
 
 // remove removes a call and reports whether it was still queued.
--- a/pkg/gate/sender.go
+++ b/pkg/gate/sender.go
@@ -7,13 +7,13 @@
 )
 
 // SenderReport returns the load of the back end beside the node for outgoing calls to carry, empty while
-// the back end has no free slot or is cold.
+// the back end has no free slot, is cold or names a limit.
 func (g *Gate) SenderReport() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	free := g.present && !g.stopping && g.closed.reason == "" && g.running < g.backend.Capacity && len(g.queue) == 0 &&
-		g.cold.remaining(now) == 0 && g.versionRejectReason(now) == ""
+		g.cold.remaining(now) == 0 && !g.limit.limited && g.versionRejectReason(now) == ""
 	if !free {
 		return ""
 	}
--- a/pkg/gate/statement.go
+++ b/pkg/gate/statement.go
@@ -14,6 +14,8 @@
 	// Rate is in calls per second, if Limited.
 	Rate    float64
 	Limited bool
+	// Heard is false if only other nodes have heard of the limit since this gate started.
+	Heard bool
 	// Invalid is a value that cannot be read, empty for none. It changes nothing.
 	Invalid string
 }
@@ -25,18 +27,41 @@
 		return
 	}
 	said := exchange.ReadStatement(response.Header, g.config.Headers.Limit, g.config.Headers.Leaving)
+	g.applyStatement(adm, said, !g.declined(response))
+}
+
+// recordHealthStatement applies what the back end states about itself in a response of its health path. It may set a limit
+// there, but not end one, since a health path may be served apart from calls.
+func (g *Gate) recordHealthStatement(adm admission, said exchange.Statement) {
+	g.applyStatement(adm, said, false)
+}
+
+// applyStatement applies a statement; mayEndLimit says whether one without a limit ends it.
+func (g *Gate) applyStatement(adm admission, said exchange.Statement, mayEndLimit bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if adm.generation != g.generation {
 		return
 	}
+	now := g.config.Now()
 	switch {
 	case said.Limited:
-		g.limit.name(g.config.Now(), said.Limit)
-	case said.InvalidLimit == "" && !g.declined(response):
+		g.nameLimit(now, said)
+	case said.InvalidLimit == "" && mayEndLimit:
 		g.limit.omit(adm.admittedAt)
+		g.reportLimit("")
+		g.dispatch()
+	default:
+		g.reportLimit(said.InvalidLimit)
 	}
+}
+
+// nameLimit applies a limit that the back end names. g.mu must be held.
+func (g *Gate) nameLimit(now time.Duration, said exchange.Statement) {
+	g.limit.name(now, said.Limit)
 	g.reportLimit(said.InvalidLimit)
+	g.dropDisplaced(now)
+	g.dispatch()
 }
 
 // reportLimit calls OnLimit if the limit has changed, or if a response named one that cannot be read. g.mu
@@ -45,11 +70,6 @@
 	newInvalid := invalid != "" && invalid != g.limit.invalid
 	g.limit.invalid = invalid
 	if changed := g.limit.changed(); g.config.OnLimit != nil && (changed || newInvalid) {
-		g.config.OnLimit(LimitChange{Backend: g.backend.ID, Rate: g.limit.rate, Limited: g.limit.limited, Invalid: invalid})
+		g.config.OnLimit(LimitChange{Backend: g.backend.ID, Rate: g.limit.rate, Limited: g.limit.limited, Heard: g.limit.heard, Invalid: invalid})
 	}
 }
-
-// limitReport returns the named limit for the load report. g.mu must be held.
-func (g *Gate) limitReport(time.Duration) exchange.Limit {
-	return exchange.Limit{Named: g.limit.limited, Rate: g.limit.rate}
-}
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -111,7 +111,7 @@
 	case change.Limited:
 		state, rate = "named", change.Rate
 	}
-	o.logger.Log("event", "backend_limit", "instance", change.Backend, "state", state, "rate", rate)
+	o.logger.Log("event", "backend_limit", "instance", change.Backend, "state", state, "rate", rate, "heard", change.Heard)
 }
 
 // logColdUnknown logs that the query whether the back end is cold failed.
