gate, forward, registration: a back end that says it leaves gets no new calls

Callers' calls went on reaching a back end that said in its answers that it leaves: only draining heartbeats and deletions were read, which some back ends send late or never, and which a node that is cut off from control does not hear.

The gate now stops admitting calls at the first such answer, rejects the queued ones as it does after a removal, and announces the back end as draining. Each node marks the back end as leaving when it passes on the answer; that memory is the node's, bound to the incarnation, and outlives pools, endpoint lists and the gate's process, so it needs no control. A misdirected answer (421) is another back end's and says nothing. A later incarnation starts anew.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return c.transportFailure(ctx, ticket, connected.Load(), err)
 	}
-	load, draining := readReport(response.Header)
+	load, draining := readReport(response.Header, c.handler.config.Headers.Leaving)
 	ticket.Report(load, draining)
 	if isDecline(response) {
 		ticket.Done(c.handler.config.Now(), balancer.Refused)
@@ -156,12 +156,12 @@
 	return declining && response.Header.Get(HeaderOutcome) == string(NotRun)
 }
 
-func readReport(header http.Header) (load float64, draining bool) {
+func readReport(header http.Header, leavingNames []string) (load float64, draining bool) {
 	load, err := strconv.ParseFloat(header.Get(HeaderLoad), 64)
 	if err != nil || load < 0 {
 		load = -1
 	}
-	return load, header.Get(HeaderDraining) != ""
+	return load, header.Get(HeaderDraining) != "" || exchange.ReadStatement(header, nil, leavingNames).Leaving
 }
 
 func readRetryAfter(header http.Header) time.Duration {
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -104,11 +104,15 @@
 			peer: ticket.Address, rejected: true, report: report,
 		}
 	}
-	name := g.handler.config.Headers.RequestID
+	headers := g.handler.config.Headers
+	name := headers.RequestID
 	if name != "" && response.Header.Get(name) != g.request.Header.Get(name) {
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: exchange.ErrResponseMismatch}
 	}
+	if response.StatusCode != http.StatusMisdirectedRequest && exchange.ReadStatement(response.Header, nil, headers.Leaving).Leaving {
+		ticket.MarkLeaving()
+	}
 	data, rest, release, err := g.handler.config.ResponseBuffer.ReadWhole(response)
 	if err != nil {
 		response.Body.Close()
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -71,8 +71,13 @@
 	if g.backend.ID != id {
 		return
 	}
-	g.present, g.departedID = false, id
-	g.dropWaiting(exchange.ReasonNoBackend)
+	g.remove(exchange.ReasonNoBackend)
+}
+
+// remove stops admitting calls to the back end and rejects the queued ones with reason. g.mu must be held.
+func (g *Gate) remove(reason exchange.Reason) {
+	g.present, g.departedID = false, g.backend.ID
+	g.dropWaiting(reason)
 	g.applyRollout()
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -77,6 +77,8 @@
 	OnColdProbeFailed func(backend string, err error)
 	// OnLimit is called with the gate locked when the limit that the back end names changes.
 	OnLimit func(LimitChange)
+	// OnLeaving is called when the back end first states in a response that it accepts no new calls.
+	OnLeaving func(id string, incarnation uint64)
 }
 
 // Call describes a finished call for logs and metrics.
--- a/pkg/gate/statement.go
+++ b/pkg/gate/statement.go
@@ -38,10 +38,18 @@
 
 // applyStatement applies a statement; mayEndLimit says whether one without a limit ends it.
 func (g *Gate) applyStatement(adm admission, said exchange.Statement, mayEndLimit bool) {
+	left := g.applyStatementLocked(adm, said, mayEndLimit)
+	if left && g.config.OnLeaving != nil {
+		g.config.OnLeaving(adm.backend.ID, adm.backend.Incarnation)
+	}
+}
+
+// applyStatementLocked implements applyStatement and reports whether the back end leaves from now on.
+func (g *Gate) applyStatementLocked(adm admission, said exchange.Statement, mayEndLimit bool) (left bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if adm.generation != g.generation {
-		return
+		return false
 	}
 	now := g.config.Now()
 	switch {
@@ -54,6 +62,11 @@
 	default:
 		g.reportLimit(said.InvalidLimit)
 	}
+	if !said.Leaving || !g.present {
+		return false
+	}
+	g.remove(exchange.ReasonRemoved)
+	return true
 }
 
 // nameLimit applies a limit that the back end names. g.mu must be held.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -31,6 +31,7 @@
 		OnClosing: s.onClosingChange,
 		OnSender:  func(service string, sender exchange.Sender) { s.forwarder.UpdateReport(service, sender) },
 		OnCold:    s.observer.logColdChange, OnColdProbeFailed: s.observer.logColdUnknown, OnLimit: s.observer.logLimitChange,
+		OnLeaving:   s.onBackendLeaving,
 		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() },
 	})
 	s.observer.registerGate(s.admin.Registry, s.gate)
@@ -98,6 +99,12 @@
 	}
 }
 
+// onBackendLeaving records that the back end beside the node stated in a response that it leaves.
+func (s *Server) onBackendLeaving(id string, incarnation uint64) {
+	s.logger.Log("event", "backend_leaving", "instance", id, "incarnation", incarnation)
+	s.backendRegistry.RecordLeaving(id, incarnation)
+}
+
 func (s *Server) logBackend(h registration.Heartbeat) {
 	states := map[registration.State]string{
 		registration.Ready: "ready", registration.Draining: "draining", registration.Departed: "gone",
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -115,14 +115,8 @@
 	r.mu.Lock()
 	changed := r.applyHeartbeat(h)
 	r.mu.Unlock()
-	if !changed {
-		return
-	}
-	if r.config.OnStateChange != nil {
-		r.config.OnStateChange(h)
-	}
-	if r.config.OnAnnouncement != nil {
-		r.config.OnAnnouncement()
+	if changed {
+		r.notify(h)
 	}
 }
 
@@ -171,11 +165,32 @@
 	r.rememberDeparted(entry.heartbeat)
 	left := entry.heartbeat
 	r.mu.Unlock()
-	if alreadyDeparted {
+	if !alreadyDeparted {
+		r.notify(left)
+	}
+}
+
+// RecordLeaving records that an incarnation of a back end has stated that it accepts no new calls, as a
+// draining heartbeat does.
+func (r *Registry) RecordLeaving(id string, incarnation uint64) {
+	r.mu.Lock()
+	entry, found := r.backends[id]
+	if !found || entry.heartbeat.incarnation() != incarnation || entry.heartbeat.State != Ready {
+		r.mu.Unlock()
 		return
 	}
+	entry.heartbeat.State = Draining
+	entry.acknowledged = false
+	r.updateGate(entry.heartbeat)
+	draining := entry.heartbeat
+	r.mu.Unlock()
+	r.notify(draining)
+}
+
+// notify reports a change of a back end to the callbacks.
+func (r *Registry) notify(h Heartbeat) {
 	if r.config.OnStateChange != nil {
-		r.config.OnStateChange(left)
+		r.config.OnStateChange(h)
 	}
 	if r.config.OnAnnouncement != nil {
 		r.config.OnAnnouncement()
--- a/pkg/registration/registration_test.go
+++ b/pkg/registration/registration_test.go
@@ -128,3 +128,25 @@
 	cold(4, 0)
 	is.Equal(g.coldUpdates, []string{"a 2s", "a 500ms", "a 0s"})
 }
+
+// A back end that states in a response that it leaves counts as draining: later heartbeats do not make it ready again, a
+// later incarnation is ready.
+func TestLeavingStatementDrainsOneIncarnation(t *testing.T) {
+	is := is.New(t)
+	r, g := newRegistry()
+	born := time.UnixMilli(1_000_000)
+	beat := func(sequence uint64, born time.Time) Heartbeat {
+		h := heartbeat("a", sequence, Ready)
+		h.Born = born
+		return h
+	}
+	r.HandleHeartbeat(beat(1, born))
+	r.RecordLeaving("a", uint64(born.UnixMilli())+1) // another incarnation
+	is.Equal(r.PendingAnnouncements()[0].State, distribution.Live)
+	r.RecordLeaving("a", uint64(born.UnixMilli()))
+	r.HandleHeartbeat(beat(2, born))
+	is.Equal(r.PendingAnnouncements()[0].State, distribution.Leaving)
+	is.Equal(g.updates, []string{"set a 6", "remove a"})
+	r.HandleHeartbeat(beat(1, born.Add(time.Second)))
+	is.Equal(r.PendingAnnouncements()[0].State, distribution.Live)
+}
