--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -43,7 +43,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.present && g.backend.ID == backend.ID && g.backend.Incarnation == backend.Incarnation {
+	sameIncarnation := g.backend.ID == backend.ID && g.backend.Incarnation == backend.Incarnation
+	if sameIncarnation && g.saidLeaving {
+		return
+	}
+	if sameIncarnation && g.present {
 		g.backend = backend
 		g.applyRules()
 		return
@@ -51,7 +55,7 @@
 	if g.departedID = g.backend.ID; g.departedID == backend.ID {
 		g.departedID = "" // calls for this ID are also valid for its next incarnation
 	}
-	g.backend, g.present = backend, true
+	g.backend, g.present, g.saidLeaving = backend, true, false
 	g.generation++
 	g.running, g.serviceTime, g.slowdown, g.health, g.unreachableUntil, g.limit = 0, 0, slowdown{}, health{}, 0, namedLimit{}
 	g.dropWaiting(exchange.ReasonNoBackend)
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -114,6 +114,8 @@
 	mu      sync.Mutex
 	backend Backend
 	present bool
+	// saidLeaving is set once the back end has stated that it accepts no new calls.
+	saidLeaving bool
 	// departedID is the ID of the last back end that was removed or replaced.
 	departedID string
 	// generation increases with each back end; slots of earlier generations no longer count.
--- a/pkg/gate/statement.go
+++ b/pkg/gate/statement.go
@@ -65,6 +65,7 @@
 	if !said.Leaving || !g.present {
 		return false
 	}
+	g.saidLeaving = true
 	g.remove(exchange.ReasonRemoved)
 	return true
 }
