balancer, gate: a limit rejects calls of lower priority first; tests of whole services at their limits

The gate now reports the delay for a call of the same priority and the one for a call before all queued ones; a node that heard the first in answer to a less urgent call leaves the decision on an urgent one to the gate.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -36,6 +36,8 @@
 	report   exchange.Report
 	at       time.Duration
 	reported bool
+	// priority is that of the call that the report responded to.
+	priority int
 	// sent counts the calls sent to the gate since the report.
 	sent int
 }
@@ -64,6 +66,8 @@
 	LocalGateDecides bool
 	// Patience is how long the call may wait if no gate admits it immediately.
 	Patience time.Duration
+	// Priority is the priority of the call; 0 is the highest.
+	Priority int
 	// LargeResponse is set if the response is expected to be large; the score then includes the wait for the
 	// gate's link.
 	LargeResponse bool
@@ -102,17 +106,17 @@
 	if len(candidates) == 0 {
 		return nil, 0, p.noEndpointError()
 	}
-	candidates, err := excludeSaturated(candidates, now, r.Patience)
+	candidates, err := excludeSaturated(candidates, now, r)
 	if err != nil {
 		return nil, 0, err
 	}
 	candidates = r.Version.prefer(candidates)
-	if own := p.ownGate(candidates, now, r.OwnGateMaxService); own != nil {
-		return p.issueTicket(own), r.OwnGateWait, nil
+	if own := p.ownGate(candidates, now, r); own != nil {
+		return p.issueTicket(own, r.Priority), r.OwnGateWait, nil
 	}
-	params := scoreParams{now: now, fastest: minServiceTime(candidates), failureCost: r.failureCost(), largeResponse: r.LargeResponse}
+	params := scoreParams{now: now, fastest: minServiceTime(candidates), failureCost: r.failureCost(), largeResponse: r.LargeResponse, priority: r.Priority}
 	if free := p.bestFreeGate(candidates, params, r.FreeSlotMaxService); free != nil {
-		return p.issueTicket(free), r.Patience, nil
+		return p.issueTicket(free, r.Priority), r.Patience, nil
 	}
 	local := slices.DeleteFunc(slices.Clone(candidates), func(e *endpoint) bool { return !r.prefersLocal(e, params) })
 	wait := r.LocalWait
@@ -127,27 +131,27 @@
 	if best.rateLimited(now) {
 		wait = r.Patience
 	}
-	return p.issueTicket(best), wait, nil
+	return p.issueTicket(best, r.Priority), wait, nil
 }
 
 // issueTicket counts a call in flight to a gate and returns its ticket.
-func (p *Pool) issueTicket(e *endpoint) *Ticket {
+func (p *Pool) issueTicket(e *endpoint, priority int) *Ticket {
 	e.inFlight++
 	e.gate.sent++
 	return &Ticket{
 		pool: p, endpoint: e, Address: e.target.Gate,
-		ID: e.target.ID, Incarnation: e.target.Incarnation, Version: e.target.Version,
+		ID: e.target.ID, Incarnation: e.target.Incarnation, Version: e.target.Version, priority: priority,
 	}
 }
 
 // ownGate returns the back end beside the node if it is a candidate, has a low failure rate and a service
-// time of at most maxService; otherwise nil.
-func (p *Pool) ownGate(candidates []*endpoint, now, maxService time.Duration) *endpoint {
-	if p.config.OwnGate == "" || maxService <= 0 {
+// time of at most r.OwnGateMaxService; otherwise nil.
+func (p *Pool) ownGate(candidates []*endpoint, now time.Duration, r GateRequest) *endpoint {
+	if p.config.OwnGate == "" || r.OwnGateMaxService <= 0 {
 		return nil
 	}
 	for _, e := range candidates {
-		if e.target.Gate == p.config.OwnGate && e.preferredAsOwnGate(now, maxService) {
+		if e.target.Gate == p.config.OwnGate && e.preferredAsOwnGate(now, r) {
 			return e
 		}
 	}
@@ -156,9 +160,9 @@
 
 // preferredAsOwnGate reports whether the back end beside the node is fast and reliable enough, and would
 // admit the call without delay even if cold, so that it is preferred.
-func (e *endpoint) preferredAsOwnGate(now, maxService time.Duration) bool {
+func (e *endpoint) preferredAsOwnGate(now time.Duration, r GateRequest) bool {
 	service := time.Duration(e.serviceFactor(now) * float64(e.gate.report.ServiceTime))
-	return service <= maxService && e.failureRate(now) <= maxOwnGateFailureRate && e.rateWait(now) == 0
+	return service <= r.OwnGateMaxService && e.failureRate(now) <= maxOwnGateFailureRate && e.rateWait(now, r.Priority) == 0
 }
 
 // bestFreeGate returns the best candidate whose recent report shows a free slot and a service time of at most
@@ -191,10 +195,10 @@
 }
 
 // slotWait estimates how long a call waits for a slot at the gate.
-func (e *endpoint) slotWait(now time.Duration) time.Duration {
+func (e *endpoint) slotWait(now time.Duration, priority int) time.Duration {
 	queued := e.gateLoad(now) + 1 - e.gateCapacity()
 	wait := time.Duration(max(0, queued)) * e.gate.report.ServiceTime / time.Duration(e.gateCapacity())
-	return max(wait, e.rateWait(now))
+	return max(wait, e.rateWait(now, priority))
 }
 
 // minServiceTime returns the shortest reported service time among the candidates, zero if none is known.
@@ -253,6 +257,7 @@
 	fastest       time.Duration
 	failureCost   float64
 	largeResponse bool
+	priority      int
 }
 
 // prefersLocal reports whether a back end is in the node's own zone and its failure rate and expected wait are
@@ -307,6 +312,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.endpoint.recordReport(now, report)
+	t.endpoint.gate.priority = t.priority
 	t.pool.config.Statements.setLimit(t.ID, t.Incarnation, report.Limit)
 	t.endpoint.link = linkState{wait: report.LinkWait, at: now}
 }
--- a/pkg/balancer/link_wait.go
+++ b/pkg/balancer/link_wait.go
@@ -17,7 +17,7 @@
 // expectedWait estimates how long a call waits at the gate for a slot and, if its response is large, for the link.
 // Processing the call overlaps with the wait for the link.
 func (e *endpoint) expectedWait(params scoreParams) time.Duration {
-	wait := e.slotWait(params.now)
+	wait := e.slotWait(params.now, params.priority)
 	if params.largeResponse {
 		wait += max(0, e.linkWait(params.now)-e.gate.report.ServiceTime)
 	}
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -181,7 +181,8 @@
 	// Incarnation is the back end's incarnation in the node's endpoint list.
 	Incarnation uint64
 	// Version is the software version of the back end, empty if unknown.
-	Version string
+	Version  string
+	priority int
 }
 
 // Acquire picks a back end in one of the regions (empty means all) that is not excluded by ID. If all are at
--- a/pkg/exchange/limit.go
+++ b/pkg/exchange/limit.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// HeaderGateLimit carries the Limit of a gate's Report while its back end names one: Rate and AdmissionDelay in
-	// microseconds, separated by a comma. Nodes that do not know it read the rest of the report.
+	// HeaderGateLimit carries the Limit of a gate's Report while its back end names one: Rate, and AdmissionDelay and
+	// UrgentDelay in microseconds, separated by commas. Nodes that do not know it read the rest of the report.
 	HeaderGateLimit = "Gate-Limit"
 	// HeaderKnownLimit is the KnownLimit of the node that sends a call to a gate.
 	HeaderKnownLimit = "Gate-Known-Limit"
@@ -21,14 +21,16 @@
 	Named bool
 	// Rate is the limit in calls per second.
 	Rate float64
-	// AdmissionDelay is the expected delay until the gate can admit one more call.
+	// AdmissionDelay is the expected delay until the gate can admit one more call of the same priority as the call
+	// that the report responds to, UrgentDelay until it can admit one before all queued calls.
 	AdmissionDelay time.Duration
+	UrgentDelay    time.Duration
 }
 
 // Set writes HeaderGateLimit to the headers of a response, or nothing if no limit is named.
 func (l Limit) Set(header http.Header) {
 	if l.Named {
-		header.Set(HeaderGateLimit, formatRate(l.Rate)+","+strconv.FormatInt(max(0, l.AdmissionDelay).Microseconds(), 10))
+		header.Set(HeaderGateLimit, formatRate(l.Rate)+","+formatMicros(l.AdmissionDelay)+","+formatMicros(l.UrgentDelay))
 	}
 }
 
@@ -39,13 +41,30 @@
 	if text == "" {
 		return Limit{}
 	}
-	rateText, delayText, _ := strings.Cut(text, ",")
-	rate, ok := parseDecimal(rateText)
-	delay, err := strconv.ParseUint(delayText, 10, 48)
-	if !ok || err != nil {
+	parts := strings.Split(text, ",")
+	if len(parts) != limitFields {
+		return Limit{}
+	}
+	rate, ok := parseDecimal(parts[0])
+	delay, delayOK := parseMicros(parts[1])
+	urgent, urgentOK := parseMicros(parts[2])
+	if !ok || !delayOK || !urgentOK {
 		return Limit{}
 	}
-	return Limit{Named: true, Rate: rate, AdmissionDelay: time.Duration(delay) * time.Microsecond}
+	return Limit{Named: true, Rate: rate, AdmissionDelay: delay, UrgentDelay: urgent}
+}
+
+// limitFields is the number of fields in HeaderGateLimit.
+const limitFields = 3
+
+func formatMicros(d time.Duration) string { return strconv.FormatInt(max(0, d).Microseconds(), 10) }
+
+// maxMicrosBits bounds a parsed delay, so that it fits into a time.Duration.
+const maxMicrosBits = 48
+
+func parseMicros(text string) (time.Duration, bool) {
+	micros, err := strconv.ParseUint(text, 10, maxMicrosBits)
+	return time.Duration(micros) * time.Microsecond, err == nil
 }
 
 // KnownLimit is the limit that a back end named to a node, with its incarnation. Nodes pass it on with each call, so that
--- a/pkg/exchange/statement_test.go
+++ b/pkg/exchange/statement_test.go
@@ -62,14 +62,14 @@
 
 func TestReportCarriesTheLimit(t *testing.T) {
 	is := is.New(t)
-	for _, limit := range []Limit{{}, {Named: true}, {Named: true, Rate: 6.5, AdmissionDelay: 1500 * time.Microsecond}, {Named: true, Rate: 1e300}} {
+	for _, limit := range []Limit{{}, {Named: true}, {Named: true, Rate: 6.5, AdmissionDelay: 1500 * time.Microsecond, UrgentDelay: time.Millisecond}, {Named: true, Rate: 1e300}} {
 		header := http.Header{}
 		Report{Capacity: 4, Limit: limit}.Set(header)
 		report, ok := ReadReport(header)
 		is.True(ok)
 		is.Equal(report.Limit, limit)
 	}
-	for _, text := range []string{"x,1", "3", "3,x", "3,-1", "-3,1", "inf,1", "3,1,1"} {
+	for _, text := range []string{"x,1,1", "3", "3,1", "3,x,1", "3,-1,1", "3,1,x", "-3,1,1", "inf,1,1", "3,1,1,1"} {
 		is.Equal(ReadLimit(http.Header{HeaderGateLimit: {text}}), Limit{})
 	}
 }
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -72,7 +72,7 @@
 
 // gateRequest returns the part of the selection request that is independent of the link load.
 func (g *gatedCall) gateRequest(now time.Duration) balancer.GateRequest {
-	request := balancer.GateRequest{Excluded: g.excluded, Regions: g.route.Regions, Patience: g.maxWait(now), Repeatable: g.repeatable, LargeResponse: g.largeResponse()}
+	request := balancer.GateRequest{Excluded: g.excluded, Regions: g.route.Regions, Patience: g.maxWait(now), Priority: g.rank(), Repeatable: g.repeatable, LargeResponse: g.largeResponse()}
 	request.AvoidedRegions = g.handler.regionDelays.congested(now, g.largeResponse() || g.body.Size() > largeBodyBytes)
 	request.Version = g.versionChoice(now)
 	if g.countedAttempts == 0 {
--- /dev/null
+++ b/pkg/forward/limit_test.go
@@ -0,0 +1,271 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/bundle"
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/gate"
+	"bramblelift/pkg/routing"
+
+	"github.com/matryer/is"
+)
+
+// limitedBackend names a limit in its responses and records when calls arrive.
+type limitedBackend struct {
+	limit float64
+	work  time.Duration
+
+	mu    sync.Mutex
+	calls []time.Duration
+}
+
+func (b *limitedBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	b.calls = append(b.calls, sinceTestStart())
+	b.mu.Unlock()
+	time.Sleep(b.work)
+	w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
+	if b.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(b.limit, 'f', -1, 64))
+	}
+}
+
+// arrivedSince returns how many calls arrived since a time.
+func (b *limitedBackend) arrivedSince(at time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first, _ := slices.BinarySearch(b.calls, at)
+	return len(b.calls) - first
+}
+
+var testStart = time.Now()
+
+func sinceTestStart() time.Duration { return time.Since(testStart) }
+
+// limitedFleet is a number of nodes that share the gates of back ends which name limits.
+type limitedFleet struct {
+	nodes    []*gatedNode
+	backends []*limitedBackend
+
+	mu      sync.Mutex
+	results map[string]*limitedResult
+}
+
+// limitedResult counts the results of the calls of one route.
+type limitedResult struct {
+	served, rejected, others int
+	// rejectedAfter is how long rejected calls took, retryAfter what they were told.
+	rejectedAfter, retryAfter []time.Duration
+}
+
+// newLimitedFleet starts a fleet whose back ends have a capacity and name the given limits, zero for none. Calls to the
+// route "unsafe" have a higher priority than those to "safe".
+func newLimitedFleet(t *testing.T, nodes, capacity int, work time.Duration, limits ...float64) *limitedFleet {
+	t.Helper()
+	f := &limitedFleet{results: map[string]*limitedResult{"safe": {}, "unsafe": {}}}
+	var gates []string
+	for i, limit := range limits {
+		b := &limitedBackend{limit: limit, work: work}
+		server := httptest.NewServer(b)
+		t.Cleanup(server.Close)
+		headers := gatedHeaders
+		headers.Limit = []string{"Server-Limit"}
+		g := gate.New(gate.Config{Headers: headers, Now: sinceTestStart})
+		g.SetBackend(gate.Backend{ID: fmt.Sprintf("e%d", i), Service: "s", Address: server.Listener.Addr().String(), Capacity: capacity, Incarnation: 1})
+		gateServer := httptest.NewServer(g)
+		t.Cleanup(gateServer.Close)
+		f.backends, gates = append(f.backends, b), append(gates, gateServer.Listener.Addr().String())
+	}
+	state := gatedState(gates, slices.Repeat([]string{"z"}, len(gates)))
+	for i, route := range state.Active.Content.Routes {
+		state.Active.Content.Routes[i].Priority = map[string]int{"unsafe": 1, "safe": 5}[route.Name]
+		state.Active.Content.Routes[i].Timeout = bundle.Duration(time.Second)
+	}
+	for range nodes {
+		n := &gatedNode{}
+		handler := New(Config{Node: "n", Zone: "z", Now: sinceTestStart, Headers: gatedHeaders, Service: "shop"})
+		handler.SetTable(routing.New(state))
+		n.Server = httptest.NewServer(handler)
+		t.Cleanup(n.Close)
+		f.nodes = append(f.nodes, n)
+	}
+	return f
+}
+
+// send makes calls to a route at a rate per second, through the nodes in turn.
+func (f *limitedFleet) send(t *testing.T, route string, perSecond float64, lasting time.Duration) {
+	var group sync.WaitGroup
+	began, sent := time.Now(), 0
+	for ; time.Since(began) < lasting; time.Sleep(time.Millisecond) {
+		for due := int(time.Since(began).Seconds() * perSecond); sent <= due; sent++ {
+			node := f.nodes[sent%len(f.nodes)]
+			id := route + strconv.Itoa(sent)
+			group.Go(func() { f.callOnce(t, node, route, id) })
+		}
+	}
+	group.Wait()
+}
+
+func (f *limitedFleet) callOnce(t *testing.T, node *gatedNode, route, id string) {
+	began := time.Now()
+	response := node.call(t, "POST", "/"+route+"/x", "body", "Call-Id", id)
+	took := time.Since(began)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	result := f.results[route]
+	switch response.StatusCode {
+	case http.StatusOK:
+		result.served++
+	case http.StatusServiceUnavailable:
+		result.rejected++
+		result.rejectedAfter = append(result.rejectedAfter, took)
+		result.retryAfter = append(result.retryAfter, retryAfter(t, response))
+	default:
+		result.others++
+	}
+}
+
+// Calls beyond one back end's limit go to others, which have room, and the back end still gets nearly its limit.
+func TestCallsBeyondANamedLimitGoToOtherBackEnds(t *testing.T) {
+	is := is.New(t)
+	const limit, seconds = 10, 3
+	f := newLimitedFleet(t, 3, 6, 20*time.Millisecond, limit, 0, 0)
+	f.send(t, "unsafe", 60, 300*time.Millisecond)
+	began := sinceTestStart()
+	f.send(t, "unsafe", 300, seconds*time.Second)
+	r := f.results["unsafe"]
+	got := f.backends[0].arrivedSince(began)
+	t.Logf("%d served, %d rejected; %d calls in %d s at a limit of %d", r.served, r.rejected, got, seconds, limit)
+	is.Equal(r.others, 0)
+	is.True(r.rejected*200 <= r.served)
+	is.True(got <= limit*seconds+limit/4+2)
+	is.True(float64(got) >= 0.85*limit*seconds)
+}
+
+// If all back ends of a service name limits, they get nearly as much, calls of lower priority are rejected first, and at
+// once, and are told to come back when there may be room.
+func TestServiceWhoseBackEndsAllNameLimits(t *testing.T) {
+	is := is.New(t)
+	const limit, seconds = 20, 4
+	f := newLimitedFleet(t, 3, 6, 20*time.Millisecond, limit, limit, limit)
+	f.send(t, "safe", 200, 300*time.Millisecond)
+	began := sinceTestStart()
+	var group sync.WaitGroup
+	group.Go(func() { f.send(t, "unsafe", 30, seconds*time.Second) })
+	group.Go(func() { f.send(t, "safe", 300, seconds*time.Second) })
+	group.Wait()
+	got := 0
+	for _, b := range f.backends {
+		calls := b.arrivedSince(began)
+		is.True(calls <= limit*seconds+limit/4+limit) // rejected calls waited less than a second
+		got += calls
+	}
+	low, high := f.results["safe"], f.results["unsafe"]
+	slices.Sort(low.rejectedAfter)
+	median := low.rejectedAfter[len(low.rejectedAfter)/2]
+	t.Logf("%d of %d calls admitted; high: %d served, %d rejected; low: %d served, %d rejected, half of them within %s, at least %s told",
+		got, 3*limit*seconds, high.served, high.rejected, low.served, low.rejected, median, slices.Min(low.retryAfter))
+	is.Equal(low.others+high.others, 0)
+	is.True(float64(got) >= 0.85*3*limit*seconds)
+	is.True(high.rejected*20 <= high.served)
+	is.True(median < 60*time.Millisecond)
+	is.True(slices.Min(low.retryAfter) >= 20*time.Millisecond)
+}
+
+// rejectingAtLimit rejects calls as the gate of a back end that names a limit does.
+func rejectingAtLimit(delay time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		exchange.Report{Capacity: 4, Limit: exchange.Limit{Named: true, Rate: 0.5, AdmissionDelay: delay}}.Set(w.Header())
+		rejectWith(exchange.ReasonLimit, NotRun)(w, r)
+	}
+}
+
+// Guards against a Retry-After before any back end has room, and against attempts at gates that are known to have none.
+func TestRetryAfterIsNotBeforeALimitHasRoom(t *testing.T) {
+	is := is.New(t)
+	first, attempted := fakeGate(t, rejectingAtLimit(5*time.Second))
+	second, _ := fakeGate(t, rejectingAtLimit(3*time.Second))
+	n := newGatedNode(t, 0, first, second)
+	for i := range 5 {
+		after := retryAfter(t, n.call(t, "POST", "/unsafe/x", "body"))
+		is.True(after >= 2900*time.Millisecond)
+		is.True(after <= 4*time.Second)
+		is.True(attempted.Load() <= int64(min(i+1, 2)))
+	}
+}
+
+// Each call carries the limit that the back end named last, until it names none; another incarnation starts anew.
+func TestCallsCarryTheLimitThatTheBackEndNamed(t *testing.T) {
+	is := is.New(t)
+	var known string
+	limit := exchange.Limit{Named: true, Rate: 50}
+	address, _ := fakeGate(t, func(w http.ResponseWriter, r *http.Request) {
+		known = r.Header.Get(exchange.HeaderKnownLimit)
+		exchange.Report{Capacity: 4, Limit: limit}.Set(w.Header())
+		respondOK(w, r)
+	})
+	handler := New(Config{Node: "n", Zone: "z", Now: sinceTestStart, Headers: gatedHeaders, Service: "shop"})
+	state := gatedState([]string{address}, []string{"z"})
+	handler.SetTable(routing.New(state))
+	n := &gatedNode{Server: httptest.NewServer(handler)}
+	t.Cleanup(n.Close)
+	call := func() string {
+		n.call(t, "POST", "/unsafe/x", "body", exchange.HeaderKnownLimit, "1,1")
+		return known
+	}
+	is.Equal(call(), "")
+	is.Equal(call(), "50,1")
+	empty := gatedState(nil, nil)
+	empty.Active.Content.Services, empty.Active.Content.Routes = nil, nil
+	handler.SetTable(routing.New(empty))
+	handler.SetTable(routing.New(state))
+	is.Equal(call(), "50,1") // it outlives the service's removal
+	limit = exchange.Limit{}
+	is.Equal(call(), "50,1")
+	is.Equal(call(), "")
+	limit = exchange.Limit{Named: true, Rate: 7}
+	call()
+	endpoint := state.Endpoints["s"]["e0"]
+	endpoint.Incarnation = 2
+	state.Endpoints["s"]["e0"] = endpoint
+	handler.SetTable(routing.New(state))
+	is.Equal(call(), "")
+}
+
+// A node that passed on that a back end leaves does not choose it again, though an outdated endpoint list, or one in which
+// the service was missing for a while, shows it; a later incarnation is chosen.
+func TestNodeRemembersThatABackEndLeaves(t *testing.T) {
+	is := is.New(t)
+	address, calls := fakeGate(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Server-Leaving", "1")
+		respondOK(w, r)
+	})
+	headers := gatedHeaders
+	headers.Leaving = []string{"Server-Leaving"}
+	handler := New(Config{Node: "n", Zone: "z", Now: sinceTestStart, Headers: headers, Service: "shop"})
+	state := gatedState([]string{address}, []string{"z"})
+	handler.SetTable(routing.New(state))
+	n := &gatedNode{Server: httptest.NewServer(handler)}
+	t.Cleanup(n.Close)
+	is.Equal(n.call(t, "POST", "/unsafe/x", "body").StatusCode, http.StatusOK)
+	is.Equal(n.call(t, "POST", "/unsafe/x", "body").StatusCode, http.StatusServiceUnavailable)
+	empty := gatedState(nil, nil)
+	empty.Active.Content.Services, empty.Active.Content.Routes = nil, nil
+	handler.SetTable(routing.New(empty))
+	handler.SetTable(routing.New(state))
+	is.Equal(n.call(t, "POST", "/unsafe/x", "body").StatusCode, http.StatusServiceUnavailable)
+	is.Equal(calls.Load(), int64(1))
+	endpoint := state.Endpoints["s"]["e0"]
+	endpoint.Incarnation = 2
+	state.Endpoints["s"]["e0"] = endpoint
+	handler.SetTable(routing.New(state))
+	is.Equal(n.call(t, "POST", "/unsafe/x", "body").StatusCode, http.StatusOK)
+}
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"bramblelift/pkg/exchange"
@@ -377,18 +378,21 @@
 }
 
 // Report returns the current load of the gate and the state of its back end.
-func (g *Gate) Report() exchange.Report {
+func (g *Gate) Report() exchange.Report { return g.reportFor(math.MaxInt) }
+
+// reportFor returns the report to a call with the given priority.
+func (g *Gate) reportFor(priority int) exchange.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.report()
+	return g.report(priority)
 }
 
-// report implements Report. g.mu must be held.
-func (g *Gate) report() exchange.Report {
+// report implements reportFor. g.mu must be held.
+func (g *Gate) report(priority int) exchange.Report {
 	now := g.config.Now()
 	g.reportColdChange(now)
 	return exchange.Report{
 		Running: g.running, Queued: len(g.queue) + g.receiving, Capacity: max(1, g.backend.Capacity),
-		ServiceTime: g.serviceTime, FailureRate: g.health.failing(now), Cold: g.coldReport(now), Limit: g.limitReport(now), LinkWait: g.reportedLinkWait(),
+		ServiceTime: g.serviceTime, FailureRate: g.health.failing(now), Cold: g.coldReport(now), Limit: g.limitReport(now, priority), LinkWait: g.reportedLinkWait(),
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -84,6 +84,7 @@
 // Call describes a finished call for logs and metrics.
 type Call struct {
 	RequestID string
+	Priority  int
 	// Reason is why there is no response of the back end, empty if there is one.
 	Reason exchange.Reason
 	Err    error
@@ -199,7 +200,7 @@
 func (g *Gate) receiveBodyFirst(r *http.Request) *http.Response {
 	arrived := g.config.Now()
 	req := g.readArrival(r.Header, arrived)
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), TransitDelay: req.transitDelay, Reason: g.startReceiving(req)}
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Priority: req.priority, TransitDelay: req.transitDelay, Reason: g.startReceiving(req)}
 	if call.Reason != "" {
 		return g.reject(&call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
@@ -261,7 +262,7 @@
 // admitAndSend waits for a slot and forwards the call, or returns a rejection. It rejects the call
 // if its large response could not be sent in time.
 func (g *Gate) admitAndSend(r *http.Request, req request, attach attachBody) *http.Response {
-	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), TransitDelay: req.transitDelay}
+	call := Call{RequestID: r.Header.Get(g.config.Headers.RequestID), Priority: req.priority, TransitDelay: req.transitDelay}
 	reserved, inTime := g.reserveResponse(req)
 	if !inTime {
 		call.Reason = exchange.ReasonLink
@@ -387,7 +388,7 @@
 	} else {
 		response.Body = &notifyingBody{ReadCloser: response.Body, onClose: sync.OnceFunc(finish)}
 	}
-	call.Report = g.Report()
+	call.Report = g.reportFor(call.Priority)
 	call.Report.Set(response.Header)
 	response.Header.Set(exchange.HeaderWork, strconv.FormatInt(call.Service.Microseconds(), 10))
 	g.notifyCall(call)
@@ -446,7 +447,7 @@
 
 // reject returns a response of the gate itself.
 func (g *Gate) reject(call *Call, status int, outcome exchange.Outcome) *http.Response {
-	call.Report = g.Report()
+	call.Report = g.reportFor(call.Priority)
 	header := http.Header{}
 	header.Set(exchange.HeaderOutcome, string(outcome))
 	header.Set(exchange.HeaderReason, string(call.Reason))
--- a/pkg/gate/limit.go
+++ b/pkg/gate/limit.go
@@ -182,7 +182,14 @@
 	}
 }
 
-// limitReport returns the named limit for the load report. g.mu must be held.
-func (g *Gate) limitReport(now time.Duration) exchange.Limit {
-	return exchange.Limit{Named: g.limit.limited, Rate: g.limit.rate, AdmissionDelay: g.limit.wait(now, len(g.queue)+g.receiving)}
+// limitReport returns the named limit for the load report to a call with the given priority. g.mu must be held.
+func (g *Gate) limitReport(now time.Duration, priority int) exchange.Limit {
+	if !g.limit.limited {
+		return exchange.Limit{}
+	}
+	ahead := g.queue.ahead(&waiter{priority: priority, deadline: maxDeadline}) + g.receiving
+	return exchange.Limit{Named: true, Rate: g.limit.rate, AdmissionDelay: g.limit.wait(now, ahead), UrgentDelay: g.limit.wait(now, 0)}
 }
+
+// maxDeadline is after every deadline.
+const maxDeadline = time.Duration(math.MaxInt64)
--- a/pkg/gate/sender.go
+++ b/pkg/gate/sender.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"net/http"
 
 	"bramblelift/pkg/exchange"
@@ -17,7 +18,7 @@
 	if !free {
 		return ""
 	}
-	return exchange.Sender{ID: g.backend.ID, Report: g.report()}.String()
+	return exchange.Sender{ID: g.backend.ID, Report: g.report(math.MaxInt)}.String()
 }
 
 // reportSender passes the load of the back end beside a call's sender to OnSender.
