gate, balancer, forward: limits leave room for urgent calls, and limited back ends use up no attempts

Urgent calls that may wait less than the 167 ms that a token takes came too late for each. The bucket, of at least two tokens, now keeps one for the highest priority of the last two seconds. Each node tries three gates for a free slot, and took the limited ones for free: it does not know the calls of other nodes. Rejections by a limit no longer count among the three, the call goes to these gates again only if there are no others, and the node sends them no call for a random, exponentially growing pause.

Weighed and dropped: half an interval as a penalty in the score.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -38,6 +38,10 @@
 	reported bool
 	// priority is that of the call that the report responded to.
 	priority int
+	// limitBackoff is when this node sends calls again that the limit rejected, limitRejections the number of
+	// rejections since the last admitted call.
+	limitBackoff    time.Duration
+	limitRejections int
 	// sent counts the calls sent to the gate since the report.
 	sent int
 }
@@ -128,7 +132,7 @@
 			wait = r.Patience
 		}
 	}
-	if best.rateLimited(now) {
+	if best.delayed(now, r.Priority) {
 		wait = r.Patience
 	}
 	return p.issueTicket(best, r.Priority), wait, nil
@@ -176,7 +180,7 @@
 		if params.largeResponse && e.linkWait(params.now) > e.gate.report.ServiceTime {
 			return true
 		}
-		return !recent || e.gateLoad(params.now) >= e.gateCapacity() || e.gate.report.ServiceTime > maxService || e.rateLimited(params.now)
+		return !recent || e.gateLoad(params.now) >= e.gateCapacity() || e.gate.report.ServiceTime > maxService || e.delayed(params.now, params.priority)
 	})
 	return p.bestGate(free, params)
 }
@@ -304,7 +308,7 @@
 
 // recordReport stores the newest report of the back end's gate.
 func (e *endpoint) recordReport(now time.Duration, report exchange.Report) {
-	e.gate = gateState{report: report, at: now, reported: true}
+	e.gate = gateState{report: report, at: now, reported: true, limitBackoff: e.gate.limitBackoff, limitRejections: e.gate.limitRejections}
 }
 
 // UpdateGateReport stores the report that came with a gate's response, including the wait for its link.
--- a/pkg/balancer/limit.go
+++ b/pkg/balancer/limit.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"bramblelift/pkg/exchange"
 )
 
 // LimitError reports that no candidate back end can admit the call within its patience, at least one of them
@@ -17,16 +19,15 @@
 	return "all back ends have as many calls as the limits that they name allow"
 }
 
-// rateLimited reports whether the back end's gate admits calls at a limited rate, because the back end is cold or
-// names a limit.
-func (e *endpoint) rateLimited(now time.Duration) bool {
-	return e.coldRemaining(now) > 0 || e.gate.report.Limit.Named
+// delayed reports whether the back end is cold, or names a limit that delays a call.
+func (e *endpoint) delayed(now time.Duration, priority int) bool {
+	return e.coldRemaining(now) > 0 || e.limitWait(now, priority) > 0
 }
 
-// limitWait estimates how long the limit that the back end names delays a call, from the gate's last report and the calls
+// limitDelay estimates how long the limit that the back end names delays a call, from the gate's last report and the calls
 // that this node has sent since. If the report responded to a call of lower priority, only the gate knows what is queued
 // before the call.
-func (e *endpoint) limitWait(now time.Duration, priority int) time.Duration {
+func (e *endpoint) limitDelay(now time.Duration, priority int) time.Duration {
 	limit := e.gate.report.Limit
 	if !limit.Named {
 		return 0
@@ -35,12 +36,42 @@
 		return max(0, e.gate.at+limit.UrgentDelay-now)
 	}
 	admittedIn := e.gate.at + limit.AdmissionDelay - now
-	if limit.Rate > 0 {
-		admittedIn += time.Duration(float64(e.gate.sent) / limit.Rate * float64(time.Second))
-	}
+	admittedIn += time.Duration(float64(e.gate.sent) / max(limit.Rate, exchange.MinLimit) * float64(time.Second))
 	return max(0, admittedIn)
 }
 
+// limitWait returns how long this node sends the back end no call of a priority because of its limit: limitDelay, or the
+// rest of the pause after rejections of calls that were no less urgent.
+func (e *endpoint) limitWait(now time.Duration, priority int) time.Duration {
+	wait := e.limitDelay(now, priority)
+	if e.gate.report.Limit.Named && priority >= e.gate.priority {
+		wait = max(wait, e.gate.limitBackoff-now)
+	}
+	return wait
+}
+
+// maxLimitBackoff bounds the exponent and the length of the pause after rejections.
+const (
+	maxLimitBackoffExponent = 4
+	maxLimitBackoff         = 2 * time.Second
+)
+
+// RecordLimitRejection records that the limit which the back end names rejected the call. Other nodes learn at the same time
+// when the gate admits the next call; after a random, exponential pause fewer of them ask for it at once.
+func (t *Ticket) RecordLimitRejection(now time.Duration) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	gate := &t.endpoint.gate
+	interval := float64(time.Second) / max(gate.report.Limit.Rate, exchange.MinLimit)
+	share := float64(t.pool.config.Random(1000)) / 1000
+	spread := time.Duration(share * interval * float64(int(1)<<min(gate.limitRejections, maxLimitBackoffExponent)))
+	gate.limitRejections++
+	gate.limitBackoff = now + gate.report.Limit.AdmissionDelay + min(spread, maxLimitBackoff)
+}
+
+// recordLimitAdmission ends the backoff after a call that was not rejected by the limit.
+func (e *endpoint) recordLimitAdmission() { e.gate.limitRejections, e.gate.limitBackoff = 0, 0 }
+
 // rateWait estimates how long the rate limits of the back end's gate delay a call.
 func (e *endpoint) rateWait(now time.Duration, priority int) time.Duration {
 	return max(e.coldWait(now), e.limitWait(now, priority))
@@ -55,7 +86,7 @@
 		if remaining := e.coldRemaining(now); i == 0 || remaining < warmIn {
 			warmIn = remaining
 		}
-		if wait := e.rateWait(now, r.Priority); i == 0 || wait < roomIn {
+		if wait := max(e.coldWait(now), e.limitDelay(now, r.Priority)); i == 0 || wait < roomIn {
 			roomIn = wait
 		}
 		limited = limited || e.limitWait(now, r.Priority) > r.Patience
--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -85,7 +85,7 @@
 func (g *gatedCall) chooseOnFreeLink(now time.Duration) (*balancer.Ticket, time.Duration, error) {
 	request := g.gateRequest(now)
 	if len(g.full) < maxFreeSlotAttempts && g.countedAttempts < maxGateAttempts {
-		request.Excluded = slices.Concat(g.excluded, g.full)
+		request.Excluded = slices.Concat(g.excluded, g.full, g.limited)
 		request.LocalWait = g.localWait(now)
 		request.LocalGateDecides = g.body.Size() > largeBodyBytes
 		if g.largeResponse() {
@@ -95,9 +95,14 @@
 		if err == nil || len(g.full) == 0 {
 			return ticket, wait, err
 		}
-		request.Excluded, request.LocalWait, request.LocalGateDecides = g.excluded, 0, false
+		request.LocalWait, request.LocalGateDecides = 0, false
 	}
+	request.Excluded = slices.Concat(g.excluded, g.limited)
 	ticket, _, err := g.service.pool.AcquireGate(now, request)
+	if err != nil && len(g.limited) > 0 {
+		request.Excluded = g.excluded
+		ticket, _, err = g.service.pool.AcquireGate(now, request)
+	}
 	g.finalWait = true
 	return ticket, request.Patience, err
 }
@@ -109,7 +114,7 @@
 		return nil, 0, errGatesFull
 	}
 	request := g.gateRequest(now)
-	request.Excluded = slices.Concat(g.excluded, g.full)
+	request.Excluded = slices.Concat(g.excluded, g.full, g.limited)
 	request.OwnGateWait = g.ownGateWait(now, request.Patience)
 	request.LocalGateDecides = g.body.Size() > largeBodyBytes
 	if len(g.full) == 0 {
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -62,6 +62,8 @@
 	// one of these back ends can be sent a call.
 	limitRejections int
 	untilRoom       time.Duration
+	// limited are the back ends whose limits rejected the call. It goes to them again only if there are no others.
+	limited []string
 }
 
 // serveThroughGates serves a call to a service whose back ends have gates.
@@ -217,6 +219,9 @@
 	}
 	if failure.reason == exchange.ReasonLimit {
 		g.recordLimitRejection(failure.report)
+		ticket.RecordLimitRejection(g.now())
+		g.limited = ticket.AppendExcluded(g.limited)
+		return
 	}
 	if wait := failure.report.LinkWait; wait > 0 && (g.linkWait == 0 || wait < g.linkWait) {
 		g.linkWait = wait
--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -11,7 +11,7 @@
 
 const (
 	// maxLimitRejections is how many gates may reject a call because of the limits that their back ends name before
-	// the node rejects it: if a whole service is in need, all its gates respond alike.
+	// the node rejects it while its link is busy: if a whole service is in need, all its gates respond alike.
 	maxLimitRejections = 3
 	// limitRetryJitter is the fraction of the time until there is room over which retries of rejected calls are spread.
 	limitRetryJitter = 0.3
@@ -37,7 +37,7 @@
 
 // namedLimitsReached reports whether the call must not attempt another gate after this rejection.
 func (g *gatedCall) namedLimitsReached(failure *gateFailure) bool {
-	return failure.reason == exchange.ReasonLimit && g.limitRejections >= maxLimitRejections
+	return g.linkBusy && failure.reason == exchange.ReasonLimit && g.limitRejections >= maxLimitRejections
 }
 
 // retryAfterLimit returns when the caller should retry if named limits were the reason: not before the first back end can
--- a/pkg/forward/limit_test.go
+++ b/pkg/forward/limit_test.go
@@ -269,3 +269,42 @@
 	handler.SetTable(routing.New(state))
 	is.Equal(n.call(t, "POST", "/unsafe/x", "body").StatusCode, http.StatusOK)
 }
+
+// Guards against limited back ends that use up the attempts of calls which others could serve: half of the back ends name
+// limits below their share, and the others have room for the rest.
+func TestLimitedBackEndsDoNotUseUpTheAttempts(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleet(t, 12, 6, 230*time.Millisecond, 1, 1, 1, 1, 1, 1, 0, 0, 0, 0, 0, 0)
+	f.sendBoth(t, 26, 77, 4*time.Second)
+	high, low := f.results["unsafe"], f.results["safe"]
+	t.Logf("high: %d served, %d rejected; low: %d served, %d rejected", high.served, high.rejected, low.served, low.rejected)
+	is.True(high.rejected+low.rejected <= 4)
+}
+
+// Guards against calls of lower priority that take each token as it comes, while those of higher priority, which cannot
+// wait as long as a token takes, are rejected.
+func TestUrgentCallsThatCannotWaitComeFirst(t *testing.T) {
+	is := is.New(t)
+	const seconds = 4
+	f := newLimitedFleet(t, 12, 6, 230*time.Millisecond, 6, 6, 6, 6, 6, 6, 6)
+	f.sendBoth(t, 26, 77, 500*time.Millisecond)
+	f.results = map[string]*limitedResult{"safe": {}, "unsafe": {}}
+	began := sinceTestStart()
+	f.sendBoth(t, 26, 77, seconds*time.Second)
+	high, low := f.results["unsafe"], f.results["safe"]
+	got := 0
+	for _, b := range f.backends {
+		got += b.arrivedSince(began)
+	}
+	t.Logf("high: %d served, %d rejected; low: %d served, %d rejected; %d calls in %d s at limits of 42", high.served, high.rejected, low.served, low.rejected, got, seconds)
+	is.True(high.rejected*20 <= high.served)
+	is.True(float64(got) >= 0.85*42*seconds)
+}
+
+// sendBoth sends calls to both routes at the given rates per second.
+func (f *limitedFleet) sendBoth(t *testing.T, high, low float64, lasting time.Duration) {
+	var group sync.WaitGroup
+	group.Go(func() { f.send(t, "unsafe", high, lasting) })
+	group.Go(func() { f.send(t, "safe", low, lasting) })
+	group.Wait()
+}
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -169,9 +169,10 @@
 		return admission{}, reason
 	}
 	g.adoptKnownLimit(now, req)
+	g.urgent.record(now, req.priority)
 	g.reportColdChange(now)
 	g.probeIfAssumed(now)
-	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.nextAdmission(now) <= now {
+	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.nextAdmission(now, req.priority) <= now {
 		adm := g.takeCountedSlot(now, req.work, req.hint)
 		g.mu.Unlock()
 		return adm, ""
@@ -200,7 +201,7 @@
 	}
 	g.adoptKnownLimit(now, req)
 	queued := g.queue.ahead(req.waiter(now))
-	if g.rateWait(now, g.receiving+queued) > req.wait {
+	if g.rateWait(now, g.receiving+queued, req.priority) > req.wait {
 		return g.rateReason(now)
 	}
 	ahead := max(0, g.running+g.receiving+1-g.backend.Capacity) + queued
@@ -252,7 +253,7 @@
 // expectedWait estimates how long a call would wait. g.mu must be held.
 func (g *Gate) expectedWait(now time.Duration, w *waiter) time.Duration {
 	ahead := g.queue.ahead(w)
-	rateWait := g.rateWait(now, ahead)
+	rateWait := g.rateWait(now, ahead, w.priority)
 	if g.running < g.backend.Capacity && rateWait > 0 {
 		return rateWait
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -140,6 +140,7 @@
 	rolloutActive atomic.Bool
 	cold          coldState
 	limit         namedLimit
+	urgent        urgentCalls
 	// reportedCold is the state that was last passed to OnCold.
 	reportedCold bool
 	// dispatchTimer calls dispatch at dispatchDue, nil if none is scheduled.
--- a/pkg/gate/gate_cold.go
+++ b/pkg/gate/gate_cold.go
@@ -123,7 +123,7 @@
 func (g *Gate) dispatch() {
 	for g.running < g.backend.Capacity && len(g.queue) > 0 {
 		now := g.config.Now()
-		if next := g.nextAdmission(now); next > now {
+		if next := g.nextAdmission(now, g.queue[0].priority); next > now {
 			g.scheduleDispatch(now, next)
 			return
 		}
--- a/pkg/gate/limit.go
+++ b/pkg/gate/limit.go
@@ -9,17 +9,18 @@
 
 const (
 	// limitBurst is how far calls may run ahead of a named rate, so that calls which arrive unevenly can use
-	// all of it.
+	// all of it. It is at least one call.
 	limitBurst = 250 * time.Millisecond
-	// minNamedRate is the lowest rate in calls per second that is enforced. A back end that names a lower one, or zero,
-	// still gets a call now and then: only its answer can end the limit.
-	minNamedRate = 0.25
 	// reportedChange is the smallest relative change of a limit that is reported.
 	reportedChange = 0.2
+	// urgentWindow is how long after a call the gate keeps a token for further calls of its priority.
+	urgentWindow = 2 * time.Second
+	// tokenError is the rounding error of the tokens.
+	tokenError = 1e-6
 )
 
-// namedLimit limits the calls to the rate that the back end names in its responses. It does no I/O and
-// reads no clock. The zero value is no limit.
+// namedLimit limits the calls to the rate that the back end names in its responses, with a token bucket. It does no I/O
+// and reads no clock. The zero value is no limit.
 type namedLimit struct {
 	// rate is in calls per second, if limited.
 	rate    float64
@@ -29,8 +30,9 @@
 	heard bool
 	// namedAt is when a response last named a limit.
 	namedAt time.Duration
-	// next is when the next call is due at the rate; it may be admitted limitBurst earlier.
-	next time.Duration
+	// tokens are the calls that may be admitted at refilledAt. They are negative after calls that could not be delayed.
+	tokens     float64
+	refilledAt time.Duration
 	// reported and reportedLimited are rate and limited as of the last reported change.
 	reported        float64
 	reportedLimited bool
@@ -61,43 +63,71 @@
 	}
 }
 
-// setRate changes the rate. Calls admitted ahead of the old rate count the same at the new one.
+// setRate changes the rate. A new limit begins with one token, so that frequent restarts of the gate add few calls.
 func (l *namedLimit) setRate(now time.Duration, rate float64) {
-	before, ahead := l.interval(), max(0, l.next-now)
-	if !l.limited {
-		ahead = 0
+	if l.limited {
+		l.refill(now)
+	} else {
+		l.tokens, l.refilledAt = 1, now
 	}
 	l.rate, l.limited = rate, true
-	if ahead > 0 && before > 0 {
-		ahead = time.Duration(float64(ahead) / float64(before) * float64(l.interval()))
-	}
-	l.next = now + ahead
 }
 
-// interval returns the time between two calls at the rate, zero for no limit.
-func (l *namedLimit) interval() time.Duration {
-	if !l.limited {
-		return 0
-	}
-	return time.Duration(float64(time.Second) / max(l.rate, minNamedRate))
+// enforcedRate is the rate at which tokens are added.
+func (l *namedLimit) enforcedRate() float64 { return max(l.rate, exchange.MinLimit) }
+
+// refill adds the tokens of the time since refilledAt.
+func (l *namedLimit) refill(now time.Duration) {
+	size := 1 + max(1, l.enforcedRate()*limitBurst.Seconds())
+	l.tokens = min(size, l.tokens+l.enforcedRate()*(now-l.refilledAt).Seconds())
+	l.refilledAt = now
 }
 
 // charge counts a call that is sent to the back end.
 func (l *namedLimit) charge(now time.Duration) {
 	if l.limited {
-		l.next = max(l.next, now) + l.interval()
+		l.refill(now)
+		l.tokens--
 	}
 }
 
 // refund reverts the charge for a call that was not sent.
-func (l *namedLimit) refund() { l.next -= l.interval() }
+func (l *namedLimit) refund() { l.tokens++ }
 
-// wait returns how long a call waits for the limit with ahead calls before it.
-func (l *namedLimit) wait(now time.Duration, ahead int) time.Duration {
+// wait returns how long a call waits for the limit with ahead calls before it, and reserved tokens left for others.
+func (l *namedLimit) wait(now time.Duration, ahead, reserved int) time.Duration {
 	if !l.limited {
 		return 0
 	}
-	return max(0, l.next-limitBurst-now) + time.Duration(ahead)*l.interval()
+	l.refill(now)
+	missing := float64(1+ahead+reserved) - l.tokens
+	if missing <= tokenError {
+		return 0
+	}
+	return time.Duration(missing / l.enforcedRate() * float64(time.Second))
+}
+
+// urgentCalls is the highest priority of recent calls. While calls wait for a limit, one token is kept for it: calls that
+// cannot wait are otherwise rejected whenever one of lower priority came first.
+type urgentCalls struct {
+	seen     bool
+	priority int
+	at       time.Duration
+}
+
+// record counts a call.
+func (u *urgentCalls) record(now time.Duration, priority int) {
+	if !u.seen || priority <= u.priority || now-u.at > urgentWindow {
+		u.seen, u.priority, u.at = true, priority, now
+	}
+}
+
+// reserved returns the tokens that a call with the given priority must leave.
+func (u *urgentCalls) reserved(now time.Duration, priority int) int {
+	if u.seen && priority > u.priority && now-u.at <= urgentWindow {
+		return 1
+	}
+	return 0
 }
 
 // changed reports whether the limit differs from the last reported one by enough to be reported, and marks
@@ -143,22 +173,28 @@
 	}
 }
 
-// nextAdmission returns the earliest time at which the cold rate and the named limit admit a call. g.mu must be held.
-func (g *Gate) nextAdmission(now time.Duration) time.Duration {
-	return max(g.cold.nextAdmission(now), now+g.limit.wait(now, 0))
+// nextAdmission returns the earliest time at which the cold rate and the named limit admit a call with the given priority.
+// g.mu must be held.
+func (g *Gate) nextAdmission(now time.Duration, priority int) time.Duration {
+	return max(g.cold.nextAdmission(now), now+g.limitWait(now, 0, priority))
+}
+
+// limitWait estimates how long a call waits for the named limit with ahead calls before it. g.mu must be held.
+func (g *Gate) limitWait(now time.Duration, ahead, priority int) time.Duration {
+	return g.limit.wait(now, ahead, g.urgent.reserved(now, priority))
 }
 
 // rateWait estimates how long a call waits for the cold rate and the named limit with ahead calls before it. g.mu must
 // be held.
-func (g *Gate) rateWait(now time.Duration, ahead int) time.Duration {
-	return max(g.cold.wait(now, ahead), g.limit.wait(now, ahead))
+func (g *Gate) rateWait(now time.Duration, ahead, priority int) time.Duration {
+	return max(g.cold.wait(now, ahead), g.limitWait(now, ahead, priority))
 }
 
 // rateReason returns the reason to reject a call that would wait too long for the cold rate or the named limit. g.mu must
 // be held.
 func (g *Gate) rateReason(now time.Duration) exchange.Reason {
 	queued := len(g.queue)
-	if g.limit.limited && g.limit.wait(now, queued) >= g.cold.wait(now, queued) {
+	if g.limit.limited && g.limit.wait(now, queued, 0) >= g.cold.wait(now, queued) {
 		return exchange.ReasonLimit
 	}
 	return exchange.ReasonCold
@@ -172,7 +208,7 @@
 	}
 	kept := 0
 	for _, w := range g.queue.inOrder() {
-		if now+g.limit.wait(now, kept) <= w.waitsUntil {
+		if now+g.limitWait(now, kept, w.priority) <= w.waitsUntil {
 			kept++
 			continue
 		}
@@ -188,7 +224,7 @@
 		return exchange.Limit{}
 	}
 	ahead := g.queue.ahead(&waiter{priority: priority, deadline: maxDeadline}) + g.receiving
-	return exchange.Limit{Named: true, Rate: g.limit.rate, AdmissionDelay: g.limit.wait(now, ahead), UrgentDelay: g.limit.wait(now, 0)}
+	return exchange.Limit{Named: true, Rate: g.limit.rate, AdmissionDelay: g.limitWait(now, ahead, priority), UrgentDelay: g.limit.wait(now, 0, 0)}
 }
 
 // maxDeadline is after every deadline.
