forward: a gate's rejection does not make a node forget a limit

A gate that has just restarted has no back end until its next heartbeat, and rejects calls with a report that holds no limit. Nodes took that for the end of the limit, so that none could tell the gate of it once it admitted calls: the back end then got what fits into its slots until its first answer. A node now forgets a limit only when the back end's own answer passes a gate that knows of none. TestRejectionDoesNotEndAKnownLimit failed before (the next call carried no limit).

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -317,7 +317,9 @@
 	defer t.pool.mu.Unlock()
 	t.endpoint.recordReport(now, report)
 	t.endpoint.gate.priority = t.priority
-	t.pool.config.Statements.setLimit(t.ID, t.Incarnation, report.Limit)
+	if report.Limit.Named {
+		t.pool.config.Statements.setLimit(t.ID, t.Incarnation, report.Limit)
+	}
 	t.endpoint.link = linkState{wait: report.LinkWait, at: now}
 }
 
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -104,14 +104,13 @@
 			peer: ticket.Address, rejected: true, report: report,
 		}
 	}
-	headers := g.handler.config.Headers
-	name := headers.RequestID
+	name := g.handler.config.Headers.RequestID
 	if name != "" && response.Header.Get(name) != g.request.Header.Get(name) {
 		response.Body.Close()
 		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: exchange.ErrResponseMismatch}
 	}
-	if response.StatusCode != http.StatusMisdirectedRequest && exchange.ReadStatement(response.Header, nil, headers.Leaving).Leaving {
-		ticket.MarkLeaving()
+	if response.StatusCode != http.StatusMisdirectedRequest {
+		g.recordStatement(ticket, response.Header, reported && !report.Limit.Named)
 	}
 	data, rest, release, err := g.handler.config.ResponseBuffer.ReadWhole(response)
 	if err != nil {
@@ -125,6 +124,17 @@
 	return response, nil
 }
 
+// recordStatement records what the back end states about itself in a response; unlimited is set if its gate reports that it
+// names no limit. The response to a misdirected call is that of another back end at the same address.
+func (g *gatedCall) recordStatement(ticket *balancer.Ticket, header http.Header, unlimited bool) {
+	if unlimited {
+		ticket.RecordNoLimit()
+	}
+	if exchange.ReadStatement(header, nil, g.handler.config.Headers.Leaving).Leaving {
+		ticket.MarkLeaving()
+	}
+}
+
 // outgoingGateRequest builds the request for a gate.
 func (g *gatedCall) outgoingGateRequest(ticket *balancer.Ticket, wait time.Duration) *http.Request {
 	incoming := g.request
--- a/pkg/forward/limit_test.go
+++ b/pkg/forward/limit_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -308,3 +309,26 @@
 	group.Go(func() { f.send(t, "safe", low, lasting) })
 	group.Wait()
 }
+
+// Guards against a node that forgets a limit because a gate without knowledge of it, as after its restart, rejects a call.
+func TestRejectionDoesNotEndAKnownLimit(t *testing.T) {
+	is := is.New(t)
+	var known string
+	var rejecting atomic.Bool
+	address, _ := fakeGate(t, func(w http.ResponseWriter, r *http.Request) {
+		known = r.Header.Get(exchange.HeaderKnownLimit)
+		if rejecting.Load() {
+			exchange.Report{Capacity: 4}.Set(w.Header())
+			rejectWith(exchange.ReasonNoBackend, NotRun)(w, r)
+			return
+		}
+		exchange.Report{Capacity: 4, Limit: exchange.Limit{Named: true, Rate: 50}}.Set(w.Header())
+		respondOK(w, r)
+	})
+	n := newGatedNode(t, 0, address)
+	n.call(t, "POST", "/unsafe/x", "body")
+	rejecting.Store(true)
+	n.call(t, "POST", "/unsafe/x", "body")
+	n.call(t, "POST", "/unsafe/x", "body")
+	is.Equal(known, "50,1")
+}
