--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -318,7 +318,7 @@
 	t.endpoint.recordReport(now, report)
 	t.endpoint.gate.priority = t.priority
 	if report.Limit.Named {
-		t.pool.config.Statements.setLimit(t.ID, t.Incarnation, report.Limit)
+		t.pool.config.Statements.SetLimit(t.ID, t.Incarnation, report.Limit)
 	}
 	t.endpoint.link = linkState{wait: report.LinkWait, at: now}
 }
--- a/pkg/balancer/limit.go
+++ b/pkg/balancer/limit.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/limit"
 )
 
 // LimitError reports that no candidate back end can admit the call within its patience, at least one of them
@@ -28,15 +28,15 @@
 // that this node has sent since. If the report responded to a call of lower priority, only the gate knows what is queued
 // before the call.
 func (e *endpoint) limitDelay(now time.Duration, priority int) time.Duration {
-	limit := e.gate.report.Limit
-	if !limit.Named {
+	named := e.gate.report.Limit
+	if !named.Named {
 		return 0
 	}
 	if priority < e.gate.priority {
-		return max(0, e.gate.at+limit.UrgentDelay-now)
+		return max(0, e.gate.at+named.UrgentDelay-now)
 	}
-	admittedIn := e.gate.at + limit.AdmissionDelay - now
-	admittedIn += time.Duration(float64(e.gate.sent) / max(limit.Rate, exchange.MinLimit) * float64(time.Second))
+	admittedIn := e.gate.at + named.AdmissionDelay - now
+	admittedIn += time.Duration(float64(e.gate.sent) / max(named.Rate, limit.MinRate) * float64(time.Second))
 	return max(0, admittedIn)
 }
 
@@ -62,7 +62,7 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	gate := &t.endpoint.gate
-	interval := float64(time.Second) / max(gate.report.Limit.Rate, exchange.MinLimit)
+	interval := float64(time.Second) / max(gate.report.Limit.Rate, limit.MinRate)
 	share := float64(t.pool.config.Random(1000)) / 1000
 	spread := time.Duration(share * interval * float64(int(1)<<min(gate.limitRejections, maxLimitBackoffExponent)))
 	gate.limitRejections++
--- a/pkg/balancer/statements.go
+++ b/pkg/balancer/statements.go
@@ -48,8 +48,8 @@
 	return entry.leavingSet && incarnation <= entry.leavingIncarnation
 }
 
-// setLimit records the limit that an incarnation names now, if any. It ignores earlier incarnations than the latest.
-func (s *Statements) setLimit(id string, incarnation uint64, limit exchange.Limit) {
+// SetLimit records the limit that an incarnation names now, if any. It ignores earlier incarnations than the latest.
+func (s *Statements) SetLimit(id string, incarnation uint64, limit exchange.Limit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, found := s.byID[id]
@@ -60,8 +60,8 @@
 	s.store(id, entry)
 }
 
-// knownLimit returns the limit that an incarnation named last, false if it names none.
-func (s *Statements) knownLimit(id string, incarnation uint64) (exchange.KnownLimit, bool) {
+// KnownLimit returns the limit that an incarnation named last, false if it names none.
+func (s *Statements) KnownLimit(id string, incarnation uint64) (exchange.KnownLimit, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry := s.byID[id]
@@ -84,10 +84,10 @@
 // RecordNoLimit records that the back end answered the call and its gate knows of no limit. A gate's rejection does not show
 // that: the gate may have restarted and not have heard its back end yet.
 func (t *Ticket) RecordNoLimit() {
-	t.pool.config.Statements.setLimit(t.ID, t.Incarnation, exchange.Limit{})
+	t.pool.config.Statements.SetLimit(t.ID, t.Incarnation, exchange.Limit{})
 }
 
 // KnownLimit returns the limit that the back end named to this node last, false if it names none.
 func (t *Ticket) KnownLimit() (exchange.KnownLimit, bool) {
-	return t.pool.config.Statements.knownLimit(t.ID, t.Incarnation)
+	return t.pool.config.Statements.KnownLimit(t.ID, t.Incarnation)
 }
--- a/pkg/exchange/limit.go
+++ b/pkg/exchange/limit.go
@@ -15,10 +15,6 @@
 	HeaderKnownLimit = "Gate-Known-Limit"
 )
 
-// MinLimit is the lowest limit, in calls per second, that gates enforce. A back end that names a lower one, or zero, still
-// gets a call now and then: only its answer can end the limit.
-const MinLimit = 0.25
-
 // Limit is a gate's report on the limit that its back end names.
 type Limit struct {
 	// Named is set while the back end names a limit; otherwise the other fields are zero.
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/limit"
 )
 
 const (
@@ -58,7 +59,8 @@
 	}
 	g.backend, g.present, g.saidLeaving = backend, true, false
 	g.generation++
-	g.running, g.serviceTime, g.slowdown, g.health, g.unreachableUntil, g.limit = 0, 0, slowdown{}, health{}, 0, namedLimit{}
+	g.running, g.serviceTime, g.slowdown, g.health, g.unreachableUntil, g.limit = 0, 0, slowdown{}, health{}, 0, limit.Limiter{}
+	g.invalidLimit = ""
 	g.dropWaiting(exchange.ReasonNoBackend)
 	now := g.config.Now()
 	g.cold.assumeNew(now)
@@ -169,7 +171,7 @@
 		return admission{}, reason
 	}
 	g.adoptKnownLimit(now, req)
-	g.urgent.record(now, req.priority)
+	g.urgent.Record(now, req.priority)
 	g.reportColdChange(now)
 	g.probeIfAssumed(now)
 	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.nextAdmission(now, req.priority) <= now {
@@ -246,7 +248,7 @@
 func (g *Gate) takeSlot(now, work time.Duration) admission {
 	g.running++
 	g.cold.rate.record(now)
-	g.limit.charge(now)
+	g.limit.Charge(now)
 	return admission{backend: g.backend, work: work, generation: g.generation, admittedAt: now}
 }
 
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -17,6 +17,7 @@
 
 	"bramblelift/pkg/eligibility"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/limit"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/settings"
@@ -139,8 +140,10 @@
 	// rolloutActive is set while a rollout of the back end's service is running.
 	rolloutActive atomic.Bool
 	cold          coldState
-	limit         namedLimit
-	urgent        urgentCalls
+	limit         limit.Limiter
+	urgent        limit.Urgent
+	// invalidLimit is the latest named limit if it could not be read, empty otherwise.
+	invalidLimit string
 	// reportedCold is the state that was last passed to OnCold.
 	reportedCold bool
 	// dispatchTimer calls dispatch at dispatchDue, nil if none is scheduled.
--- a/pkg/gate/gate_cold.go
+++ b/pkg/gate/gate_cold.go
@@ -75,7 +75,7 @@
 	if !g.cold.startProbe(now) {
 		return
 	}
-	g.limit.charge(now)
+	g.limit.Charge(now)
 	backend, path, generation, assumptions := g.backend, g.cold.bounds.HealthPath, g.generation, g.cold.assumptions
 	go func() {
 		remaining, said, err := g.probeHealth(backend.Address, path)
@@ -186,7 +186,7 @@
 
 // busyReason returns the reason to reject a call that would wait too long. g.mu must be held.
 func (g *Gate) busyReason(now time.Duration) exchange.Reason {
-	if g.running < g.backend.Capacity && (g.cold.limited(now) || g.limit.limited) {
+	if g.running < g.backend.Capacity && (g.cold.limited(now) || g.limit.Limited()) {
 		return g.rateReason(now)
 	}
 	return exchange.ReasonFull
--- a/pkg/gate/sender.go
+++ b/pkg/gate/sender.go
@@ -14,7 +14,7 @@
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	free := g.present && !g.stopping && g.closed.reason == "" && g.running < g.backend.Capacity && len(g.queue) == 0 &&
-		g.cold.remaining(now) == 0 && !g.limit.limited && g.versionRejectReason(now) == ""
+		g.cold.remaining(now) == 0 && !g.limit.Limited() && g.versionRejectReason(now) == ""
 	if !free {
 		return ""
 	}
--- a/pkg/gate/statement.go
+++ b/pkg/gate/statement.go
@@ -56,7 +56,7 @@
 	case said.Limited:
 		g.nameLimit(now, said)
 	case said.InvalidLimit == "" && mayEndLimit:
-		g.limit.omit(adm.admittedAt)
+		g.limit.Omit(adm.admittedAt)
 		g.reportLimit("")
 		g.dispatch()
 	default:
@@ -72,7 +72,7 @@
 
 // nameLimit applies a limit that the back end names. g.mu must be held.
 func (g *Gate) nameLimit(now time.Duration, said exchange.Statement) {
-	g.limit.name(now, said.Limit)
+	g.limit.Name(now, said.Limit)
 	g.reportLimit(said.InvalidLimit)
 	g.dropDisplaced(now)
 	g.dispatch()
@@ -81,9 +81,9 @@
 // reportLimit calls OnLimit if the limit has changed, or if a response named one that cannot be read. g.mu
 // must be held.
 func (g *Gate) reportLimit(invalid string) {
-	newInvalid := invalid != "" && invalid != g.limit.invalid
-	g.limit.invalid = invalid
-	if changed := g.limit.changed(); g.config.OnLimit != nil && (changed || newInvalid) {
-		g.config.OnLimit(LimitChange{Backend: g.backend.ID, Rate: g.limit.rate, Limited: g.limit.limited, Heard: g.limit.heard, Invalid: invalid})
+	newInvalid := invalid != "" && invalid != g.invalidLimit
+	g.invalidLimit = invalid
+	if changed := g.limit.Changed(); g.config.OnLimit != nil && (changed || newInvalid) {
+		g.config.OnLimit(LimitChange{Backend: g.backend.ID, Rate: g.limit.Rate(), Limited: g.limit.Limited(), Heard: g.limit.Heard(), Invalid: invalid})
 	}
 }
