--- a/pkg/forward/gate_choice.go
+++ b/pkg/forward/gate_choice.go
@@ -92,7 +92,7 @@
 			request.OwnGateWait = min(request.Patience, max(0, g.targetLeft(now)/ownGateWaitDivisor))
 		}
 		ticket, wait, err := g.service.pool.AcquireGate(now, request)
-		if err == nil || len(g.full) == 0 {
+		if err == nil || len(g.full)+len(g.limited) == 0 {
 			return ticket, wait, err
 		}
 		request.LocalWait, request.LocalGateDecides = 0, false
