--- a/pkg/gate/limit_test.go
+++ b/pkg/gate/limit_test.go
@@ -273,3 +273,16 @@
 		is.Equal(reasonOf(do(g, newCall(t, "GET", "6", "Want", "b1"))), exchange.Reason(""))
 	}
 }
+
+// A health path may set a limit, but neither end one nor say that the back end leaves.
+func TestHealthPathOnlySetsALimit(t *testing.T) {
+	is := is.New(t)
+	b := newStatingBackend(t, "5")
+	g := b.newGate()
+	adm := admission{backend: g.backend, generation: g.generation}
+	g.recordHealthStatement(adm, exchange.Statement{Limited: true, Limit: 5, Leaving: true})
+	is.Equal(g.Report().Limit.Rate, 5.0)
+	is.True(g.Present())
+	g.recordHealthStatement(adm, exchange.Statement{})
+	is.Equal(g.Report().Limit.Rate, 5.0)
+}
--- a/pkg/gate/statement.go
+++ b/pkg/gate/statement.go
@@ -30,9 +30,10 @@
 	g.applyStatement(adm, said, !g.declined(response))
 }
 
-// recordHealthStatement applies what the back end states about itself in a response of its health path. It may set a limit
-// there, but not end one, since a health path may be served apart from calls.
+// recordHealthStatement applies a limit that the back end names in a response of its health path. Nothing else is concluded
+// there: health paths may be served apart from calls, and may be wrong.
 func (g *Gate) recordHealthStatement(adm admission, said exchange.Statement) {
+	said.Leaving = false
 	g.applyStatement(adm, said, false)
 }
 
