gate: count large urgent calls before they are rejected for a limit

Large bodies are received after a first look at the limit, and a call that this look rejects was not counted as urgent: with only such calls of the highest priority, those below it took each token as it came. TestLargeUrgentCallsAreLeftAToken failed before (a lower call was admitted with the only token).

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -170,8 +170,7 @@
 		g.mu.Unlock()
 		return admission{}, reason
 	}
-	g.adoptKnownLimit(now, req)
-	g.urgent.Record(now, req.priority)
+	g.recordArrival(now, req)
 	g.reportColdChange(now)
 	g.probeIfAssumed(now)
 	if g.running < g.backend.Capacity && len(g.queue) == 0 && g.nextAdmission(now, req.priority) <= now {
@@ -201,7 +200,7 @@
 	if reason := g.rejectReason(now, req); reason != "" {
 		return reason
 	}
-	g.adoptKnownLimit(now, req)
+	g.recordArrival(now, req)
 	queued := g.queue.ahead(req.waiter(now))
 	if g.rateWait(now, g.receiving+queued, req.priority) > req.wait {
 		return g.rateReason(now)
--- a/pkg/gate/limit.go
+++ b/pkg/gate/limit.go
@@ -7,8 +7,9 @@
 	"bramblelift/pkg/exchange"
 )
 
-// adoptKnownLimit applies the limit that the back end named to the sender of a call. g.mu must be held.
-func (g *Gate) adoptKnownLimit(now time.Duration, req request) {
+// recordArrival records the priority of a call, and applies the limit that the back end named to its sender. g.mu must be held.
+func (g *Gate) recordArrival(now time.Duration, req request) {
+	g.urgent.Record(now, req.priority)
 	if !req.knowsLimit || req.instance != g.backend.ID || req.knownLimit.Incarnation != g.backend.Incarnation {
 		return
 	}
--- a/pkg/gate/limit_test.go
+++ b/pkg/gate/limit_test.go
@@ -286,3 +286,26 @@
 	g.recordHealthStatement(adm, exchange.Statement{})
 	is.Equal(g.Report().Limit.Rate, 5.0)
 }
+
+// Guards against calls of lower priority that take all tokens because urgent calls with large bodies are rejected before
+// they are counted.
+func TestLargeUrgentCallsAreLeftAToken(t *testing.T) {
+	is := is.New(t)
+	b := newStatingBackend(t, "20")
+	g := b.newGate()
+	do(g, newCall(t, "GET", "first")).Body.Close()
+	do(g, newCall(t, "GET", "second")).Body.Close()
+	large := func() exchange.Reason {
+		call := httptest.NewRequest("POST", "http://host.example/large", strings.NewReader(strings.Repeat("x", 2*largeBodyBytes)))
+		call.Header.Set("Call-Id", "large")
+		call.Header.Set("Left-Ms", "2000")
+		call.Header.Set(exchange.HeaderPriority, "1")
+		recorder := httptest.NewRecorder()
+		g.ServeHTTP(recorder, call)
+		return exchange.Reason(recorder.Header().Get(exchange.HeaderReason))
+	}
+	is.Equal(large(), exchange.ReasonLimit)
+	time.Sleep(70 * time.Millisecond) // for one token
+	is.Equal(reasonOf(do(g, newCall(t, "GET", "low", exchange.HeaderPriority, "5"))), exchange.ReasonLimit)
+	is.Equal(large(), exchange.Reason(""))
+}
