--- a/pkg/gate/limit_test.go
+++ b/pkg/gate/limit_test.go
@@ -293,8 +293,8 @@
 	is := is.New(t)
 	b := newStatingBackend(t, "20")
 	g := b.newGate()
-	do(g, newCall(t, "GET", "first")).Body.Close()
-	do(g, newCall(t, "GET", "second")).Body.Close()
+	do(g, newCall(t, "GET", "first", exchange.HeaderPriority, "5")).Body.Close()
+	do(g, newCall(t, "GET", "second", exchange.HeaderPriority, "5")).Body.Close()
 	large := func() exchange.Reason {
 		call := httptest.NewRequest("POST", "http://host.example/large", strings.NewReader(strings.Repeat("x", 2*largeBodyBytes)))
 		call.Header.Set("Call-Id", "large")
