balancer: an admitted urgent call does not end the pauses of less urgent ones

Pauses are now kept by priority; a call that is admitted ends those of its own and of more urgent priorities.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -38,10 +38,8 @@
 	reported bool
 	// priority is that of the call that the report responded to.
 	priority int
-	// limitBackoff is when this node sends calls again that the limit rejected, limitRejections the number of
-	// rejections since the last admitted call.
-	limitBackoff    time.Duration
-	limitRejections int
+	// limitPauses holds the pauses after rejections by the named limit, by the priority of the rejected calls.
+	limitPauses map[int]limitPause
 	// sent counts the calls sent to the gate since the report.
 	sent int
 }
@@ -308,7 +306,7 @@
 
 // recordReport stores the newest report of the back end's gate.
 func (e *endpoint) recordReport(now time.Duration, report exchange.Report) {
-	e.gate = gateState{report: report, at: now, reported: true, limitBackoff: e.gate.limitBackoff, limitRejections: e.gate.limitRejections}
+	e.gate = gateState{report: report, at: now, reported: true, limitPauses: e.gate.limitPauses}
 }
 
 // UpdateGateReport stores the report that came with a gate's response, including the wait for its link.
--- a/pkg/balancer/limit.go
+++ b/pkg/balancer/limit.go
@@ -41,19 +41,33 @@
 }
 
 // limitWait returns how long this node sends the back end no call of a priority because of its limit: limitDelay, or the
-// rest of the pause after rejections of calls that were no less urgent.
+// rest of the pause after a rejection of a call that was no less urgent.
 func (e *endpoint) limitWait(now time.Duration, priority int) time.Duration {
 	wait := e.limitDelay(now, priority)
-	if e.gate.report.Limit.Named && priority >= e.gate.priority {
-		wait = max(wait, e.gate.limitBackoff-now)
+	if !e.gate.report.Limit.Named {
+		return wait
+	}
+	for rejected, pause := range e.gate.limitPauses {
+		if rejected <= priority {
+			wait = max(wait, pause.until-now)
+		}
 	}
 	return wait
 }
 
-// maxLimitBackoff bounds the exponent and the length of the pause after rejections.
+// limitPause is a pause after rejections by a named limit.
+type limitPause struct {
+	until time.Duration
+	// rejections counts the rejections since the last call of this priority, or a less urgent one, was admitted.
+	rejections int
+}
+
 const (
-	maxLimitBackoffExponent = 4
-	maxLimitBackoff         = 2 * time.Second
+	// maxLimitPauseExponent and maxLimitPause bound the growth of the pauses.
+	maxLimitPauseExponent = 4
+	maxLimitPause         = 2 * time.Second
+	// maxLimitPauses bounds the priorities with a pause; tenants may have many.
+	maxLimitPauses = 32
 )
 
 // RecordLimitRejection records that the limit which the back end names rejected the call. Other nodes learn at the same time
@@ -62,15 +76,26 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	gate := &t.endpoint.gate
+	if gate.limitPauses == nil || len(gate.limitPauses) >= maxLimitPauses {
+		gate.limitPauses = map[int]limitPause{}
+	}
+	pause := gate.limitPauses[t.priority]
 	interval := float64(time.Second) / max(gate.report.Limit.Rate, limit.MinRate)
 	share := float64(t.pool.config.Random(1000)) / 1000
-	spread := time.Duration(share * interval * float64(int(1)<<min(gate.limitRejections, maxLimitBackoffExponent)))
-	gate.limitRejections++
-	gate.limitBackoff = now + gate.report.Limit.AdmissionDelay + min(spread, maxLimitBackoff)
+	spread := time.Duration(share * interval * float64(int(1)<<min(pause.rejections, maxLimitPauseExponent)))
+	pause.rejections++
+	pause.until = now + gate.report.Limit.AdmissionDelay + min(spread, maxLimitPause)
+	gate.limitPauses[t.priority] = pause
 }
 
-// recordLimitAdmission ends the backoff after a call that was not rejected by the limit.
-func (e *endpoint) recordLimitAdmission() { e.gate.limitRejections, e.gate.limitBackoff = 0, 0 }
+// recordLimitAdmission ends the pauses of calls that are no less urgent than an admitted one.
+func (e *endpoint) recordLimitAdmission(priority int) {
+	for rejected := range e.gate.limitPauses {
+		if rejected <= priority {
+			delete(e.gate.limitPauses, rejected)
+		}
+	}
+}
 
 // rateWait estimates how long the rate limits of the back end's gate delay a call.
 func (e *endpoint) rateWait(now time.Duration, priority int) time.Duration {
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -297,7 +297,7 @@
 	switch outcome {
 	case Answered:
 		t.endpoint.recordResponse()
-		t.endpoint.recordLimitAdmission()
+		t.endpoint.recordLimitAdmission(t.priority)
 	case Refused:
 		t.endpoint.recordRefusal()
 	case Failed:
