--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -181,7 +181,8 @@
 	// Incarnation is the back end's incarnation in the node's endpoint list.
 	Incarnation uint64
 	// Version is the software version of the back end, empty if unknown.
-	Version  string
+	Version string
+	// priority is that of the call.
 	priority int
 }
 
--- a/pkg/exchange/statement_test.go
+++ b/pkg/exchange/statement_test.go
@@ -9,8 +9,8 @@
 )
 
 var (
-	testLimitNames   = []string{"Server-Limit", "other-limit"}
-	testLeavingNames = []string{"Server-Leaving"}
+	testLimitNames   = []string{"Backend-Limit", "other-limit"}
+	testLeavingNames = []string{"Backend-Draining"}
 )
 
 func TestReadStatementLimit(t *testing.T) {
@@ -55,7 +55,7 @@
 func TestReadStatementLeaving(t *testing.T) {
 	is := is.New(t)
 	for value, leaving := range map[string]bool{"1": true, "true": true, "0": false, "": false} {
-		s := ReadStatement(http.Header{"Server-Leaving": {value}}, testLimitNames, testLeavingNames)
+		s := ReadStatement(http.Header{"Backend-Draining": {value}}, testLimitNames, testLeavingNames)
 		is.Equal(s, Statement{Leaving: leaving})
 	}
 }
--- a/pkg/forward/limit_test.go
+++ b/pkg/forward/limit_test.go
@@ -35,7 +35,7 @@
 	time.Sleep(b.work)
 	w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
 	if b.limit > 0 {
-		w.Header().Set("Server-Limit", strconv.FormatFloat(b.limit, 'f', -1, 64))
+		w.Header().Set("Backend-Limit", strconv.FormatFloat(b.limit, 'f', -1, 64))
 	}
 }
 
@@ -78,7 +78,7 @@
 		server := httptest.NewServer(b)
 		t.Cleanup(server.Close)
 		headers := gatedHeaders
-		headers.Limit = []string{"Server-Limit"}
+		headers.Limit = []string{"Backend-Limit"}
 		g := gate.New(gate.Config{Headers: headers, Now: sinceTestStart})
 		g.SetBackend(gate.Backend{ID: fmt.Sprintf("e%d", i), Service: "s", Address: server.Listener.Addr().String(), Capacity: capacity, Incarnation: 1})
 		gateServer := httptest.NewServer(g)
@@ -246,11 +246,11 @@
 func TestNodeRemembersThatABackEndLeaves(t *testing.T) {
 	is := is.New(t)
 	address, calls := fakeGate(t, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Backend-Draining", "1")
 		respondOK(w, r)
 	})
 	headers := gatedHeaders
-	headers.Leaving = []string{"Server-Leaving"}
+	headers.Leaving = []string{"Backend-Draining"}
 	handler := New(Config{Node: "n", Zone: "z", Now: sinceTestStart, Headers: headers, Service: "shop"})
 	state := gatedState([]string{address}, []string{"z"})
 	handler.SetTable(routing.New(state))
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -85,7 +85,8 @@
 // Call describes a finished call for logs and metrics.
 type Call struct {
 	RequestID string
-	Priority  int
+	// Priority is the call's priority; 0 is the highest.
+	Priority int
 	// Reason is why there is no response of the back end, empty if there is one.
 	Reason exchange.Reason
 	Err    error
--- a/pkg/gate/limit_test.go
+++ b/pkg/gate/limit_test.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	limitHeader   = "Server-Limit"
-	leavingHeader = "Server-Leaving"
+	limitHeader   = "Backend-Limit"
+	leavingHeader = "Backend-Draining"
 )
 
 // statingBackend names a limit in its responses, and records when calls arrive.
