--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -367,21 +367,9 @@
 // Heartbeat sends one heartbeat and reports whether it was acknowledged.
 func (b *Backend) Heartbeat() bool {
 	b.mu.Lock()
-	if b.gone {
-		b.mu.Unlock()
-		return false
-	}
-	b.callCount++
-	state := "ready"
-	if b.draining {
-		state = "draining"
-	}
-	body, _ := json.Marshal(map[string]any{
-		"service": b.machine.Service, "address": b.machine.App(), "zone": b.machine.Zone, "version": "v1", "capacity": b.Slots,
-		"state": state, "cold_remaining_ms": 0, "call_count": b.callCount, "born": b.Born,
-	})
+	gone := b.gone
 	b.mu.Unlock()
-	return b.call(http.MethodPut, body)
+	return !gone && b.call(http.MethodPut, b.heartbeat())
 }
 
 // Drain reports that the back end drains, and says so in its answers from then on. It returns whether that was acknowledged.
@@ -422,3 +410,34 @@
 	text, err := io.ReadAll(response.Body)
 	return err == nil && len(text) <= 4<<10 && response.StatusCode/100 == 2
 }
+
+// DelayedHeartbeat returns a function that delivers a heartbeat of the present, which arrives when it is called, and
+// reports whether it was acknowledged.
+func (b *Backend) DelayedHeartbeat() func() bool {
+	body := b.heartbeat()
+	b.record.Note("backend   %s sends a heartbeat that is delayed", b.ID)
+	return func() bool { return b.call(http.MethodPut, body) }
+}
+
+// heartbeat returns the body of the next heartbeat.
+func (b *Backend) heartbeat() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.callCount++
+	state := "ready"
+	if b.draining {
+		state = "draining"
+	}
+	body, _ := json.Marshal(map[string]any{
+		"service": b.machine.Service, "address": b.machine.App(), "zone": b.machine.Zone, "version": "v1", "capacity": b.Slots,
+		"state": state, "cold_remaining_ms": 0, "call_count": b.callCount, "born": b.Born,
+	})
+	return body
+}
+
+// StrayHeartbeat sends a heartbeat of another writer, without some of its fields, to a node. It names no back end to use.
+func StrayHeartbeat(node *Machine) bool {
+	body, _ := json.Marshal(map[string]any{"service": node.Service, "address": node.App(), "capacity": 6, "state": "ready"})
+	stray := &Backend{ID: "i-stray-" + node.Name, machine: node}
+	return stray.call(http.MethodPut, body)
+}
