--- a/review/2/main.go
+++ b/review/2/main.go
@@ -6,19 +6,19 @@
 	"sync"
 	"time"
 
-	"bramblelift/review/harness"
+	"bramblelift/review"
 )
 
 // quiet is how long after the node's return no request is sent: it is then in touch again, and drain_ms has passed.
-const quiet = harness.ContactTime + 700*time.Millisecond
+const quiet = review.ContactTime + 700*time.Millisecond
 
-func main() { harness.Main(run) }
+func main() { review.Main(run) }
 
-func run(record *harness.Record, trouble bool) (broken []string, err error) {
-	d, err := harness.New(".", record,
-		harness.Node{Name: "node-1", Zone: "zone-a", Service: "store"},
-		harness.Node{Name: "node-2", Zone: "zone-b", Service: "store"},
-		harness.Node{Name: "node-3", Zone: "zone-a", Service: "front"})
+func run(record *review.Record, trouble bool) (broken []string, err error) {
+	d, err := review.New(".", record,
+		review.Node{Name: "node-1", Zone: "zone-a", Service: "store"},
+		review.Node{Name: "node-2", Zone: "zone-b", Service: "store"},
+		review.Node{Name: "node-3", Zone: "zone-a", Service: "front"})
 	if err != nil {
 		return nil, err
 	}
@@ -26,19 +26,19 @@
 	if err := d.Start(); err != nil {
 		return nil, err
 	}
-	document := harness.Document(1, 0, []string{"store", "front"},
-		harness.Rule{Name: "read", Kind: "safe", Prefix: "/read/", Service: "store", TargetMs: 1000, TimeoutMs: 5000, Attempt: 2},
-		harness.Rule{Name: "order", Kind: "unsafe", Prefix: "/order/", Service: "store", TargetMs: 1000, TimeoutMs: 5000, Attempt: 2})
+	document := review.Document(1, 0, []string{"store", "front"},
+		review.Rule{Name: "read", Kind: "safe", Prefix: "/read/", Service: "store", TargetMs: 1000, TimeoutMs: 5000, Attempt: 2},
+		review.Rule{Name: "order", Kind: "unsafe", Prefix: "/order/", Service: "store", TargetMs: 1000, TimeoutMs: 5000, Attempt: 2})
 	if err := d.PutConfig(document, 15*time.Second); err != nil {
 		return nil, err
 	}
 	if err := d.AwaitReady(15*time.Second, d.Nodes...); err != nil {
 		return nil, err
 	}
-	leaving := &harness.Backend{ID: "i-1", Slots: 6, Queue: 4}
-	other := &harness.Backend{ID: "i-2", Slots: 6, Queue: 4}
-	front := &harness.Backend{ID: "i-3", Slots: 6, Queue: 4}
-	for i, b := range []*harness.Backend{leaving, other, front} {
+	leaving := &review.Backend{ID: "i-1", Slots: 6, Queue: 4}
+	other := &review.Backend{ID: "i-2", Slots: 6, Queue: 4}
+	front := &review.Backend{ID: "i-3", Slots: 6, Queue: 4}
+	for i, b := range []*review.Backend{leaving, other, front} {
 		if err := b.Start(d.Nodes[i]); err != nil {
 			return nil, err
 		}
@@ -49,7 +49,7 @@
 		return nil, err
 	}
 	// The core and the other machines are undisturbed from here on.
-	time.Sleep(harness.ContactTime)
+	time.Sleep(review.ContactTime)
 	if !leaving.Leave() {
 		return nil, fmt.Errorf("the departure was not acknowledged")
 	}
@@ -75,7 +75,7 @@
 }
 
 // sendAll sends orders and reads at the same time. While they are at work the leaving back end ends, as it had said.
-func sendAll(d *harness.Deployment, caller *harness.Machine, leaving *harness.Backend) {
+func sendAll(d *review.Deployment, caller *review.Machine, leaving *review.Backend) {
 	var group sync.WaitGroup
 	group.Go(func() {
 		time.Sleep(150 * time.Millisecond)
@@ -83,7 +83,7 @@
 	})
 	for i := range 8 {
 		group.Go(func() {
-			q := harness.Request{ID: fmt.Sprintf("late-%d", i), Path: "/read/work-300", Deadline: 3 * time.Second}
+			q := review.Request{ID: fmt.Sprintf("late-%d", i), Path: "/read/work-300", Deadline: 3 * time.Second}
 			if i%2 == 0 {
 				q.Path, q.Body = "/order/work-300", "one table"
 			}
@@ -94,7 +94,7 @@
 }
 
 // noteLost notes the orders that a back end had begun and that got no answer of a back end.
-func noteLost(record *harness.Record) {
+func noteLost(record *review.Record) {
 	for id, a := range record.Answers() {
 		if a.Unsafe && a.Seal == "" && len(record.RunsOf(id)) > 0 {
 			record.Note("lost      %s was begun and was answered %d without a back end's seal", id, a.Status)
@@ -104,10 +104,10 @@
 
 // lateRuns returns a line for each request that reached the back end later than drain_ms after its departure was
 // acknowledged.
-func lateRuns(record *harness.Record, backend string, acknowledged time.Time) []string {
+func lateRuns(record *review.Record, backend string, acknowledged time.Time) []string {
 	var broken []string
 	for _, run := range record.Runs() {
-		if late := run.At.Sub(acknowledged); run.Backend == backend && late > harness.DrainTime {
+		if late := run.At.Sub(acknowledged); run.Backend == backend && late > review.DrainTime {
 			broken = append(broken, fmt.Sprintf("DRAIN: %s reached back end %s %.1f s after its departure was acknowledged", run.ID, backend, late.Seconds()))
 		}
 	}
--- a/review/harness/backend.go
+++ b/review/backend.go
@@ -1,4 +1,4 @@
-package harness
+package review
 
 import (
 	"bufio"
@@ -60,7 +60,9 @@
 	conns     map[net.Conn]bool
 	second    int
 	marked    bool
-	cancel    context.CancelFunc
+	// beats and acknowledged count its heartbeats.
+	beats, acknowledged int
+	cancel              context.CancelFunc
 }
 
 // DefaultWork is the time that a request takes: its path may name the milliseconds, as in /read/work-800.
@@ -369,7 +371,24 @@
 	b.mu.Lock()
 	gone := b.gone
 	b.mu.Unlock()
-	return !gone && b.call(http.MethodPut, b.heartbeat())
+	if gone {
+		return false
+	}
+	acknowledged := b.call(http.MethodPut, b.heartbeat())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.beats++
+	if acknowledged {
+		b.acknowledged++
+	}
+	return acknowledged
+}
+
+// Beats returns how many heartbeats it has sent, and how many of them were acknowledged.
+func (b *Backend) Beats() (sent, acknowledged int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.beats, b.acknowledged
 }
 
 // Drain reports that the back end drains, and says so in its answers from then on. It returns whether that was acknowledged.
--- a/review/harness/main.go
+++ b/review/main.go
@@ -1,4 +1,4 @@
-package harness
+package review
 
 import (
 	"fmt"
--- a/review/harness/template.go
+++ b/review/template.go
@@ -1,6 +1,6 @@
-// Package harness starts a small deployment of the project's programs on loopback addresses, with stand-ins for
+// Package review starts a small deployment of the project's programs on loopback addresses, with stand-ins for
 // back ends, clients and the operator that follow the users' pages.
-package harness
+package review
 
 import (
 	"encoding/json"
