registration: a departure is acknowledged once the control plane has recorded it

Cause: the node answered DELETE, and a draining heartbeat, with 200 while only the memory of its registry held the departure. The announcement to control leaves with the next ping, up to 50 ms later. A node killed before that restores its back end from control's table, which still lists it as live.

Change: HandleHeartbeat and RecordDeparture return a Commitment that is fulfilled once the control plane's table, or its answer to an announcement, shows that the incarnation leaves. The platform's interface acknowledges only then, and answers 503 after 0.9 s otherwise; the gate is closed at once in any case. Control's record is replicated and synced, and within an incarnation its states only advance, so neither a restart of the node nor one of control undoes it.

Ways past it that were closed too: - A late heartbeat at a restarted node: a pong now tells (Pong.Ended) which announced back ends control lists as leaving or removed, since nodes' tables have no tombstones. Until control has confirmed the state, a back end is held until it has sent heartbeats for a second. - A live announcement that arrives after the removal: control ignored the removal of an endpoint that it lacked. It now adds it as leaving first (ChangesFrom, used by the leader before a proposal; the replicated state machine is unchanged). - A draining heartbeat that changes nothing, as a later incarnation is registered, was acknowledged: 409 now. - A DELETE at a restarted node ended an incarnation of the node's clock, and with a clock ahead kept its successor out: it now ends the one that control lists.

--- a/pkg/distribution/endpoint.go
+++ b/pkg/distribution/endpoint.go
@@ -137,11 +137,16 @@
 }
 
 // ChangesFrom returns the changes that announced endpoints make to the table. Because a gate has one back
-// end, and a crashed one cannot announce its removal, a live endpoint removes all others at its gate.
+// end, and a crashed one cannot announce its removal, a live endpoint removes all others at its gate. A removed
+// endpoint that the table lacks is added as leaving first, so that an earlier announcement that arrives late
+// cannot make it live.
 func (t EndpointTable) ChangesFrom(announced []Endpoint) []Endpoint {
 	var changes []Endpoint
 	for _, endpoint := range announced {
 		current, found := t[endpoint.Service][endpoint.ID]
+		if !found && endpoint.State == Removed && endpoint.Address != "" {
+			endpoint.State = Leaving
+		}
 		if (!found && endpoint.State != Removed) || (found && endpoint.Supersedes(current)) {
 			changes = append(changes, endpoint)
 		}
@@ -152,6 +157,20 @@
 	return changes
 }
 
+// Ended returns the entries of announced endpoints that the table lists as leaving or removed in the announced
+// incarnation or a later one.
+func (t EndpointTable) Ended(announced []Endpoint) []Endpoint {
+	var ended []Endpoint
+	for _, endpoint := range announced {
+		listed, found := t[endpoint.Service][endpoint.ID]
+		if found && listed.State != Live && listed.Incarnation >= endpoint.Incarnation {
+			listed.Modified = 0
+			ended = append(ended, listed)
+		}
+	}
+	return ended
+}
+
 // replacedAtGate returns the other endpoints at the endpoint's gate, in the state Removed. It returns none
 // if the table lists the endpoint itself as no longer live.
 func (t EndpointTable) replacedAtGate(endpoint Endpoint) []Endpoint {
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -180,6 +180,9 @@
 	// Quotas are the shares of the tenants in the Ping's report and of those whose limit is being
 	// enforced (quota.Share.Limited); nil if they are not known.
 	Quotas *quota.Shares
+	// Ended are the back ends announced in the Ping that the server's state lists as leaving or removed, in the announced
+	// incarnation or a later one. The state sent to a node has no removed back ends.
+	Ended []distribution.Endpoint
 }
 
 // Ack reports the position that a subscriber holds; it needs no response.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/link"
@@ -38,7 +40,8 @@
 	s.observer.registerBackend(s.admin.Registry, s.gate)
 	s.backendRegistry = registration.New(registration.Config{
 		Gate: s.gate, GateAddress: s.settings.GateAdvertise, Service: s.settings.Service,
-		OnAnnouncement: func() { s.controlClient.PingSoon() }, OnStateChange: s.logBackend,
+		OnAnnouncement: func() { s.controlClient.PingSoon() }, OnStateChange: s.logBackend, OnHeld: s.logHeldBackend,
+		HoldUnconfirmed: true, Now: s.clock.Elapsed,
 	})
 	var err error
 	if s.gateListener, err = wire.Listen(s.settings.GateListen); err != nil {
@@ -70,14 +73,41 @@
 	return nil
 }
 
-// Heartbeat processes a heartbeat of the back end beside the node. Its zone defaults to the node's.
-func (s *Server) Heartbeat(h registration.Heartbeat) {
+// recordTimeout bounds the wait for the control plane to record that a back end leaves. Back ends wait one second for
+// a response and then send their request again.
+const recordTimeout = 900 * time.Millisecond
+
+// ErrNotRecorded is returned while the control plane has not recorded that a back end leaves. The node sends it no new
+// calls, but an acknowledgement would be forgotten if the node were killed.
+var ErrNotRecorded = errors.New("the control plane has not recorded yet that the back end leaves")
+
+// Heartbeat processes a heartbeat of the back end beside the node. Its zone defaults to the node's. Only if it returns no
+// error may the heartbeat be acknowledged; a draining one is recorded by the control plane first.
+func (s *Server) Heartbeat(ctx context.Context, h registration.Heartbeat) error {
 	if h.Zone == "" {
 		h.Zone = s.settings.Zone
 	}
-	if s.backendRegistry != nil {
-		s.backendRegistry.HandleHeartbeat(h)
+	if s.backendRegistry == nil {
+		return nil
+	}
+	recorded, err := s.backendRegistry.HandleHeartbeat(h)
+	if err != nil {
+		s.HeartbeatRejected(h.ID, err)
+		return err
 	}
+	return s.awaitRecord(ctx, h.ID, recorded)
+}
+
+// awaitRecord waits until the control plane has recorded that a back end leaves.
+func (s *Server) awaitRecord(ctx context.Context, id string, recorded registration.Commitment) error {
+	start := s.clock.Elapsed()
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	if err := recorded.Wait(ctx); err != nil {
+		s.logger.Log("event", "leaving_not_recorded", "instance", id, "waited", s.clock.Elapsed()-start, "server", s.controlClient.Server(), "error", err)
+		return fmt.Errorf("back end %s: %w", id, ErrNotRecorded)
+	}
+	return nil
 }
 
 // HeartbeatRejected counts and logs a rejected heartbeat, for instance of a service unknown here.
@@ -92,10 +122,27 @@
 	return name == s.settings.Service || s.forwarder == nil || s.forwarder.KnowsService(name)
 }
 
-// DeregisterBackend removes a back end that deregistered itself.
-func (s *Server) DeregisterBackend(id string) {
+// DeregisterBackend removes a back end that deregistered itself. Only if it returns no error, after the control plane
+// has recorded the departure, may the departure be acknowledged.
+func (s *Server) DeregisterBackend(ctx context.Context, id string) error {
+	if s.backendRegistry == nil {
+		return nil
+	}
+	return s.awaitRecord(ctx, id, s.backendRegistry.RecordDeparture(id, time.Now()))
+}
+
+// onConfirmed records that the control plane has confirmed the node's state.
+func (s *Server) onConfirmed(at time.Duration) {
+	s.store.Confirmed(at)
+	if s.backendRegistry != nil {
+		s.backendRegistry.Confirm()
+	}
+}
+
+// onEndedBackends applies what the control plane has recorded of announced back ends.
+func (s *Server) onEndedBackends(ended []distribution.Endpoint) {
 	if s.backendRegistry != nil {
-		s.backendRegistry.RecordDeparture(id, time.Now())
+		s.backendRegistry.ApplyEnded(ended)
 	}
 }
 
@@ -112,6 +159,10 @@
 	s.logger.Log("event", "backend", "instance", h.ID, "state", states[h.State], "sequence", h.Sequence, "capacity", h.Capacity)
 }
 
+func (s *Server) logHeldBackend(h registration.Heartbeat) {
+	s.logger.Log("event", "backend_held", "instance", h.ID, "sequence", h.Sequence, "reason", "the control plane has not confirmed the state since the start")
+}
+
 // announce returns what the node reports to the control plane with the next ping.
 func (s *Server) announce() protocol.Announce {
 	announcement := protocol.Announce{Closed: s.closedGateReport()}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -192,8 +192,9 @@
 		Observe:        metrics.NewTraffic(s.admin.Registry).Observe(relayRole),
 		Logger:         s.logger,
 		Now:            s.clock.Elapsed,
-		OnConfirmed:    s.store.Confirmed,
+		OnConfirmed:    s.onConfirmed,
 		Announce:       s.announce,
+		OnEnded:        s.onEndedBackends,
 		OnQuotas:       s.applyQuotaShares,
 	}, s.store, serverCandidates(s.settings))
 	return err
--- /dev/null
+++ b/pkg/registration/commitment_test.go
@@ -0,0 +1,265 @@
+package registration
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/distribution"
+
+	"github.com/matryer/is"
+)
+
+// controlPlane records announcements as the leader does.
+type controlPlane struct{ state *distribution.State }
+
+func newControlPlane() *controlPlane { return &controlPlane{state: &distribution.State{}} }
+
+// record commits a registry's announcements.
+func (c *controlPlane) record(r *Registry) { c.commit(r.PendingAnnouncements()) }
+
+func (c *controlPlane) commit(announced []distribution.Endpoint) {
+	c.state = c.state.ChangeEndpoints(c.state.Endpoints.ChangesFrom(announced))
+}
+
+// nodeTable returns the table as nodes get it, without removed back ends.
+func (c *controlPlane) nodeTable() distribution.EndpointTable {
+	table := distribution.EndpointTable{}
+	for service, byID := range c.state.Endpoints {
+		table[service] = map[string]distribution.Endpoint{}
+		for id, endpoint := range byID {
+			if endpoint.State != distribution.Removed {
+				table[service][id] = endpoint
+			}
+		}
+	}
+	return table
+}
+
+// answer passes on what the control plane answers to a registry's ping.
+func (c *controlPlane) answer(r *Registry) {
+	ended := c.state.Endpoints.Ended(r.PendingAnnouncements())
+	r.ApplyState(c.nodeTable())
+	r.ApplyEnded(ended)
+}
+
+// exchange records a registry's announcements until it has none, at most ten times.
+func (c *controlPlane) exchange(r *Registry) {
+	for range 10 {
+		c.record(r)
+		c.answer(r)
+	}
+}
+
+// startedNode returns the registry of a node that has started again and not reached the control plane yet.
+func startedNode() (r *Registry, g *recordingGate, clock *time.Duration) {
+	g = &recordingGate{}
+	clock = new(time.Duration)
+	r = New(Config{
+		Gate: g, GateAddress: "10.0.0.1:90", Service: "s", HoldUnconfirmed: true,
+		Now: func() time.Duration { return *clock },
+	})
+	return r, g, clock
+}
+
+// Guards against an acknowledged departure that only the memory of one node holds.
+func TestDepartureIsCommittedOnceControlPlaneRecordsIt(t *testing.T) {
+	for name, leave := range map[string]func(*Registry) Commitment{
+		"deregistered": func(r *Registry) Commitment { return r.RecordDeparture("a", time.Now()) },
+		"draining": func(r *Registry) Commitment {
+			committed, err := r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 9, Draining))
+			is.New(t).NoErr(err)
+			return committed
+		},
+	} {
+		for _, known := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				r, _ := newRegistry()
+				control := newControlPlane()
+				r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+				live := r.PendingAnnouncements()
+				if known {
+					control.exchange(r)
+				}
+				committed := leave(r)
+				is.True(!committed.Fulfilled())
+				r.ApplyState(control.nodeTable())
+				is.True(!committed.Fulfilled()) // the control plane has not heard of it
+				control.record(r)
+				is.True(!committed.Fulfilled())
+				control.answer(r)
+				is.True(committed.Fulfilled())
+				control.exchange(r)
+				control.commit(live) // an announcement that arrives late
+				restarted, g, _ := startedNode()
+				restarted.ApplyState(control.nodeTable())
+				restarted.Confirm()
+				for _, update := range g.updates {
+					is.True(update != "set a 6")
+				}
+			})
+		}
+	}
+}
+
+// Guards against a late heartbeat that makes a restarted node admit a back end whose departure was acknowledged.
+func TestLateHeartbeatAfterRestartDoesNotBringBackEndBack(t *testing.T) {
+	for _, state := range []State{Draining, Departed} {
+		t.Run("", func(t *testing.T) {
+			is := is.New(t)
+			r, _ := newRegistry()
+			control := newControlPlane()
+			r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+			control.exchange(r)
+			if state == Draining {
+				r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 9, Draining))
+			} else {
+				r.RecordDeparture("a", time.Now())
+			}
+			control.exchange(r)
+
+			restarted, g, clock := startedNode()
+			restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 7, Ready))
+			*clock += lateHeartbeatSpan / 2
+			restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 8, Ready))
+			is.Equal(g.updates, nil) // held until the control plane is reached
+			control.exchange(restarted)
+			restarted.Confirm()
+			restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 8, Ready))
+			control.exchange(restarted)
+			for _, update := range g.updates {
+				is.Equal(update, "remove a")
+			}
+			committed, err := restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 9, Draining))
+			is.NoErr(err)
+			is.True(committed.Fulfilled())
+			is.Equal(len(restarted.PendingAnnouncements()), 0)
+		})
+	}
+}
+
+// Guards against a late heartbeat of an earlier incarnation in place of the one that the control plane lists.
+func TestLateHeartbeatOfEarlierIncarnationDoesNotReplaceListedOne(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRegistry()
+	control := newControlPlane()
+	r.HandleHeartbeat(heartbeatStartedAt("a", secondStart, 1, Ready))
+	control.exchange(r)
+	restarted, g, _ := startedNode()
+	restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 80, Ready))
+	control.answer(restarted)
+	restarted.Confirm()
+	is.Equal(g.updates[len(g.updates)-1], "set a 6")
+	is.Equal(len(restarted.PendingAnnouncements()), 0)
+	_, err := restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 81, Draining))
+	is.True(errors.Is(err, ErrSuperseded))
+}
+
+// A node that has not reached the control plane must admit a back end that keeps sending heartbeats.
+func TestUnconfirmedNodeAdmitsBackEndThatKeepsSendingHeartbeats(t *testing.T) {
+	is := is.New(t)
+	r, g, clock := startedNode()
+	r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+	is.Equal(g.updates, nil)
+	*clock += lateHeartbeatSpan
+	r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 2, Ready))
+	is.Equal(g.updates, []string{"set a 6"})
+	is.Equal(g.coldUpdates, []string{"a 0s"})
+}
+
+// A successor must be admitted at once while the departure before it is still unrecorded, and after a restart.
+func TestSuccessorIsAdmittedAtOnce(t *testing.T) {
+	successors := map[string]Heartbeat{
+		"same ID":    heartbeatStartedAt("a", secondStart, 1, Ready),
+		"another ID": heartbeatStartedAt("b", secondStart, 1, Ready),
+	}
+	for name, successor := range successors {
+		for _, restart := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				r, g := newRegistry()
+				control := newControlPlane()
+				r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+				control.exchange(r)
+				r.RecordDeparture("a", firstStart.Add(time.Second))
+				if restart {
+					control.exchange(r)
+					r, g, _ = startedNode()
+					r.ApplyState(control.nodeTable())
+					r.Confirm()
+				}
+				r.HandleHeartbeat(successor)
+				is.Equal(g.updates[len(g.updates)-1], "set "+successor.ID+" 6")
+				control.exchange(r)
+				is.Equal(control.nodeTable()["s"][successor.ID].State, distribution.Live)
+				is.Equal(len(control.nodeTable()["s"]), 1)
+				is.Equal(len(r.PendingAnnouncements()), 0)
+				is.Equal(len(r.backends), 1)
+			})
+		}
+	}
+}
+
+// A departure that reaches a restarted node before the control plane's state must end the listed incarnation, whatever
+// the node's clock says.
+func TestDepartureAtRestartedNodeEndsListedIncarnation(t *testing.T) {
+	for _, offset := range []time.Duration{-time.Hour, time.Hour} {
+		is := is.New(t)
+		r, _ := newRegistry()
+		control := newControlPlane()
+		r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+		control.exchange(r)
+		restarted, g, _ := startedNode()
+		committed := restarted.RecordDeparture("a", firstStart.Add(offset))
+		control.answer(restarted)
+		restarted.Confirm()
+		is.True(!committed.Fulfilled())
+		control.exchange(restarted)
+		is.True(committed.Fulfilled())
+		is.Equal(len(control.nodeTable()["s"]), 0)
+		restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart.Add(time.Millisecond), 1, Ready))
+		is.Equal(g.updates[len(g.updates)-1], "set a 6")
+	}
+}
+
+// A departure that is repeated, or of a back end that nobody knows, must be acknowledged without the control plane
+// recording anything.
+func TestRepeatedAndUnknownDeparturesAreCommitted(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRegistry()
+	control := newControlPlane()
+	r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+	control.exchange(r)
+	r.RecordDeparture("a", time.Now())
+	control.exchange(r)
+	revision := control.state.Revision
+	for _, id := range []string{"a", "unknown"} {
+		is.True(r.RecordDeparture(id, time.Now()).Fulfilled())
+		restarted, _, _ := startedNode()
+		committed := restarted.RecordDeparture(id, time.Now())
+		is.True(!committed.Fulfilled())
+		restarted.ApplyState(control.nodeTable())
+		restarted.Confirm()
+		is.True(committed.Fulfilled())
+	}
+	control.exchange(r)
+	is.Equal(control.state.Revision, revision)
+	is.Equal(len(r.backends), 0)
+}
+
+// The memory of departures must stay bounded.
+func TestRegistryForgetsDepartures(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRegistry()
+	control := newControlPlane()
+	for i := range 3 * maxDeparted {
+		r.HandleHeartbeat(heartbeatStartedAt("a", firstStart.Add(time.Duration(i)*time.Second), 1, Ready))
+		control.exchange(r)
+		r.RecordDeparture("a", time.Now())
+		control.exchange(r)
+	}
+	is.Equal(len(r.backends), 0)
+	is.Equal(len(r.departed), maxDeparted)
+	is.Equal(len(control.state.Endpoints["s"]), 1)
+}
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -3,9 +3,13 @@
 //
 // A back end that drains or has left can't become ready again, but a restart under the same ID can: an
 // incarnation is identified by the ID and the start time, as far as the back end reports one.
+//
+// The registry is lost with its process. That a back end leaves may therefore be acknowledged to it only once the
+// control plane has recorded it, as the returned Commitment tells.
 package registration
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -77,8 +81,18 @@
 	// OnStateChange, if set, is called for logs when a back end is added, leaves, or changes its state or
 	// capacity, with its latest heartbeat.
 	OnStateChange func(Heartbeat)
+	// OnHeld, if set, is called for logs with the first heartbeat of a back end that is held because of HoldUnconfirmed.
+	OnHeld func(Heartbeat)
+	// HoldUnconfirmed keeps the gate closed for new back ends until Confirm is called, since an earlier process may
+	// have acknowledged that they left. Now, which it needs, reads the process's monotonic clock.
+	HoldUnconfirmed bool
+	Now             func() time.Duration
 }
 
+// ErrSuperseded is returned for a draining heartbeat that changes nothing, since a later one or a later incarnation
+// is registered. It must not be acknowledged.
+var ErrSuperseded = errors.New("a later heartbeat or incarnation of the back end is registered")
+
 // maxDeparted bounds the remembered incarnations that have left.
 const maxDeparted = 64
 
@@ -88,13 +102,20 @@
 
 	mu       sync.Mutex
 	backends map[string]*registeredBackend
-	departed []incarnationKey
+	departed []departure
+	// table is the control plane's latest one, hasTable is set once there is one, confirmed once the control plane has
+	// confirmed it.
+	table     distribution.EndpointTable
+	hasTable  bool
+	confirmed bool
 }
 
-// incarnationKey identifies one incarnation of a back end.
-type incarnationKey struct {
+// departure is an incarnation of a back end that left.
+type departure struct {
 	id          string
 	incarnation uint64
+	// replaced is set if the back end did not say that it leaves: another one took its address.
+	replaced bool
 }
 
 // registeredBackend is a back end with its latest heartbeat.
@@ -102,26 +123,36 @@
 	heartbeat Heartbeat
 	// acknowledged is set once the control plane's state matches the heartbeat.
 	acknowledged bool
+	// unknown is set for a back end of which only its departure is known, listed once the control plane's table has
+	// contained the incarnation.
+	unknown, listed bool
+	// held is set while the gate stays closed until Confirm; heldSince is when the back end was registered.
+	held      bool
+	heldSince time.Duration
+	leaving   Commitment
 }
 
 // New returns an empty registry.
 func New(config Config) *Registry {
-	return &Registry{config: config, backends: map[string]*registeredBackend{}}
+	return &Registry{config: config, backends: map[string]*registeredBackend{}, confirmed: !config.HoldUnconfirmed}
 }
 
 // HandleHeartbeat updates the back end, its gate and the announcements from a heartbeat. It ignores heartbeats that
-// arrive out of order or belong to an earlier incarnation.
-func (r *Registry) HandleHeartbeat(h Heartbeat) {
+// arrive out of order or belong to an earlier incarnation. A draining heartbeat may be acknowledged once the
+// returned commitment is fulfilled, and not at all after ErrSuperseded.
+func (r *Registry) HandleHeartbeat(h Heartbeat) (Commitment, error) {
 	r.mu.Lock()
 	changed := r.applyHeartbeat(h)
+	committed, err := r.drainCommitment(h)
 	r.mu.Unlock()
 	if changed {
 		r.notify(h)
 	}
+	return committed, err
 }
 
 func (r *Registry) applyHeartbeat(h Heartbeat) (changed bool) {
-	if slices.ContainsFunc(r.departed, func(e incarnationKey) bool { return e.id == h.ID && h.incarnation() <= e.incarnation }) {
+	if _, left := r.departureOf(h); left {
 		return false
 	}
 	entry, found := r.backends[h.ID]
@@ -130,9 +161,7 @@
 	}
 	if !found || h.incarnation() > entry.heartbeat.incarnation() {
 		r.removeReplaced(h)
-		r.backends[h.ID] = &registeredBackend{heartbeat: h}
-		r.updateGate(h)
-		r.config.Gate.SetColdRemaining(h.ID, h.ColdRemaining)
+		r.register(h)
 		return true
 	}
 	if h.Sequence <= entry.heartbeat.Sequence {
@@ -143,31 +172,82 @@
 	entry.heartbeat = h
 	if changed {
 		entry.acknowledged = false
-		r.updateGate(h)
 	}
-	r.config.Gate.SetColdRemaining(h.ID, h.ColdRemaining)
+	if entry.held && r.config.Now()-entry.heldSince >= lateHeartbeatSpan {
+		entry.held = false
+		changed = true
+	}
+	if changed {
+		r.updateGate(entry)
+	}
+	r.updateCold(entry)
 	return changed
 }
 
+// departureOf returns the departure that makes a heartbeat a late one, false if there is none.
+func (r *Registry) departureOf(h Heartbeat) (departure, bool) {
+	i := slices.IndexFunc(r.departed, func(d departure) bool { return d.id == h.ID && h.incarnation() <= d.incarnation })
+	if i < 0 {
+		return departure{}, false
+	}
+	return r.departed[i], true
+}
+
+// register adds a new incarnation of a back end.
+func (r *Registry) register(h Heartbeat) {
+	entry := &registeredBackend{heartbeat: h, leaving: newCommitment(), held: !r.confirmed}
+	if entry.held {
+		entry.heldSince = r.config.Now()
+		if r.config.OnHeld != nil {
+			r.config.OnHeld(h)
+		}
+	}
+	r.backends[h.ID] = entry
+	r.updateGate(entry)
+	r.updateCold(entry)
+}
+
 // RecordDeparture records that a back end left at a time. An unknown back end counts as started at that time, so that
-// heartbeats of incarnations that started earlier are ignored.
-func (r *Registry) RecordDeparture(id string, at time.Time) {
+// heartbeats of incarnations that started earlier are ignored. The departure may be acknowledged once the returned
+// commitment is fulfilled.
+func (r *Registry) RecordDeparture(id string, at time.Time) Commitment {
 	r.mu.Lock()
 	entry, found := r.backends[id]
 	if !found {
-		entry = &registeredBackend{heartbeat: Heartbeat{ID: id, Service: r.config.Service, Born: at}}
-		r.backends[id] = entry
+		entry = r.unknownDeparture(id, at)
 	}
-	alreadyDeparted := entry.heartbeat.State == Departed
-	entry.heartbeat.State = Departed
-	entry.acknowledged = false
-	r.updateGate(entry.heartbeat)
-	r.rememberDeparted(entry.heartbeat)
-	left := entry.heartbeat
+	alreadyDeparted := found && entry.heartbeat.State == Departed
+	r.depart(entry)
+	left, committed := entry.heartbeat, entry.leaving
 	r.mu.Unlock()
 	if !alreadyDeparted {
 		r.notify(left)
 	}
+	return committed
+}
+
+// unknownDeparture returns a back end of which only the departure is known, with what the control plane lists about it.
+// If the control plane lists nothing, there is nothing to announce.
+func (r *Registry) unknownDeparture(id string, at time.Time) *registeredBackend {
+	entry := &registeredBackend{heartbeat: Heartbeat{ID: id, Service: r.config.Service, Born: at}, leaving: newCommitment(), unknown: true}
+	listed, found := r.table[r.config.Service][id]
+	switch {
+	case found:
+		entry.adopt(listed)
+	case r.confirmed && r.hasTable:
+		entry.leaving.fulfill()
+		return entry
+	}
+	r.backends[id] = entry
+	return entry
+}
+
+// depart marks a back end as departed.
+func (r *Registry) depart(entry *registeredBackend) {
+	entry.heartbeat.State = Departed
+	entry.acknowledged = false
+	r.updateGate(entry)
+	r.rememberDeparted(entry.heartbeat, false)
 }
 
 // RecordLeaving records that an incarnation of a back end has stated that it accepts no new calls, as a
@@ -181,7 +261,7 @@
 	}
 	entry.heartbeat.State = Draining
 	entry.acknowledged = false
-	r.updateGate(entry.heartbeat)
+	r.updateGate(entry)
 	draining := entry.heartbeat
 	r.mu.Unlock()
 	r.notify(draining)
@@ -189,38 +269,54 @@
 
 // notify reports a change of a back end to the callbacks.
 func (r *Registry) notify(h Heartbeat) {
-	if r.config.OnStateChange != nil {
-		r.config.OnStateChange(h)
-	}
+	r.logChange(h)
 	if r.config.OnAnnouncement != nil {
 		r.config.OnAnnouncement()
 	}
 }
 
+func (r *Registry) logChange(h Heartbeat) {
+	if r.config.OnStateChange != nil {
+		r.config.OnStateChange(h)
+	}
+}
+
 // removeReplaced removes back ends that crashed and were replaced by a new one at the same address.
 func (r *Registry) removeReplaced(h Heartbeat) {
 	for id, other := range r.backends {
 		if other.heartbeat.Address == h.Address && other.heartbeat.State != Departed {
 			delete(r.backends, id)
 			if id != h.ID {
-				r.rememberDeparted(other.heartbeat)
+				r.rememberDeparted(other.heartbeat, true)
 			}
 		}
 	}
 }
 
 // rememberDeparted remembers an incarnation that left, up to the latest maxDeparted ones.
-func (r *Registry) rememberDeparted(h Heartbeat) {
-	key := incarnationKey{id: h.ID, incarnation: h.incarnation()}
-	if !slices.Contains(r.departed, key) {
-		r.departed = append(r.departed, key)
+func (r *Registry) rememberDeparted(h Heartbeat, replaced bool) {
+	left := departure{id: h.ID, incarnation: h.incarnation(), replaced: replaced}
+	if i := slices.IndexFunc(r.departed, func(d departure) bool { return d.id == left.id && d.incarnation == left.incarnation }); i >= 0 {
+		r.departed[i].replaced = r.departed[i].replaced && replaced
+		return
 	}
+	r.departed = append(r.departed, left)
 	if len(r.departed) > maxDeparted {
 		r.departed = r.departed[1:]
 	}
 }
 
-func (r *Registry) updateGate(h Heartbeat) {
+// forgetDeparture drops a departure whose incarnation was only assumed.
+func (r *Registry) forgetDeparture(h Heartbeat) {
+	r.departed = slices.DeleteFunc(r.departed, func(d departure) bool { return d.id == h.ID && d.incarnation == h.incarnation() })
+}
+
+// updateGate adds a back end that is ready and not held to the gate, and removes any other.
+func (r *Registry) updateGate(entry *registeredBackend) {
+	h := entry.heartbeat
+	if entry.held && h.State == Ready {
+		return
+	}
 	if h.State == Ready {
 		r.config.Gate.SetBackend(gate.Backend{
 			ID: h.ID, Service: h.Service, Address: h.Address, Capacity: h.Capacity, Zone: h.Zone, Version: h.Version,
@@ -231,13 +327,21 @@
 	r.config.Gate.RemoveBackend(h.ID)
 }
 
+func (r *Registry) updateCold(entry *registeredBackend) {
+	if !entry.held {
+		r.config.Gate.SetColdRemaining(entry.heartbeat.ID, entry.heartbeat.ColdRemaining)
+	}
+}
+
 // PendingAnnouncements returns the back ends whose state the control plane hasn't acknowledged.
 func (r *Registry) PendingAnnouncements() []distribution.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []distribution.Endpoint
 	for _, entry := range r.backends {
-		if !entry.acknowledged && entry.heartbeat.Service != "" {
+		// What the control plane lists about an unknown one shows once it has confirmed the state.
+		undecided := entry.unknown && !r.confirmed
+		if !entry.acknowledged && !undecided && entry.heartbeat.Service != "" {
 			all = append(all, r.endpoint(entry.heartbeat))
 		}
 	}
@@ -251,38 +355,3 @@
 		Gate: r.config.GateAddress, Capacity: h.Capacity, State: states[h.State], Version: h.Version,
 	}
 }
-
-// ApplyState marks back ends whose state the control plane's endpoints contain as acknowledged, and forgets
-// removed ones. If no back end is known and none has left, it restores those registered at this gate.
-func (r *Registry) ApplyState(table distribution.EndpointTable) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id, entry := range r.backends {
-		listed, found := table[entry.heartbeat.Service][id]
-		announcedState := r.endpoint(entry.heartbeat).State
-		matches := found && listed.State == announcedState && listed.Incarnation >= entry.heartbeat.incarnation()
-		entry.acknowledged = matches || (!found && announcedState == distribution.Removed)
-		if entry.acknowledged && announcedState == distribution.Removed {
-			delete(r.backends, id)
-		}
-	}
-	if len(r.backends) == 0 && len(r.departed) == 0 {
-		r.restoreFromState(table)
-	}
-}
-
-// restoreFromState adds the live back ends that the control plane lists at this gate, usually one.
-func (r *Registry) restoreFromState(table distribution.EndpointTable) {
-	for _, endpoints := range table {
-		for _, listed := range endpoints {
-			if listed.Gate == r.config.GateAddress && listed.State == distribution.Live {
-				h := Heartbeat{Service: listed.Service, ID: listed.ID, Address: listed.Address, Zone: listed.Zone, Capacity: listed.Capacity, Version: listed.Version}
-				if listed.Incarnation > unknownIncarnation {
-					h.Born = time.UnixMilli(int64(listed.Incarnation))
-				}
-				r.backends[h.ID] = &registeredBackend{heartbeat: h, acknowledged: true}
-				r.updateGate(h)
-			}
-		}
-	}
-}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -51,6 +51,8 @@
 	TakeReports func() []protocol.NodeReport
 	// Announce, if set, returns the announcements to send with the next ping.
 	Announce func() protocol.Announce
+	// OnEnded, if set, receives announced back ends that the server lists as leaving or removed.
+	OnEnded func([]distribution.Endpoint)
 	// OnQuotas, if set, receives quota shares and the time from which their age counts: when the answered
 	// ping was sent.
 	OnQuotas func(asked time.Duration, shares quota.Shares)
--- a/pkg/stream/client_session.go
+++ b/pkg/stream/client_session.go
@@ -277,6 +277,9 @@
 	if pong.Quotas != nil && c.config.OnQuotas != nil {
 		c.config.OnQuotas(sentAt, *pong.Quotas)
 	}
+	if len(pong.Ended) > 0 && c.config.OnEnded != nil {
+		c.config.OnEnded(pong.Ended)
+	}
 	if confirmed {
 		c.advanceConfirmedAt(at)
 	}
--- a/pkg/stream/session.go
+++ b/pkg/stream/session.go
@@ -33,6 +33,8 @@
 	pongSequence uint64
 	pongDue      bool
 	quotas       *quota.Shares
+	// announced are the back ends announced in the ping to answer.
+	announced []distribution.Endpoint
 }
 
 // NewSession returns a session for a subscriber of a group at a position.
@@ -51,6 +53,7 @@
 	}
 	s.pinged = true
 	s.pongSequence = ping.Sequence
+	s.announced = ping.Announcements
 	s.pongDue = true
 	return s.SetReported(ping.Position)
 }
@@ -81,7 +84,10 @@
 	s.pongDue = false
 	revision := planner.State().Revision
 	s.sent.Revision = max(s.sent.Revision, revision)
-	pong := &protocol.Pong{Sequence: s.pongSequence, Revision: revision, Confirmed: freshness.Confirmed, Quotas: s.quotas}
+	pong := &protocol.Pong{
+		Sequence: s.pongSequence, Revision: revision, Confirmed: freshness.Confirmed, Quotas: s.quotas,
+		Ended: planner.State().Endpoints.Ended(s.announced),
+	}
 	if freshness.Confirmed {
 		pong.Stale = max(0, freshness.Stale)
 	}
