storage: what a replica reads back at its start is durable before it counts

What callers could see: a replica is killed between a write and its sync, starts again, and takes the records that it reads back for durable. It then acknowledges by them (an entry to its leader, a configuration, an evacuation or a departure to whoever asked), and loses them when it loses power before its next sync. The same with a log whose replacement was renamed and whose folder was not synced: everything after the replacement goes with it.

Change: Open syncs the log and its folder, in every case instead of only after a torn write.

TestStorageRejectsCallsAfterFailedSync let every sync fail from the start, which Open now reports: its disk fails from a moment that the test sets, and the test also checks Open's error.

--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -89,8 +89,8 @@
 	return identity, nil
 }
 
-// Open recovers a replica's state and truncates a torn write at the end of the log. It returns
-// ErrNoState for a folder without a replica and ErrCorrupt for a damaged log.
+// Open recovers a replica's state, truncates a torn write at the end of the log and makes the rest durable. It
+// returns ErrNoState for a folder without a replica and ErrCorrupt for a damaged log.
 func Open(fsys FileSystem) (*Storage, raft.State, error) {
 	identity, err := ReadIdentity(fsys)
 	if err != nil {
@@ -115,21 +115,24 @@
 	return s, state, nil
 }
 
-// openLog opens the log for appending and durably truncates a torn write.
+// openLog opens the log for appending and truncates a torn write. It syncs the log and its folder, since the process
+// before may have been killed between a write or a rename and its sync.
 func (s *Storage) openLog(torn bool) error {
 	file, err := s.fsys.OpenAppend(logFileName)
 	if err != nil {
 		return fmt.Errorf("open: %w", err)
 	}
 	s.file = file
-	if !torn {
-		return nil
-	}
-	if err := file.Truncate(s.size); err != nil {
-		return fmt.Errorf("truncate torn write: %w", err)
+	if torn {
+		if err := file.Truncate(s.size); err != nil {
+			return fmt.Errorf("truncate torn write: %w", err)
+		}
 	}
 	if err := file.Sync(); err != nil {
-		return fmt.Errorf("sync after truncating torn write: %w", err)
+		return fmt.Errorf("sync: %w", err)
+	}
+	if err := s.fsys.SyncDir(); err != nil {
+		return fmt.Errorf("sync folder: %w", err)
 	}
 	return nil
 }
--- a/pkg/storage/storage_test.go
+++ b/pkg/storage/storage_test.go
@@ -116,25 +116,41 @@
 	is.Equal(state.HardState.Term, uint64(3)) // the term survives a checkpoint
 }
 
-// syncFailingFileSystem fails every sync of files opened for appending.
-type syncFailingFileSystem struct{ *Dir }
+// syncFailingFileSystem fails every sync of files opened for appending while failing is set.
+type syncFailingFileSystem struct {
+	*Dir
+	failing *bool
+}
 
-type syncFailingFile struct{ File }
+type syncFailingFile struct {
+	File
+	failing *bool
+}
 
 var errSyncFailed = errors.New("sync failed")
 
-func (syncFailingFile) Sync() error { return errSyncFailed }
+func (f syncFailingFile) Sync() error {
+	if *f.failing {
+		return errSyncFailed
+	}
+	return f.File.Sync()
+}
 
 func (b syncFailingFileSystem) OpenAppend(name string) (File, error) {
 	file, err := b.Dir.OpenAppend(name)
-	return syncFailingFile{file}, err
+	return syncFailingFile{file, b.failing}, err
 }
 
 func TestStorageRejectsCallsAfterFailedSync(t *testing.T) {
 	is := is.New(t)
 	_, fsys := newReplica(t)
-	opened, _, err := Open(syncFailingFileSystem{fsys})
+	failing := true
+	_, _, err := Open(syncFailingFileSystem{fsys, &failing})
+	is.True(errors.Is(err, errSyncFailed)) // what was read may not be durable
+	failing = false
+	opened, _, err := Open(syncFailingFileSystem{fsys, &failing})
 	is.NoErr(err)
+	failing = true
 	effects := raft.Effects{Entries: []raft.Entry{{Term: 3, Index: 4}}}
 	is.True(errors.Is(opened.Save(effects), errSyncFailed))
 	is.True(errors.Is(opened.Save(effects), ErrDurabilityUnknown)) // a retry must not succeed
