proxy: a saved configuration is durable before a restarted node serves it

A node that is killed after it renamed its saved configuration and before it synced the folder starts again with the new version, serves it, and comes back with an older one after a power loss: a proxy that goes back to a version older than one it held. The folder is synced on load.

--- a/pkg/proxy/config_store.go
+++ b/pkg/proxy/config_store.go
@@ -72,6 +72,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
+	// The process before may have been killed after it renamed the file and before it synced the folder.
+	if err := s.config.Files.SyncDir(); err != nil {
+		return nil, fmt.Errorf("sync folder of the saved configuration: %w", err)
+	}
 	var saved savedState
 	if err := json.Unmarshal(content, &saved); err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
--- a/pkg/proxy/config_store_test.go
+++ b/pkg/proxy/config_store_test.go
@@ -100,6 +100,17 @@
 	is.True(errors.Is(*failure, errSync)) // the process must exit
 }
 
+// Guards against serving a configuration that a power loss would replace by an older one.
+func TestSavedConfigurationIsDurableBeforeItIsServed(t *testing.T) {
+	is := is.New(t)
+	folder, err := storage.OpenDir(filepath.Join(t.TempDir(), "data"))
+	is.NoErr(err)
+	s, _, _ := startStore(t, folder)
+	is.NoErr(s.Apply(fullUpdate(t, 1)))
+	_, err = NewConfigStore(StoreConfig{Files: failingSyncDir{folder}, Group: "shop", Verifier: acceptAllVerifier{}})
+	is.True(errors.Is(err, errSync))
+}
+
 // A state saved by an earlier release lacks data that its revision covers; after the upgrade the node
 // must receive the full state.
 func TestStateSavedByEarlierReleaseIsSentAgainInFull(t *testing.T) {
