registration: a departure is recorded also if control lists nothing; a lagging server is left while one waits

Cause: a departure that control does not list counted as recorded. Change: it is announced, and recorded like any other, with the time of the departure as the incarnation; control's answer tells when. TestUnknownBackEndThatLeavesIsAnnounced asked that such an announcement stops when control's table lacks the back end, which is what lost it: it now asks that it goes on until control has recorded it, and stops then. TestUnknownAndRepeatedDeparturesAreRecorded failed before.

While somebody waits for a record, the client now pings every 150 ms and leaves a server whose state is older than 300 ms instead of the configured limit. TestAwaitingClientLeavesServerThatLags."

--- a/pkg/distribution/endpoint.go
+++ b/pkg/distribution/endpoint.go
@@ -144,7 +144,7 @@
 	var changes []Endpoint
 	for _, endpoint := range announced {
 		current, found := t[endpoint.Service][endpoint.ID]
-		if !found && endpoint.State == Removed && endpoint.Address != "" {
+		if !found && endpoint.State == Removed {
 			endpoint.State = Leaving
 		}
 		if (!found && endpoint.State != Removed) || (found && endpoint.Supersedes(current)) {
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -100,6 +100,10 @@
 
 // awaitRecord waits until the control plane has recorded that a back end leaves.
 func (s *Server) awaitRecord(ctx context.Context, id string, recorded registration.Commitment) error {
+	if recorded.Fulfilled() {
+		return nil
+	}
+	defer s.controlClient.Await()()
 	start := s.clock.Elapsed()
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
--- a/pkg/registration/commitment_test.go
+++ b/pkg/registration/commitment_test.go
@@ -223,9 +223,8 @@
 	}
 }
 
-// A departure that is repeated, or of a back end that nobody knows, must be acknowledged without the control plane
-// recording anything.
-func TestRepeatedAndUnknownDeparturesAreCommitted(t *testing.T) {
+// Guards against a late heartbeat of a back end that only its departure made known, also at a node that restarts.
+func TestUnknownAndRepeatedDeparturesAreRecorded(t *testing.T) {
 	is := is.New(t)
 	r, _ := newRegistry()
 	control := newControlPlane()
@@ -233,19 +232,29 @@
 	control.exchange(r)
 	r.RecordDeparture("a", time.Now())
 	control.exchange(r)
-	revision := control.state.Revision
 	for _, id := range []string{"a", "unknown"} {
-		is.True(r.RecordDeparture(id, time.Now()).Fulfilled())
 		restarted, _, _ := startedNode()
-		committed := restarted.RecordDeparture(id, time.Now())
-		is.True(!committed.Fulfilled())
+		committed := restarted.RecordDeparture(id, secondStart)
 		restarted.ApplyState(control.nodeTable())
 		restarted.Confirm()
+		is.True(!committed.Fulfilled())
+		control.exchange(restarted)
 		is.True(committed.Fulfilled())
+		is.Equal(len(restarted.PendingAnnouncements()), 0)
+
+		again, g, _ := startedNode()
+		again.ApplyState(control.nodeTable())
+		again.Confirm()
+		again.HandleHeartbeat(heartbeatStartedAt(id, secondStart.Add(-time.Second), 1, Ready))
+		control.exchange(again)
+		is.Equal(g.updates, []string{"set " + id + " 6", "remove " + id})
+		is.Equal(len(control.nodeTable()["s"]), 0)
+		again.HandleHeartbeat(heartbeatStartedAt(id, secondStart.Add(time.Millisecond), 1, Ready))
+		control.exchange(again)
+		is.Equal(control.nodeTable()["s"][id].State, distribution.Live)
+		again.RecordDeparture(id, time.Now())
+		control.exchange(again)
 	}
-	control.exchange(r)
-	is.Equal(control.state.Revision, revision)
-	is.Equal(len(r.backends), 0)
 }
 
 // The memory of departures must stay bounded.
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -103,10 +103,8 @@
 	mu       sync.Mutex
 	backends map[string]*registeredBackend
 	departed []departure
-	// table is the control plane's latest one, hasTable is set once there is one, confirmed once the control plane has
-	// confirmed it.
+	// table is the control plane's latest one, confirmed is set once the control plane has confirmed it.
 	table     distribution.EndpointTable
-	hasTable  bool
 	confirmed bool
 }
 
@@ -226,17 +224,13 @@
 	return committed
 }
 
-// unknownDeparture returns a back end of which only the departure is known, with what the control plane lists about it.
-// If the control plane lists nothing, there is nothing to announce.
+// unknownDeparture registers a back end of which only the departure is known, with what the control plane lists about
+// it. The control plane records it also if it lists nothing, since heartbeats may arrive late.
 func (r *Registry) unknownDeparture(id string, at time.Time) *registeredBackend {
-	entry := &registeredBackend{heartbeat: Heartbeat{ID: id, Service: r.config.Service, Born: at}, leaving: newCommitment(), unknown: true}
-	listed, found := r.table[r.config.Service][id]
-	switch {
-	case found:
+	h := Heartbeat{ID: id, Service: r.config.Service, Born: at}
+	entry := &registeredBackend{heartbeat: h, leaving: newCommitment(), unknown: true}
+	if listed, found := r.table[h.Service][id]; found {
 		entry.adopt(listed)
-	case r.confirmed && r.hasTable:
-		entry.leaving.fulfill()
-		return entry
 	}
 	r.backends[id] = entry
 	return entry
--- a/pkg/registration/registration_test.go
+++ b/pkg/registration/registration_test.go
@@ -110,7 +110,11 @@
 	r.RecordDeparture("x", time.Now())
 	is.Equal(r.PendingAnnouncements()[0].State, distribution.Removed)
 	r.ApplyState(distribution.EndpointTable{})
+	is.Equal(len(r.PendingAnnouncements()), 1) // the control plane has not recorded it
+	control := newControlPlane()
+	control.exchange(r)
 	is.Equal(len(r.PendingAnnouncements()), 0)
+	is.Equal(control.state.Endpoints["s"]["x"].State, distribution.Removed)
 }
 
 // The gate must receive the remaining cold time of each heartbeat, except late ones.
--- a/pkg/registration/state.go
+++ b/pkg/registration/state.go
@@ -14,20 +14,18 @@
 // back ends that were held until then.
 func (r *Registry) Confirm() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.confirmed {
-		return
-	}
+	first := !r.confirmed
 	r.confirmed = true
-	for id, entry := range r.backends {
+	for _, entry := range r.backends {
 		if entry.held {
 			entry.held = false
 			r.updateGate(entry)
 			r.updateCold(entry)
 		}
-		if _, listed := r.table[entry.heartbeat.Service][id]; entry.unknown && !listed {
-			entry.leaving.fulfill()
-		}
+	}
+	r.mu.Unlock()
+	if first && r.config.OnAnnouncement != nil {
+		r.config.OnAnnouncement()
 	}
 }
 
@@ -35,7 +33,7 @@
 // removed ones. If no back end is known and none has left, it restores those registered at this gate.
 func (r *Registry) ApplyState(table distribution.EndpointTable) {
 	r.mu.Lock()
-	r.table, r.hasTable = table, true
+	r.table = table
 	var changed []Heartbeat
 	for _, entry := range r.backends {
 		before := entry.heartbeat
@@ -106,9 +104,8 @@
 		entry.acknowledged = listed.State == announced.State && listed.Incarnation >= announced.Incarnation
 	} else {
 		// One that was never listed may still be added by an announcement on its way.
-		ended := entry.listed || (entry.unknown && r.confirmed)
-		entry.acknowledged = announced.State == distribution.Removed && ended
-		if ended && announced.State != distribution.Live {
+		entry.acknowledged = announced.State == distribution.Removed && entry.listed
+		if entry.listed && announced.State != distribution.Live {
 			entry.leaving.fulfill()
 		}
 	}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -64,6 +64,8 @@
 	firstPingInterval = 50 * time.Millisecond
 	// minPingGap delays a ping requested by PingSoon, which bounds the rate of pings.
 	minPingGap = 50 * time.Millisecond
+	// awaitPingInterval is the interval between pings while Await is in effect.
+	awaitPingInterval = 150 * time.Millisecond
 	// The first quickDialAttempts consecutive dials time out after quickDialTimeout, two round
 	// trips between regions 35 ms apart. Together they span a restart of the control plane.
 	quickDialAttempts = 6
@@ -94,6 +96,8 @@
 	// requests the full state.
 	needsFullState atomic.Bool
 	currentServer  atomic.Pointer[string]
+	// awaiting counts the calls of Await in effect.
+	awaiting atomic.Int32
 	// failedDials counts consecutive failed dials.
 	failedDials atomic.Int32
 }
@@ -172,6 +176,14 @@
 	}
 }
 
+// Await makes the client ping more often, and leave a server sooner that does not keep up with the control plane, until
+// the returned function is called: somebody waits for a change to be committed and received.
+func (c *Client) Await() (done func()) {
+	c.awaiting.Add(1)
+	c.PingSoon()
+	return func() { c.awaiting.Add(-1) }
+}
+
 // Run maintains the subscription until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	var successor *clientSession
--- a/pkg/stream/client_session.go
+++ b/pkg/stream/client_session.go
@@ -158,6 +158,9 @@
 		if _, confirmed := s.client.ConfirmedAt(); !confirmed {
 			interval = min(interval, firstPingInterval)
 		}
+		if s.client.awaiting.Load() > 0 {
+			interval = min(interval, awaitPingInterval)
+		}
 		jittered := time.Duration((0.75 + rand.Float64()/2) * float64(interval))
 		if !s.waitForNextPing(ctx, jittered) {
 			return
@@ -286,7 +289,7 @@
 	_, everConfirmed := c.ConfirmedAt()
 	health := ServerHealth{
 		Confirmed: confirmed, Stale: pong.Stale, Behind: pong.Revision < c.target.Position().Revision,
-		Starting: !everConfirmed, Open: c.config.Now() - s.openedAt,
+		Starting: !everConfirmed, Open: c.config.Now() - s.openedAt, Awaited: c.awaiting.Load() > 0,
 	}
 	s.considerMove(ctx, health)
 	return nil
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -217,6 +217,20 @@
 	// been open.
 	Starting bool
 	Open     time.Duration
+	// Awaited is true while somebody waits for a change to be received.
+	Awaited bool
+}
+
+// awaitedStaleLimit is the staleness beyond which a server is left while a change is awaited. Followers are
+// confirmed with each heartbeat of their leader, a few times within it.
+const awaitedStaleLimit = 300 * time.Millisecond
+
+// isCurrent reports whether the server's state is current enough.
+func (s ServerHealth) isCurrent(limit time.Duration) bool {
+	if s.Awaited {
+		limit = min(limit, awaitedStaleLimit)
+	}
+	return s.Confirmed && !s.Behind && s.Stale <= limit
 }
 
 // mayAwaitConfirmation reports whether a starting client may keep its server until the first
@@ -234,7 +248,7 @@
 	if health.mayAwaitConfirmation(s.config.StaleLimit) {
 		return false
 	}
-	if health.Confirmed && !health.Behind && health.Stale <= s.config.StaleLimit {
+	if health.isCurrent(s.config.StaleLimit) {
 		s.failures = 0
 		s.candidates[s.current].avoidUntil = -1
 		return false
--- a/pkg/stream/stale_server_test.go
+++ b/pkg/stream/stale_server_test.go
@@ -141,3 +141,22 @@
 	s.considerMove(context.Background(), ServerHealth{Confirmed: true})
 	is.Equal(s.moveReason(), errNearerServer.Error())
 }
+
+// Guards against a change that is committed and not received in time, since the server lags behind the control plane a
+// little.
+func TestAwaitingClientLeavesServerThatLags(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	current := startStaleHub(t, ctx, nil)
+	lagging := startStaleHub(t, ctx, func() []protocol.Server { return []protocol.Server{{Address: current.address}} })
+	lagging.stale.Store(int64(awaitedStaleLimit + 100*time.Millisecond))
+	client := subscribeTo(t, ctx, lagging.address)
+	awaitServer(client, lagging.address)
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(client.Server(), lagging.address) // nothing is awaited
+	done := client.Await()
+	defer done()
+	awaitServer(client, current.address)
+	is.Equal(client.Server(), current.address)
+}
