stream: a client that awaits a change gives each server time, and returns to one that was stale

The shorter limit now applies once a subscription has been open as long, and a server marked as failed may be tried again then. TestAwaitedChangeIsSoughtAtServersThatWereStale.

A deregistration that is repeated at a node that knows it to be recorded (back ends that never drain send a second one at their end) is acknowledged without another record.

--- a/pkg/registration/commitment_test.go
+++ b/pkg/registration/commitment_test.go
@@ -232,6 +232,8 @@
 	control.exchange(r)
 	r.RecordDeparture("a", time.Now())
 	control.exchange(r)
+	is.True(r.RecordDeparture("a", time.Now()).Fulfilled()) // this node knows that it is recorded
+	is.Equal(len(r.PendingAnnouncements()), 0)
 	for _, id := range []string{"a", "unknown"} {
 		restarted, _, _ := startedNode()
 		committed := restarted.RecordDeparture(id, secondStart)
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -211,6 +211,11 @@
 func (r *Registry) RecordDeparture(id string, at time.Time) Commitment {
 	r.mu.Lock()
 	entry, found := r.backends[id]
+	if !found && r.hasRecordedDeparture(id) {
+		r.rememberDeparted(Heartbeat{ID: id, Born: at}, false)
+		r.mu.Unlock()
+		return nil
+	}
 	if !found {
 		entry = r.unknownDeparture(id, at)
 	}
@@ -224,6 +229,13 @@
 	return committed
 }
 
+// hasRecordedDeparture reports whether the control plane has recorded the departure of a back end that is no longer
+// registered, and lists no later incarnation of it.
+func (r *Registry) hasRecordedDeparture(id string) bool {
+	_, listed := r.table[r.config.Service][id]
+	return !listed && slices.ContainsFunc(r.departed, func(d departure) bool { return d.id == id && !d.replaced })
+}
+
 // unknownDeparture registers a back end of which only the departure is known, with what the control plane lists about
 // it. The control plane records it also if it lists nothing, since heartbeats may arrive late.
 func (r *Registry) unknownDeparture(id string, at time.Time) *registeredBackend {
--- a/pkg/stream/nearer.go
+++ b/pkg/stream/nearer.go
@@ -93,10 +93,10 @@
 	return Candidate{}, false
 }
 
-// AlternativeFor is Alternative, except that a server that is behind is replaced even by a
-// candidate marked as failed: the one whose mark expires first.
+// AlternativeFor is Alternative, except that a server that is behind, or from which a change is awaited, is replaced
+// even by a candidate marked as failed: the one whose mark expires first.
 func (s *Selector) AlternativeFor(now time.Duration, health ServerHealth) (Candidate, bool) {
-	if other, known := s.Alternative(now); known || !health.Behind {
+	if other, known := s.Alternative(now); known || !health.mayLeaveForFailed() {
 		return other, known
 	}
 	s.mu.Lock()
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -225,14 +225,21 @@
 // confirmed with each heartbeat of their leader, a few times within it.
 const awaitedStaleLimit = 300 * time.Millisecond
 
+// isUrgent reports whether a change is awaited from a server that has had time to catch up. While there is no leader
+// all servers are stale, and a client that leaves each at once ends at one of them by chance.
+func (s ServerHealth) isUrgent() bool { return s.Awaited && s.Open >= awaitedStaleLimit }
+
 // isCurrent reports whether the server's state is current enough.
 func (s ServerHealth) isCurrent(limit time.Duration) bool {
-	if s.Awaited {
+	if s.isUrgent() {
 		limit = min(limit, awaitedStaleLimit)
 	}
 	return s.Confirmed && !s.Behind && s.Stale <= limit
 }
 
+// mayLeaveForFailed reports whether even a server that is marked as failed is better than this one.
+func (s ServerHealth) mayLeaveForFailed() bool { return s.Behind || s.isUrgent() }
+
 // mayAwaitConfirmation reports whether a starting client may keep its server until the first
 // confirmation. After a full restart every server waits for a leader, and switching between them
 // only delays the client.
@@ -240,8 +247,8 @@
 	return s.Starting && !s.Confirmed && !s.Behind && s.Open <= limit
 }
 
-// ObservePong records the server's condition after a Pong. It reports whether to leave the server: it is
-// behind and there is another candidate, or it is stale and another is not marked as failed.
+// ObservePong records the server's condition after a Pong. It reports whether to leave the server: it is stale and
+// another candidate is not marked as failed, or mayLeaveForFailed holds and there is another candidate.
 func (s *Selector) ObservePong(now time.Duration, health ServerHealth) (leave bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -254,5 +261,5 @@
 		return false
 	}
 	s.markFailed(now, s.current)
-	return s.hasAlternative(now) || (health.Behind && len(s.candidates) > 1)
+	return s.hasAlternative(now) || (health.mayLeaveForFailed() && len(s.candidates) > 1)
 }
--- a/pkg/stream/stale_server_test.go
+++ b/pkg/stream/stale_server_test.go
@@ -160,3 +160,23 @@
 	awaitServer(client, current.address)
 	is.Equal(client.Server(), current.address)
 }
+
+// Guards against a client that is stuck, while a change is awaited, at the one server that stays stale after the others
+// were stale for a moment.
+func TestAwaitedChangeIsSoughtAtServersThatWereStale(t *testing.T) {
+	is := is.New(t)
+	s := NewSelector(DefaultSelectorConfig(), []Candidate{{Address: "a"}, {Address: "b"}})
+	health := ServerHealth{Confirmed: true, Stale: 2 * awaitedStaleLimit, Awaited: true}
+	is.True(!s.ObservePong(0, health)) // just opened: it may catch up
+	health.Open = awaitedStaleLimit
+	is.True(s.ObservePong(0, health))
+	first, known := s.AlternativeFor(0, health)
+	is.True(known)
+	s.SetCurrent(first.Address)
+	is.True(s.ObservePong(0, health)) // both are marked as failed
+	second, known := s.AlternativeFor(0, health)
+	is.True(known)
+	is.True(second.Address != first.Address)
+	health.Awaited = false
+	is.True(!s.ObservePong(0, health))
+}
