registration: a late heartbeat of a crashed back end does not replace its successor

Cause: a restarted node took such a heartbeat for that of a new back end at the address, forgot the live one and marked its incarnation as departed for good, so that all its later heartbeats were ignored. Change: a heartbeat of another ID that started earlier than the back end at its address is taken for a late one, unless that back end has been silent for 3 s meanwhile (a successor whose clock was set back). One that arrives before the control plane's table is dropped if the table lists a later one at this gate.

--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -124,12 +124,25 @@
 	// unknown is set for a back end of which only its departure is known, listed once the control plane's table has
 	// contained the incarnation.
 	unknown, listed bool
+	// challenger is another back end that may have replaced this one.
+	challenger challenger
 	// held is set while the gate stays closed until Confirm; heldSince is when the back end was registered.
 	held      bool
 	heldSince time.Duration
 	leaving   Commitment
 }
 
+// challenger is a back end that started before the one registered at its address and sent heartbeats after it: late ones
+// of one that crashed, or those of a successor whose clock was set back.
+type challenger struct {
+	id    string
+	since time.Duration
+}
+
+// silenceSpan is how long a registered back end must have been silent, while one that started earlier sends heartbeats
+// from its address, to be replaced by it: two heartbeats of the usual interval are missing.
+const silenceSpan = 3 * time.Second
+
 // New returns an empty registry.
 func New(config Config) *Registry {
 	return &Registry{config: config, backends: map[string]*registeredBackend{}, confirmed: !config.HoldUnconfirmed}
@@ -158,6 +171,9 @@
 		return false
 	}
 	if !found || h.incarnation() > entry.heartbeat.incarnation() {
+		if !found && r.appearsLate(h) {
+			return false
+		}
 		r.removeReplaced(h)
 		r.register(h)
 		return true
@@ -165,6 +181,7 @@
 	if h.Sequence <= entry.heartbeat.Sequence {
 		return false
 	}
+	entry.challenger = challenger{}
 	h.State = max(h.State, entry.heartbeat.State)
 	changed = h.State != entry.heartbeat.State || h.Capacity != entry.heartbeat.Capacity
 	entry.heartbeat = h
@@ -182,6 +199,25 @@
 	return changed
 }
 
+// appearsLate reports whether a heartbeat of an unregistered back end is probably late, since the one registered at its
+// address started later and is not known to be silent.
+func (r *Registry) appearsLate(h Heartbeat) bool {
+	if h.Born.IsZero() || r.config.Now == nil {
+		return false
+	}
+	for _, other := range r.backends {
+		if other.heartbeat.Address != h.Address || other.heartbeat.State == Departed || other.heartbeat.incarnation() <= h.incarnation() {
+			continue
+		}
+		now := r.config.Now()
+		if other.challenger.id != h.ID {
+			other.challenger = challenger{id: h.ID, since: now}
+		}
+		return now-other.challenger.since < silenceSpan
+	}
+	return false
+}
+
 // departureOf returns the departure that makes a heartbeat a late one, false if there is none.
 func (r *Registry) departureOf(h Heartbeat) (departure, bool) {
 	i := slices.IndexFunc(r.departed, func(d departure) bool { return d.id == h.ID && h.incarnation() <= d.incarnation })
--- a/pkg/registration/restart_test.go
+++ b/pkg/registration/restart_test.go
@@ -82,3 +82,49 @@
 	is.Equal(g.updates, []string{"set a 6"})
 	is.Equal(len(restarted.PendingAnnouncements()), 0)
 }
+
+// Guards against a late heartbeat of a crashed back end that takes out the one which has replaced it.
+func TestLateHeartbeatOfCrashedBackEndDoesNotReplaceItsSuccessor(t *testing.T) {
+	for name, arriveFirst := range map[string]bool{"before the control plane's state": true, "after it": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			before, _ := newRegistry()
+			control := newControlPlane()
+			before.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 5, Ready))
+			control.exchange(before)
+			before.HandleHeartbeat(heartbeatStartedAt("b", secondStart, 1, Ready))
+			control.exchange(before)
+
+			r, g, clock := startedNode()
+			late := heartbeatStartedAt("a", firstStart, 6, Ready)
+			if arriveFirst {
+				r.HandleHeartbeat(late)
+			}
+			control.answer(r)
+			r.Confirm()
+			r.HandleHeartbeat(late)
+			for sequence := range uint64(5) {
+				*clock += silenceSpan / 2
+				late.Sequence++
+				r.HandleHeartbeat(late)
+				r.HandleHeartbeat(heartbeatStartedAt("b", secondStart, 2+sequence, Ready))
+				control.exchange(r)
+			}
+			is.Equal(g.updates, []string{"set b 6"})
+			is.Equal(control.nodeTable()["s"]["b"].State, distribution.Live)
+		})
+	}
+}
+
+// A successor whose clock was set back must replace a back end that is silent.
+func TestSuccessorWithEarlierStartReplacesSilentBackEnd(t *testing.T) {
+	is := is.New(t)
+	r, g, clock := startedNode()
+	r.Confirm()
+	r.HandleHeartbeat(heartbeatStartedAt("a", secondStart, 1, Ready))
+	r.HandleHeartbeat(heartbeatStartedAt("b", firstStart, 1, Ready))
+	is.Equal(g.updates, []string{"set a 6"})
+	*clock += silenceSpan
+	r.HandleHeartbeat(heartbeatStartedAt("b", firstStart, 2, Ready))
+	is.Equal(g.updates, []string{"set a 6", "set b 6"})
+}
--- a/pkg/registration/state.go
+++ b/pkg/registration/state.go
@@ -42,6 +42,7 @@
 			changed = append(changed, entry.heartbeat)
 		}
 	}
+	r.dropHeldLate()
 	r.repeatDepartures()
 	if len(r.backends) == 0 && len(r.departed) == 0 {
 		changed = append(changed, r.restoreFromState()...)
@@ -139,6 +140,26 @@
 	}
 }
 
+// dropHeldLate forgets held back ends if the table lists one at this gate that started later: their heartbeats were
+// probably late.
+func (r *Registry) dropHeldLate() {
+	for id, entry := range r.backends {
+		if entry.held && r.listsLater(entry.heartbeat) {
+			delete(r.backends, id)
+		}
+	}
+}
+
+// listsLater reports whether the table lists another live back end at this gate that started after the given one.
+func (r *Registry) listsLater(h Heartbeat) bool {
+	for _, listed := range r.table[h.Service] {
+		if listed.Gate == r.config.GateAddress && listed.State == distribution.Live && listed.ID != h.ID && listed.Incarnation > h.incarnation() {
+			return true
+		}
+	}
+	return false
+}
+
 // repeatDepartures registers departed back ends again that the table lists as live at this gate, so that their
 // departure is announced: an earlier announcement arrived late.
 func (r *Registry) repeatDepartures() {
