gate: the connection of a response that names no request is not used again

Cause: a back end's rejection without a request ID came a second time, in the place of the next response on the connection, and the gate took it for the rejection of the call sent there. Probes of the health path, whose responses name no request, shared the calls' connections; some back ends' rejections carry no ID at all. Change: probes have connections of their own, which are closed after the response. A connection on which a response without an ID came is retired: it is closed, and a request that the transport has assigned to it already fails before any byte is sent. If one was under way there, such a response counts as a mismatch (outcome unknown).

--- a/pkg/exchange/delivery.go
+++ b/pkg/exchange/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -14,12 +15,18 @@
 // countedConn counts the writes that passed any byte to the kernel, including one in progress.
 type countedConn struct {
 	net.Conn
-	writes atomic.Int64
+	writes  atomic.Int64
+	retired atomic.Bool
 }
 
+var errRetired = errors.New("the connection is retired")
+
 // Write implements net.Conn. It counts before it writes, since the peer may respond before the
 // write returns.
 func (c *countedConn) Write(data []byte) (int, error) {
+	if c.retired.Load() {
+		return 0, errRetired
+	}
 	c.writes.Add(1)
 	n, err := c.Conn.Write(data)
 	if n == 0 && err != nil {
@@ -83,6 +90,24 @@
 	return d.resends
 }
 
+// RetireConn makes the connection that the request used last reject later requests before any byte is sent, so that
+// the transport sends them over another one. It returns false if the connection was retired before.
+func (d *Delivery) RetireConn() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.conn == nil || d.conn.retired.CompareAndSwap(false, true)
+}
+
+// CloseRetired closes the connection that the request used last if it is retired. The response must not be read any
+// more. A request that the transport has assigned to the connection already fails before any byte is sent.
+func (d *Delivery) CloseRetired() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conn != nil && d.conn.retired.Load() {
+		d.conn.Close()
+	}
+}
+
 // MayHaveArrived reports whether the peer may have received any part of the request.
 func (d *Delivery) MayHaveArrived() bool {
 	d.mu.Lock()
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -109,6 +109,8 @@
 type Gate struct {
 	config    Config
 	transport *http.Transport
+	// probeTransport opens a connection for each probe of the health path, whose response names no request.
+	probeTransport *http.Transport
 	// inbound schedules large request bodies on the link, outbound large responses.
 	inbound, outbound *linkScheduler
 	// transit measures how long calls took to arrive.
@@ -161,7 +163,7 @@
 			DialContext: exchange.CountWrites(dialer.DialContext), DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 			ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
-		}}
+		}, probeTransport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true}}
 }
 
 const maxIdleConnections = 64
@@ -344,13 +346,14 @@
 	response, err := g.transport.RoundTrip(outgoing)
 	g.chargeResends(adm, delivery.Resends())
 	if err == nil {
-		err = g.checkResponse(r.Header, response)
+		err = g.checkResponse(r.Header, response, &delivery)
 	}
 	if err == nil {
 		g.recordStatement(adm, response)
 	}
 	if err == nil && g.declined(response) {
 		response.Body.Close()
+		delivery.CloseRetired()
 		cancel()
 		// The gate stays within the back end's capacity, so declining counts as a failure.
 		g.release(adm, callResult{failed: true})
@@ -423,16 +426,20 @@
 }
 
 // checkResponse verifies that a response belongs to the request. A back end that sends two
-// responses to one request would otherwise shift the following ones.
-func (g *Gate) checkResponse(sent http.Header, response *http.Response) error {
+// responses to one request would otherwise shift the following ones. The connection of a response that names no
+// request is not used again: a second copy of it would look like the response to the next request.
+func (g *Gate) checkResponse(sent http.Header, response *http.Response, delivery *exchange.Delivery) error {
 	name := g.config.Headers.RequestID
-	if name == "" || response.Header.Get(name) == sent.Get(name) {
+	if name == "" {
 		return nil
 	}
-	if g.declined(response) && response.Header.Get(name) == "" {
+	id := response.Header.Get(name)
+	identified := id != "" || delivery.RetireConn()
+	if identified && (id == sent.Get(name) || (id == "" && g.declined(response))) {
 		return nil
 	}
 	response.Body.Close()
+	delivery.CloseRetired()
 	return exchange.ErrResponseMismatch
 }
 
--- a/pkg/gate/gate_cold.go
+++ b/pkg/gate/gate_cold.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return 0, exchange.Statement{}, fmt.Errorf("probe health path of %s: %w", address, err)
 	}
-	response, err := g.transport.RoundTrip(request)
+	response, err := g.probeTransport.RoundTrip(request)
 	if err != nil {
 		return 0, exchange.Statement{}, fmt.Errorf("probe health path of %s: %w", address, err)
 	}
--- /dev/null
+++ b/pkg/gate/surplus_test.go
@@ -0,0 +1,73 @@
+package gate
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const declineWithoutID = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+// repeatingBackend rejects the first request without naming it. It sends that rejection a second time in the place of the
+// next response on the connection, and then runs the request.
+func repeatingBackend(t *testing.T) (address string, run func() []string) {
+	var mu sync.Mutex
+	var ran []string
+	repeats := map[net.Conn]bool{}
+	address, _ = scriptedBackend(t, func(conn net.Conn, request *http.Request, number int64) bool {
+		if number == 1 {
+			mu.Lock()
+			repeats[conn] = true
+			mu.Unlock()
+			_, err := io.WriteString(conn, declineWithoutID)
+			return err == nil
+		}
+		mu.Lock()
+		ran = append(ran, request.Header.Get("Call-Id"))
+		repeat := repeats[conn]
+		mu.Unlock()
+		if repeat {
+			_, _ = io.WriteString(conn, declineWithoutID)
+		}
+		writeResponse(conn, request.Header.Get("Call-Id"), "Content-Length: 4\r\n\r\nbody")
+		return true
+	})
+	return address, func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return ran
+	}
+}
+
+// Guards against a call reported as not run because of the second copy of an earlier rejection, of a call or of a probe.
+func TestSecondCopyOfRejectionIsNotTakenForNextResponse(t *testing.T) {
+	for name, reject := range map[string]func(t *testing.T, g *Gate, address string){
+		"of a call": func(t *testing.T, g *Gate, _ string) {
+			is.New(t).Equal(do(g, newCall(t, "GET", "rejected")).StatusCode, http.StatusServiceUnavailable)
+		},
+		"of a probe": func(t *testing.T, g *Gate, address string) {
+			_, _, err := g.probeHealth(address, "/health")
+			is.New(t).True(err != nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, run := repeatingBackend(t)
+			g := newGateFor(address, 4)
+			reject(t, g, address)
+			status := 0
+			for range 100 {
+				if status = do(g, newCall(t, "POST", "order")).StatusCode; status == http.StatusOK {
+					break
+				}
+				is.Equal(len(run()), 0) // a rejected call has not run
+			}
+			is.Equal(status, http.StatusOK)
+			is.Equal(run(), []string{"order"})
+		})
+	}
+}
