sim: a node whose disk fails a sync at its start exits and starts again

A process whose disk fails a sync exits and is started again, which the simulation does for replicas at their start and for nodes while they run; it now does so for nodes at their start. Any other error is still a violation.

--- a/pkg/sim/node.go
+++ b/pkg/sim/node.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -63,6 +64,10 @@
 		OnActivate: n.activate,
 		OnFailure:  func(err error) { n.fail(err) },
 	})
+	if errors.Is(err, errDisk) {
+		n.fail(err)
+		return
+	}
 	if err != nil {
 		n.simulation.violate(invariantRecovery, "%s cannot read its configuration: %v", n.name, err)
 		n.endRun()
