raft: a follower acknowledges only the entries that its log holds

A follower that stops at a membership entry which it cannot decode acknowledged all entries of the message, and advanced its commit index past its log; a leader counts such an acknowledgement toward a commit. The response now names the last entry held. The test failed before (panic: the commit index lies past the log).

--- a/pkg/raft/raft_test.go
+++ b/pkg/raft/raft_test.go
@@ -220,3 +220,25 @@
 	}
 	is.True(slow <= rounds/5) // some elections end in a split vote
 }
+
+// Guards against a follower that acknowledges entries which its log does not hold.
+func TestFollowerAcknowledgesOnlyEntriesThatItHolds(t *testing.T) {
+	is := is.New(t)
+	n := newTestNetwork(t, 3)
+	first := n.nodes[1].log.snapshot
+	follower := n.start(1, State{Snapshot: first})
+	term := first.Term + 1
+	follower.Step(n.now, Message{
+		Kind: MessageAppend, From: 2, To: 1, Term: term, Index: first.Index, LogTerm: first.Term, Commit: first.Index + 3,
+		Entries: []Entry{
+			{Term: term, Index: first.Index + 1, Data: []byte("held")},
+			{Term: term, Index: first.Index + 2, Kind: EntryMembership, Data: []byte("no membership")},
+			{Term: term, Index: first.Index + 3, Data: []byte("after it")},
+		},
+	})
+	is.Equal(follower.log.lastIndex(), first.Index+1)
+	responses := follower.Effects(n.now).Messages
+	is.Equal(len(responses), 1)
+	is.Equal(responses[0].Index, first.Index+1)
+	is.Equal(follower.Commit(), first.Index+1)
+}
--- a/pkg/raft/replication.go
+++ b/pkg/raft/replication.go
@@ -100,8 +100,7 @@
 		n.send(now, response)
 		return
 	}
-	n.mergeEntries(m.Entries)
-	response.Index = m.Index + uint64(len(m.Entries))
+	response.Index = m.Index + uint64(n.mergeEntries(m.Entries))
 	n.log.commit = max(n.log.commit, min(m.Commit, response.Index))
 	if m.EchoSession == n.session {
 		n.confirmation.observe(m)
@@ -110,9 +109,9 @@
 }
 
 // mergeEntries appends new entries and replaces conflicting ones. Matching entries stay, even
-// if more follow: a delayed message must not shorten the log.
-func (n *Node) mergeEntries(entries []Entry) {
-	for _, entry := range entries {
+// if more follow: a delayed message must not shorten the log. It returns how many of the entries the log then holds.
+func (n *Node) mergeEntries(entries []Entry) int {
+	for i, entry := range entries {
 		term, found := n.log.term(entry.Index)
 		if found && term == entry.Term {
 			continue
@@ -123,9 +122,10 @@
 		}
 		if err := n.appendEntry(entry); err != nil {
 			// Not expected, since the leader encodes memberships with the same code.
-			return
+			return i
 		}
 	}
+	return len(entries)
 }
 
 func (n *Node) handleSnapshot(now time.Duration, m Message) {
