registration: restarts of one back end do not displace the memory of others' departures

Found on reading the change: each repeated deregistration added an entry to the bounded list of departures, so that 64 of one back end made the node forget those of others. The list now holds one entry a back end, of its latest incarnation. A back end that states no start is not dropped in favour of a listed one at a restarted node.

--- a/pkg/registration/commitment_test.go
+++ b/pkg/registration/commitment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -264,13 +265,22 @@
 	is := is.New(t)
 	r, _ := newRegistry()
 	control := newControlPlane()
-	for i := range 3 * maxDeparted {
-		r.HandleHeartbeat(heartbeatStartedAt("a", firstStart.Add(time.Duration(i)*time.Second), 1, Ready))
+	leave := func(id string, number int) {
+		r.HandleHeartbeat(heartbeatStartedAt(id, firstStart.Add(time.Duration(number)*time.Second), 1, Ready))
 		control.exchange(r)
-		r.RecordDeparture("a", time.Now())
+		r.RecordDeparture(id, time.Now())
 		control.exchange(r)
+		r.RecordDeparture(id, time.Now())
+	}
+	leave("other", 0)
+	for number := range 3 * maxDeparted {
+		leave("a", number)
 	}
 	is.Equal(len(r.backends), 0)
+	is.Equal(len(r.departed), 2) // restarts of one back end do not displace another
+	is.Equal(len(control.state.Endpoints["s"]), 2)
+	for number := range 3 * maxDeparted {
+		leave(fmt.Sprint("b", number), number)
+	}
 	is.Equal(len(r.departed), maxDeparted)
-	is.Equal(len(control.state.Endpoints["s"]), 1)
 }
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -93,7 +93,7 @@
 // is registered. It must not be acknowledged.
 var ErrSuperseded = errors.New("a later heartbeat or incarnation of the back end is registered")
 
-// maxDeparted bounds the remembered incarnations that have left.
+// maxDeparted bounds the remembered back ends that have left.
 const maxDeparted = 64
 
 // Registry tracks the back ends beside one node. It is safe for concurrent use.
@@ -108,7 +108,7 @@
 	confirmed bool
 }
 
-// departure is an incarnation of a back end that left.
+// departure is a back end that left with an incarnation; those before it are over, too.
 type departure struct {
 	id          string
 	incarnation uint64
@@ -335,12 +335,12 @@
 	}
 }
 
-// rememberDeparted remembers an incarnation that left, up to the latest maxDeparted ones.
+// rememberDeparted remembers that an incarnation and those before it left, for the latest maxDeparted back ends.
 func (r *Registry) rememberDeparted(h Heartbeat, replaced bool) {
 	left := departure{id: h.ID, incarnation: h.incarnation(), replaced: replaced}
-	if i := slices.IndexFunc(r.departed, func(d departure) bool { return d.id == left.id && d.incarnation == left.incarnation }); i >= 0 {
-		r.departed[i].replaced = r.departed[i].replaced && replaced
-		return
+	if i := slices.IndexFunc(r.departed, func(d departure) bool { return d.id == left.id && d.replaced == left.replaced }); i >= 0 {
+		left.incarnation = max(left.incarnation, r.departed[i].incarnation)
+		r.departed = slices.Delete(r.departed, i, i+1)
 	}
 	r.departed = append(r.departed, left)
 	if len(r.departed) > maxDeparted {
--- a/pkg/registration/state.go
+++ b/pkg/registration/state.go
@@ -144,7 +144,7 @@
 // probably late.
 func (r *Registry) dropHeldLate() {
 	for id, entry := range r.backends {
-		if entry.held && r.listsLater(entry.heartbeat) {
+		if entry.held && !entry.heartbeat.Born.IsZero() && r.listsLater(entry.heartbeat) {
 			delete(r.backends, id)
 		}
 	}
