gate: a call that a retired connection rejects does not count against the back end

Cause: the next call was assigned to the retired connection before the transport had dropped it. It failed before any byte was sent, as intended, but counted as an unreachable back end, whose backoff rejected the calls that followed. Change: such a call is rejected as not run, and the gate starts no backoff.

--- a/pkg/exchange/delivery.go
+++ b/pkg/exchange/delivery.go
@@ -98,6 +98,13 @@
 	return d.conn == nil || d.conn.retired.CompareAndSwap(false, true)
 }
 
+// RejectedByRetired reports whether the request was not sent since its connection was retired.
+func (d *Delivery) RejectedByRetired() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.mayHaveArrived() && d.conn != nil && d.conn.retired.Load()
+}
+
 // CloseRetired closes the connection that the request used last if it is retired. The response must not be read any
 // more. A request that the transport has assigned to the connection already fails before any byte is sent.
 func (d *Delivery) CloseRetired() {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -345,6 +345,12 @@
 	}
 	response, err := g.transport.RoundTrip(outgoing)
 	g.chargeResends(adm, delivery.Resends())
+	if err != nil && delivery.RejectedByRetired() {
+		cancel()
+		g.releaseUnsent(adm)
+		call.Reason, call.Err = exchange.ReasonBroken, err
+		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
+	}
 	if err == nil {
 		err = g.checkResponse(r.Header, response, &delivery)
 	}
