registration: a departure is not recorded by a service that leaves the node's table

A node's table has the services that its configuration uses. When a configuration dropped a back end's service between its departure and control's record of it, the node took the missing entry for the record, acknowledged the departure and stopped announcing it; control went on to list the back end as live, and a node killed then would have restored it under a later configuration. The missing entry now counts only while the table has the service; otherwise control's answer to the announcement tells.

--- a/pkg/registration/commitment_test.go
+++ b/pkg/registration/commitment_test.go
@@ -284,3 +284,21 @@
 	}
 	is.Equal(len(r.departed), maxDeparted)
 }
+
+// Guards against a departure that counts as recorded since the node's configuration does not use the service any more.
+func TestDepartureIsNotCommittedByServiceThatLeavesTheTable(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRegistry()
+	control := newControlPlane()
+	r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+	control.exchange(r)
+	committed := r.RecordDeparture("a", time.Now())
+	r.ApplyState(distribution.EndpointTable{"other": nil})
+	is.True(!committed.Fulfilled())
+	is.Equal(len(r.PendingAnnouncements()), 1)
+	control.record(r)
+	r.ApplyState(distribution.EndpointTable{"other": nil})
+	r.ApplyEnded(control.state.Endpoints.Ended(r.PendingAnnouncements()))
+	is.True(committed.Fulfilled())
+	is.Equal(len(r.PendingAnnouncements()), 0)
+}
--- a/pkg/registration/state.go
+++ b/pkg/registration/state.go
@@ -104,9 +104,12 @@
 	if found {
 		entry.acknowledged = listed.State == announced.State && listed.Incarnation >= announced.Incarnation
 	} else {
-		// One that was never listed may still be added by an announcement on its way.
-		entry.acknowledged = announced.State == distribution.Removed && entry.listed
-		if entry.listed && announced.State != distribution.Live {
+		// One that was never listed may still be added by an announcement on its way, and the table has no entries of a
+		// service that the configuration does not use.
+		_, inUse := r.table[entry.heartbeat.Service]
+		removed := entry.listed && inUse
+		entry.acknowledged = announced.State == distribution.Removed && removed
+		if removed && announced.State != distribution.Live {
 			entry.leaving.fulfill()
 		}
 	}
