registration: a repeated deregistration does not turn away a successor

A second deregistration of a back end whose departure is recorded (those that never drain send one at their end) made the node ignore everything that started before it by the node's clock: a successor under the same ID that started after the clock had been set back got no calls for its life. The recorded departure stands; nothing is added to it. The test failed before.

--- a/pkg/registration/commitment_test.go
+++ b/pkg/registration/commitment_test.go
@@ -302,3 +302,19 @@
 	is.True(committed.Fulfilled())
 	is.Equal(len(r.PendingAnnouncements()), 0)
 }
+
+// Guards against a repeated deregistration that turns away a successor under the same ID, after the clock was set back.
+func TestRepeatedDeregistrationDoesNotTurnAwaySuccessor(t *testing.T) {
+	is := is.New(t)
+	r, g := newRegistry()
+	control := newControlPlane()
+	r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+	control.exchange(r)
+	r.RecordDeparture("a", secondStart)
+	control.exchange(r)
+	is.True(r.RecordDeparture("a", secondStart.Add(time.Hour)).Fulfilled())
+	r.HandleHeartbeat(heartbeatStartedAt("a", secondStart, 1, Ready))
+	is.Equal(g.updates[len(g.updates)-1], "set a 6")
+	control.exchange(r)
+	is.Equal(control.nodeTable()["s"]["a"].State, distribution.Live)
+}
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -248,7 +248,6 @@
 	r.mu.Lock()
 	entry, found := r.backends[id]
 	if !found && r.hasRecordedDeparture(id) {
-		r.rememberDeparted(Heartbeat{ID: id, Born: at}, false)
 		r.mu.Unlock()
 		return nil
 	}
