registration: a departure ends the incarnation that control lists, of whatever service

A restarted node that got the departure of a back end it did not know looked for it under the service of its settings only. A back end of another service of the configuration stayed listed as live under that one, while the departure was recorded under the wrong one and acknowledged. It is now looked up by its ID among the back ends at this gate, and a remembered departure keeps its service. One entry a back end is remembered, of its latest incarnation. Found on reading the change again.

--- a/pkg/registration/commitment_test.go
+++ b/pkg/registration/commitment_test.go
@@ -318,3 +318,28 @@
 	control.exchange(r)
 	is.Equal(control.nodeTable()["s"]["a"].State, distribution.Live)
 }
+
+// Guards against a restarted node that records the departure of a back end under another service than it has.
+func TestDepartureAtRestartedNodeEndsBackEndOfAnotherService(t *testing.T) {
+	for _, afterState := range []bool{false, true} {
+		is := is.New(t)
+		r, _ := newRegistry()
+		control := newControlPlane()
+		h := heartbeatStartedAt("a", firstStart, 1, Ready)
+		h.Service = "another"
+		r.HandleHeartbeat(h)
+		control.exchange(r)
+		restarted, _, _ := startedNode()
+		restarted.RecordDeparture("b", firstStart) // so that nothing is restored
+		if afterState {
+			restarted.ApplyState(control.nodeTable())
+		}
+		committed := restarted.RecordDeparture("a", secondStart)
+		restarted.ApplyState(control.nodeTable())
+		restarted.Confirm()
+		is.True(!committed.Fulfilled())
+		control.exchange(restarted)
+		is.True(committed.Fulfilled())
+		is.Equal(len(control.nodeTable()["another"]), 0)
+	}
+}
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -110,12 +110,24 @@
 
 // departure is a back end that left with an incarnation; those before it are over, too.
 type departure struct {
-	id          string
+	service, id string
 	incarnation uint64
 	// replaced is set if the back end did not say that it leaves: another one took its address.
 	replaced bool
 }
 
+// merged returns the departure of the later incarnation.
+func (d departure) merged(earlier departure) departure {
+	if d.incarnation == earlier.incarnation {
+		d.replaced = d.replaced && earlier.replaced
+		return d
+	}
+	if d.incarnation < earlier.incarnation {
+		return earlier
+	}
+	return d
+}
+
 // registeredBackend is a back end with its latest heartbeat.
 type registeredBackend struct {
 	heartbeat Heartbeat
@@ -267,7 +279,7 @@
 // hasRecordedDeparture reports whether the control plane has recorded the departure of a back end that is no longer
 // registered, and lists no later incarnation of it.
 func (r *Registry) hasRecordedDeparture(id string) bool {
-	_, listed := r.table[r.config.Service][id]
+	_, listed := r.listedUnder(id)
 	return !listed && slices.ContainsFunc(r.departed, func(d departure) bool { return d.id == id && !d.replaced })
 }
 
@@ -276,13 +288,26 @@
 func (r *Registry) unknownDeparture(id string, at time.Time) *registeredBackend {
 	h := Heartbeat{ID: id, Service: r.config.Service, Born: at}
 	entry := &registeredBackend{heartbeat: h, leaving: newCommitment(), unknown: true}
-	if listed, found := r.table[h.Service][id]; found {
+	if listed, found := r.listedUnder(id); found {
 		entry.adopt(listed)
 	}
 	r.backends[id] = entry
 	return entry
 }
 
+// listedUnder returns the table's entry of a back end, whose service need not be that of the settings.
+func (r *Registry) listedUnder(id string) (distribution.Endpoint, bool) {
+	if listed, found := r.table[r.config.Service][id]; found {
+		return listed, true
+	}
+	for _, endpoints := range r.table {
+		if listed, found := endpoints[id]; found && listed.Gate == r.config.GateAddress {
+			return listed, true
+		}
+	}
+	return distribution.Endpoint{}, false
+}
+
 // depart marks a back end as departed.
 func (r *Registry) depart(entry *registeredBackend) {
 	entry.heartbeat.State = Departed
@@ -336,9 +361,9 @@
 
 // rememberDeparted remembers that an incarnation and those before it left, for the latest maxDeparted back ends.
 func (r *Registry) rememberDeparted(h Heartbeat, replaced bool) {
-	left := departure{id: h.ID, incarnation: h.incarnation(), replaced: replaced}
-	if i := slices.IndexFunc(r.departed, func(d departure) bool { return d.id == left.id && d.replaced == left.replaced }); i >= 0 {
-		left.incarnation = max(left.incarnation, r.departed[i].incarnation)
+	left := departure{service: h.Service, id: h.ID, incarnation: h.incarnation(), replaced: replaced}
+	if i := slices.IndexFunc(r.departed, func(d departure) bool { return d.id == left.id }); i >= 0 {
+		left = left.merged(r.departed[i])
 		r.departed = slices.Delete(r.departed, i, i+1)
 	}
 	r.departed = append(r.departed, left)
--- a/pkg/registration/state.go
+++ b/pkg/registration/state.go
@@ -55,12 +55,10 @@
 
 // applyTable updates a back end from the control plane's table.
 func (r *Registry) applyTable(entry *registeredBackend) {
-	listed, found := r.table[entry.heartbeat.Service][entry.heartbeat.ID]
-	if found && entry.unknown {
-		r.forgetDeparture(entry.heartbeat)
-		entry.adopt(listed)
-		r.rememberDeparted(entry.heartbeat, false)
+	if entry.unknown {
+		r.identify(entry)
 	}
+	listed, found := r.table[entry.heartbeat.Service][entry.heartbeat.ID]
 	if found && listed.Incarnation > entry.heartbeat.incarnation() && listed.State == distribution.Live {
 		r.replaceByLater(entry, listed)
 		return
@@ -74,6 +72,17 @@
 	r.acknowledge(entry, listed, found)
 }
 
+// identify looks up what the table lists about a back end of which only the departure is known.
+func (r *Registry) identify(entry *registeredBackend) {
+	listed, found := r.listedUnder(entry.heartbeat.ID)
+	if !found {
+		return
+	}
+	r.forgetDeparture(entry.heartbeat)
+	entry.adopt(listed)
+	r.rememberDeparted(entry.heartbeat, false)
+}
+
 // replaceByLater replaces a back end, of which a heartbeat arrived late, by its later incarnation in the table.
 func (r *Registry) replaceByLater(entry *registeredBackend, listed distribution.Endpoint) {
 	entry.leaving.fulfill()
@@ -167,7 +176,7 @@
 // departure is announced: an earlier announcement arrived late.
 func (r *Registry) repeatDepartures() {
 	for _, left := range r.departed {
-		listed, found := r.table[r.config.Service][left.id]
+		listed, found := r.table[left.service][left.id]
 		_, registered := r.backends[left.id]
 		if left.replaced || registered || !found || listed.Gate != r.config.GateAddress || listed.State != distribution.Live || listed.Incarnation > left.incarnation {
 			continue
