registration: one word for what control has recorded

It is a record now; what a heartbeat's acknowledgement depends on stands beside HandleHeartbeat. Names and comments only.

--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -90,24 +90,24 @@
 	if s.backendRegistry == nil {
 		return nil
 	}
-	recorded, err := s.backendRegistry.HandleHeartbeat(h)
+	record, err := s.backendRegistry.HandleHeartbeat(h)
 	if err != nil {
 		s.HeartbeatRejected(h.ID, err)
 		return err
 	}
-	return s.awaitRecord(ctx, h.ID, recorded)
+	return s.awaitRecord(ctx, h.ID, record)
 }
 
 // awaitRecord waits until the control plane has recorded that a back end leaves.
-func (s *Server) awaitRecord(ctx context.Context, id string, recorded registration.Commitment) error {
-	if recorded.Fulfilled() {
+func (s *Server) awaitRecord(ctx context.Context, id string, record registration.Record) error {
+	if record.Recorded() {
 		return nil
 	}
 	defer s.controlClient.Await()()
 	start := s.clock.Elapsed()
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	if err := recorded.Wait(ctx); err != nil {
+	if err := record.Wait(ctx); err != nil {
 		s.logger.Log("event", "leaving_not_recorded", "instance", id, "waited", s.clock.Elapsed()-start, "server", s.controlClient.Server(), "error", err)
 		return fmt.Errorf("back end %s: %w", id, ErrNotRecorded)
 	}
--- a/pkg/registration/commitment_test.go
+++ b/pkg/registration/record_test.go
@@ -64,13 +64,13 @@
 }
 
 // Guards against an acknowledged departure that only the memory of one node holds.
-func TestDepartureIsCommittedOnceControlPlaneRecordsIt(t *testing.T) {
-	for name, leave := range map[string]func(*Registry) Commitment{
-		"deregistered": func(r *Registry) Commitment { return r.RecordDeparture("a", time.Now()) },
-		"draining": func(r *Registry) Commitment {
-			committed, err := r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 9, Draining))
+func TestDepartureIsRecordedOnceControlPlaneHasIt(t *testing.T) {
+	for name, leave := range map[string]func(*Registry) Record{
+		"deregistered": func(r *Registry) Record { return r.RecordDeparture("a", time.Now()) },
+		"draining": func(r *Registry) Record {
+			recorded, err := r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 9, Draining))
 			is.New(t).NoErr(err)
-			return committed
+			return recorded
 		},
 	} {
 		for _, known := range []bool{true, false} {
@@ -83,14 +83,14 @@
 				if known {
 					control.exchange(r)
 				}
-				committed := leave(r)
-				is.True(!committed.Fulfilled())
+				recorded := leave(r)
+				is.True(!recorded.Recorded())
 				r.ApplyState(control.nodeTable())
-				is.True(!committed.Fulfilled()) // the control plane has not heard of it
+				is.True(!recorded.Recorded()) // the control plane has not heard of it
 				control.record(r)
-				is.True(!committed.Fulfilled())
+				is.True(!recorded.Recorded())
 				control.answer(r)
-				is.True(committed.Fulfilled())
+				is.True(recorded.Recorded())
 				control.exchange(r)
 				control.commit(live) // an announcement that arrives late
 				restarted, g, _ := startedNode()
@@ -132,9 +132,9 @@
 			for _, update := range g.updates {
 				is.Equal(update, "remove a")
 			}
-			committed, err := restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 9, Draining))
+			recorded, err := restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 9, Draining))
 			is.NoErr(err)
-			is.True(committed.Fulfilled())
+			is.True(recorded.Recorded())
 			is.Equal(len(restarted.PendingAnnouncements()), 0)
 		})
 	}
@@ -212,12 +212,12 @@
 		r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
 		control.exchange(r)
 		restarted, g, _ := startedNode()
-		committed := restarted.RecordDeparture("a", firstStart.Add(offset))
+		recorded := restarted.RecordDeparture("a", firstStart.Add(offset))
 		control.answer(restarted)
 		restarted.Confirm()
-		is.True(!committed.Fulfilled())
+		is.True(!recorded.Recorded())
 		control.exchange(restarted)
-		is.True(committed.Fulfilled())
+		is.True(recorded.Recorded())
 		is.Equal(len(control.nodeTable()["s"]), 0)
 		restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart.Add(time.Millisecond), 1, Ready))
 		is.Equal(g.updates[len(g.updates)-1], "set a 6")
@@ -233,16 +233,16 @@
 	control.exchange(r)
 	r.RecordDeparture("a", time.Now())
 	control.exchange(r)
-	is.True(r.RecordDeparture("a", time.Now()).Fulfilled()) // this node knows that it is recorded
+	is.True(r.RecordDeparture("a", time.Now()).Recorded()) // this node knows that it is recorded
 	is.Equal(len(r.PendingAnnouncements()), 0)
 	for _, id := range []string{"a", "unknown"} {
 		restarted, _, _ := startedNode()
-		committed := restarted.RecordDeparture(id, secondStart)
+		recorded := restarted.RecordDeparture(id, secondStart)
 		restarted.ApplyState(control.nodeTable())
 		restarted.Confirm()
-		is.True(!committed.Fulfilled())
+		is.True(!recorded.Recorded())
 		control.exchange(restarted)
-		is.True(committed.Fulfilled())
+		is.True(recorded.Recorded())
 		is.Equal(len(restarted.PendingAnnouncements()), 0)
 
 		again, g, _ := startedNode()
@@ -286,20 +286,20 @@
 }
 
 // Guards against a departure that counts as recorded since the node's configuration does not use the service any more.
-func TestDepartureIsNotCommittedByServiceThatLeavesTheTable(t *testing.T) {
+func TestDepartureIsNotRecordedByServiceThatLeavesTheTable(t *testing.T) {
 	is := is.New(t)
 	r, _ := newRegistry()
 	control := newControlPlane()
 	r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
 	control.exchange(r)
-	committed := r.RecordDeparture("a", time.Now())
+	recorded := r.RecordDeparture("a", time.Now())
 	r.ApplyState(distribution.EndpointTable{"other": nil})
-	is.True(!committed.Fulfilled())
+	is.True(!recorded.Recorded())
 	is.Equal(len(r.PendingAnnouncements()), 1)
 	control.record(r)
 	r.ApplyState(distribution.EndpointTable{"other": nil})
 	r.ApplyEnded(control.state.Endpoints.Ended(r.PendingAnnouncements()))
-	is.True(committed.Fulfilled())
+	is.True(recorded.Recorded())
 	is.Equal(len(r.PendingAnnouncements()), 0)
 }
 
@@ -312,7 +312,7 @@
 	control.exchange(r)
 	r.RecordDeparture("a", secondStart)
 	control.exchange(r)
-	is.True(r.RecordDeparture("a", secondStart.Add(time.Hour)).Fulfilled())
+	is.True(r.RecordDeparture("a", secondStart.Add(time.Hour)).Recorded())
 	r.HandleHeartbeat(heartbeatStartedAt("a", secondStart, 1, Ready))
 	is.Equal(g.updates[len(g.updates)-1], "set a 6")
 	control.exchange(r)
@@ -334,12 +334,12 @@
 		if afterState {
 			restarted.ApplyState(control.nodeTable())
 		}
-		committed := restarted.RecordDeparture("a", secondStart)
+		recorded := restarted.RecordDeparture("a", secondStart)
 		restarted.ApplyState(control.nodeTable())
 		restarted.Confirm()
-		is.True(!committed.Fulfilled())
+		is.True(!recorded.Recorded())
 		control.exchange(restarted)
-		is.True(committed.Fulfilled())
+		is.True(recorded.Recorded())
 		is.Equal(len(control.nodeTable()["another"]), 0)
 	}
 }
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -1,15 +1,14 @@
 // Package registration tracks the back end beside a node from its heartbeats and its notice that it leaves.
-// It adds the back end to the gate or removes it, and announces it to the control plane.
+// It adds the back end to the gate or removes it, and announces it to the control plane. That it leaves may be
+// acknowledged once the control plane has recorded it, since the registry is lost with its process.
 //
 // A back end that drains or has left can't become ready again, but a restart under the same ID can: an
 // incarnation is identified by the ID and the start time, as far as the back end reports one.
-//
-// The registry is lost with its process. That a back end leaves may therefore be acknowledged to it only once the
-// control plane has recorded it, as the returned Commitment tells.
 package registration
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -141,7 +140,8 @@
 	// held is set while the gate stays closed until Confirm; heldSince is when the back end was registered.
 	held      bool
 	heldSince time.Duration
-	leaving   Commitment
+	// record is of the incarnation's leaving.
+	record Record
 }
 
 // challenger is a back end that started before the one registered at its address and sent heartbeats after it: late ones
@@ -162,16 +162,31 @@
 
 // HandleHeartbeat updates the back end, its gate and the announcements from a heartbeat. It ignores heartbeats that
 // arrive out of order or belong to an earlier incarnation. A draining heartbeat may be acknowledged once the
-// returned commitment is fulfilled, and not at all after ErrSuperseded.
-func (r *Registry) HandleHeartbeat(h Heartbeat) (Commitment, error) {
+// returned record is made, and not at all after ErrSuperseded.
+func (r *Registry) HandleHeartbeat(h Heartbeat) (Record, error) {
 	r.mu.Lock()
 	changed := r.applyHeartbeat(h)
-	committed, err := r.drainCommitment(h)
+	record, err := r.drainRecord(h)
 	r.mu.Unlock()
 	if changed {
 		r.notify(h)
 	}
-	return committed, err
+	return record, err
+}
+
+// drainRecord returns the record on which the acknowledgement of a heartbeat depends.
+func (r *Registry) drainRecord(h Heartbeat) (Record, error) {
+	if h.State == Ready {
+		return nil, nil
+	}
+	entry, found := r.backends[h.ID]
+	if found && entry.heartbeat.incarnation() == h.incarnation() && entry.heartbeat.State != Ready {
+		return entry.record, nil
+	}
+	if left, departed := r.departureOf(h); departed && !left.replaced && !found {
+		return nil, nil
+	}
+	return nil, fmt.Errorf("draining heartbeat %d of %s, started at %s: %w", h.Sequence, h.ID, h.Born, ErrSuperseded)
 }
 
 func (r *Registry) applyHeartbeat(h Heartbeat) (changed bool) {
@@ -241,7 +256,7 @@
 
 // register adds a new incarnation of a back end.
 func (r *Registry) register(h Heartbeat) {
-	entry := &registeredBackend{heartbeat: h, leaving: newCommitment(), held: !r.confirmed}
+	entry := &registeredBackend{heartbeat: h, record: newRecord(), held: !r.confirmed}
 	if entry.held {
 		entry.heldSince = r.config.Now()
 		if r.config.OnHeld != nil {
@@ -255,8 +270,8 @@
 
 // RecordDeparture records that a back end left at a time. An unknown back end counts as started at that time, so that
 // heartbeats of incarnations that started earlier are ignored. The departure may be acknowledged once the returned
-// commitment is fulfilled.
-func (r *Registry) RecordDeparture(id string, at time.Time) Commitment {
+// record is made.
+func (r *Registry) RecordDeparture(id string, at time.Time) Record {
 	r.mu.Lock()
 	entry, found := r.backends[id]
 	if !found && r.hasRecordedDeparture(id) {
@@ -268,12 +283,12 @@
 	}
 	alreadyDeparted := found && entry.heartbeat.State == Departed
 	r.depart(entry)
-	left, committed := entry.heartbeat, entry.leaving
+	left, record := entry.heartbeat, entry.record
 	r.mu.Unlock()
 	if !alreadyDeparted {
 		r.notify(left)
 	}
-	return committed
+	return record
 }
 
 // hasRecordedDeparture reports whether the control plane has recorded the departure of a back end that is no longer
@@ -287,7 +302,7 @@
 // it. The control plane records it also if it lists nothing, since heartbeats may arrive late.
 func (r *Registry) unknownDeparture(id string, at time.Time) *registeredBackend {
 	h := Heartbeat{ID: id, Service: r.config.Service, Born: at}
-	entry := &registeredBackend{heartbeat: h, leaving: newCommitment(), unknown: true}
+	entry := &registeredBackend{heartbeat: h, record: newRecord(), unknown: true}
 	if listed, found := r.listedUnder(id); found {
 		entry.adopt(listed)
 	}
--- a/pkg/registration/state.go
+++ b/pkg/registration/state.go
@@ -85,7 +85,7 @@
 
 // replaceByLater replaces a back end, of which a heartbeat arrived late, by its later incarnation in the table.
 func (r *Registry) replaceByLater(entry *registeredBackend, listed distribution.Endpoint) {
-	entry.leaving.fulfill()
+	entry.record.markRecorded()
 	r.depart(entry)
 	delete(r.backends, entry.heartbeat.ID)
 	if listed.Gate == r.config.GateAddress {
@@ -96,7 +96,7 @@
 // applyEnd updates a back end of which the control plane has recorded that this incarnation, or a later one, leaves or
 // has left.
 func (r *Registry) applyEnd(entry *registeredBackend, recorded distribution.Endpoint) {
-	entry.leaving.fulfill()
+	entry.record.markRecorded()
 	switch {
 	case entry.heartbeat.State == Departed:
 	case recorded.State == distribution.Removed || recorded.Incarnation > entry.heartbeat.incarnation():
@@ -119,7 +119,7 @@
 		removed := entry.listed && inUse
 		entry.acknowledged = announced.State == distribution.Removed && removed
 		if removed && announced.State != distribution.Live {
-			entry.leaving.fulfill()
+			entry.record.markRecorded()
 		}
 	}
 	if entry.acknowledged && announced.State == distribution.Removed {
@@ -181,7 +181,7 @@
 		if left.replaced || registered || !found || listed.Gate != r.config.GateAddress || listed.State != distribution.Live || listed.Incarnation > left.incarnation {
 			continue
 		}
-		entry := &registeredBackend{heartbeat: heartbeatOf(listed), leaving: newCommitment(), listed: true}
+		entry := &registeredBackend{heartbeat: heartbeatOf(listed), record: newRecord(), listed: true}
 		entry.heartbeat.State = Departed
 		r.backends[left.id] = entry
 	}
@@ -201,7 +201,7 @@
 
 // restore adds a live back end of the table.
 func (r *Registry) restore(listed distribution.Endpoint) Heartbeat {
-	entry := &registeredBackend{heartbeat: heartbeatOf(listed), acknowledged: true, listed: true, leaving: newCommitment()}
+	entry := &registeredBackend{heartbeat: heartbeatOf(listed), acknowledged: true, listed: true, record: newRecord()}
 	r.backends[listed.ID] = entry
 	r.updateGate(entry)
 	return entry.heartbeat
@@ -214,7 +214,7 @@
 	b.heartbeat.State = state
 	b.unknown, b.listed = false, true
 	if listed.State != distribution.Live {
-		b.leaving.fulfill()
+		b.record.markRecorded()
 	}
 }
 
