--- a/pkg/gate/limit_test.go
+++ b/pkg/gate/limit_test.go
@@ -234,11 +234,20 @@
 	g := b.newGate()
 	reasons := sendCalls(t, g, 200*time.Millisecond, "Want", "b1", exchange.HeaderKnownLimit, known.String())
 	is.True(reasons[""] <= 2)
+	// No call is answered before all have arrived, and a limit would admit no more than the first two on this clock.
+	const calls = 8
+	b.set(func(b *statingBackend) { b.work = time.Second })
+	stopped := sinceStart()
 	for _, other := range []exchange.KnownLimit{{Rate: 4, Incarnation: 0}, {Rate: 4, Incarnation: 2}} {
-		fresh := b.newGate()
-		sendCalls(t, fresh, 20*time.Millisecond, "Want", "b1", exchange.HeaderKnownLimit, other.String())
-		is.True(len(b.arrived()) > 3)
+		fresh := b.newGate(func(c *Config) { c.Now = func() time.Duration { return stopped } })
 		b.set(func(b *statingBackend) { b.calls = nil })
+		var group sync.WaitGroup
+		for range calls {
+			call := newCall(t, "POST", "x", "Want", "b1", exchange.HeaderKnownLimit, other.String())
+			group.Go(func() { do(fresh, call).Body.Close() })
+		}
+		group.Wait()
+		is.Equal(len(b.arrived()), calls)
 	}
 }
 
