registration: a held back end is admitted once control lists it

A restarted node held new back ends until control confirmed its state, and opened the gate then, also for one whose late heartbeat had come before: control's answer to its announcement closed it a round trip later. It is now held until control's table lists it as live, or until heartbeats have come for a second, as before. Other nodes send nothing before the table lists it, so no successor loses calls. The test failed before.

--- a/pkg/registration/record_test.go
+++ b/pkg/registration/record_test.go
@@ -140,6 +140,34 @@
 	}
 }
 
+// Guards against a late heartbeat that opens the gate from the first confirmation until control's answer.
+func TestHeldBackEndIsAdmittedOnceItIsListed(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRegistry()
+	control := newControlPlane()
+	r.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 1, Ready))
+	control.exchange(r)
+	r.RecordDeparture("a", time.Now())
+	control.exchange(r)
+
+	restarted, g, _ := startedNode()
+	restarted.HandleHeartbeat(heartbeatStartedAt("a", firstStart, 2, Ready))
+	restarted.ApplyState(control.nodeTable())
+	restarted.Confirm()
+	is.Equal(g.updates, nil)
+	control.exchange(restarted)
+	is.Equal(g.updates, []string{"remove a"})
+
+	restarted, g, _ = startedNode()
+	restarted.HandleHeartbeat(heartbeatStartedAt("a", secondStart, 1, Ready))
+	restarted.ApplyState(control.nodeTable())
+	restarted.Confirm()
+	control.record(restarted)
+	control.answer(restarted)
+	is.Equal(g.updates, []string{"set a 6"})
+	is.Equal(g.coldUpdates, []string{"a 0s"})
+}
+
 // Guards against a late heartbeat of an earlier incarnation in place of the one that the control plane lists.
 func TestLateHeartbeatOfEarlierIncarnationDoesNotReplaceListedOne(t *testing.T) {
 	is := is.New(t)
--- a/pkg/registration/registration.go
+++ b/pkg/registration/registration.go
@@ -82,8 +82,9 @@
 	OnStateChange func(Heartbeat)
 	// OnHeld, if set, is called for logs with the first heartbeat of a back end that is held because of HoldUnconfirmed.
 	OnHeld func(Heartbeat)
-	// HoldUnconfirmed keeps the gate closed for new back ends until Confirm is called, since an earlier process may
-	// have acknowledged that they left. Now, which it needs, reads the process's monotonic clock.
+	// HoldUnconfirmed keeps the gate closed for back ends registered before the first Confirm until the control plane
+	// lists them as live, since an earlier process may have acknowledged that they left. Now, which it needs, reads the
+	// process's monotonic clock.
 	HoldUnconfirmed bool
 	Now             func() time.Duration
 }
@@ -137,7 +138,7 @@
 	unknown, listed bool
 	// challenger is another back end that may have replaced this one.
 	challenger challenger
-	// held is set while the gate stays closed until Confirm; heldSince is when the back end was registered.
+	// held is set while the gate stays closed because of HoldUnconfirmed; heldSince is when the back end was registered.
 	held      bool
 	heldSince time.Duration
 	// record is of the incarnation's leaving.
--- a/pkg/registration/state.go
+++ b/pkg/registration/state.go
@@ -6,22 +6,17 @@
 	"bramblelift/pkg/distribution"
 )
 
-// lateHeartbeatSpan is how long a back end must have sent heartbeats to be admitted by a node that has not reached the
-// control plane since its start. A heartbeat that was delayed on its way is not repeated that long.
+// lateHeartbeatSpan is how long a held back end must have sent heartbeats to be admitted without the control plane. A
+// heartbeat that was delayed on its way is not repeated that long.
 const lateHeartbeatSpan = time.Second
 
-// Confirm records that the control plane has confirmed the state last passed to ApplyState, and opens the gate for
-// back ends that were held until then.
+// Confirm records that the control plane has confirmed the state last passed to ApplyState.
 func (r *Registry) Confirm() {
 	r.mu.Lock()
 	first := !r.confirmed
 	r.confirmed = true
 	for _, entry := range r.backends {
-		if entry.held {
-			entry.held = false
-			r.updateGate(entry)
-			r.updateCold(entry)
-		}
+		r.admitListed(entry)
 	}
 	r.mu.Unlock()
 	if first && r.config.OnAnnouncement != nil {
@@ -70,6 +65,18 @@
 		}
 	}
 	r.acknowledge(entry, listed, found)
+	r.admitListed(entry)
+}
+
+// admitListed opens the gate for a held back end that the control plane lists as live.
+func (r *Registry) admitListed(entry *registeredBackend) {
+	listed, found := r.table[entry.heartbeat.Service][entry.heartbeat.ID]
+	if !entry.held || !r.confirmed || !found || listed.State != distribution.Live || listed.Incarnation != entry.heartbeat.incarnation() {
+		return
+	}
+	entry.held = false
+	r.updateGate(entry)
+	r.updateCold(entry)
 }
 
 // identify looks up what the table lists about a back end of which only the departure is known.
