gate: a call that a retired connection rejects names a reason of its own

It was rejected as "broken", which senders count as a failed attempt that reached the back end, against the back end and its version. The reason is "retired" now: nothing was sent, another back end is tried.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -112,6 +112,8 @@
 	ReasonStopping Reason = "stopping"
 	// ReasonUnreachable means that no connection to the back end could be opened.
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonRetired means that the gate's connection to the back end was retired before the call was sent.
+	ReasonRetired Reason = "retired"
 	// ReasonDeclined means that the back end received the call and reported that it had not begun
 	// it.
 	ReasonDeclined Reason = "declined"
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -348,7 +348,7 @@
 	if err != nil && delivery.RejectedByRetired() {
 		cancel()
 		g.releaseUnsent(adm)
-		call.Reason, call.Err = exchange.ReasonBroken, err
+		call.Reason, call.Err = exchange.ReasonRetired, err
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	if err == nil {
--- a/pkg/gate/surplus_test.go
+++ b/pkg/gate/surplus_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 
+	"bramblelift/pkg/exchange"
+
 	"github.com/matryer/is"
 )
 
@@ -61,10 +63,12 @@
 			reject(t, g, address)
 			status := 0
 			for range 100 {
-				if status = do(g, newCall(t, "POST", "order")).StatusCode; status == http.StatusOK {
+				response := do(g, newCall(t, "POST", "order"))
+				if status = response.StatusCode; status == http.StatusOK {
 					break
 				}
-				is.Equal(len(run()), 0) // a rejected call has not run
+				is.Equal(reasonOf(response), exchange.ReasonRetired) // not the back end's fault
+				is.Equal(len(run()), 0)
 			}
 			is.Equal(status, http.StatusOK)
 			is.Equal(run(), []string{"order"})
