--- a/review/standins/backend.go
+++ b/review/standins/backend.go
@@ -19,10 +19,14 @@
 	Body                           []byte
 	Backend                        *Backend
 	At                             time.Time
+	// Earlier is how many requests came on the connection before.
+	Earlier int
 }
 
 // Reply is how a back end ends a call.
 type Reply struct {
+	// Late is written before the work begins: a surplus answer, late, in the place of the answer to this call.
+	Late []byte
 	// After is how long the back end works on the call first.
 	After time.Duration
 	// Raw, if set, is written instead of an answer; the connection closes after an empty one.
@@ -104,27 +108,27 @@
 		b.mu.Unlock()
 	}()
 	reader := bufio.NewReader(conn)
-	for {
+	for earlier := 0; ; earlier++ {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
 		body, err := io.ReadAll(request.Body)
-		if err != nil || !b.answer(conn, request, body) {
+		if err != nil || !b.answer(conn, request, body, earlier) {
 			return
 		}
 	}
 }
 
 // answer handles one request and reports whether the connection goes on.
-func (b *Backend) answer(conn net.Conn, request *http.Request, body []byte) bool {
+func (b *Backend) answer(conn net.Conn, request *http.Request, body []byte, earlier int) bool {
 	id := request.Header.Get(HeaderID)
 	if request.URL.Path == HealthPath {
 		return b.write(conn, http.StatusOK, http.Header{"Bramblelift-Instance-Id": {b.ID}}, nil)
 	}
 	call := Call{
 		ID: id, Method: request.Method, Host: request.Host, Path: request.RequestURI, Caller: request.Header.Get(HeaderCaller),
-		Header: request.Header, Body: body, Backend: b, At: time.Now(),
+		Header: request.Header, Body: body, Backend: b, At: time.Now(), Earlier: earlier,
 	}
 	if expected := request.Header.Get(HeaderExpect); expected != "" && expected != b.ID {
 		return b.write(conn, http.StatusMisdirectedRequest, http.Header{HeaderID: {id}, HeaderNotRun: {"1"}}, nil)
@@ -141,6 +145,7 @@
 	}
 	b.Machine.d.Record.Line("runs %s %s %s at %s of %s", id, call.Method, call.Path, b.ID, b.Service)
 	reply := b.Decide(call)
+	_, _ = conn.Write(reply.Late)
 	time.Sleep(reply.After)
 	b.mu.Lock()
 	b.running--
