gate: log bytes of the back end that are not a response

The gate now logs response_invalid by request ID when it reads such a head, with the fault; what it does with it is unchanged.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -20,6 +20,7 @@
 	"bramblelift/pkg/limit"
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/quarantine"
+	"bramblelift/pkg/roundtrip"
 	"bramblelift/pkg/settings"
 	"bramblelift/pkg/wire"
 )
@@ -78,6 +79,8 @@
 	OnColdProbeFailed func(backend string, err error)
 	// OnLimit is called with the gate locked when the limit that the back end names changes.
 	OnLimit func(LimitChange)
+	// OnInvalidResponse is called with what the back end sent in place of a response.
+	OnInvalidResponse func(InvalidResponse)
 	// OnLeaving is called when the back end first states in a response that it accepts no new calls.
 	OnLeaving func(id string, incarnation uint64)
 }
@@ -352,6 +355,7 @@
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	if err == nil {
+		g.reportInvalid(call, roundtrip.CheckHead(response))
 		err = g.checkResponse(r.Header, response, &delivery)
 	}
 	if err == nil {
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -33,7 +33,7 @@
 		OnClosing: s.onClosingChange,
 		OnSender:  func(service string, sender exchange.Sender) { s.forwarder.UpdateReport(service, sender) },
 		OnCold:    s.observer.logColdChange, OnColdProbeFailed: s.observer.logColdUnknown, OnLimit: s.observer.logLimitChange,
-		OnLeaving:   s.onBackendLeaving,
+		OnLeaving: s.onBackendLeaving, OnInvalidResponse: s.observer.logInvalidResponse,
 		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() },
 	})
 	s.observer.registerGate(s.admin.Registry, s.gate)
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -119,6 +119,11 @@
 	o.logger.Log("event", "cold_unknown", "instance", backend, "error", err)
 }
 
+// logInvalidResponse logs that the back end sent bytes that are not a response.
+func (o *observer) logInvalidResponse(r gate.InvalidResponse) {
+	o.logger.Log("event", "response_invalid", "request", r.RequestID, "instance", r.Backend, "reader", "gate", "fault", string(r.Fault), "error", r.Err)
+}
+
 // registerQuarantine registers the number of watched and quarantined requests, and of lost evidence.
 func (o *observer) registerQuarantine(registry prometheus.Registerer, filter *quarantine.Filter, outbox *quarantine.Outbox) {
 	for _, standing := range []quarantine.Standing{quarantine.Watched, quarantine.Quarantined} {
