--- a/pkg/exchange/ended.go
+++ b/pkg/exchange/ended.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"bramblelift/pkg/roundtrip"
 )
 
 // BackendCrashed reports whether an exchange with a back end failed because the back end's process
@@ -13,7 +15,7 @@
 // while one that aborted a response or reset connections still listens. Without a response to the
 // probe the back end counts as running.
 func BackendCrashed(ctx context.Context, address string, cause error, limit time.Duration) bool {
-	if errors.Is(cause, ErrResponseMismatch) {
+	if roundtrip.FaultOf(cause) == roundtrip.FaultOtherRequest {
 		return false
 	}
 	// The HTTP transport may have retried on another connection.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -3,7 +3,6 @@
 package exchange
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"net/textproto"
@@ -82,9 +81,6 @@
 	}
 }
 
-// ErrResponseMismatch reports a response that belongs to another call. Refusals carry its text to callers.
-var ErrResponseMismatch = errors.New("the answer is to another call")
-
 // Outcome states whether a refused call was run.
 type Outcome string
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -111,6 +111,7 @@
 	if connected && ctx.Err() == nil {
 		c.reportCrash(ctx, ticket, err)
 	}
+	c.reportInvalid(ticket, err)
 	outcome := balancer.Failed
 	if ctx.Err() != nil {
 		failure.status = http.StatusGatewayTimeout
@@ -141,6 +142,7 @@
 			outcome = balancer.Canceled
 		}
 		ticket.Done(c.handler.config.Now(), outcome)
+		c.reportInvalid(ticket, err)
 		c.handler.reportCall(c, nil)
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -2,16 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"time"
 
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/link"
+	"bramblelift/pkg/roundtrip"
 	"bramblelift/pkg/wire"
 )
 
@@ -26,22 +27,25 @@
 	// gateBuffer is the size in bytes of the read and write buffers of each connection. It is small
 	// because there are hundreds of connections.
 	gateBuffer = 2 << 10
+	// gateHeadBytes is how much a gate may add to the head of a back end's response.
+	gateHeadBytes = 4 << 10
 	// earlyDivisor divides the target latency to get the time within which a rejection leaves the
 	// caller time to retry.
 	earlyDivisor = 5
 )
 
-func newGateTransport(meter *link.Meter) *http.Transport {
+func newGateTransport(meter *link.Meter) *roundtrip.Transport {
 	dialer := net.Dialer{
 		Timeout: gateDialTimeout, Control: wire.SetUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	}
-	return &http.Transport{
-		DialContext: exchange.CountWrites(meter.Dialer(link.Nodes, dialer.DialContext)), DisableCompression: true,
+	return roundtrip.New(&http.Transport{
+		DialContext: meter.Dialer(link.Nodes, dialer.DialContext), DisableCompression: true,
 		MaxIdleConnsPerHost: gateConnections, IdleConnTimeout: gateIdleTimeout,
 		ExpectContinueTimeout: gateExpectTimeout,
 		ReadBufferSize:        gateBuffer, WriteBufferSize: gateBuffer,
-	}
+		MaxResponseHeaderBytes: roundtrip.MaxHeadBytes + gateHeadBytes,
+	})
 }
 
 // gateFailure describes an attempt that returned no response of the back end.
@@ -73,26 +77,50 @@
 func (g *gatedCall) sendToGate(ctx context.Context, ticket *balancer.Ticket, wait time.Duration) (*http.Response, *gateFailure) {
 	request := g.outgoingGateRequest(ticket, wait)
 	if g.isOwnGate(ticket) && g.handler.config.Gate != nil {
-		return g.readGateResponse(ticket, g.handler.config.Gate(request.WithContext(ctx), g.body))
+		return g.readGateResponse(ticket, g.handler.config.Gate(request.WithContext(ctx), g.body), &roundtrip.Delivery{})
 	}
 	g.requestHeldTime(ticket, request)
 	sent := g.now()
-	var delivery exchange.Delivery
-	response, err := g.handler.gates.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, delivery.Trace())))
-	if err != nil {
-		failure := &gateFailure{reason: exchange.ReasonUnreachable, outcome: NotRun, peer: ticket.Address, err: err}
-		if delivery.MayHaveArrived() {
-			failure.reason, failure.outcome = exchange.ReasonBroken, Unknown
-		}
-		return nil, failure
+	var delivery roundtrip.Delivery
+	response, err := g.handler.gates.Send(ctx, request, &delivery)
+	switch {
+	case err == nil:
+		g.recordRegionDelay(ticket, sent, response.Header)
+		return g.readGateResponse(ticket, response, &delivery)
+	case delivery.MayHaveArrived():
+		return nil, g.brokenExchange(ticket, err)
+	case delivery.RejectedByRetired():
+		return nil, &gateFailure{reason: exchange.ReasonRetired, outcome: NotRun, peer: ticket.Address, err: err}
+	}
+	return nil, &gateFailure{reason: exchange.ReasonUnreachable, outcome: NotRun, peer: ticket.Address, err: err}
+}
+
+// brokenExchange returns the failure of an attempt that may have run, and reports an invalid response.
+func (g *gatedCall) brokenExchange(ticket *balancer.Ticket, err error) *gateFailure {
+	g.reportInvalid(ticket, err)
+	return &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: err}
+}
+
+// reportInvalid reports an invalid response of another node's gate, except one that the caller did not wait for. The own
+// gate reports for itself.
+func (g *gatedCall) reportInvalid(ticket *balancer.Ticket, err error) {
+	if !g.isOwnGate(ticket) {
+		g.call.reportInvalid(ticket, err)
+	}
+}
+
+// reportInvalid reports an invalid response, except one that the caller did not wait for.
+func (c *call) reportInvalid(ticket *balancer.Ticket, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
 	}
-	g.recordRegionDelay(ticket, sent, response.Header)
-	return g.readGateResponse(ticket, response)
+	id := c.request.Header.Get(c.handler.config.Headers.RequestID)
+	roundtrip.Verdict{Reader: roundtrip.ReaderNode, RequestID: id, Instance: ticket.ID}.Report(c.handler.config.OnInvalidResponse, err)
 }
 
 // readGateResponse distinguishes a back end's response from a gate's rejection, and checks that the
 // response is complete and belongs to this call.
-func (g *gatedCall) readGateResponse(ticket *balancer.Ticket, response *http.Response) (*http.Response, *gateFailure) {
+func (g *gatedCall) readGateResponse(ticket *balancer.Ticket, response *http.Response, delivery *roundtrip.Delivery) (*http.Response, *gateFailure) {
 	report, reported := exchange.ReadReport(response.Header)
 	if reported {
 		ticket.UpdateGateReport(g.now(), report)
@@ -105,17 +133,16 @@
 		}
 	}
 	name := g.handler.config.Headers.RequestID
-	if name != "" && response.Header.Get(name) != g.request.Header.Get(name) {
-		response.Body.Close()
-		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: exchange.ErrResponseMismatch}
-	}
-	if response.StatusCode != http.StatusMisdirectedRequest {
-		g.recordStatement(ticket, response.Header, reported && !report.Limit.Named)
+	if err := roundtrip.CheckID(response, name, g.request.Header.Get(name), delivery); err != nil {
+		return nil, g.brokenExchange(ticket, err)
 	}
 	data, rest, release, err := g.handler.config.ResponseBuffer.ReadWhole(response)
 	if err != nil {
 		response.Body.Close()
-		return nil, &gateFailure{reason: exchange.ReasonBroken, outcome: Unknown, peer: ticket.Address, err: err}
+		return nil, g.brokenExchange(ticket, err)
+	}
+	if response.StatusCode != http.StatusMisdirectedRequest {
+		g.recordStatement(ticket, response.Header, reported && !report.Limit.Named)
 	}
 	if rest == nil && response.ContentLength < 0 {
 		response.ContentLength = int64(len(data))
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -11,6 +11,7 @@
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/retry"
+	"bramblelift/pkg/roundtrip"
 )
 
 // Limits and pauses of calls through gates.
@@ -270,16 +271,20 @@
 		ticket.Done(g.now(), streamOutcome(err))
 	}
 	if err != nil {
+		g.reportInvalid(ticket, err)
 		g.abort()
 	}
 }
 
 // streamOutcome returns the outcome of a streamed response for the back end's statistics.
 func streamOutcome(err error) balancer.Outcome {
-	if err != nil {
-		return balancer.Canceled
+	switch {
+	case err == nil:
+		return balancer.Answered
+	case roundtrip.FaultOf(err) == roundtrip.FaultBody:
+		return balancer.Failed
 	}
-	return balancer.Answered
+	return balancer.Canceled
 }
 
 // writeResponse sends a response to the caller; reserved is set if the node's own gate has reserved
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -20,6 +20,7 @@
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/retry"
+	"bramblelift/pkg/roundtrip"
 	"bramblelift/pkg/routing"
 	"bramblelift/pkg/settings"
 )
@@ -100,6 +101,8 @@
 	KeysStaleLimit time.Duration
 	// OnAttempt, if set, is called after each attempt at a gate, except one whose response is returned.
 	OnAttempt func(Attempt)
+	// OnInvalidResponse, if set, is called when a gate, or a back end without one, sent bytes that are not a response.
+	OnInvalidResponse func(roundtrip.Verdict)
 }
 
 // Attempt describes one attempt at a gate, for logs and metrics.
@@ -140,7 +143,7 @@
 // service holds the back ends of a service, their connections and retry budgets.
 type service struct {
 	pool      *balancer.Pool
-	transport *http.Transport
+	transport *roundtrip.Transport
 	// budget limits retries after failures, declinedRetries those of calls that a back end declined, which are
 	// cheap for it.
 	budget          *retry.Budget
@@ -159,7 +162,7 @@
 	config      Config
 	snapshot    atomic.Pointer[snapshot]
 	mu          sync.Mutex
-	gates       *http.Transport
+	gates       *roundtrip.Transport
 	serviceTime *serviceTimes
 	// throttles limit attempts at gates that reject most calls.
 	throttles *throttles
@@ -232,13 +235,13 @@
 	return &service{
 		pool:   balancer.NewPool(balancer.Config{Node: h.config.Node, Zone: h.config.Zone, Region: h.config.Region, OwnGate: h.config.GateAddress, Random: rand.IntN, Statements: h.statements}),
 		budget: retry.NewBudget(h.config.Retry), declinedRetries: retry.NewBudget(h.config.DeclinedRetries),
-		transport: &http.Transport{
+		transport: roundtrip.New(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-		},
+		}),
 	}
 }
 
--- /dev/null
+++ b/pkg/forward/invalid_response_test.go
@@ -0,0 +1,410 @@
+package forward
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/gate"
+	"bramblelift/pkg/pipeline"
+	"bramblelift/pkg/roundtrip"
+	"bramblelift/pkg/routing"
+
+	"github.com/matryer/is"
+)
+
+// rawResponse is what a back end writes in place of a response; %s stands for the request's ID.
+type rawResponse struct {
+	first string
+	// endless is repeated after first until the connection closes, with a pause in between.
+	endless string
+	pause   time.Duration
+	// close closes the connection at the end. Otherwise the back end falls silent.
+	close bool
+}
+
+// write writes the response and reports whether the connection stays open.
+func (r rawResponse) write(conn net.Conn, id string) bool {
+	if _, err := io.WriteString(conn, strings.ReplaceAll(r.first, "%s", id)); err != nil {
+		return false
+	}
+	for r.endless != "" {
+		if _, err := io.WriteString(conn, r.endless); err != nil {
+			return false
+		}
+		time.Sleep(r.pause)
+	}
+	return !r.close
+}
+
+// scriptedBackend writes raw responses and counts the requests that it received.
+type scriptedBackend struct {
+	address string
+	open    atomic.Int64
+	mu      sync.Mutex
+	next    rawResponse
+	runs    map[string]int
+}
+
+func newScriptedBackend(t *testing.T, response rawResponse) *scriptedBackend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	b := &scriptedBackend{address: listener.Addr().String(), next: response, runs: map[string]int{}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn)
+		}
+	}()
+	return b
+}
+
+func (b *scriptedBackend) serve(conn net.Conn) {
+	b.open.Add(1)
+	defer b.open.Add(-1)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if !b.receive(request.Header.Get("Call-Id")).write(conn, request.Header.Get("Call-Id")) {
+			return
+		}
+	}
+}
+
+func (b *scriptedBackend) receive(id string) rawResponse {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id]++
+	return b.next
+}
+
+func (b *scriptedBackend) respondWith(r rawResponse) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next = r
+}
+
+func (b *scriptedBackend) runsOf(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+// responseStack is a node and a gate on real sockets, in front of a scriptedBackend.
+type responseStack struct {
+	backend *scriptedBackend
+	gate    *gate.Gate
+	address string
+	mu      sync.Mutex
+	// faults are the distinct faults that gate and node reported by request ID.
+	faults map[string][]roundtrip.Fault
+}
+
+// newResponseStack returns a stack whose gate is the node's own or that of another node.
+func newResponseStack(t *testing.T, ownGate bool, response rawResponse) *responseStack {
+	t.Helper()
+	s := &responseStack{backend: newScriptedBackend(t, response), faults: map[string][]roundtrip.Fault{}}
+	started := time.Now()
+	now := func() time.Duration { return time.Since(started) }
+	buffer := exchange.NewResponseBuffer(4 << 20)
+	s.gate = gate.New(gate.Config{Headers: gatedHeaders, Now: now, ResponseBuffer: buffer, OnInvalidResponse: s.recordFault})
+	s.gate.SetBackend(gate.Backend{ID: "e0", Address: s.backend.address, Capacity: 8})
+	gateAddress := serveWithPipeline(t, s.gate)
+	cfg := Config{Node: "n", Zone: "z", Now: now, Headers: gatedHeaders, Service: "shop", ResponseBuffer: buffer, OnInvalidResponse: s.recordFault}
+	if ownGate {
+		cfg.GateAddress, cfg.Gate = gateAddress, s.gate.Do
+	}
+	handler := New(cfg)
+	handler.SetTable(routing.New(gatedState([]string{gateAddress}, []string{"z"})))
+	s.address = serveWithPipeline(t, handler)
+	return s
+}
+
+func serveWithPipeline(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := pipeline.New(pipeline.Config{Handler: handler, MaxConcurrent: 4, HeaderTimeout: time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	return listener.Addr().String()
+}
+
+func (s *responseStack) recordFault(v roundtrip.Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Contains(s.faults[v.RequestID], v.Fault) {
+		s.faults[v.RequestID] = append(s.faults[v.RequestID], v.Fault)
+	}
+}
+
+func (s *responseStack) faultsOf(id string) []roundtrip.Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults[id]
+}
+
+// result is what a caller received.
+type result struct {
+	status   int
+	header   http.Header
+	body     string
+	complete bool
+	took     time.Duration
+}
+
+const (
+	resultTimeout = 3 * time.Second
+	// maxKeptBody bounds the part of a body that result keeps.
+	maxKeptBody = 4 << 20
+)
+
+// call sends a request on a connection of its own.
+func (s *responseStack) call(t *testing.T, method, path, id string) result {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	is.New(t).NoErr(err)
+	defer conn.Close()
+	began := time.Now()
+	is.New(t).NoErr(conn.SetDeadline(began.Add(resultTimeout)))
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: shop.example\r\nCall-Id: %s\r\nContent-Length: 4\r\n\r\nbody", method, path, id)
+	is.New(t).NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return result{took: time.Since(began)}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxKeptBody))
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	return result{status: response.StatusCode, header: response.Header, body: string(body), complete: err == nil, took: time.Since(began)}
+}
+
+// awaitIdle waits until the gate has no call and the back end no connection.
+func (s *responseStack) awaitIdle() error {
+	deadline := time.Now().Add(500 * time.Millisecond)
+	for s.gate.Report().Running > 0 || s.backend.open.Load() > 0 {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%d slots and %d connections are taken", s.gate.Report().Running, s.backend.open.Load())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil
+}
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\nCall-Id: %s\r\n"
+	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	soundBody   = "Content-Length: 5\r\n\r\nsound"
+)
+
+var filler = strings.Repeat("x", 4096)
+
+var soundResponse = rawResponse{first: okHead + soundBody}
+
+func withStatus(status string) rawResponse {
+	return rawResponse{first: "HTTP/1.1 " + status + "\r\nCall-Id: %s\r\n" + soundBody}
+}
+
+var invalidResponses = []struct {
+	name     string
+	response rawResponse
+	fault    roundtrip.Fault
+}{
+	{"status 000", withStatus("000 "), roundtrip.FaultStatus},
+	{"status 099", withStatus("099 x"), roundtrip.FaultStatus},
+	{"status with a plus sign", withStatus("+20 OK"), roundtrip.FaultStatus},
+	{"status with a minus sign", withStatus("-00 OK"), roundtrip.FaultStatus},
+	{"status 600", withStatus("600 x"), roundtrip.FaultStatus},
+	{"status 999", withStatus("999 x"), roundtrip.FaultStatus},
+	{"status 600 without a body", rawResponse{first: "HTTP/1.1 600 x\r\nCall-Id: %s\r\nContent-Length: 0\r\n\r\n"}, roundtrip.FaultStatus},
+	{"status of two digits", withStatus("20 OK"), roundtrip.FaultHead},
+	{"status of four digits", withStatus("2000 OK"), roundtrip.FaultHead},
+	{"101 with Upgrade", rawResponse{first: "HTTP/1.1 101 x\r\nConnection: Upgrade\r\nUpgrade: none\r\nCall-Id: %s\r\n\r\n"}, roundtrip.FaultUpgrade},
+	{"101 without Upgrade", rawResponse{first: "HTTP/1.1 101 x\r\nCall-Id: %s\r\n\r\n"}, roundtrip.FaultUpgrade},
+	{"101 with bytes without end", rawResponse{first: "HTTP/1.1 101 x\r\nConnection: Upgrade\r\nUpgrade: none\r\nCall-Id: %s\r\n\r\n", endless: filler}, roundtrip.FaultUpgrade},
+	{"1xx without a final response", rawResponse{first: "HTTP/1.1 103 Early Hints\r\nCall-Id: %s\r\n\r\n"}, roundtrip.FaultIncomplete},
+	{"1xx, then closed", rawResponse{first: "HTTP/1.1 102 Processing\r\nCall-Id: %s\r\n\r\n", close: true}, roundtrip.FaultHead},
+	{"1xx without end", rawResponse{endless: "HTTP/1.1 100 Continue\r\n\r\n"}, roundtrip.FaultHead},
+	{"1xx without end, slowly", rawResponse{endless: "HTTP/1.1 100 Continue\r\n\r\n", pause: 20 * time.Millisecond}, roundtrip.FaultIncomplete},
+	{"no HTTP", rawResponse{first: "out of memory\n", close: true}, roundtrip.FaultHead},
+	{"no HTTP, silent", rawResponse{first: "out of memory"}, roundtrip.FaultIncomplete},
+	{"HTTP/2.0", rawResponse{first: "HTTP/2.0 200 OK\r\nCall-Id: %s\r\n" + soundBody}, roundtrip.FaultProtocol},
+	{"HTTP/0.9", rawResponse{first: "HTTP/0.9 200 OK\r\nCall-Id: %s\r\n" + soundBody}, roundtrip.FaultProtocol},
+	{"status line without end", rawResponse{first: "HTTP/1.1 200 ", endless: filler}, roundtrip.FaultHead},
+	{"status line, silent", rawResponse{first: "HTTP/1.1 200 O"}, roundtrip.FaultIncomplete},
+	{"status line, cut off", rawResponse{first: "HTTP/1.1 200 O", close: true}, roundtrip.FaultHead},
+	{"header lines without end", rawResponse{first: okHead, endless: "A: b\r\n"}, roundtrip.FaultHead},
+	{"header line without end", rawResponse{first: okHead + "A: ", endless: filler}, roundtrip.FaultHead},
+	{"header lines without end, slowly", rawResponse{first: okHead, endless: "A: b\r\n", pause: 20 * time.Millisecond}, roundtrip.FaultIncomplete},
+	{"head, silent", rawResponse{first: okHead}, roundtrip.FaultIncomplete},
+	{"head, cut off", rawResponse{first: okHead, close: true}, roundtrip.FaultHead},
+	{"header line without a colon", rawResponse{first: okHead + "nonsense\r\n" + soundBody}, roundtrip.FaultHead},
+	{"header value with a NUL", rawResponse{first: okHead + "A: b\x00c\r\n" + soundBody}, roundtrip.FaultHead},
+	{"two lengths", rawResponse{first: okHead + "Content-Length: 4\r\n" + soundBody}, roundtrip.FaultHead},
+	{"response to another request", rawResponse{first: "HTTP/1.1 200 OK\r\nCall-Id: other\r\n" + soundBody}, roundtrip.FaultOtherRequest},
+	{"body shorter than its length", rawResponse{first: okHead + "Content-Length: 9\r\n\r\nsound", close: true}, roundtrip.FaultBody},
+	{"body shorter than its length, silent", rawResponse{first: okHead + "Content-Length: 9\r\n\r\nsound"}, roundtrip.FaultIncomplete},
+	{"body with a length, without end", rawResponse{first: okHead + "Content-Length: 1099511627776\r\n\r\n", endless: filler}, roundtrip.FaultIncomplete},
+	{"body without a length, without end", rawResponse{first: okHead + "\r\n", endless: filler}, roundtrip.FaultIncomplete},
+	{"body without end, slowly", rawResponse{first: okHead + "\r\n", endless: "x", pause: 20 * time.Millisecond}, roundtrip.FaultIncomplete},
+	{"chunks without end", rawResponse{first: chunkedHead, endless: "1000\r\n" + filler + "\r\n"}, roundtrip.FaultIncomplete},
+	{"chunk size without digits", rawResponse{first: chunkedHead + "zz\r\nsound\r\n0\r\n\r\n"}, roundtrip.FaultBody},
+	{"chunk line without end", rawResponse{first: chunkedHead + "5;", endless: filler}, roundtrip.FaultBody},
+	{"chunk line, silent", rawResponse{first: chunkedHead + "5"}, roundtrip.FaultIncomplete},
+	{"chunk, silent", rawResponse{first: chunkedHead + "5\r\nso"}, roundtrip.FaultIncomplete},
+	{"chunk, cut off", rawResponse{first: chunkedHead + "5\r\nso", close: true}, roundtrip.FaultBody},
+	{"chunks without the last", rawResponse{first: chunkedHead + "5\r\nsound\r\n", close: true}, roundtrip.FaultBody},
+	{"trailers without end", rawResponse{first: chunkedHead + "5\r\nsound\r\n0\r\n", endless: "A: b\r\n"}, roundtrip.FaultBody},
+	{"trailers, silent", rawResponse{first: chunkedHead + "5\r\nsound\r\n0\r\nA: b\r\n"}, roundtrip.FaultIncomplete},
+	{"rejection, cut off", rawResponse{first: "HTTP/1.1 503 x\r\nCall-Id: %s\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nfull", close: true}, roundtrip.FaultBody},
+	{"rejection of status 600", rawResponse{first: "HTTP/1.1 600 x\r\nCall-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}, roundtrip.FaultStatus},
+}
+
+// forEachGate runs a test with the node's own gate and with that of another node.
+func forEachGate(t *testing.T, test func(t *testing.T, ownGate bool)) {
+	for name, ownGate := range map[string]bool{"own gate": true, "gate of another node": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(t, ownGate)
+		})
+	}
+}
+
+// Guards against bytes that are no response reaching a caller as one, holding a slot or a connection, or counting as not run.
+func TestBytesThatAreNoResponseEndAsBrokenExchange(t *testing.T) {
+	for _, c := range invalidResponses {
+		t.Run(c.name, func(t *testing.T) {
+			forEachGate(t, func(t *testing.T, ownGate bool) {
+				is := is.New(t)
+				s := newResponseStack(t, ownGate, c.response)
+				got := s.call(t, "POST", "/unsafe/x", "spoiled")
+				is.True(got.took < 900*time.Millisecond) // half a second past the route's timeout
+				is.NoErr(checkBroken(got))
+				is.NoErr(s.awaitIdle())
+				is.Equal(s.backend.runsOf("spoiled"), 1)
+				is.Equal(s.faultsOf("spoiled"), []roundtrip.Fault{c.fault})
+				s.backend.respondWith(soundResponse)
+				sound := s.call(t, "POST", "/unsafe/x", "sound")
+				is.Equal(sound.status, http.StatusOK)
+				is.Equal(sound.body, "sound")
+			})
+		})
+	}
+}
+
+// checkBroken verifies that a caller received a failure without a promise, or a response that is recognizably cut off.
+func checkBroken(got result) error {
+	switch {
+	case !got.complete:
+		return nil
+	case got.status != http.StatusBadGateway && got.status != http.StatusGatewayTimeout:
+		return fmt.Errorf("status %d, body %q", got.status, got.body[:min(len(got.body), 80)])
+	case got.header.Get(exchange.HeaderOutcome) != string(Unknown) || got.header.Get("Retry-After") != "":
+		return errors.New("the call counts as not run")
+	case len(got.body) > 4096:
+		return fmt.Errorf("a refusal of %d bytes", len(got.body))
+	}
+	return nil
+}
+
+// Guards against a sound response that is turned away, or a call that is repeated, because of checks on responses.
+func TestSoundResponsesPassUnchanged(t *testing.T) {
+	large := strings.Repeat("0123456789abcdef", 200_000)
+	type test struct {
+		name     string
+		response rawResponse
+		status   int
+		body     string
+	}
+	tests := []test{
+		{"after 100", rawResponse{first: "HTTP/1.1 100 Continue\r\n\r\n" + okHead + soundBody}, 200, "sound"},
+		{"after several 1xx", rawResponse{first: strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 20) + "HTTP/1.1 102 x\r\n\r\n" + okHead + soundBody}, 200, "sound"},
+		{"large, with a length", rawResponse{first: fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", okHead, len(large), large)}, 200, large},
+		{"large, in chunks", rawResponse{first: chunkedHead + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(large), large)}, 200, large},
+		{"large, ends with its connection", rawResponse{first: okHead + "\r\n" + large, close: true}, 200, large},
+		{"ends with its connection", rawResponse{first: okHead + "\r\nsound", close: true}, 200, "sound"},
+		{"HTTP/1.0", rawResponse{first: "HTTP/1.0 200 OK\r\nCall-Id: %s\r\n\r\nsound", close: true}, 200, "sound"},
+		{"empty chunked body", rawResponse{first: chunkedHead + "0\r\n\r\n"}, 200, ""},
+		{"trailers", rawResponse{first: chunkedHead + "5\r\nsound\r\n0\r\nA: b\r\n\r\n"}, 200, "sound"},
+		{"chunk extension", rawResponse{first: chunkedHead + "5;a=b\r\nsound\r\n0\r\n\r\n"}, 200, "sound"},
+		{"large head", rawResponse{first: okHead + "A: " + strings.Repeat("x", 32<<10) + "\r\n" + soundBody}, 200, "sound"},
+		{"status without a reason", withStatus("200"), 200, "sound"},
+		{"204", rawResponse{first: "HTTP/1.1 204 x\r\nCall-Id: %s\r\n\r\n"}, 204, ""},
+		{"304", rawResponse{first: "HTTP/1.1 304 x\r\nCall-Id: %s\r\n\r\n"}, 304, ""},
+	}
+	for _, status := range []int{200, 201, 202, 206, 299, 301, 302, 307, 308, 400, 401, 403, 404, 408, 409, 412, 413, 421, 422, 429, 431, 499, 500, 501, 502, 503, 504, 599} {
+		tests = append(tests, test{fmt.Sprint("status ", status), withStatus(fmt.Sprint(status, " x")), status, "sound"})
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			forEachGate(t, func(t *testing.T, ownGate bool) {
+				is := is.New(t)
+				s := newResponseStack(t, ownGate, c.response)
+				got := s.call(t, "POST", "/unsafe/x", "sound")
+				is.Equal(got.status, c.status)
+				is.True(got.complete)
+				is.True(got.body == c.body)
+				is.Equal(s.backend.runsOf("sound"), 1)
+				is.Equal(len(s.faultsOf("sound")), 0)
+			})
+		})
+	}
+}
+
+// Guards against a check on responses that ends a slow one before the call's time is up.
+func TestSlowSoundResponsePasses(t *testing.T) {
+	forEachGate(t, func(t *testing.T, ownGate bool) {
+		is := is.New(t)
+		s := newResponseStack(t, ownGate, soundResponse)
+		slow, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer slow.Close()
+		go respondInPieces(slow, 300*time.Millisecond)
+		s.gate.SetBackend(gate.Backend{ID: "e0", Address: slow.Addr().String(), Capacity: 8})
+		got := s.call(t, "POST", "/unsafe/x", "slow")
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.body, "sound")
+		is.True(got.complete)
+	})
+}
+
+// respondInPieces responds to the first request byte by byte, over about the given time.
+func respondInPieces(listener net.Listener, total time.Duration) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	text := "HTTP/1.1 103 x\r\n\r\n" + strings.ReplaceAll(okHead, "%s", request.Header.Get("Call-Id")) + soundBody
+	for i := range len(text) {
+		if _, err := io.WriteString(conn, text[i:i+1]); err != nil {
+			return
+		}
+		time.Sleep(total / time.Duration(len(text)))
+	}
+}
--- a/pkg/gate/body.go
+++ b/pkg/gate/body.go
@@ -18,10 +18,20 @@
 	return nil
 }
 
-// notifyingBody calls onClose when a streamed response body is closed.
+// notifyingBody calls onClose when a streamed response body is closed, and onError, if set, when reading it failed.
 type notifyingBody struct {
 	io.ReadCloser
 	onClose func()
+	onError func(error)
+}
+
+// Read implements io.Reader.
+func (b *notifyingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF && b.onError != nil {
+		b.onError(err)
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -9,7 +9,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -36,6 +35,8 @@
 	crashCheckTimeout = 50 * time.Millisecond
 	// largeBodyBytes is the body size from which a body is received before the call gets a slot.
 	largeBodyBytes = 16 << 10
+	// exchangeGrace is how long after its deadline an exchange ends that its caller has not ended.
+	exchangeGrace = 100 * time.Millisecond
 	// receivedWaitDivisor divides the time until the deadline to get how long a call whose large
 	// body was received may wait for a slot.
 	receivedWaitDivisor = 3
@@ -79,8 +80,8 @@
 	OnColdProbeFailed func(backend string, err error)
 	// OnLimit is called with the gate locked when the limit that the back end names changes.
 	OnLimit func(LimitChange)
-	// OnInvalidResponse is called with what the back end sent in place of a response.
-	OnInvalidResponse func(InvalidResponse)
+	// OnInvalidResponse is called when the back end sent bytes that are not a response to a call or a probe.
+	OnInvalidResponse func(roundtrip.Verdict)
 	// OnLeaving is called when the back end first states in a response that it accepts no new calls.
 	OnLeaving func(id string, incarnation uint64)
 }
@@ -111,9 +112,9 @@
 // implements http.Handler for the calls of other nodes.
 type Gate struct {
 	config    Config
-	transport *http.Transport
+	transport *roundtrip.Transport
 	// probeTransport opens a connection for each probe of the health path, whose response names no request.
-	probeTransport *http.Transport
+	probeTransport *roundtrip.Transport
 	// inbound schedules large request bodies on the link, outbound large responses.
 	inbound, outbound *linkScheduler
 	// transit measures how long calls took to arrive.
@@ -162,11 +163,11 @@
 	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
 	capacity := config.Link.Capacity()
 	return &Gate{config: config, inbound: newLinkScheduler(capacity, inboundShare, inboundUsableShare, config.Link.UnscheduledRate),
-		outbound: newLinkScheduler(capacity, largeResponseShare, outboundUsableShare, config.Link.UnreservedRate), transport: &http.Transport{
-			DialContext: exchange.CountWrites(dialer.DialContext), DisableCompression: true,
+		outbound: newLinkScheduler(capacity, largeResponseShare, outboundUsableShare, config.Link.UnreservedRate), transport: roundtrip.New(&http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 			ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
-		}, probeTransport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true}}
+		}), probeTransport: roundtrip.New(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true})}
 }
 
 const maxIdleConnections = 64
@@ -324,9 +325,9 @@
 
 // send exchanges the call with the back end and releases the slot.
 func (g *Gate) send(r *http.Request, attach attachBody, adm admission, req request, call *Call) *http.Response {
-	var delivery exchange.Delivery
-	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(r.Context(), delivery.Trace()))
-	outgoing := g.outgoing(ctx, r, adm, req)
+	var delivery roundtrip.Delivery
+	ctx, cancel := g.exchangeContext(r.Context(), req)
+	outgoing := g.outgoing(r, adm, req)
 	body, err := attach(outgoing)
 	if err != nil {
 		// The caller's body is at fault, not the back end.
@@ -346,7 +347,7 @@
 		g.releaseUnsent(adm)
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	response, err := g.transport.RoundTrip(outgoing)
+	response, err := g.transport.Send(ctx, outgoing, &delivery)
 	g.chargeResends(adm, delivery.Resends())
 	if err != nil && delivery.RejectedByRetired() {
 		cancel()
@@ -355,9 +356,11 @@
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	if err == nil {
-		g.reportInvalid(call, roundtrip.CheckHead(response))
 		err = g.checkResponse(r.Header, response, &delivery)
 	}
+	if err == nil {
+		err = g.bufferResponse(response)
+	}
 	if err == nil {
 		g.recordStatement(adm, response)
 	}
@@ -370,24 +373,23 @@
 		call.Reason, call.Status = exchange.ReasonDeclined, response.StatusCode
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	if err == nil {
-		err = g.bufferResponse(response)
-	}
 	call.Service = g.config.Now() - adm.admittedAt
 	if err != nil {
+		ended := ctx.Err() != nil
 		cancel()
-		if delivery.MayHaveArrived() && r.Context().Err() == nil && exchange.BackendCrashed(r.Context(), adm.backend.Address, err, crashCheckTimeout) {
+		g.reportInvalid(call, req, err)
+		if delivery.MayHaveArrived() && !ended && exchange.BackendCrashed(r.Context(), adm.backend.Address, err, crashCheckTimeout) {
 			g.reportCrash(r, body, adm, call)
 		}
-		return g.failed(call, adm, delivery.MayHaveArrived(), r.Context(), req.deadline, err)
+		return g.failed(call, adm, delivery.MayHaveArrived(), ended, req.deadline, err)
 	}
 	g.reportResponse(r, body, adm, response.StatusCode)
-	return g.respond(response, adm, call, cancel)
+	return g.respond(response, adm, req, call, cancel)
 }
 
 // respond returns the back end's response to the caller. A streamed response keeps its slot until
 // its body is closed.
-func (g *Gate) respond(response *http.Response, adm admission, call *Call, cancel context.CancelFunc) *http.Response {
+func (g *Gate) respond(response *http.Response, adm admission, req request, call *Call, cancel context.CancelFunc) *http.Response {
 	call.Status = response.StatusCode
 	result := callResult{serviceTime: call.Service}
 	if exchange.ServerFailed(call.Status) {
@@ -404,7 +406,10 @@
 		finish()
 		response.Body = buffered
 	} else {
-		response.Body = &notifyingBody{ReadCloser: response.Body, onClose: sync.OnceFunc(finish)}
+		response.Body = &notifyingBody{ReadCloser: response.Body, onClose: sync.OnceFunc(finish), onError: func(err error) {
+			g.reportInvalid(call, req, err)
+			result.failed = result.failed || roundtrip.FaultOf(err) == roundtrip.FaultBody
+		}}
 	}
 	call.Report = g.reportFor(call.Priority)
 	call.Report.Set(response.Header)
@@ -413,18 +418,19 @@
 	return response
 }
 
-// failed classifies an error. The back end certainly has not run the call only if nothing was sent.
-func (g *Gate) failed(call *Call, adm admission, sent bool, ctx context.Context, deadline time.Duration, err error) *http.Response {
+// failed classifies an error; ended is set if the call ended first. The back end certainly has not run the call only if
+// nothing was sent.
+func (g *Gate) failed(call *Call, adm admission, sent, ended bool, deadline time.Duration, err error) *http.Response {
 	call.Err = err
 	if !sent {
 		g.releaseUnsent(adm)
 		call.Reason = exchange.ReasonUnreachable
-		if ctx.Err() == nil {
+		if !ended {
 			g.markUnreachable(adm)
 		}
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	backendAtFault := ctx.Err() == nil || g.hung(adm, deadline)
+	backendAtFault := !ended || g.hung(adm, deadline)
 	g.release(adm, callResult{failed: backendAtFault})
 	if backendAtFault {
 		g.assumeColdAfterFailure(adm)
@@ -435,22 +441,20 @@
 	return g.reject(call, http.StatusBadGateway, exchange.Unknown)
 }
 
-// checkResponse verifies that a response belongs to the request. A back end that sends two
-// responses to one request would otherwise shift the following ones. The connection of a response that names no
+// checkResponse verifies that a response belongs to the request. The connection of a response that names no
 // request is not used again: a second copy of it would look like the response to the next request.
-func (g *Gate) checkResponse(sent http.Header, response *http.Response, delivery *exchange.Delivery) error {
+func (g *Gate) checkResponse(sent http.Header, response *http.Response, delivery *roundtrip.Delivery) error {
 	name := g.config.Headers.RequestID
-	if name == "" {
-		return nil
+	if name == "" || response.Header.Get(name) != "" {
+		return roundtrip.CheckID(response, name, sent.Get(name), delivery)
+	}
+	if !delivery.RetireConn() {
+		return roundtrip.Reject(response, roundtrip.FaultOtherRequest, roundtrip.ErrOtherRequest, delivery)
 	}
-	id := response.Header.Get(name)
-	identified := id != "" || delivery.RetireConn()
-	if identified && (id == sent.Get(name) || (id == "" && g.declined(response))) {
+	if g.declined(response) {
 		return nil
 	}
-	response.Body.Close()
-	delivery.CloseRetired()
-	return exchange.ErrResponseMismatch
+	return roundtrip.CheckID(response, name, sent.Get(name), delivery)
 }
 
 // declined reports whether the back end states that it has not started the call.
@@ -459,12 +463,19 @@
 	return name != "" && response.Header.Get(name) != ""
 }
 
+// exchangeContext returns the context of an exchange with the back end. It ends shortly after the call's deadline, also
+// if the caller's connection stays open, so that a back end that falls silent doesn't keep its slot.
+func (g *Gate) exchangeContext(ctx context.Context, req request) (context.Context, context.CancelFunc) {
+	left := req.deadline + req.transitDelay - g.config.Now()
+	return context.WithTimeout(ctx, max(0, left)+exchangeGrace)
+}
+
 // outgoing returns the request to the back end, with the time left until the deadline.
-func (g *Gate) outgoing(ctx context.Context, r *http.Request, adm admission, req request) *http.Request {
+func (g *Gate) outgoing(r *http.Request, adm admission, req request) *http.Request {
 	request := exchange.NewOutgoing(r, adm.backend.Address)
 	left := max(time.Millisecond, req.deadline-g.config.Now())
 	exchange.SetMillis(request.Header, g.config.Headers.Deadline, left)
-	return request.WithContext(ctx)
+	return request
 }
 
 // reject returns a response of the gate itself.
--- a/pkg/gate/gate_cold.go
+++ b/pkg/gate/gate_cold.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/roundtrip"
 )
 
 const (
@@ -86,6 +87,7 @@
 			}
 		})
 		g.recordHealthStatement(admission{backend: backend, generation: generation}, said)
+		roundtrip.Verdict{Reader: roundtrip.ReaderProbe, Instance: backend.ID}.Report(g.config.OnInvalidResponse, err)
 		if err != nil && g.config.OnColdProbeFailed != nil {
 			g.config.OnColdProbeFailed(backend.ID, err)
 		}
--- a/pkg/gate/invalid.go
+++ b/pkg/gate/invalid.go
@@ -1,19 +1,16 @@
 package gate
 
-import "bramblelift/pkg/roundtrip"
+import (
+	"context"
+	"errors"
 
-// InvalidResponse describes, for logs, bytes of the back end that are not a response.
-type InvalidResponse struct {
-	// RequestID is empty for a probe of the health path.
-	RequestID string
-	Backend   string
-	Fault     roundtrip.Fault
-	Err       error
-}
+	"bramblelift/pkg/roundtrip"
+)
 
-// reportInvalid calls OnInvalidResponse if err reports an invalid response to a call.
-func (g *Gate) reportInvalid(call *Call, err error) {
-	if fault, invalid := roundtrip.FaultOf(err); invalid && g.config.OnInvalidResponse != nil {
-		g.config.OnInvalidResponse(InvalidResponse{RequestID: call.RequestID, Backend: call.Backend, Fault: fault, Err: err})
+// reportInvalid reports an invalid response to a call, except one that its caller did not wait for.
+func (g *Gate) reportInvalid(call *Call, req request, err error) {
+	if errors.Is(err, context.Canceled) && g.config.Now() < req.deadline-transitTolerance {
+		return
 	}
+	roundtrip.Verdict{Reader: roundtrip.ReaderGate, RequestID: call.RequestID, Instance: call.Backend}.Report(g.config.OnInvalidResponse, err)
 }
--- a/pkg/proxy/observer.go
+++ b/pkg/proxy/observer.go
@@ -9,6 +9,7 @@
 	"bramblelift/pkg/link"
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/quota"
+	"bramblelift/pkg/roundtrip"
 
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -119,9 +120,9 @@
 	o.logger.Log("event", "cold_unknown", "instance", backend, "error", err)
 }
 
-// logInvalidResponse logs that the back end sent bytes that are not a response.
-func (o *observer) logInvalidResponse(r gate.InvalidResponse) {
-	o.logger.Log("event", "response_invalid", "request", r.RequestID, "instance", r.Backend, "reader", "gate", "fault", string(r.Fault), "error", r.Err)
+// logInvalidResponse logs bytes of a back end or gate that are not a response.
+func (o *observer) logInvalidResponse(v roundtrip.Verdict) {
+	o.logger.Log("event", "response_invalid", "request", v.RequestID, "instance", v.Instance, "reader", string(v.Reader), "fault", string(v.Fault), "error", v.Err)
 }
 
 // registerQuarantine registers the number of watched and quarantined requests, and of lost evidence.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -220,7 +220,7 @@
 		Retry: retry.DefaultConfig(), DeclinedRetries: retry.DeclinedRetriesConfig(), OnCall: s.observer.call,
 		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
 		Link:    s.link,
-		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt, OnCongestion: s.observer.congestion,
+		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt, OnInvalidResponse: s.observer.logInvalidResponse, OnCongestion: s.observer.congestion,
 		Quarantine: &s.quarantine, OnCrash: s.onCrash, OnSuspectResponse: s.onWatchedResponse,
 		Quotas: s.quotas, KeysStaleLimit: time.Duration(s.settings.KeysStaleLimit),
 		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() }, StaleLimit: time.Duration(s.settings.StaleLimit),
--- a/pkg/exchange/delivery.go
+++ b/pkg/roundtrip/delivery.go
@@ -1,4 +1,4 @@
-package exchange
+package roundtrip
 
 import (
 	"context"
@@ -35,8 +35,8 @@
 	return n, err
 }
 
-// CountWrites returns a dial function whose connections count their writes, as Delivery requires.
-func CountWrites(dial dialFunc) dialFunc {
+// countWrites returns a dial function whose connections count their writes, as Delivery requires.
+func countWrites(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -60,11 +60,29 @@
 	arrivedEarlier bool
 	// resends counts the connections used after the request may have arrived over an earlier one.
 	resends int
+	// responding is set once the first byte of a response was received.
+	responding bool
 }
 
-// Trace returns the trace to attach to the request's context.
-func (d *Delivery) Trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { d.recordConn(info.Conn) }}
+// trace returns the trace to attach to the request's context.
+func (d *Delivery) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn:              func(info httptrace.GotConnInfo) { d.recordConn(info.Conn) },
+		GotFirstResponseByte: d.recordResponse,
+	}
+}
+
+func (d *Delivery) recordResponse() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.responding = true
+}
+
+// responseBegan reports whether the first byte of a response was received.
+func (d *Delivery) responseBegan() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.responding
 }
 
 // recordConn records the connection that the transport uses next.
@@ -105,6 +123,13 @@
 	return !d.mayHaveArrived() && d.conn != nil && d.conn.retired.Load()
 }
 
+// discardConn closes the connection that the request used last. A request that the transport has assigned to it already
+// fails before any byte is sent.
+func (d *Delivery) discardConn() {
+	d.RetireConn()
+	d.CloseRetired()
+}
+
 // CloseRetired closes the connection that the request used last if it is retired. The response must not be read any
 // more. A request that the transport has assigned to the connection already fails before any byte is sent.
 func (d *Delivery) CloseRetired() {
--- a/pkg/exchange/delivery_test.go
+++ b/pkg/roundtrip/delivery_test.go
@@ -1,4 +1,4 @@
-package exchange
+package roundtrip
 
 import (
 	"context"
@@ -33,7 +33,7 @@
 func post(t *testing.T, transport http.RoundTripper, url string) (*Delivery, error) {
 	t.Helper()
 	delivery := &Delivery{}
-	ctx := httptrace.WithClientTrace(context.Background(), delivery.Trace())
+	ctx := httptrace.WithClientTrace(context.Background(), delivery.trace())
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, struct{ *strings.Reader }{strings.NewReader("body")})
 	is.New(t).NoErr(err)
 	request.ContentLength = 4
@@ -49,7 +49,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
 	var broken atomic.Bool
-	transport := &http.Transport{MaxConnsPerHost: 1, DialContext: CountWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+	transport := &http.Transport{MaxConnsPerHost: 1, DialContext: countWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return &brokenConn{Conn: conn, broken: &broken}, err
 	})}
@@ -64,7 +64,7 @@
 
 func TestFailedDialIsNotADelivery(t *testing.T) {
 	is := is.New(t)
-	transport := &http.Transport{DialContext: CountWrites((&net.Dialer{}).DialContext)}
+	transport := &http.Transport{DialContext: countWrites((&net.Dialer{}).DialContext)}
 	delivery, err := post(t, transport, "http://127.0.0.1:1")
 	is.True(err != nil)
 	is.True(!delivery.MayHaveArrived())
@@ -74,7 +74,7 @@
 	is := is.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer server.Close()
-	transport := &http.Transport{DialContext: CountWrites((&net.Dialer{}).DialContext)}
+	transport := &http.Transport{DialContext: countWrites((&net.Dialer{}).DialContext)}
 	delivery, err := post(t, transport, server.URL)
 	is.True(err != nil)
 	is.True(delivery.MayHaveArrived())
@@ -94,7 +94,7 @@
 	is := is.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer server.Close()
-	transport := &http.Transport{DialContext: CountWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
+	transport := &http.Transport{DialContext: countWrites(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return slowWriter{conn}, err
 	})}
--- a/pkg/roundtrip/invalid.go
+++ b/pkg/roundtrip/invalid.go
@@ -52,13 +52,44 @@
 // Unwrap returns the cause.
 func (e *InvalidResponse) Unwrap() error { return e.Err }
 
-// FaultOf returns the fault that an error reports, and false if it is no *InvalidResponse.
-func FaultOf(err error) (Fault, bool) {
+// FaultOf returns the fault that an error reports, empty if it is no *InvalidResponse.
+func FaultOf(err error) Fault {
 	var invalid *InvalidResponse
 	if !errors.As(err, &invalid) {
-		return "", false
+		return ""
+	}
+	return invalid.Fault
+}
+
+// Reader is who read an invalid response.
+type Reader string
+
+const (
+	// ReaderGate is a gate that reads the response of its back end to a call.
+	ReaderGate Reader = "gate"
+	// ReaderProbe is a gate that reads the response of its back end's health path.
+	ReaderProbe Reader = "probe"
+	// ReaderNode is a node that reads the response of a gate, or of a back end without one.
+	ReaderNode Reader = "node"
+)
+
+// Verdict describes an invalid response for logs.
+type Verdict struct {
+	Reader Reader
+	// RequestID is empty for a probe.
+	RequestID string
+	// Instance is the back end's ID.
+	Instance string
+	Fault    Fault
+	Err      error
+}
+
+// Report calls report, if set, with the verdict on an error that is an *InvalidResponse.
+func (v Verdict) Report(report func(Verdict), err error) {
+	v.Fault, v.Err = FaultOf(err), err
+	if v.Fault != "" && report != nil {
+		report(v)
 	}
-	return invalid.Fault, true
 }
 
 // ErrOtherRequest reports a response that belongs to another request. Refusals carry its text to callers.
--- /dev/null
+++ b/pkg/roundtrip/transport.go
@@ -0,0 +1,108 @@
+package roundtrip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// MaxHeadBytes bounds the head of a response, together with the informational (1xx) responses before it.
+const MaxHeadBytes = 64 << 10
+
+// Transport sends requests and rejects what is not a response. It is safe for concurrent use and implements
+// http.RoundTripper.
+type Transport struct{ base *http.Transport }
+
+// New returns a Transport on top of base, which it changes. The head of a response is bounded by
+// base.MaxResponseHeaderBytes, or by MaxHeadBytes if that is not set.
+func New(base *http.Transport) *Transport {
+	if base.DialContext == nil {
+		base.DialContext = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = countWrites(base.DialContext)
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = MaxHeadBytes
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	return t.Send(request.Context(), request, &Delivery{})
+}
+
+// Send sends a request with a context, records in delivery whether it may have arrived, and returns the response once its
+// head is valid. What the peer sends in place of a response, or of its body, is an *InvalidResponse; another error means that
+// no byte of a response was received, or that the body was not read because the caller closed it.
+func (t *Transport) Send(ctx context.Context, request *http.Request, delivery *Delivery) (*http.Response, error) {
+	request = request.WithContext(httptrace.WithClientTrace(ctx, delivery.trace()))
+	response, err := t.base.RoundTrip(request)
+	if err != nil {
+		return nil, headError(delivery, err)
+	}
+	if err := CheckHead(response); err != nil {
+		response.Body.Close()
+		delivery.discardConn()
+		return nil, err
+	}
+	if response.Body != http.NoBody {
+		response.Body = &body{ReadCloser: response.Body, status: response.StatusCode}
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// headError classifies an error before the head of a response was complete.
+func headError(delivery *Delivery, err error) error {
+	switch {
+	case !delivery.responseBegan():
+		return err
+	case isContextError(err):
+		return &InvalidResponse{Fault: FaultIncomplete, Err: fmt.Errorf("head: %w", err)}
+	}
+	return &InvalidResponse{Fault: FaultHead, Err: err}
+}
+
+func isContextError(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// body is the body of a response. Its read errors are an *InvalidResponse.
+type body struct {
+	io.ReadCloser
+	status int
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == nil || err == io.EOF || errors.Is(err, http.ErrBodyReadAfterClose):
+		return n, err
+	case isContextError(err):
+		return n, &InvalidResponse{Fault: FaultIncomplete, Status: b.status, Err: fmt.Errorf("body: %w", err)}
+	}
+	return n, &InvalidResponse{Fault: FaultBody, Status: b.status, Err: err}
+}
+
+// CheckID returns an *InvalidResponse, and discards the connection, if a response names another request than the one with
+// this ID. A back end that sends two responses to one request would otherwise shift the following ones.
+func CheckID(response *http.Response, header, id string, delivery *Delivery) error {
+	if header == "" || response.Header.Get(header) == id {
+		return nil
+	}
+	return Reject(response, FaultOtherRequest, ErrOtherRequest, delivery)
+}
+
+// Reject closes a response and its connection, and returns an *InvalidResponse.
+func Reject(response *http.Response, fault Fault, err error, delivery *Delivery) error {
+	response.Body.Close()
+	delivery.discardConn()
+	return &InvalidResponse{Fault: fault, Status: response.StatusCode, Err: err}
+}
