pipeline: a status that cannot be sent aborts the connection

Now a status outside 200 to 599, informational ones included, sends nothing: earlier responses of the connection are completed, it is aborted, and response_unsendable is logged.

The test (10 statuses, 5 manners of writing) failed before: the caller got HTTP/1.1 200 OK.

--- a/pkg/pipeline/response.go
+++ b/pkg/pipeline/response.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httputil"
@@ -10,6 +11,8 @@
 	"sync"
 	"time"
 
+	"bramblelift/pkg/roundtrip"
+
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -24,6 +27,7 @@
 var (
 	errConnClosed        = errors.New("the caller's connection is closed")
 	errResponseTruncated = errors.New("the handler wrote less than its Content-Length")
+	errStatusNotFinal    = errors.New("the handler set a status that cannot end an exchange")
 )
 
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
@@ -54,9 +58,14 @@
 // Header implements http.ResponseWriter.
 func (r *response) Header() http.Header { return r.header }
 
-// WriteHeader implements http.ResponseWriter. Informational (1xx) responses are ignored.
+// WriteHeader implements http.ResponseWriter. After a status that cannot end an exchange, informational ones included,
+// nothing is sent and the connection is aborted.
 func (r *response) WriteHeader(status int) {
-	if r.status != 0 || status < http.StatusOK {
+	if r.status != 0 || r.err != nil {
+		return
+	}
+	if !roundtrip.IsFinalStatus(status) {
+		r.err = fmt.Errorf("status %d: %w", status, errStatusNotFinal)
 		return
 	}
 	r.status = status
@@ -72,6 +81,9 @@
 	if r.status == 0 {
 		r.WriteHeader(http.StatusOK)
 	}
+	if r.err != nil {
+		return 0, r.err
+	}
 	if !r.hasBody() {
 		return len(p), nil
 	}
@@ -170,6 +182,12 @@
 	if r.status == 0 {
 		r.WriteHeader(http.StatusOK)
 	}
+	if errors.Is(r.err, errStatusNotFinal) {
+		// Earlier responses must be complete before the connection is aborted.
+		r.x.conn.awaitTurn(r.x)
+		r.x.conn.server.reportUnsendable(r.x.request, r.err)
+		return r.err
+	}
 	if !r.committed && r.contentLength < 0 && r.hasBody() {
 		r.contentLength = int64(len(r.buffered))
 		r.header.Set("Content-Length", strconv.Itoa(len(r.buffered)))
--- a/pkg/pipeline/response_test.go
+++ b/pkg/pipeline/response_test.go
@@ -1,6 +1,8 @@
 package pipeline
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -77,3 +79,50 @@
 	_, body := c.readResponse()
 	is.Equal(body, "words")
 }
+
+// Guards against a status that cannot be sent being replaced by another one.
+func TestStatusThatCannotBeSentAbortsTheConnection(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 100, 101, 103, 199, 600, 999, 1000} {
+		for _, path := range []string{"/empty", "/body", "/length", "/flushed", "/corrected"} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				is := is.New(t)
+				reported := make(chan error, 1)
+				cfg := testConfig(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/sound" {
+						_, _ = io.WriteString(w, "sound")
+						return
+					}
+					writeWithStatus(w, r.URL.Path, status)
+				}))
+				cfg.OnUnsendable = func(_ *http.Request, err error) { reported <- err }
+				_, address := serve(t, cfg)
+				c := dial(t, address)
+				c.get("/sound")
+				c.get(path)
+				response, body := c.readResponse()
+				is.Equal(response.StatusCode, http.StatusOK) // the earlier response is complete
+				is.Equal(body, "sound")
+				rest, _ := io.ReadAll(c.reader)
+				is.Equal(string(rest), "")
+				is.True(errors.Is(<-reported, errStatusNotFinal))
+			})
+		}
+	}
+}
+
+// writeWithStatus writes a response in the manner that the path names.
+func writeWithStatus(w http.ResponseWriter, path string, status int) {
+	if path == "/length" {
+		w.Header().Set("Content-Length", "5")
+	}
+	w.WriteHeader(status)
+	switch path {
+	case "/body", "/length":
+		_, _ = io.WriteString(w, "words")
+	case "/flushed":
+		_ = http.NewResponseController(w).Flush()
+	case "/corrected":
+		w.WriteHeader(http.StatusOK)
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedResponse))
+	}
+}
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -35,6 +35,8 @@
 	MaxHeaderBytes int
 	// OnPanic, if set, is called with the value of a handler's panic, except http.ErrAbortHandler.
 	OnPanic func(value any)
+	// OnUnsendable, if set, is called when a handler set a status that is not sent.
+	OnUnsendable func(r *http.Request, err error)
 }
 
 // Server serves the connections of its listeners. It is safe for concurrent use.
@@ -112,6 +114,12 @@
 	go c.serve()
 }
 
+func (s *Server) reportUnsendable(r *http.Request, err error) {
+	if s.cfg.OnUnsendable != nil {
+		s.cfg.OnUnsendable(r, err)
+	}
+}
+
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -149,6 +149,9 @@
 		Handler: s.inFlight.track(handler), Concurrent: concurrent, MaxConcurrent: maxPipelined,
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
 		OnPanic: func(value any) { s.logger.Log("event", "handler_panicked", "value", value) },
+		OnUnsendable: func(r *http.Request, err error) {
+			s.logger.Log("event", "response_unsendable", "request", r.Header.Get(s.settings.Headers.RequestID), "error", err)
+		},
 	})
 }
 
