forward: a response counts towards its route's size once its body is complete

Found by the test of responses without end: a back end that declares a length of 1 TiB and does not keep it made the node expect 1 TiB of every later call of the route, so that gates rejected them for the link (reason=link, 503), until enough others had been served - of which there were none.

Service time and size are recorded after the last byte. The test failed before: the second call announced bytes.

--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -259,23 +259,32 @@
 func (g *gatedCall) respond(ticket *balancer.Ticket, response *http.Response) {
 	g.closeHeldResponse()
 	serviceTime, _ := exchange.ReadMicros(response.Header, exchange.HeaderWork)
-	if !exchange.ServerFailed(response.StatusCode) {
-		g.handler.serviceTime.record(g.route.Name, serviceTime, max(0, int(response.ContentLength)))
-	}
 	body, _ := response.Body.(bufferedBody)
 	if body.complete {
+		g.recordCompleted(response, serviceTime)
 		ticket.Done(g.now(), balancer.Answered)
 	}
 	err := g.writeResponse(response, g.isOwnGate(ticket))
 	if !body.complete {
 		ticket.Done(g.now(), streamOutcome(err))
 	}
+	if err == nil && !body.complete {
+		g.recordCompleted(response, serviceTime)
+	}
 	if err != nil {
 		g.reportInvalid(ticket, err)
 		g.abort()
 	}
 }
 
+// recordCompleted records the service time and the size of a response whose body is known to be complete: a declared
+// length alone proves nothing.
+func (g *gatedCall) recordCompleted(response *http.Response, serviceTime time.Duration) {
+	if !exchange.ServerFailed(response.StatusCode) {
+		g.handler.serviceTime.record(g.route.Name, serviceTime, max(0, int(response.ContentLength)))
+	}
+}
+
 // streamOutcome returns the outcome of a streamed response for the back end's statistics.
 func streamOutcome(err error) balancer.Outcome {
 	switch {
--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"bramblelift/pkg/bench/standin"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
 	"bramblelift/pkg/pipeline"
@@ -23,40 +24,18 @@
 	"github.com/matryer/is"
 )
 
-// rawResponse is what a back end writes in place of a response; %s stands for the request's ID.
-type rawResponse struct {
-	first string
-	// endless is repeated after first until the connection closes, with a pause in between.
-	endless string
-	pause   time.Duration
-	// close closes the connection at the end. Otherwise the back end falls silent.
-	close bool
-}
-
-// write writes the response and reports whether the connection stays open.
-func (r rawResponse) write(conn net.Conn, id string) bool {
-	if _, err := io.WriteString(conn, strings.ReplaceAll(r.first, "%s", id)); err != nil {
-		return false
-	}
-	for r.endless != "" {
-		if _, err := io.WriteString(conn, r.endless); err != nil {
-			return false
-		}
-		time.Sleep(r.pause)
-	}
-	return !r.close
-}
+var rawHeaders = standin.RawHeaders{RequestID: "Call-Id", NotRun: "Not-Run"}
 
 // scriptedBackend writes raw responses and counts the requests that it received.
 type scriptedBackend struct {
 	address string
 	open    atomic.Int64
 	mu      sync.Mutex
-	next    rawResponse
+	next    standin.RawResponse
 	runs    map[string]int
 }
 
-func newScriptedBackend(t *testing.T, response rawResponse) *scriptedBackend {
+func newScriptedBackend(t *testing.T, response standin.RawResponse) *scriptedBackend {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -85,20 +64,21 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		if !b.receive(request.Header.Get("Call-Id")).write(conn, request.Header.Get("Call-Id")) {
+		id := request.Header.Get("Call-Id")
+		if !b.receive(id).Write(conn, rawHeaders, id) {
 			return
 		}
 	}
 }
 
-func (b *scriptedBackend) receive(id string) rawResponse {
+func (b *scriptedBackend) receive(id string) standin.RawResponse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runs[id]++
 	return b.next
 }
 
-func (b *scriptedBackend) respondWith(r rawResponse) {
+func (b *scriptedBackend) respondWith(r standin.RawResponse) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.next = r
@@ -121,7 +101,7 @@
 }
 
 // newResponseStack returns a stack whose gate is the node's own or that of another node.
-func newResponseStack(t *testing.T, ownGate bool, response rawResponse) *responseStack {
+func newResponseStack(t *testing.T, ownGate bool, response standin.RawResponse) *responseStack {
 	t.Helper()
 	s := &responseStack{backend: newScriptedBackend(t, response), faults: map[string][]roundtrip.Fault{}}
 	started := time.Now()
@@ -213,73 +193,14 @@
 }
 
 const (
-	okHead      = "HTTP/1.1 200 OK\r\nCall-Id: %s\r\n"
-	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
-	soundBody   = "Content-Length: 5\r\n\r\nsound"
+	okHead      = standin.RawOK
+	chunkedHead = standin.RawChunked
+	soundBody   = standin.RawBody
 )
 
-var filler = strings.Repeat("x", 4096)
-
-var soundResponse = rawResponse{first: okHead + soundBody}
-
-func withStatus(status string) rawResponse {
-	return rawResponse{first: "HTTP/1.1 " + status + "\r\nCall-Id: %s\r\n" + soundBody}
-}
+var soundResponse = standin.RawResponse{First: okHead + soundBody}
 
-var invalidResponses = []struct {
-	name     string
-	response rawResponse
-	fault    roundtrip.Fault
-}{
-	{"status 000", withStatus("000 "), roundtrip.FaultStatus},
-	{"status 099", withStatus("099 x"), roundtrip.FaultStatus},
-	{"status with a plus sign", withStatus("+20 OK"), roundtrip.FaultStatus},
-	{"status with a minus sign", withStatus("-00 OK"), roundtrip.FaultStatus},
-	{"status 600", withStatus("600 x"), roundtrip.FaultStatus},
-	{"status 999", withStatus("999 x"), roundtrip.FaultStatus},
-	{"status 600 without a body", rawResponse{first: "HTTP/1.1 600 x\r\nCall-Id: %s\r\nContent-Length: 0\r\n\r\n"}, roundtrip.FaultStatus},
-	{"status of two digits", withStatus("20 OK"), roundtrip.FaultHead},
-	{"status of four digits", withStatus("2000 OK"), roundtrip.FaultHead},
-	{"101 with Upgrade", rawResponse{first: "HTTP/1.1 101 x\r\nConnection: Upgrade\r\nUpgrade: none\r\nCall-Id: %s\r\n\r\n"}, roundtrip.FaultUpgrade},
-	{"101 without Upgrade", rawResponse{first: "HTTP/1.1 101 x\r\nCall-Id: %s\r\n\r\n"}, roundtrip.FaultUpgrade},
-	{"101 with bytes without end", rawResponse{first: "HTTP/1.1 101 x\r\nConnection: Upgrade\r\nUpgrade: none\r\nCall-Id: %s\r\n\r\n", endless: filler}, roundtrip.FaultUpgrade},
-	{"1xx without a final response", rawResponse{first: "HTTP/1.1 103 Early Hints\r\nCall-Id: %s\r\n\r\n"}, roundtrip.FaultIncomplete},
-	{"1xx, then closed", rawResponse{first: "HTTP/1.1 102 Processing\r\nCall-Id: %s\r\n\r\n", close: true}, roundtrip.FaultHead},
-	{"1xx without end", rawResponse{endless: "HTTP/1.1 100 Continue\r\n\r\n"}, roundtrip.FaultHead},
-	{"1xx without end, slowly", rawResponse{endless: "HTTP/1.1 100 Continue\r\n\r\n", pause: 20 * time.Millisecond}, roundtrip.FaultIncomplete},
-	{"no HTTP", rawResponse{first: "out of memory\n", close: true}, roundtrip.FaultHead},
-	{"no HTTP, silent", rawResponse{first: "out of memory"}, roundtrip.FaultIncomplete},
-	{"HTTP/2.0", rawResponse{first: "HTTP/2.0 200 OK\r\nCall-Id: %s\r\n" + soundBody}, roundtrip.FaultProtocol},
-	{"HTTP/0.9", rawResponse{first: "HTTP/0.9 200 OK\r\nCall-Id: %s\r\n" + soundBody}, roundtrip.FaultProtocol},
-	{"status line without end", rawResponse{first: "HTTP/1.1 200 ", endless: filler}, roundtrip.FaultHead},
-	{"status line, silent", rawResponse{first: "HTTP/1.1 200 O"}, roundtrip.FaultIncomplete},
-	{"status line, cut off", rawResponse{first: "HTTP/1.1 200 O", close: true}, roundtrip.FaultHead},
-	{"header lines without end", rawResponse{first: okHead, endless: "A: b\r\n"}, roundtrip.FaultHead},
-	{"header line without end", rawResponse{first: okHead + "A: ", endless: filler}, roundtrip.FaultHead},
-	{"header lines without end, slowly", rawResponse{first: okHead, endless: "A: b\r\n", pause: 20 * time.Millisecond}, roundtrip.FaultIncomplete},
-	{"head, silent", rawResponse{first: okHead}, roundtrip.FaultIncomplete},
-	{"head, cut off", rawResponse{first: okHead, close: true}, roundtrip.FaultHead},
-	{"header line without a colon", rawResponse{first: okHead + "nonsense\r\n" + soundBody}, roundtrip.FaultHead},
-	{"header value with a NUL", rawResponse{first: okHead + "A: b\x00c\r\n" + soundBody}, roundtrip.FaultHead},
-	{"two lengths", rawResponse{first: okHead + "Content-Length: 4\r\n" + soundBody}, roundtrip.FaultHead},
-	{"response to another request", rawResponse{first: "HTTP/1.1 200 OK\r\nCall-Id: other\r\n" + soundBody}, roundtrip.FaultOtherRequest},
-	{"body shorter than its length", rawResponse{first: okHead + "Content-Length: 9\r\n\r\nsound", close: true}, roundtrip.FaultBody},
-	{"body shorter than its length, silent", rawResponse{first: okHead + "Content-Length: 9\r\n\r\nsound"}, roundtrip.FaultIncomplete},
-	{"body with a length, without end", rawResponse{first: okHead + "Content-Length: 1099511627776\r\n\r\n", endless: filler}, roundtrip.FaultIncomplete},
-	{"body without a length, without end", rawResponse{first: okHead + "\r\n", endless: filler}, roundtrip.FaultIncomplete},
-	{"body without end, slowly", rawResponse{first: okHead + "\r\n", endless: "x", pause: 20 * time.Millisecond}, roundtrip.FaultIncomplete},
-	{"chunks without end", rawResponse{first: chunkedHead, endless: "1000\r\n" + filler + "\r\n"}, roundtrip.FaultIncomplete},
-	{"chunk size without digits", rawResponse{first: chunkedHead + "zz\r\nsound\r\n0\r\n\r\n"}, roundtrip.FaultBody},
-	{"chunk line without end", rawResponse{first: chunkedHead + "5;", endless: filler}, roundtrip.FaultBody},
-	{"chunk line, silent", rawResponse{first: chunkedHead + "5"}, roundtrip.FaultIncomplete},
-	{"chunk, silent", rawResponse{first: chunkedHead + "5\r\nso"}, roundtrip.FaultIncomplete},
-	{"chunk, cut off", rawResponse{first: chunkedHead + "5\r\nso", close: true}, roundtrip.FaultBody},
-	{"chunks without the last", rawResponse{first: chunkedHead + "5\r\nsound\r\n", close: true}, roundtrip.FaultBody},
-	{"trailers without end", rawResponse{first: chunkedHead + "5\r\nsound\r\n0\r\n", endless: "A: b\r\n"}, roundtrip.FaultBody},
-	{"trailers, silent", rawResponse{first: chunkedHead + "5\r\nsound\r\n0\r\nA: b\r\n"}, roundtrip.FaultIncomplete},
-	{"rejection, cut off", rawResponse{first: "HTTP/1.1 503 x\r\nCall-Id: %s\r\nNot-Run: 1\r\nContent-Length: 9\r\n\r\nfull", close: true}, roundtrip.FaultBody},
-	{"rejection of status 600", rawResponse{first: "HTTP/1.1 600 x\r\nCall-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}, roundtrip.FaultStatus},
-}
+func withStatus(status string) standin.RawResponse { return standin.RawStatus(status) }
 
 // forEachGate runs a test with the node's own gate and with that of another node.
 func forEachGate(t *testing.T, test func(t *testing.T, ownGate bool)) {
@@ -293,17 +214,17 @@
 
 // Guards against bytes that are no response reaching a caller as one, holding a slot or a connection, or counting as not run.
 func TestBytesThatAreNoResponseEndAsBrokenExchange(t *testing.T) {
-	for _, c := range invalidResponses {
-		t.Run(c.name, func(t *testing.T) {
+	for _, c := range standin.InvalidResponses {
+		t.Run(c.Name, func(t *testing.T) {
 			forEachGate(t, func(t *testing.T, ownGate bool) {
 				is := is.New(t)
-				s := newResponseStack(t, ownGate, c.response)
+				s := newResponseStack(t, ownGate, c.RawResponse)
 				got := s.call(t, "POST", "/unsafe/x", "spoiled")
 				is.True(got.took < 900*time.Millisecond) // half a second past the route's timeout
 				is.NoErr(checkBroken(got))
 				is.NoErr(s.awaitIdle())
 				is.Equal(s.backend.runsOf("spoiled"), 1)
-				is.Equal(s.faultsOf("spoiled"), []roundtrip.Fault{c.fault})
+				is.Equal(s.faultsOf("spoiled"), []roundtrip.Fault{c.Fault})
 				s.backend.respondWith(soundResponse)
 				sound := s.call(t, "POST", "/unsafe/x", "sound")
 				is.Equal(sound.status, http.StatusOK)
@@ -333,25 +254,25 @@
 	large := strings.Repeat("0123456789abcdef", 200_000)
 	type test struct {
 		name     string
-		response rawResponse
+		response standin.RawResponse
 		status   int
 		body     string
 	}
 	tests := []test{
-		{"after 100", rawResponse{first: "HTTP/1.1 100 Continue\r\n\r\n" + okHead + soundBody}, 200, "sound"},
-		{"after several 1xx", rawResponse{first: strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 20) + "HTTP/1.1 102 x\r\n\r\n" + okHead + soundBody}, 200, "sound"},
-		{"large, with a length", rawResponse{first: fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", okHead, len(large), large)}, 200, large},
-		{"large, in chunks", rawResponse{first: chunkedHead + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(large), large)}, 200, large},
-		{"large, ends with its connection", rawResponse{first: okHead + "\r\n" + large, close: true}, 200, large},
-		{"ends with its connection", rawResponse{first: okHead + "\r\nsound", close: true}, 200, "sound"},
-		{"HTTP/1.0", rawResponse{first: "HTTP/1.0 200 OK\r\nCall-Id: %s\r\n\r\nsound", close: true}, 200, "sound"},
-		{"empty chunked body", rawResponse{first: chunkedHead + "0\r\n\r\n"}, 200, ""},
-		{"trailers", rawResponse{first: chunkedHead + "5\r\nsound\r\n0\r\nA: b\r\n\r\n"}, 200, "sound"},
-		{"chunk extension", rawResponse{first: chunkedHead + "5;a=b\r\nsound\r\n0\r\n\r\n"}, 200, "sound"},
-		{"large head", rawResponse{first: okHead + "A: " + strings.Repeat("x", 32<<10) + "\r\n" + soundBody}, 200, "sound"},
+		{"after 100", standin.RawResponse{First: "HTTP/1.1 100 Continue\r\n\r\n" + okHead + soundBody}, 200, "sound"},
+		{"after several 1xx", standin.RawResponse{First: strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 20) + "HTTP/1.1 102 x\r\n\r\n" + okHead + soundBody}, 200, "sound"},
+		{"large, with a length", standin.RawResponse{First: fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", okHead, len(large), large)}, 200, large},
+		{"large, in chunks", standin.RawResponse{First: chunkedHead + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(large), large)}, 200, large},
+		{"large, ends with its connection", standin.RawResponse{First: okHead + "\r\n" + large, Close: true}, 200, large},
+		{"ends with its connection", standin.RawResponse{First: okHead + "\r\nsound", Close: true}, 200, "sound"},
+		{"HTTP/1.0", standin.RawResponse{First: "HTTP/1.0 200 OK\r\n{id}\r\n\r\nsound", Close: true}, 200, "sound"},
+		{"empty chunked body", standin.RawResponse{First: chunkedHead + "0\r\n\r\n"}, 200, ""},
+		{"trailers", standin.RawResponse{First: chunkedHead + "5\r\nsound\r\n0\r\nA: b\r\n\r\n"}, 200, "sound"},
+		{"chunk extension", standin.RawResponse{First: chunkedHead + "5;a=b\r\nsound\r\n0\r\n\r\n"}, 200, "sound"},
+		{"large head", standin.RawResponse{First: okHead + "A: " + strings.Repeat("x", 32<<10) + "\r\n" + soundBody}, 200, "sound"},
 		{"status without a reason", withStatus("200"), 200, "sound"},
-		{"204", rawResponse{first: "HTTP/1.1 204 x\r\nCall-Id: %s\r\n\r\n"}, 204, ""},
-		{"304", rawResponse{first: "HTTP/1.1 304 x\r\nCall-Id: %s\r\n\r\n"}, 304, ""},
+		{"204", standin.RawResponse{First: "HTTP/1.1 204 x\r\n{id}\r\n\r\n"}, 204, ""},
+		{"304", standin.RawResponse{First: "HTTP/1.1 304 x\r\n{id}\r\n\r\n"}, 304, ""},
 	}
 	for _, status := range []int{200, 201, 202, 206, 299, 301, 302, 307, 308, 400, 401, 403, 404, 408, 409, 412, 413, 421, 422, 429, 431, 499, 500, 501, 502, 503, 504, 599} {
 		tests = append(tests, test{fmt.Sprint("status ", status), withStatus(fmt.Sprint(status, " x")), status, "sound"})
@@ -400,7 +321,7 @@
 	if err != nil {
 		return
 	}
-	text := "HTTP/1.1 103 x\r\n\r\n" + strings.ReplaceAll(okHead, "%s", request.Header.Get("Call-Id")) + soundBody
+	text := rawHeaders.Expand("HTTP/1.1 103 x\r\n\r\n"+okHead+soundBody, request.Header.Get("Call-Id"))
 	for i := range len(text) {
 		if _, err := io.WriteString(conn, text[i:i+1]); err != nil {
 			return
@@ -408,3 +329,26 @@
 		time.Sleep(total / time.Duration(len(text)))
 	}
 }
+
+// Guards against a length that a response declares without keeping it, and that later calls of the route then reserve the link
+// for.
+func TestUnfinishedResponseDoesNotCountAsLarge(t *testing.T) {
+	is := is.New(t)
+	var expected []string
+	gate, _ := fakeGate(t, func(w http.ResponseWriter, r *http.Request) {
+		expected = append(expected, r.Header.Get(exchange.HeaderExpectedResponse))
+		w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
+		w.Header().Set(exchange.HeaderWork, "1000")
+		if len(expected) == 1 {
+			w.Header().Set("Content-Length", "1099511627776")
+			_, _ = io.WriteString(w, strings.Repeat("x", 2*exchange.MaxBuffered))
+			panic(http.ErrAbortHandler)
+		}
+	})
+	n := newGatedNode(t, 0, gate)
+	response := n.call(t, "POST", "/unsafe/x", "")
+	_, err := io.Copy(io.Discard, response.Body)
+	is.True(err != nil)
+	is.Equal(n.call(t, "POST", "/unsafe/x", "").StatusCode, http.StatusOK)
+	is.Equal(expected, []string{"", ""})
+}
