--- a/pkg/bench/fleet/process.go
+++ b/pkg/bench/fleet/process.go
@@ -72,6 +72,13 @@
 	return p.command.Process.Signal(signal)
 }
 
+// PID returns the ID of the process that was started last.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command.Process.Pid
+}
+
 // Suspend suspends the process with SIGSTOP.
 func (p *Process) Suspend() error { return p.Signal(syscall.SIGSTOP) }
 
