forward: a rejection counts as not run only if it is whole and says so

Found while listing the readers. A gate's rejection with outcome unknown and a reason that this release does not know, or with a busy one, was answered 503 and the call, unsafe ones too, was sent to further gates: Reached() looked at the reason alone. So a later release with one more reason could make an earlier one run calls twice. A back end without a gate was believed from the head of a rejection that was cut off, and its response to another request was passed on.

A rejection that does not state not-run is a broken exchange; its body has to end; the ID is checked without gates too, as its setting says.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -13,6 +13,7 @@
 
 	"bramblelift/pkg/balancer"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/roundtrip"
 )
 
 // attemptFailure describes why one attempt at a back end failed.
@@ -38,6 +39,9 @@
 	return &Refusal{Outcome: outcome, Step: f.step, Peer: f.peer, Reason: f.err.Error(), Status: f.status, RetryAfter: retryAfter}
 }
 
+// maxDeclineBytes bounds the body of a rejection by a gate or a back end.
+const maxDeclineBytes = 64 << 10
+
 var errDeclined = errors.New("the back end declined the call")
 
 // attempt sends the call to one back end. It returns nil once a response has begun to reach the
@@ -46,13 +50,22 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request := c.outgoingRequest(httptrace.WithClientTrace(ctx, trace), ticket)
-	response, err := c.service.transport.RoundTrip(request)
+	var delivery roundtrip.Delivery
+	response, err := c.service.transport.Send(request.Context(), request, &delivery)
+	if err == nil {
+		err = c.checkID(response, &delivery)
+	}
 	if err != nil {
 		return c.transportFailure(ctx, ticket, connected.Load(), err)
 	}
 	load, draining := readReport(response.Header, c.handler.config.Headers.Leaving)
 	ticket.Report(load, draining)
 	if isDecline(response) {
+		// A rejection counts only if it is complete.
+		if _, err := roundtrip.ReadAll(response, maxDeclineBytes); err != nil {
+			response.Body.Close()
+			return c.transportFailure(ctx, ticket, true, err)
+		}
 		ticket.Done(c.handler.config.Now(), balancer.Refused)
 		response.Body.Close()
 		return &attemptFailure{
@@ -152,6 +165,15 @@
 	ticket.Done(c.handler.config.Now(), balancer.Answered)
 }
 
+// checkID verifies that a response belongs to the call. A rejection may name none.
+func (c *call) checkID(response *http.Response, delivery *roundtrip.Delivery) error {
+	name := c.handler.config.Headers.RequestID
+	if isDecline(response) && response.Header.Get(name) == "" {
+		return nil
+	}
+	return roundtrip.CheckID(response, name, c.request.Header.Get(name), delivery)
+}
+
 // isDecline reports whether the back end states that it has not begun the call.
 func isDecline(response *http.Response) bool {
 	declining := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -125,12 +125,8 @@
 	if reported {
 		ticket.UpdateGateReport(g.now(), report)
 	}
-	if outcome := response.Header.Get(exchange.HeaderOutcome); outcome != "" {
-		response.Body.Close()
-		return nil, &gateFailure{
-			reason: exchange.Reason(response.Header.Get(exchange.HeaderReason)), outcome: Outcome(outcome),
-			peer: ticket.Address, rejected: true, report: report,
-		}
+	if response.Header.Get(exchange.HeaderOutcome) != "" {
+		return nil, g.readGateRejection(ticket, response, report)
 	}
 	name := g.handler.config.Headers.RequestID
 	if err := roundtrip.CheckID(response, name, g.request.Header.Get(name), delivery); err != nil {
@@ -151,6 +147,23 @@
 	return response, nil
 }
 
+// readGateRejection reads a gate's rejection. One that does not state that the call has not run counts as a broken exchange,
+// whatever its reason: a gate of a later release may name one that this release does not know.
+func (g *gatedCall) readGateRejection(ticket *balancer.Ticket, response *http.Response, report exchange.Report) *gateFailure {
+	defer response.Body.Close()
+	if _, err := roundtrip.ReadAll(response, maxDeclineBytes); err != nil {
+		return g.brokenExchange(ticket, err)
+	}
+	failure := &gateFailure{
+		reason: exchange.Reason(response.Header.Get(exchange.HeaderReason)), outcome: Outcome(response.Header.Get(exchange.HeaderOutcome)),
+		peer: ticket.Address, rejected: true, report: report,
+	}
+	if failure.outcome != NotRun && !failure.reason.Reached() {
+		failure.reason = exchange.ReasonBroken
+	}
+	return failure
+}
+
 // recordStatement records what the back end states about itself in a response; unlimited is set if its gate reports that it
 // names no limit. The response to a misdirected call is that of another back end at the same address.
 func (g *gatedCall) recordStatement(ticket *balancer.Ticket, header http.Header, unlimited bool) {
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -91,6 +91,15 @@
 	return n, &InvalidResponse{Fault: FaultBody, Status: b.status, Err: err}
 }
 
+// ReadAll reads the whole body of a response. More than limit bytes are an *InvalidResponse.
+func ReadAll(response *http.Response, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = &InvalidResponse{Fault: FaultBody, Status: response.StatusCode, Err: fmt.Errorf("more than %d bytes", limit)}
+	}
+	return data, err
+}
+
 // CheckID returns an *InvalidResponse, and discards the connection, if a response names another request than the one with
 // this ID. A back end that sends two responses to one request would otherwise shift the following ones.
 func CheckID(response *http.Response, header, id string, delivery *Delivery) error {
