gate: a probe takes nothing from a response whose body does not end

The probe read 4 KB of the body and then believed the head, so a body without end stated a cold state and a limit. It now reads the whole body, 64 KB at most, within its 500 ms.

--- a/pkg/gate/gate_cold.go
+++ b/pkg/gate/gate_cold.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,8 +13,8 @@
 const (
 	// probeTimeout bounds a probe of the health path.
 	probeTimeout = 500 * time.Millisecond
-	// maxHealthBytes of the response body are read, so that the connection can be reused.
-	maxHealthBytes = 4 << 10
+	// maxHealthBytes bounds the body of a response of the health path.
+	maxHealthBytes = 64 << 10
 )
 
 // ColdChange describes that a back end turned cold or warm.
@@ -108,7 +107,7 @@
 		return 0, exchange.Statement{}, fmt.Errorf("probe health path of %s: %w", address, err)
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes)); err != nil {
+	if _, err := roundtrip.ReadAll(response, maxHealthBytes); err != nil {
 		return 0, exchange.Statement{}, fmt.Errorf("probe health path of %s: %w", address, err)
 	}
 	said := exchange.ReadStatement(response.Header, g.config.Headers.Limit, g.config.Headers.Leaving)
