protocol: the first frame of a peer is bounded by 1 MiB

Before the handshake anything may be at the other end of a connection: the address of a server that is gone may belong to another process. Its first frame was read up to 64 MB, which with the growth of the buffer is more than a node's machine has.

TestFirstFrameIsBounded failed before (a Hello of 2 MiB was accepted); HTTP and endless bytes were rejected before, too.

--- a/pkg/protocol/handshake_test.go
+++ b/pkg/protocol/handshake_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,3 +81,38 @@
 	})
 	is.New(t).True(errors.Is(acceptErr, ErrUnexpected))
 }
+
+// Guards against a peer of unknown kind that sends a first frame as large as a snapshot.
+func TestFirstFrameIsBounded(t *testing.T) {
+	is := is.New(t)
+	hello := Hello{ClusterID: "east", Role: RoleNode, Name: strings.Repeat("x", 2*maxHandshakeFrame)}
+	_, acceptErr, _ := handshake(hello, nil)
+	is.True(errors.Is(acceptErr, wire.ErrFrameTooLarge))
+	left, right := net.Pipe()
+	defer left.Close()
+	defer right.Close()
+	server := wire.NewConn(right, wire.DefaultMaxFrame, time.Second, nil)
+	go func() {
+		_, _ = Accept(server, "east", time.Second)
+		_ = server.Send(KindWelcome, Welcome{Name: strings.Repeat("x", 2*maxHandshakeFrame)})
+	}()
+	_, err := Open(wire.NewConn(left, wire.DefaultMaxFrame, time.Second, nil), Hello{ClusterID: "east", Role: RoleNode}, time.Second)
+	is.True(errors.Is(err, wire.ErrFrameTooLarge))
+}
+
+// Guards against HTTP or endless bytes being taken for a handshake.
+func TestOtherProtocolsAreNoHandshake(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 400 Bad Request\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", strings.Repeat("x", 4096), strings.Repeat("\xff", 4096), "\x00"} {
+		is := is.New(t)
+		left, right := net.Pipe()
+		go func() {
+			buffer := make([]byte, 4096)
+			_, _ = right.Read(buffer)
+			_, _ = io.WriteString(right, text)
+		}()
+		_, err := Open(wire.NewConn(left, wire.DefaultMaxFrame, time.Second, nil), Hello{ClusterID: "east", Role: RoleNode}, 200*time.Millisecond)
+		is.True(err != nil)
+		left.Close()
+		right.Close()
+	}
+}
--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -250,6 +250,10 @@
 // ErrUnexpected reports a frame of a kind that is not allowed at this point.
 var ErrUnexpected = errors.New("unexpected frame")
 
+// maxHandshakeFrame bounds the first frame of a peer in bytes: before it, anything may be at the other end. A Welcome that
+// names 10,000 servers takes half of it.
+const maxHandshakeFrame = 1 << 20
+
 // Open performs the connecting side of the handshake. It returns a *RefusedError if the peer
 // refuses the connection.
 func Open(conn *wire.Conn, hello Hello, timeout time.Duration) (Welcome, error) {
@@ -257,7 +261,7 @@
 	if err := conn.Send(KindHello, hello); err != nil {
 		return Welcome{}, fmt.Errorf("handshake: %w", err)
 	}
-	kind, err := conn.Receive(timeout)
+	kind, err := conn.ReceiveAtMost(timeout, maxHandshakeFrame)
 	if err != nil {
 		return Welcome{}, fmt.Errorf("handshake: %w", err)
 	}
@@ -290,7 +294,7 @@
 // Accept reads the Hello of the connecting side and checks cluster, protocol and role. On a
 // mismatch it refuses the peer and returns an error.
 func Accept(conn *wire.Conn, clusterID string, timeout time.Duration) (Hello, error) {
-	kind, err := conn.Receive(timeout)
+	kind, err := conn.ReceiveAtMost(timeout, maxHandshakeFrame)
 	if err != nil {
 		return Hello{}, fmt.Errorf("handshake: %w", err)
 	}
--- a/pkg/wire/conn.go
+++ b/pkg/wire/conn.go
@@ -110,6 +110,11 @@
 // Receive reads one frame within timeout, zero for none. Decode must be called before the next
 // Receive.
 func (c *Conn) Receive(timeout time.Duration) (Kind, error) {
+	return c.ReceiveAtMost(timeout, c.maxFrame)
+}
+
+// ReceiveAtMost is Receive for a frame of at most maxFrame bytes.
+func (c *Conn) ReceiveAtMost(timeout time.Duration, maxFrame int) (Kind, error) {
 	deadline := time.Time{}
 	if timeout > 0 {
 		deadline = time.Now().Add(timeout)
@@ -121,8 +126,8 @@
 	if err != nil {
 		return 0, fmt.Errorf("read frame from %s: %w", c.Peer(), err)
 	}
-	if length == 0 || length > uint64(c.maxFrame) {
-		return 0, fmt.Errorf("frame of %d bytes from %s, at most %d: %w", length, c.Peer(), c.maxFrame, ErrFrameTooLarge)
+	if length == 0 || length > uint64(maxFrame) {
+		return 0, fmt.Errorf("frame of %d bytes from %s, at most %d: %w", length, c.Peer(), maxFrame, ErrFrameTooLarge)
 	}
 	kind, err := c.reader.ReadByte()
 	if err != nil {
