operator, control: clients bound heads and bodies of what they read

bramblectl stopped at a 200 that is not JSON (a result that cannot be read), though a resend under the same operation ID to another replica is harmless; heads were bounded by 10 MB only; the machine list was believed from its first JSON value, whatever followed. They go through roundtrip.Transport and ReadAll; the client goes on to the next replica. The control API's server bounds the time of a whole request (1 min) and its head (64 KB).

--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -19,6 +19,9 @@
 const (
 	platformAPIHeaderTimeout = 5 * time.Second
 	platformAPIIdleTimeout   = time.Minute
+	// platformAPIReadTimeout bounds a whole request, whose body may be the largest configuration on a slow link.
+	platformAPIReadTimeout = time.Minute
+	platformAPIHeaderBytes = 64 << 10
 	// leaseWaitTimeout bounds how long a request waits for a new leader's lease, leasePollInterval is the
 	// interval of the checks. Clients switch to another replica after one second.
 	leaseWaitTimeout  = 700 * time.Millisecond
@@ -154,5 +157,8 @@
 }
 
 func newPlatformAPIServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: platformAPIHeaderTimeout, IdleTimeout: platformAPIIdleTimeout}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: platformAPIHeaderTimeout, ReadTimeout: platformAPIReadTimeout,
+		IdleTimeout: platformAPIIdleTimeout, MaxHeaderBytes: platformAPIHeaderBytes,
+	}
 }
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -20,6 +20,7 @@
 	"bramblelift/pkg/quarantine"
 	"bramblelift/pkg/raft"
 	"bramblelift/pkg/replica"
+	"bramblelift/pkg/roundtrip"
 	"bramblelift/pkg/settings"
 	"bramblelift/pkg/storage"
 	"bramblelift/pkg/stream"
@@ -124,7 +125,7 @@
 		joins:     make(chan protocol.Join, inputQueueSize),
 		loopFuncs: make(chan loopFunc, inputQueueSize),
 		pending:   map[replica.ProposalID]chan<- replica.Completion{},
-		http:      &http.Client{},
+		http:      &http.Client{Transport: roundtrip.New(http.DefaultTransport.(*http.Transport).Clone())},
 		nodes:     newNodeRegistry(),
 		// A random start prevents reuse of a proposal ID after a restart.
 		nextProposal: replica.ProposalID(rand.Uint32()),
--- a/pkg/machinelist/machinelist.go
+++ b/pkg/machinelist/machinelist.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -15,6 +14,7 @@
 	"time"
 
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/roundtrip"
 )
 
 // Machine is an entry of the list. It describes one back end.
@@ -76,8 +76,12 @@
 	if response.StatusCode != http.StatusOK {
 		return List{}, fmt.Errorf("fetch platform list %s: status %s", r.url, response.Status)
 	}
+	data, err := roundtrip.ReadAll(response, maxListBytes)
+	if err != nil {
+		return List{}, fmt.Errorf("read platform list %s: %w", r.url, err)
+	}
 	var list List
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+	if err := json.Unmarshal(data, &list); err != nil {
 		return List{}, fmt.Errorf("decode platform list %s: %w", r.url, err)
 	}
 	r.etag, r.last = response.Header.Get("ETag"), list
--- a/pkg/machinelist/machinelist_test.go
+++ b/pkg/machinelist/machinelist_test.go
@@ -75,6 +75,7 @@
 	for name, handler := range map[string]http.HandlerFunc{
 		"outage":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 		"nonsense": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("<html>")) },
+		"more":     func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"machines":[]}HTTP/1.1 200 OK`)) },
 		"cut":      func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"machines":[{"id":"a"`)) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -8,11 +8,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/roundtrip"
 )
 
 // Limits and timeouts of a Client.
@@ -35,7 +35,8 @@
 
 // NewClient returns a client for the operator addresses of the control replicas.
 func NewClient(addresses []string) *Client {
-	return &Client{addresses: addresses, http: &http.Client{Timeout: attemptTimeout}}
+	transport := roundtrip.New(http.DefaultTransport.(*http.Transport).Clone())
+	return &Client{addresses: addresses, http: &http.Client{Timeout: attemptTimeout, Transport: transport}}
 }
 
 // NewOperationID returns a random ID under which a request may be resent.
@@ -93,7 +94,8 @@
 	return responses, nil
 }
 
-// transportError is a failure after which it is unknown whether the request was received.
+// transportError is a failure, or a response that cannot be read, after which it is unknown whether the request was
+// received.
 type transportError struct{ error }
 
 // Unwrap returns the underlying error.
@@ -137,7 +139,7 @@
 		return transportError{fmt.Errorf("call %s: %w", url, err)}
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := roundtrip.ReadAll(response, maxResponseBytes)
 	if err != nil {
 		return transportError{fmt.Errorf("read response of %s: %w", url, err)}
 	}
@@ -145,7 +147,7 @@
 		return decodeRejection(url, response.Status, data)
 	}
 	if err := json.Unmarshal(data, result); err != nil {
-		return fmt.Errorf("decode response of %s: %w", url, err)
+		return transportError{fmt.Errorf("decode response of %s: %w", url, err)}
 	}
 	return nil
 }
