gate: the slot of a streamed response is released when its exchange ends

Found while listing what keeps a slot: a caller that does not read a large response blocks the handler in a write, up to 30 s. The exchange with the back end ended at the call's deadline, but its slot was released with the body only, when the handler returned; with the node's own gate six such calls close it.

The slot is released when the context of the exchange ends. The test (own gate) failed before: 1 slot taken after the call's deadline, with no connection left.

--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -343,6 +343,24 @@
 	})
 }
 
+// Guards against a caller that does not read a response without end and so keeps the back end's slot and connection.
+func TestUnreadEndlessResponseKeepsNoSlot(t *testing.T) {
+	forEachGate(t, func(t *testing.T, kind gateKind) {
+		is := is.New(t)
+		s := newResponseStack(t, kind, standin.RawResponse{First: okHead + "\r\n", Endless: strings.Repeat("x", 64<<10)})
+		conn, err := net.Dial("tcp", s.address)
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nCall-Id: unread\r\n\r\n")
+		is.NoErr(err)
+		for deadline := time.Now().Add(time.Second); s.backend.open.Load() == 0; time.Sleep(time.Millisecond) {
+			is.True(time.Now().Before(deadline))
+		}
+		time.Sleep(500 * time.Millisecond) // the route's timeout and the grace of the exchange
+		is.NoErr(s.awaitIdle())
+	})
+}
+
 // Guards against a length that a response declares without keeping it, and that later calls of the route then reserve the link
 // for.
 func TestUnfinishedResponseDoesNotCountAsLarge(t *testing.T) {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -384,31 +384,35 @@
 		return g.failed(call, adm, delivery.MayHaveArrived(), ended, req.deadline, err)
 	}
 	g.reportResponse(r, body, adm, response.StatusCode)
-	return g.respond(response, adm, req, call, cancel)
+	return g.respond(ctx, response, adm, req, call, cancel)
 }
 
 // respond returns the back end's response to the caller. A streamed response keeps its slot until
-// its body is closed.
-func (g *Gate) respond(response *http.Response, adm admission, req request, call *Call, cancel context.CancelFunc) *http.Response {
+// its body is closed or the context of its exchange ends: its caller may not read it.
+func (g *Gate) respond(ctx context.Context, response *http.Response, adm admission, req request, call *Call, cancel context.CancelFunc) *http.Response {
 	call.Status = response.StatusCode
-	result := callResult{serviceTime: call.Service}
-	if exchange.ServerFailed(call.Status) {
-		// The duration of a failed call is not representative of the service time.
-		result = callResult{failed: true}
-	}
-	finish := func() {
+	var broken atomic.Bool
+	finish := sync.OnceFunc(func() {
 		cancel()
-		g.release(adm, result)
-	}
+		if exchange.ServerFailed(call.Status) || broken.Load() {
+			// The duration of a failed call is not representative of the service time.
+			g.release(adm, callResult{failed: true})
+			return
+		}
+		g.release(adm, callResult{serviceTime: call.Service})
+	})
 	exchange.RemoveHop(response.Header)
 	exchange.RemoveInternal(response.Header)
-	if buffered, ok := response.Body.(bufferedBody); ok {
+	if _, buffered := response.Body.(bufferedBody); buffered {
 		finish()
-		response.Body = buffered
 	} else {
-		response.Body = &notifyingBody{ReadCloser: response.Body, onClose: sync.OnceFunc(finish), onError: func(err error) {
+		stop := context.AfterFunc(ctx, finish)
+		response.Body = &notifyingBody{ReadCloser: response.Body, onClose: func() {
+			stop()
+			finish()
+		}, onError: func(err error) {
 			g.reportInvalid(call, req, err)
-			result.failed = result.failed || roundtrip.FaultOf(err) == roundtrip.FaultBody
+			broken.Store(roundtrip.FaultOf(err) == roundtrip.FaultBody)
 		}}
 	}
 	call.Report = g.reportFor(call.Priority)
