--- a/pkg/roundtrip/invalid.go
+++ b/pkg/roundtrip/invalid.go
@@ -98,6 +98,7 @@
 // Causes of an InvalidResponse.
 var (
 	errUpgrade     = errors.New("101 Switching Protocols was not asked for")
+	errHeaderName  = errors.New("a header name has bytes that are not allowed")
 	errHeaderValue = errors.New("a header value has bytes that are not allowed")
 )
 
@@ -119,7 +120,10 @@
 	case !IsFinalStatus(response.StatusCode):
 		return invalid(FaultStatus, fmt.Errorf("status %03d is not from 200 to %d", response.StatusCode, maxStatus))
 	}
-	for _, values := range response.Header {
+	for name, values := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return invalid(FaultHead, errHeaderName)
+		}
 		for _, value := range values {
 			if !httpguts.ValidHeaderFieldValue(value) {
 				return invalid(FaultHead, errHeaderValue)
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -101,9 +101,9 @@
 }
 
 // CheckID returns an *InvalidResponse, and discards the connection, if a response names another request than the one with
-// this ID. A back end that sends two responses to one request would otherwise shift the following ones.
+// this ID, or several. A back end that sends two responses to one request would otherwise shift the following ones.
 func CheckID(response *http.Response, header, id string, delivery *Delivery) error {
-	if header == "" || response.Header.Get(header) == id {
+	if header == "" || (response.Header.Get(header) == id && len(response.Header.Values(header)) <= 1) {
 		return nil
 	}
 	return Reject(response, FaultOtherRequest, ErrOtherRequest, delivery)
