admin: the servers of heartbeats and of the platform's API bound the time of a request

They use admin.NewServer: 64 KB and 5 s for a head, 10 s (node) and 1 min (replica, large configurations) for a whole request, 1 min for an idle connection.

--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -21,12 +21,22 @@
 const (
 	headerTimeout  = 5 * time.Second
 	requestTimeout = 30 * time.Second
+	idleTimeout    = time.Minute
 	maxHeaderBytes = 64 << 10
 	// shutdownTimeout is short, since no response of this service is worth delaying the exit of
 	// the process.
 	shutdownTimeout = 200 * time.Millisecond
 )
 
+// NewServer returns an HTTP server that bounds the time and the size of a request's head, the time of a whole request, and
+// the time of a connection without one.
+func NewServer(handler http.Handler, requestTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // Service is the HTTP service of one daemon, with its metrics registry.
 type Service struct {
 	// Mux accepts further handlers until Serve is called.
@@ -110,10 +120,8 @@
 
 // Serve handles requests at all addresses until ctx ends or a listener fails.
 func (s *Service) Serve(ctx context.Context) error {
-	s.server = &http.Server{
-		Handler: s.Mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
-		WriteTimeout: requestTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	s.server = NewServer(s.Mux, requestTimeout)
+	s.server.WriteTimeout = requestTimeout
 	shutdownDone := make(chan struct{})
 	cancelShutdown := context.AfterFunc(ctx, func() {
 		defer close(shutdownDone)
--- a/pkg/control/membership.go
+++ b/pkg/control/membership.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"bramblelift/pkg/admin"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/raft"
 	"bramblelift/pkg/replica"
@@ -232,7 +233,7 @@
 	if s.platformAPIListener == nil {
 		return
 	}
-	server := newPlatformAPIServer(s.newPlatformAPI(s))
+	server := admin.NewServer(s.newPlatformAPI(s), platformAPIRequestTimeout)
 	context.AfterFunc(ctx, func() { server.Close() })
 	_ = server.Serve(s.platformAPIListener)
 }
--- a/pkg/control/publish.go
+++ b/pkg/control/publish.go
@@ -17,11 +17,8 @@
 
 // Timeouts and intervals of the platform API.
 const (
-	platformAPIHeaderTimeout = 5 * time.Second
-	platformAPIIdleTimeout   = time.Minute
-	// platformAPIReadTimeout bounds a whole request, whose body may be the largest configuration on a slow link.
-	platformAPIReadTimeout = time.Minute
-	platformAPIHeaderBytes = 64 << 10
+	// platformAPIRequestTimeout bounds a whole request, whose body may be the largest configuration on a slow link.
+	platformAPIRequestTimeout = time.Minute
 	// leaseWaitTimeout bounds how long a request waits for a new leader's lease, leasePollInterval is the
 	// interval of the checks. Clients switch to another replica after one second.
 	leaseWaitTimeout  = 700 * time.Millisecond
@@ -155,10 +152,3 @@
 	})
 	return source, version, err
 }
-
-func newPlatformAPIServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: platformAPIHeaderTimeout, ReadTimeout: platformAPIReadTimeout,
-		IdleTimeout: platformAPIIdleTimeout, MaxHeaderBytes: platformAPIHeaderBytes,
-	}
-}
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"bramblelift/pkg/admin"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
@@ -73,6 +74,9 @@
 	return nil
 }
 
+// platformRequestTimeout bounds a whole request of the deployment's platform; heartbeats are small.
+const platformRequestTimeout = 10 * time.Second
+
 // recordTimeout bounds the wait for the control plane to record that a back end leaves. Back ends wait one second for
 // a response and then send their request again.
 const recordTimeout = 900 * time.Millisecond
@@ -187,7 +191,9 @@
 		wg.Go(func() { s.logServeError("gate", s.gateServer.Serve(s.link.Listener(link.Nodes, s.gateListener))) })
 	}
 	if s.platformListener != nil {
-		wg.Go(func() { s.logServeError("interface", http.Serve(s.platformListener, s.platformHandler)) })
+		wg.Go(func() {
+			s.logServeError("interface", admin.NewServer(s.platformHandler, platformRequestTimeout).Serve(s.platformListener))
+		})
 	}
 }
 
