pipeline: a connection closes once no received request is behind the response

Now received requests run as before, and the response that closes is one with no other request running, queued or being received. A shutdown (draining) reads no further request and answers those that it has.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -41,9 +41,12 @@
 	queueNotFull *sync.Cond
 	// awaitingRequest is set while the reader waits for the first byte of a request.
 	awaitingRequest bool
-	// closing is set when the connection closes after the last started request, writeClosed when its sending
-	// direction is closed, closed when both directions are.
+	// receiving is set from the first byte of a request until it is queued.
+	receiving bool
+	// closing is set when the connection closes after a response with no request behind it, draining when no further
+	// request is read either, writeClosed when its sending direction is closed, closed when both directions are.
 	closing     bool
+	draining    bool
 	writeClosed bool
 	closed      bool
 }
@@ -73,6 +76,7 @@
 	errLastRequest = errors.New("the caller sends no further request")
 	errConnClosing = errors.New("the connection is closing")
 	errBodyUnread  = errors.New("the request body was not read completely")
+	errDraining    = errors.New("the connection is draining")
 )
 
 // readNext reads one request and queues it.
@@ -108,11 +112,22 @@
 			return err
 		}
 	}
-	return c.setReadDeadline()
+	return c.startReceiving()
+}
+
+// startReceiving marks a request as being received.
+func (c *conn) startReceiving() error {
+	if err := c.setReadDeadline(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = true
+	return nil
 }
 
 // startAwaiting marks the reader as waiting for a request: without a limit while requests are in flight, otherwise
-// up to the idle timeout.
+// up to the idle timeout. A draining connection with requests in flight reads no further one.
 func (c *conn) startAwaiting() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -121,6 +136,9 @@
 	}
 	c.awaitingRequest = true
 	if len(c.running)+len(c.queue) > 0 {
+		if c.draining {
+			return errDraining
+		}
 		return c.rwc.SetReadDeadline(time.Time{})
 	}
 	c.onIdle()
@@ -171,11 +189,11 @@
 	}
 }
 
-// drain closes the connection once no request is queued or running.
+// drain closes the connection once no request is queued or running, and reads no further one meanwhile.
 func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
+	c.closing, c.draining = true, true
 	if len(c.running) == 0 && len(c.queue) == 0 {
 		c.onIdle()
 	}
@@ -214,7 +232,7 @@
 		return false
 	case c.writeClosed:
 		return true
-	case errors.Is(cause, errLastRequest) || errors.Is(cause, errBodyUnread):
+	case errors.Is(cause, errLastRequest) || errors.Is(cause, errBodyUnread) || errors.Is(cause, errDraining):
 	case os.IsTimeout(cause):
 		// No request arrived in time.
 		c.closing = true
--- a/pkg/pipeline/doc.go
+++ b/pkg/pipeline/doc.go
@@ -3,8 +3,8 @@
 //
 // Requests that may run more than once are handled concurrently, up to a limit per connection, and answered in
 // the order of arrival. Any other request is handled alone: it starts after all earlier responses are written,
-// and no later request starts before it ends. So when a response closes the connection, no later request that
-// must run at most once has started, and the caller may send all of them again.
+// and no later request starts before it ends. A response closes the connection only if no later request has been
+// received: those get a response, and what the caller sends after that it may send again.
 //
 // Each connection has one goroutine that reads, and one for each request in flight. The reader continues while
 // requests are handled, which is how the server notices that a caller has disconnected. A handler whose response
--- a/pkg/pipeline/order.go
+++ b/pkg/pipeline/order.go
@@ -48,6 +48,7 @@
 	if c.writeClosed || c.closed {
 		return false
 	}
+	c.receiving = false
 	c.queue = append(c.queue, x)
 	c.dispatch()
 	return true
@@ -67,28 +68,27 @@
 	c.queueNotFull.Signal()
 }
 
-// canStart reports whether the next queued request may run. A closing connection starts a queued request only
-// when no other is running. After a response that announced the close, finish has already closed the sending
-// direction.
+// canStart reports whether the next queued request may run. No request starts after a response that announced the
+// close.
 func (c *conn) canStart(x *exchange) bool {
 	switch {
 	case c.writeClosed || c.closed:
 		return false
 	case len(c.running) == 0:
 		return true
-	case c.closing:
+	case c.running[0].closeAfter:
 		return false
 	}
 	return x.concurrent && c.running[0].concurrent && len(c.running) < c.server.cfg.MaxConcurrent
 }
 
 // commitClose decides, when a response's head is written, whether the connection closes after it. The close is
-// deferred to the last started request, so that all requests in flight get a response.
+// deferred until no other request was received, so that all of them get a response.
 func (c *conn) commitClose(x *exchange, wantClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = c.closing || wantClose
-	x.closeAfter = c.closing && len(c.running) == 1
+	x.closeAfter = c.closing && len(c.running) == 1 && len(c.queue) == 0 && !c.receiving
 	return x.closeAfter
 }
 
