pipeline: a connection that drains goes on answering until it can announce its close

A stopping node answers such calls at once (503, it stops before their time is up), so that the connection soon has no other request behind a response, and announces the close there.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -43,10 +43,9 @@
 	awaitingRequest bool
 	// receiving is set from the first byte of a request until it is queued.
 	receiving bool
-	// closing is set when the connection closes after a response with no request behind it, draining when no further
-	// request is read either, writeClosed when its sending direction is closed, closed when both directions are.
+	// closing is set when the connection closes after a response with no request behind it, writeClosed when its
+	// sending direction is closed, closed when both directions are.
 	closing     bool
-	draining    bool
 	writeClosed bool
 	closed      bool
 }
@@ -76,7 +75,6 @@
 	errLastRequest = errors.New("the caller sends no further request")
 	errConnClosing = errors.New("the connection is closing")
 	errBodyUnread  = errors.New("the request body was not read completely")
-	errDraining    = errors.New("the connection is draining")
 )
 
 // readNext reads one request and queues it.
@@ -127,7 +125,7 @@
 }
 
 // startAwaiting marks the reader as waiting for a request: without a limit while requests are in flight, otherwise
-// up to the idle timeout. A draining connection with requests in flight reads no further one.
+// up to the idle timeout.
 func (c *conn) startAwaiting() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -136,9 +134,6 @@
 	}
 	c.awaitingRequest = true
 	if len(c.running)+len(c.queue) > 0 {
-		if c.draining {
-			return errDraining
-		}
 		return c.rwc.SetReadDeadline(time.Time{})
 	}
 	c.onIdle()
@@ -189,11 +184,11 @@
 	}
 }
 
-// drain closes the connection once no request is queued or running, and reads no further one meanwhile.
+// drain closes the connection once no request is queued or running.
 func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing, c.draining = true, true
+	c.closing = true
 	if len(c.running) == 0 && len(c.queue) == 0 {
 		c.onIdle()
 	}
@@ -232,7 +227,7 @@
 		return false
 	case c.writeClosed:
 		return true
-	case errors.Is(cause, errLastRequest) || errors.Is(cause, errBodyUnread) || errors.Is(cause, errDraining):
+	case errors.Is(cause, errLastRequest) || errors.Is(cause, errBodyUnread):
 	case os.IsTimeout(cause):
 		// No request arrived in time.
 		c.closing = true
