gate: a rejection without an ID counts only as the first response of its connection

Without an ID nothing tells it from a surplus response to an earlier request, unless there was none: it counts only if the request was the first of its connection. Otherwise the exchange is broken (may have run) and the connection discarded. A back end that rejects without IDs on connections in use so gets 502 for calls that must not be repeated, in place of another attempt.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -445,8 +445,9 @@
 	return g.reject(call, http.StatusBadGateway, exchange.Unknown)
 }
 
-// checkResponse verifies that a response belongs to the request. The connection of a response that names no
-// request is not used again: a second copy of it would look like the response to the next request.
+// checkResponse verifies that a response belongs to the request. One that names no request may be a rejection, as the first
+// on its connection; later it could be a surplus response to an earlier request. That connection is not used again: a second
+// copy would look like the response to the next request.
 func (g *Gate) checkResponse(sent http.Header, response *http.Response, delivery *roundtrip.Delivery) error {
 	name := g.config.Headers.RequestID
 	if name == "" || response.Header.Get(name) != "" {
--- a/pkg/gate/surplus_test.go
+++ b/pkg/gate/surplus_test.go
@@ -75,3 +75,24 @@
 		})
 	}
 }
+
+// Guards against a surplus rejection that names no request, on a connection that answered others with their IDs: the call would
+// be sent to another back end while this one runs it.
+func TestSurplusRejectionIsNotTakenForNextResponse(t *testing.T) {
+	is := is.New(t)
+	address, calls := scriptedBackend(t, func(conn net.Conn, request *http.Request, number int64) bool {
+		if number == 2 {
+			_, _ = io.WriteString(conn, declineWithoutID)
+		}
+		writeResponse(conn, request.Header.Get("Call-Id"), "Content-Length: 4\r\n\r\nbody")
+		return true
+	})
+	g := newGateFor(address, 4)
+	first := do(g, newCall(t, "POST", "first"))
+	is.Equal(first.StatusCode, http.StatusOK)
+	second := do(g, newCall(t, "POST", "second"))
+	is.Equal(second.StatusCode, http.StatusBadGateway)
+	is.Equal(second.Header.Get(exchange.HeaderOutcome), string(exchange.Unknown))
+	is.Equal(do(g, newCall(t, "POST", "third")).StatusCode, http.StatusOK) // on another connection
+	is.Equal(calls.Load(), int64(3))
+}
--- a/pkg/roundtrip/delivery.go
+++ b/pkg/roundtrip/delivery.go
@@ -109,11 +109,15 @@
 }
 
 // RetireConn makes the connection that the request used last reject later requests before any byte is sent, so that
-// the transport sends them over another one. It returns false if the connection was retired before.
-func (d *Delivery) RetireConn() bool {
+// the transport sends them over another one. It returns true if this was the connection's first request: then a response
+// that names no request cannot be a surplus one to an earlier request.
+func (d *Delivery) RetireConn() (first bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.conn == nil || d.conn.retired.CompareAndSwap(false, true)
+	if d.conn == nil {
+		return true
+	}
+	return !d.conn.retired.Swap(true) && d.writesBefore == 0
 }
 
 // RejectedByRetired reports whether the request was not sent since its connection was retired.
