quarantine: a back end that starts again under its ID can crash again, and can answer

Gates named a crash by the back end's ID alone, so that the second crash of each counted as known; and the leader took a back end that had crashed once as unable to answer for good, so that the silence of a watched request meant nothing.

A gate names the run, as nodes without gates did (ID/incarnation, now quarantine.InstanceKey), and the leader takes a back end of a later incarnation as one that could answer. The key is opaque to replicas of earlier releases, so that the table stays the same in all; their judge does not recognize it as crashed and may impose a quarantine on three crashes while none is back.

Both tests failed before.

--- a/pkg/control/suspects.go
+++ b/pkg/control/suspects.go
@@ -121,7 +121,7 @@
 }
 
 // answerable reports whether any service whose back ends crashed while the suspect was in flight has a back
-// end that could respond: live, not evacuated, and not crashed itself. A service without registered back
+// end that could respond: live, not evacuated, and not crashed itself, or started again since. A service without registered back
 // ends has them in the bundle, and counts as answerable. It runs on the event loop.
 func (s *Server) answerable(suspect *quarantine.Suspect) bool {
 	state := s.replica.State()
@@ -131,7 +131,7 @@
 			return true
 		}
 		for id, endpoint := range listed {
-			crashed := slices.ContainsFunc(suspect.Ends, func(e quarantine.End) bool { return e.Instance == id })
+			crashed := slices.ContainsFunc(suspect.Ends, func(e quarantine.End) bool { return e.Names(id, endpoint.Incarnation) })
 			if endpoint.State == distribution.Live && !crashed && !state.Orders.Evacuated(endpoint.Zone) {
 				return true
 			}
--- a/pkg/control/suspects_test.go
+++ b/pkg/control/suspects_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramblelift/pkg/catalog"
+	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/operator"
 	"bramblelift/pkg/protocol"
 	"bramblelift/pkg/quarantine"
@@ -115,3 +116,21 @@
 	is.Equal(opErr.Code, catalog.CodeUnavailable)
 	is.Equal(watchlist(t, server), map[quarantine.Fingerprint]bool{"r": true})
 }
+
+// Guards against a request that is never kept away, since back ends which start again under their IDs count as crashed for good.
+func TestRestartedBackendsCanAnswer(t *testing.T) {
+	is := is.New(t)
+	server := startSingleReplica(t)
+	publish := func(incarnation uint64) {
+		endpoint := distribution.Endpoint{Service: "orders", ID: "i1", Incarnation: incarnation, Address: "10.0.0.1:1", State: distribution.Live}
+		server.handleAnnounce(protocol.Announce{Endpoints: []distribution.Endpoint{endpoint}})
+	}
+	publish(1)
+	server.handleAnnounce(protocol.Announce{Evidence: ptr(crashEvidence("fatal", "i1/1", "i1/2", "i1/3"))})
+	awaitStanding(t, server, "fatal", false)
+	publish(3)
+	time.Sleep(1500 * time.Millisecond)
+	is.Equal(watchlist(t, server), map[quarantine.Fingerprint]bool{"fatal": false}) // none that could answer
+	publish(4)
+	awaitStanding(t, server, "fatal", true)
+}
--- a/pkg/forward/quarantine.go
+++ b/pkg/forward/quarantine.go
@@ -36,7 +36,7 @@
 		return
 	}
 	c.handler.config.OnCrash(quarantine.End{
-		Request: quarantine.FingerprintOf(c.request, c.body.data), Instance: fmt.Sprintf("%s/%d", ticket.ID, ticket.Incarnation), Way: c.callerAndService(),
+		Request: quarantine.FingerprintOf(c.request, c.body.data), Instance: quarantine.InstanceKey(ticket.ID, ticket.Incarnation), Way: c.callerAndService(),
 		Watched: c.watched,
 	})
 }
--- a/pkg/gate/quarantine.go
+++ b/pkg/gate/quarantine.go
@@ -41,7 +41,7 @@
 	if g.config.OnCrash == nil {
 		return
 	}
-	g.config.OnCrash(quarantine.End{Request: call.Fingerprint, Instance: adm.backend.ID, Way: g.callerAndService(r, adm), Watched: call.Watched})
+	g.config.OnCrash(quarantine.End{Request: call.Fingerprint, Instance: quarantine.InstanceKey(adm.backend.ID, adm.backend.Incarnation), Way: g.callerAndService(r, adm), Watched: call.Watched})
 }
 
 // reportResponse reports that the back end responded to a watched request.
--- a/pkg/gate/quarantine_test.go
+++ b/pkg/gate/quarantine_test.go
@@ -85,6 +85,19 @@
 	is.Equal(len(responses), 1) // already answered for this caller and service
 }
 
+// Guards against a second crash of a back end that started again under its ID and counts as known.
+func TestCrashNamesTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	var crashes []string
+	for _, incarnation := range []uint64{7, 8} {
+		g := newGateFor("", 1)
+		g.config.OnCrash = func(end quarantine.End) { crashes = append(crashes, end.Instance) }
+		g.SetBackend(Backend{ID: "b2", Incarnation: incarnation, Service: "orders", Address: crashingBackend(t, 1, true), Capacity: 1})
+		g.serve(callWithBody(t, "a", "fatal"))
+	}
+	is.Equal(crashes, []string{"b2/7", "b2/8"})
+}
+
 // Rejections and errors of a back end must not clear a suspect: a restarted instance may reject
 // calls meant for the one that crashed.
 func TestOnlyProcessedRequestsClearASuspect(t *testing.T) {
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+)
 
 // Way identifies the caller of a request and the service that it goes to. A response counts only for its way: a
 // request may crash the back ends of only one service, such as a new version's, or depend on the caller's
@@ -12,8 +15,9 @@
 
 // End reports that a back end crashed with a request in flight.
 type End struct {
-	Request  Fingerprint `json:"request"`
-	Instance string      `json:"instance"`
+	Request Fingerprint `json:"request"`
+	// Instance is the key of the back end's run, see InstanceKey. Gates of earlier releases send the ID alone.
+	Instance string `json:"instance"`
 	Way      Way         `json:"way"`
 	// Watched is set if the gate that admitted the request knew it as a suspect. Nodes of earlier releases
 	// don't send it.
@@ -23,6 +27,20 @@
 	Void bool `json:"void,omitempty"`
 }
 
+// InstanceKey returns the key under which a crash of a back end counts once: its ID and, if it is known, its incarnation, so
+// that a restart under the same ID may crash again.
+func InstanceKey(id string, incarnation uint64) string {
+	if incarnation == 0 {
+		return id
+	}
+	return id + "/" + strconv.FormatUint(incarnation, 10)
+}
+
+// Names reports whether the crash is one of a back end's run.
+func (e End) Names(id string, incarnation uint64) bool {
+	return e.Instance == id || e.Instance == InstanceKey(id, incarnation)
+}
+
 // Answer reports that a back end responded to a suspect.
 type Answer struct {
 	Request Fingerprint `json:"request"`
