gate: a success that states it has not run is no rejection; calls without an ID are answered on connections in use

A 2xx or 3xx with the header of a rejection was taken for one, and the call sent to another back end; it contradicts itself and is an invalid response (fault=status).

--- a/pkg/gate/surplus_test.go
+++ b/pkg/gate/surplus_test.go
@@ -96,3 +96,45 @@
 	is.Equal(do(g, newCall(t, "POST", "third")).StatusCode, http.StatusOK) // on another connection
 	is.Equal(calls.Load(), int64(3))
 }
+
+// Guards against a call that is sent to another back end because of a success which states that it has not run.
+func TestSuccessThatHasNotRunIsNoRejection(t *testing.T) {
+	for _, status := range []string{"200 OK", "204 No Content", "302 Found"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := scriptedBackend(t, func(conn net.Conn, request *http.Request, _ int64) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nCall-Id: "+request.Header.Get("Call-Id")+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				return true
+			})
+			response := do(newGateFor(address, 4), newCall(t, "POST", "order"))
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+			is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.Unknown))
+		})
+	}
+}
+
+// Guards against responses to calls without an ID that are turned away on a connection that was used before.
+func TestCallsWithoutIDsAreAnswered(t *testing.T) {
+	is := is.New(t)
+	address, calls := scriptedBackend(t, func(conn net.Conn, request *http.Request, _ int64) bool {
+		if id := request.Header.Get("Call-Id"); id != "" {
+			writeResponse(conn, id, "Content-Length: 4\r\n\r\nbody")
+			return true
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		return true
+	})
+	g := newGateFor(address, 4)
+	for i := range 6 {
+		call := newCall(t, "POST", "named")
+		if i%2 == 1 {
+			call.Header.Del("Call-Id")
+		}
+		response := do(g, call)
+		if reasonOf(response) == exchange.ReasonRetired {
+			continue // it was not sent
+		}
+		is.Equal(response.StatusCode, http.StatusOK)
+	}
+	is.True(calls.Load() >= 3)
+}
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -18,7 +18,7 @@
 	Request Fingerprint `json:"request"`
 	// Instance is the key of the back end's run, see InstanceKey. Gates of earlier releases send the ID alone.
 	Instance string `json:"instance"`
-	Way      Way         `json:"way"`
+	Way      Way    `json:"way"`
 	// Watched is set if the gate that admitted the request knew it as a suspect. Nodes of earlier releases
 	// don't send it.
 	Watched bool `json:"watched,omitempty"`
