routing: an encoded slash does not separate segments

A path with an encoded slash is matched with it encoded; only if no route has it so, decoded, as before. The test got "open" for /orders/open%2F17 with the former matching.

--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -279,7 +279,7 @@
 	if current == nil {
 		return false
 	}
-	route, found := current.table.Match(r.Host, r.URL.Path)
+	route, found := current.table.MatchURL(r.Host, r.URL)
 	return found && mayRepeat(route, r.Method)
 }
 
@@ -352,7 +352,7 @@
 			Status: http.StatusServiceUnavailable, RetryAfter: unavailableRetry}
 	}
 	c.version = current.table.Version
-	route, found := current.table.Match(c.request.Host, c.request.URL.Path)
+	route, found := current.table.MatchURL(c.request.Host, c.request.URL)
 	if !found {
 		return c.handler.noRoute()
 	}
--- a/pkg/forward/region_delays.go
+++ b/pkg/forward/region_delays.go
@@ -14,7 +14,7 @@
 // there is none.
 func (h *Handler) ServedIn(zone string, r *http.Request) bool {
 	current := h.snapshot.Load()
-	return current == nil || current.table.ServedIn(zone, r.Host, r.URL.Path, r.Header.Get(h.config.Headers.Tenant))
+	return current == nil || current.table.ServedIn(zone, r.Host, r.URL, r.Header.Get(h.config.Headers.Tenant))
 }
 
 // regionDelays tracks the congestion of the links to other regions. Nodes share these links and do not
--- a/pkg/routing/match_test.go
+++ b/pkg/routing/match_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"net/url"
 	"strings"
 	"testing"
 
@@ -69,3 +70,30 @@
 	route, _ := third.Match("", "/orders")
 	is.Equal(route.Targets[0].Service, "old")
 }
+
+// Guards against a request that is taken for one of a safe route, and repeated, because of an encoded slash in its path.
+func TestEncodedSlashDoesNotSeparateSegments(t *testing.T) {
+	is := is.New(t)
+	table := New(&distribution.State{Active: &bundle.Signed{Content: bundle.Content{
+		Services: []bundle.Service{{Name: "s"}},
+		Routes: []bundle.Route{
+			{Name: "order", PathPrefix: "/orders/", Service: "s", Kind: bundle.KindUnsafe},
+			{Name: "open", PathPrefix: "/orders/open/", Service: "s", Kind: bundle.KindSafe},
+		},
+	}}})
+	for target, want := range map[string]string{
+		"/orders/open/17":          "open",
+		"/orders/open%2F17":        "order",
+		"/orders/open%2f17":        "order",
+		"/orders/o%70en/17":        "open",
+		"/orders/open/a%2Fb?x=%2F": "open",
+		"/orders%2F17":             "order", // no other route has it
+		"/orders/%252F":            "order",
+	} {
+		u, err := url.ParseRequestURI(target)
+		is.NoErr(err)
+		route, found := table.MatchURL("h", u)
+		is.True(found)
+		is.Equal(target+" "+route.Name, target+" "+want)
+	}
+}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -210,16 +211,35 @@
 	return *found, true
 }
 
+// MatchURL is Match for the path of a request. An encoded slash is not a separator (RFC 3986, section 2.2), unless the path
+// has no route otherwise.
+func (t *Table) MatchURL(host string, u *url.URL) (Route, bool) {
+	if u.RawPath == "" {
+		return t.Match(host, u.Path)
+	}
+	path, err := url.PathUnescape(keepSlashesEncoded.Replace(u.RawPath))
+	if err != nil {
+		return t.Match(host, u.Path)
+	}
+	if route, found := t.Match(host, path); found {
+		return route, true
+	}
+	return t.Match(host, u.Path)
+}
+
+// keepSlashesEncoded encodes encoded slashes once more.
+var keepSlashesEncoded = strings.NewReplacer("%2F", "%252F", "%2f", "%252f")
+
 // ServedIn reports whether back ends of a zone may serve a call of a tenant, whose name may be empty. An
 // unknown route or tenant restricts nothing, since this table may be older than the caller's.
-func (t *Table) ServedIn(zone, host, path, tenant string) bool {
+func (t *Table) ServedIn(zone, host string, u *url.URL, tenant string) bool {
 	if customer := t.tenants.named(tenant); customer != nil && !t.Rules.InRegions(zone, customer.Regions) {
 		return false
 	}
 	if !t.routes.regional {
 		return true
 	}
-	route, found := t.Match(host, path)
+	route, found := t.MatchURL(host, u)
 	return !found || t.Rules.InRegions(zone, route.Regions)
 }
 
