balancer: a ticket's region is read under the pool's lock

FINDINGS: the race detector reported Ticket.OtherRegion against Pool.Update in 10 processes of a TestSoak. The new test reports it without the change (race detector only) and not with it.

--- a/pkg/balancer/distance.go
+++ b/pkg/balancer/distance.go
@@ -116,6 +116,8 @@
 
 // OtherRegion returns the back end's region if it differs from the node's, otherwise the empty string.
 func (t *Ticket) OtherRegion() string {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
 	if !t.endpoint.inOtherRegion {
 		return ""
 	}
--- a/pkg/balancer/distance_test.go
+++ b/pkg/balancer/distance_test.go
@@ -146,3 +146,22 @@
 		})
 	}
 }
+
+// Guards against reading a ticket's region while an update replaces its endpoint; it needs the race detector to fail.
+func TestRegionIsReadDuringUpdates(t *testing.T) {
+	is := is.New(t)
+	p := eastPool(multiRegionService(3))
+	ticket, err := p.Acquire(nil, func() time.Duration { return 0 }, 0, nil, []string{"west"})
+	is.NoErr(err)
+	updated := make(chan struct{})
+	go func() {
+		defer close(updated)
+		for range 100 {
+			p.Update(0, multiRegionService(3))
+		}
+	}()
+	for range 100 {
+		is.Equal(ticket.OtherRegion(), "west")
+	}
+	<-updated
+}
