--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -446,35 +445,6 @@
 	return g.reject(call, http.StatusBadGateway, exchange.Unknown)
 }
 
-// checkResponse verifies that a response belongs to the request and does not contradict itself. A rejection that names no
-// request counts as the first response on its connection; later it could be a surplus response to an earlier request. The
-// connection of a response that names none is not used again: a second copy would look like the response to the next request.
-func (g *Gate) checkResponse(sent http.Header, response *http.Response, delivery *roundtrip.Delivery) error {
-	declined := g.declined(response)
-	if declined && response.StatusCode < http.StatusBadRequest {
-		return roundtrip.Reject(response, roundtrip.FaultStatus, errNotRunSuccess, delivery)
-	}
-	name := g.config.Headers.RequestID
-	if name != "" && response.Header.Get(name) == "" {
-		first := delivery.RetireConn()
-		if declined && first {
-			return nil
-		}
-		if declined {
-			return roundtrip.Reject(response, roundtrip.FaultOtherRequest, roundtrip.ErrOtherRequest, delivery)
-		}
-	}
-	return roundtrip.CheckID(response, name, sent.Get(name), delivery)
-}
-
-var errNotRunSuccess = errors.New("a response that is no failure states that the call has not run")
-
-// declined reports whether the back end states that it has not started the call.
-func (g *Gate) declined(response *http.Response) bool {
-	name := g.config.Headers.NotRun
-	return name != "" && response.Header.Get(name) != ""
-}
-
 // exchangeContext returns the context of an exchange with the back end. It ends shortly after the call's deadline, also
 // if the caller's connection stays open, so that a back end that falls silent doesn't keep its slot.
 func (g *Gate) exchangeContext(ctx context.Context, req request) (context.Context, context.CancelFunc) {
--- a/pkg/gate/invalid.go
+++ b/pkg/gate/invalid.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"bramblelift/pkg/roundtrip"
 )
@@ -14,3 +15,32 @@
 	}
 	roundtrip.Verdict{Reader: roundtrip.ReaderGate, RequestID: call.RequestID, Instance: call.Backend}.Report(g.config.OnInvalidResponse, err)
 }
+
+// checkResponse verifies that a response belongs to the request and does not contradict itself. A rejection that names no
+// request counts as the first response on its connection; later it could be a surplus response to an earlier request. The
+// connection of a response that names none is not used again: a second copy would look like the response to the next request.
+func (g *Gate) checkResponse(sent http.Header, response *http.Response, delivery *roundtrip.Delivery) error {
+	declined := g.declined(response)
+	if declined && response.StatusCode < http.StatusBadRequest {
+		return roundtrip.Reject(response, roundtrip.FaultStatus, errNotRunSuccess, delivery)
+	}
+	name := g.config.Headers.RequestID
+	if name != "" && response.Header.Get(name) == "" {
+		first := delivery.RetireConn()
+		if declined && first {
+			return nil
+		}
+		if declined {
+			return roundtrip.Reject(response, roundtrip.FaultOtherRequest, roundtrip.ErrOtherRequest, delivery)
+		}
+	}
+	return roundtrip.CheckID(response, name, sent.Get(name), delivery)
+}
+
+var errNotRunSuccess = errors.New("a response that is no failure states that the call has not run")
+
+// declined reports whether the back end states that it has not started the call.
+func (g *Gate) declined(response *http.Response) bool {
+	name := g.config.Headers.NotRun
+	return name != "" && response.Header.Get(name) != ""
+}
--- a/pkg/gate/probe_invalid_test.go
+++ b/pkg/gate/probe_invalid_test.go
@@ -16,8 +16,8 @@
 
 // Guards against a probe that takes a back end's state from bytes that are no response, or waits for their end.
 func TestProbeTakesNothingFromInvalidResponses(t *testing.T) {
-	headers := settings.Headers{RequestID: "Call-Id", Cold: "Cold-Ms", Limit: []string{"Server-Limit-Test"}}
-	const statements = "\r\nCold-Ms: 0\r\nServer-Limit-Test: 1"
+	headers := settings.Headers{RequestID: "Call-Id", Cold: "Cold-Ms", Limit: []string{"Named-Limit"}}
+	const statements = "\r\nCold-Ms: 0\r\nNamed-Limit: 1"
 	for _, c := range standin.InvalidResponses {
 		if c.Fault == roundtrip.FaultOtherRequest {
 			continue // a probe has no ID
