gate: an uncertain rejection is declined with an unknown outcome, not a broken exchange

It is a rejection all the same, only not certainly of this call: the gate reports it as declined with the outcome unknown. A call that may run more than once goes on as after any rejection; one that must not is not sent again and gets 502, as before.

Test: a safe call is sent to both gates and gets 503, an unsafe one to one and gets 502.

--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -133,7 +133,7 @@
 	g.recordFailure(ticket, failure)
 	if failure.reason.Reached() {
 		g.attempts++
-		g.outcomes.Note(failure.outcome)
+		g.noteOutcome(failure)
 	}
 	again = g.mayAttemptNext(ctx, failure)
 	g.reportAttempt(ticket, failure, wait, now, again)
@@ -143,6 +143,15 @@
 	return g.giveUp(failure.step(), failure.text()), false
 }
 
+// noteOutcome records the outcome of an attempt that reached a back end. A rejection whose outcome is not certain counts as
+// one for a call that may run more than once: running it after all does no harm.
+func (g *gatedCall) noteOutcome(failure *gateFailure) {
+	if failure.reason == exchange.ReasonDeclined && g.repeatable {
+		return
+	}
+	g.outcomes.Note(failure.outcome)
+}
+
 // throttleAllows reports whether to attempt a gate: while most gates are full, attempts only add load
 // to the link. The node's own gate costs no message and is always attempted.
 func (g *gatedCall) throttleAllows(ticket *balancer.Ticket, now time.Duration) bool {
--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -435,3 +435,19 @@
 		is.Equal(requests.Load(), int64(1))
 	}
 }
+
+// Guards against an unsafe call that is sent again after a rejection which may be a surplus response, and against a safe one that
+// is given up for it.
+func TestUncertainRejectionIsRepeatedOnlyIfSafe(t *testing.T) {
+	for path, want := range map[string]struct {
+		status   int
+		attempts int64
+	}{"/safe/x": {http.StatusServiceUnavailable, 2}, "/unsafe/x": {http.StatusBadGateway, 1}} {
+		is := is.New(t)
+		one, first := fakeGate(t, rejectWith(exchange.ReasonDeclined, Unknown))
+		two, second := fakeGate(t, rejectWith(exchange.ReasonDeclined, Unknown))
+		response := newGatedNode(t, 5, one, two).call(t, "POST", path, "body")
+		is.Equal(response.StatusCode, want.status)
+		is.Equal(first.Load()+second.Load(), want.attempts)
+	}
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -355,8 +355,9 @@
 		call.Reason, call.Err = exchange.ReasonRetired, err
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
+	outcome := exchange.Unknown
 	if err == nil {
-		err = g.checkResponse(r.Header, response, &delivery)
+		outcome, err = g.checkResponse(r.Header, response, &delivery)
 	}
 	if err == nil {
 		err = g.bufferResponse(response)
@@ -371,6 +372,9 @@
 		// The gate stays within the back end's capacity, so declining counts as a failure.
 		g.release(adm, callResult{failed: true})
 		call.Reason, call.Status = exchange.ReasonDeclined, response.StatusCode
+		if outcome != exchange.NotRun {
+			return g.reject(call, http.StatusBadGateway, outcome)
+		}
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
 	call.Service = g.config.Now() - adm.admittedAt
