--- a/pkg/protocol/protocol.go
+++ b/pkg/protocol/protocol.go
@@ -250,8 +250,7 @@
 // ErrUnexpected reports a frame of a kind that is not allowed at this point.
 var ErrUnexpected = errors.New("unexpected frame")
 
-// maxHandshakeFrame bounds the first frame of a peer in bytes: before it, anything may be at the other end. A Welcome that
-// names 10,000 servers takes half of it.
+// maxHandshakeFrame bounds the first frame of a peer in bytes: before it, anything may be at the other end.
 const maxHandshakeFrame = 1 << 20
 
 // Open performs the connecting side of the handshake. It returns a *RefusedError if the peer
