pipeline: a connection counts from the first byte received to the last byte acknowledged

Seen by callers around a planned stop: a request that had arrived got a closed or reset connection in place of a response.

Cause: the server closed by what its goroutines had processed, not by what had arrived. Shutdown closed an idle connection whose request the kernel already held, a closing response was the last one although another request had arrived behind it, closing the listener reset established connections, and a connection was closed half a second after its last response although the caller had not acknowledged it: one more byte of the caller then drops the unsent rest. Each window grows with the time for which the process gets no processor.

Change: only the reader of a connection closes it while it is idle, after asking the kernel for input; a response closes only if the kernel holds no further request; Shutdown accepts what is established; a connection lasts until its output is acknowledged (SIOCOUTQ). Pending returns the account, CancelRequests ends what is left.

--- a/pkg/link/meter.go
+++ b/pkg/link/meter.go
@@ -235,6 +235,14 @@
 	return l.meter.Conn(l.peer, conn), nil
 }
 
+// SetDeadline bounds Accept if the listener supports it.
+func (l *countedListener) SetDeadline(t time.Time) error {
+	if bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return bounded.SetDeadline(t)
+	}
+	return errors.ErrUnsupported
+}
+
 // countedConn counts the bytes that it reads and writes.
 type countedConn struct {
 	net.Conn
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -17,8 +17,10 @@
 	// maxQueued bounds the requests of one connection that were read but not started.
 	maxQueued = 32
 	// lingerTime is how long a connection is still read after its sending direction was closed: closing with
-	// unread bytes would reset it, and the caller could lose the last response.
-	lingerTime = 500 * time.Millisecond
+	// unread bytes would reset it, and the caller could lose the last response. It is extended while the caller
+	// has not acknowledged all output, up to maxLingerTime.
+	lingerTime    = 500 * time.Millisecond
+	maxLingerTime = 30 * time.Second
 )
 
 // conn is the server side of a caller's connection.
@@ -26,9 +28,12 @@
 	server *Server
 	rwc    net.Conn
 	reader *bufio.Reader
-	// ctx is canceled when the caller has disconnected or the connection was aborted.
-	ctx    context.Context
-	cancel context.CancelFunc
+	// ctx is canceled when the caller has disconnected or the connection was aborted; requestCtx, the parent of the
+	// requests' contexts, also by cancelRequests.
+	ctx            context.Context
+	cancel         context.CancelFunc
+	requestCtx     context.Context
+	cancelRequests context.CancelFunc
 	// requests counts the queued and running requests.
 	requests sync.WaitGroup
 
@@ -43,17 +48,21 @@
 	awaitingRequest bool
 	// receiving is set from the first byte of a request until it is queued.
 	receiving bool
+	// discarding is set once no further request is read.
+	discarding bool
 	// closing is set when the connection closes after a response with no request behind it, writeClosed when its
 	// sending direction is closed, closed when both directions are.
-	closing     bool
-	writeClosed bool
-	closed      bool
+	closing       bool
+	writeClosed   bool
+	writeClosedAt time.Time
+	closed        bool
 }
 
 func newConn(s *Server, rwc net.Conn) *conn {
 	c := &conn{server: s, rwc: rwc, reader: bufio.NewReaderSize(rwc, readBufferSize)}
 	c.queueNotFull = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.requestCtx, c.cancelRequests = context.WithCancel(c.ctx)
 	return c
 }
 
@@ -62,8 +71,8 @@
 	defer c.abortAndWait()
 	for {
 		if err := c.readNext(); err != nil {
-			if c.startLinger(err) {
-				_, _ = io.Copy(io.Discard, c.rwc)
+			if c.startDiscarding(err) {
+				c.linger()
 			}
 			return
 		}
@@ -106,13 +115,30 @@
 		if err := c.startAwaiting(); err != nil {
 			return err
 		}
-		if _, err := c.reader.Peek(1); err != nil {
+		_, err := c.reader.Peek(1)
+		for isTimeout(err) && c.resumeReading() {
+			_, err = c.reader.Peek(1)
+		}
+		if err != nil {
 			return err
 		}
 	}
 	return c.startReceiving()
 }
 
+// resumeReading reports whether input arrived before the read deadline expired, and extends the deadline then. A
+// process short of processor time may notice the deadline first.
+func (c *conn) resumeReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeClosed || c.closed || !c.inputPending() {
+		return false
+	}
+	return c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.HeaderTimeout)) == nil
+}
+
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 // startReceiving marks a request as being received.
 func (c *conn) startReceiving() error {
 	if err := c.setReadDeadline(); err != nil {
@@ -154,14 +180,16 @@
 // onIdle starts the idle timeout, or closes a closing connection; the mutex is held. It does nothing while a
 // request is being read.
 func (c *conn) onIdle() {
-	if !c.awaitingRequest || c.writeClosed || c.closed {
-		return
-	}
-	if c.closing {
+	switch {
+	case !c.awaitingRequest || c.writeClosed || c.closed:
+	case c.closing && c.discarding:
 		c.closeWriteSide()
-		return
+	case c.closing:
+		// Only the reader knows whether a request has arrived meanwhile, so it closes the connection.
+		_ = c.rwc.SetReadDeadline(time.Now())
+	default:
+		_ = c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
 	}
-	_ = c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
 }
 
 // awaitBody waits until a request's body has ended, and reports whether it was read completely.
@@ -199,7 +227,7 @@
 	if c.writeClosed || c.closed {
 		return
 	}
-	c.writeClosed = true
+	c.writeClosed, c.writeClosedAt = true, time.Now()
 	c.dropQueue()
 	if w, ok := c.rwc.(interface{ CloseWrite() error }); ok {
 		_ = w.CloseWrite()
@@ -216,10 +244,10 @@
 	c.queue = nil
 }
 
-// startLinger prepares to discard further input and reports whether the connection must still be read: to notice
+// startDiscarding prepares to discard further input and reports whether the connection must still be read: to notice
 // that the caller disconnects during its last requests, and to avoid a reset after closing. False means that the
 // caller has disconnected or the connection is closed.
-func (c *conn) startLinger(cause error) bool {
+func (c *conn) startDiscarding(cause error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -228,13 +256,13 @@
 	case c.writeClosed:
 		return true
 	case errors.Is(cause, errLastRequest) || errors.Is(cause, errBodyUnread):
-	case os.IsTimeout(cause):
+	case isTimeout(cause):
 		// No request arrived in time.
 		c.closing = true
 	default:
 		return false
 	}
-	c.awaitingRequest = true
+	c.awaitingRequest, c.discarding, c.receiving = true, true, false
 	_ = c.rwc.SetReadDeadline(time.Time{})
 	if c.closing && len(c.running)+len(c.queue) == 0 {
 		c.closeWriteSide()
@@ -242,6 +270,46 @@
 	return true
 }
 
+// linger discards input until the caller has closed its side, or has acknowledged all output and lingerTime is over.
+func (c *conn) linger() {
+	for {
+		_, err := io.Copy(io.Discard, c.rwc)
+		if !isTimeout(err) || !c.extendLinger() {
+			return
+		}
+	}
+}
+
+// extendLinger extends the read deadline while output is unacknowledged, and reports whether it did.
+func (c *conn) extendLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || time.Since(c.writeClosedAt) >= maxLingerTime {
+		return false
+	}
+	if n, known := c.unacknowledged(); !known || n == 0 {
+		return false
+	}
+	return c.rwc.SetReadDeadline(time.Now().Add(lingerTime)) == nil
+}
+
+// addPending adds what the connection has received and not completed.
+func (c *conn) addPending(all *Pending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all.Connections++
+	all.Requests += len(c.running) + len(c.queue)
+	if c.receiving {
+		all.Receiving++
+	}
+	if len(c.running)+len(c.queue) > 0 {
+		return
+	}
+	if n, known := c.unacknowledged(); known && n > 0 {
+		all.Unacknowledged++
+	}
+}
+
 // abortAndWait aborts the connection, waits for its handlers and removes it from the server.
 func (c *conn) abortAndWait() {
 	c.abort()
--- a/pkg/pipeline/doc.go
+++ b/pkg/pipeline/doc.go
@@ -13,5 +13,10 @@
 //
 // The files: server.go has the listeners and the shutdown, conn.go the reading of a connection, order.go the order
 // of requests, head.go the parsing of a request, body.go its body, response.go the writing of its response, and
-// disconnect.go the check for a disconnected caller.
+// socket.go what the kernel knows of a connection.
+//
+// The server owns the account of what it has received: a request counts from its first byte, also while only the kernel
+// holds it, until the caller has acknowledged the last byte of its response. Pending returns the account, and Shutdown
+// returns when nothing is left on it. Only the reader of a connection closes it while it is idle, since only it can
+// tell whether a request has arrived.
 package pipeline
--- a/pkg/pipeline/head.go
+++ b/pkg/pipeline/head.go
@@ -40,7 +40,7 @@
 	r.RemoteAddr = c.rwc.RemoteAddr().String()
 	x.last = r.Close || !r.ProtoAtLeast(1, 1)
 	x.handler = c.server.cfg.Handler
-	x.request = r.WithContext(c.ctx)
+	x.request = r.WithContext(c.requestCtx)
 	if r.Body == http.NoBody {
 		x.concurrent = c.server.cfg.Concurrent != nil && c.server.cfg.Concurrent(x.request)
 		return x, nil
--- a/pkg/pipeline/order.go
+++ b/pkg/pipeline/order.go
@@ -48,7 +48,8 @@
 	if c.writeClosed || c.closed {
 		return false
 	}
-	c.receiving = false
+	// What is buffered behind a request without an unread body is a further request.
+	c.receiving = !x.last && x.body == nil && c.reader.Buffered() > 0
 	c.queue = append(c.queue, x)
 	c.dispatch()
 	return true
@@ -83,15 +84,23 @@
 }
 
 // commitClose decides, when a response's head is written, whether the connection closes after it. The close is
-// deferred until no other request was received, so that all of them get a response.
+// deferred until no other request was received, so that all of them get a response, except after CancelRequests.
 func (c *conn) commitClose(x *exchange, wantClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = c.closing || wantClose
-	x.closeAfter = c.closing && len(c.running) == 1 && len(c.queue) == 0 && !c.receiving
+	x.closeAfter = c.closing && (c.requestCtx.Err() != nil || !c.receivedBehind(x))
 	return x.closeAfter
 }
 
+// receivedBehind reports whether a request was received behind a running one, if only by the kernel; the mutex is held.
+func (c *conn) receivedBehind(x *exchange) bool {
+	if len(c.running) > 1 || len(c.queue) > 0 || c.receiving {
+		return true
+	}
+	return !x.last && x.body == nil && c.inputPending()
+}
+
 // finish ends an exchange, unblocks the next response and starts queued requests.
 func (c *conn) finish(x *exchange) {
 	c.mu.Lock()
@@ -119,7 +128,7 @@
 	defer c.requests.Done()
 	defer c.finish(x)
 	if waited := time.Since(x.readAt); waited >= minReportedWait {
-		x.request = x.request.WithContext(context.WithValue(c.ctx, waitedKey{}, waited))
+		x.request = x.request.WithContext(context.WithValue(c.requestCtx, waitedKey{}, waited))
 	}
 	// After a pause of the process the caller may have disconnected without the reader having noticed. Such a
 	// request must not reach a back end.
@@ -130,10 +139,12 @@
 	w := newResponse(x)
 	if !x.handle(w) {
 		c.abort()
+		c.server.reportIncomplete(x.request, errHandlerAborted)
 		return
 	}
 	if err := w.finish(); err != nil {
 		c.abort()
+		c.server.reportIncomplete(x.request, err)
 	}
 }
 
--- a/pkg/pipeline/response.go
+++ b/pkg/pipeline/response.go
@@ -27,6 +27,7 @@
 var (
 	errConnClosed        = errors.New("the caller's connection is closed")
 	errResponseTruncated = errors.New("the handler wrote less than its Content-Length")
+	errHandlerAborted    = errors.New("the handler aborted the response")
 	errStatusNotFinal    = errors.New("the handler set a status that cannot end an exchange")
 )
 
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -15,6 +15,10 @@
 	acceptRetryDelay = 20 * time.Millisecond
 	// shutdownPollInterval is the interval at which Shutdown checks for open connections.
 	shutdownPollInterval = 20 * time.Millisecond
+	// Closing a listener resets the connections that the kernel has established and nobody has accepted. Shutdown accepts
+	// them until there was none for acceptQuietTime, and for acceptDrainTime at most.
+	acceptQuietTime = 20 * time.Millisecond
+	acceptDrainTime = 200 * time.Millisecond
 )
 
 // Config holds a Server's settings.
@@ -37,6 +41,18 @@
 	OnPanic func(value any)
 	// OnUnsendable, if set, is called when a handler set a status that is not sent.
 	OnUnsendable func(r *http.Request, err error)
+	// OnIncomplete, if set, is called when a response could not be completed while the server shuts down.
+	OnIncomplete func(r *http.Request, err error)
+}
+
+// Pending counts what a server has received and not completed.
+type Pending struct {
+	// Connections is the number of open connections, Receiving that of those on which a part of a request was received.
+	Connections, Receiving int
+	// Requests is the number of requests that were received and whose responses are not written.
+	Requests int
+	// Unacknowledged is the number of connections without a request whose caller has not acknowledged all output.
+	Unacknowledged int
 }
 
 // Server serves the connections of its listeners. It is safe for concurrent use.
@@ -47,7 +63,9 @@
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
 	draining  bool
-	closed    bool
+	// canceled is set once requests are canceled, closed once all connections are aborted.
+	canceled bool
+	closed   bool
 }
 
 // New returns a server without listeners; see Serve.
@@ -63,6 +81,7 @@
 		l.Close()
 		return http.ErrServerClosed
 	}
+	defer s.removeListener(l)
 	for {
 		rwc, err := l.Accept()
 		if err == nil {
@@ -70,6 +89,8 @@
 			continue
 		}
 		if s.isDraining() {
+			s.acceptEstablished(l)
+			l.Close()
 			return http.ErrServerClosed
 		}
 		if errors.Is(err, net.ErrClosed) {
@@ -79,6 +100,30 @@
 	}
 }
 
+// deadlineListener is a listener whose Accept can be bounded in time.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(t time.Time) error
+}
+
+// acceptEstablished accepts the connections that the kernel has established.
+func (s *Server) acceptEstablished(l net.Listener) {
+	bounded, ok := l.(deadlineListener)
+	if !ok {
+		return
+	}
+	for until := time.Now().Add(acceptDrainTime); time.Now().Before(until); {
+		if bounded.SetDeadline(time.Now().Add(acceptQuietTime)) != nil {
+			return
+		}
+		rwc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.serveConn(rwc)
+	}
+}
+
 func (s *Server) addListener(l net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,6 +134,12 @@
 	return true
 }
 
+func (s *Server) removeListener(l net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, l)
+}
+
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,7 +153,7 @@
 	if !closed {
 		s.conns[c] = struct{}{}
 	}
-	draining := s.draining
+	draining, canceled := s.draining, s.canceled
 	s.mu.Unlock()
 	if closed {
 		rwc.Close()
@@ -111,6 +162,9 @@
 	if draining {
 		c.drain()
 	}
+	if canceled {
+		c.cancelRequests()
+	}
 	go c.serve()
 }
 
@@ -120,6 +174,12 @@
 	}
 }
 
+func (s *Server) reportIncomplete(r *http.Request, err error) {
+	if s.cfg.OnIncomplete != nil && s.isDraining() {
+		s.cfg.OnIncomplete(r, err)
+	}
+}
+
 func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -136,6 +196,19 @@
 	return all
 }
 
+// stopAccepting makes Serve close its listener once no established connection is left to accept.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for l := range s.listeners {
+		bounded, ok := l.(deadlineListener)
+		if !ok || bounded.SetDeadline(time.Now()) != nil {
+			l.Close()
+		}
+	}
+}
+
 func (s *Server) closeListeners() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,15 +219,15 @@
 }
 
 // Shutdown closes the listeners, and each connection after its last response. It returns when no connection is
-// open, or with the context's error.
+// open, or with the context's error. A connection stays open until its caller has acknowledged all output.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.closeListeners()
+	s.stopAccepting()
 	for _, c := range s.openConns() {
 		c.drain()
 	}
 	ticker := time.NewTicker(shutdownPollInterval)
 	defer ticker.Stop()
-	for len(s.openConns()) > 0 {
+	for s.isAccepting() || len(s.openConns()) > 0 {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -164,6 +237,32 @@
 	return nil
 }
 
+func (s *Server) isAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.listeners) > 0
+}
+
+// CancelRequests cancels the contexts of all requests, so that their handlers respond without waiting for others. Each
+// connection closes after the response that is written next.
+func (s *Server) CancelRequests() {
+	s.mu.Lock()
+	s.canceled = true
+	s.mu.Unlock()
+	for _, c := range s.openConns() {
+		c.cancelRequests()
+	}
+}
+
+// Pending returns what was received and is not completed.
+func (s *Server) Pending() Pending {
+	var all Pending
+	for _, c := range s.openConns() {
+		c.addPending(&all)
+	}
+	return all
+}
+
 // Close closes the listeners and all connections immediately.
 func (s *Server) Close() error {
 	s.closeListeners()
