pipeline: a request that crosses the close of its idle connection gets a response

Seen by callers: a request sent on a kept connection at the moment at which a stopping server closes it is read and dropped. Its caller cannot know whether it ran; a node that forwards an order to a stopping gate has to report it as failed.

Cause: FIN says nothing about requests on their way, and the server discarded them.

Change: before the server closes an idle connection it sends a response with status 408 (RFC 9110, section 15.5.9) and the headers of Config.CloseNotice. A crossing request takes it for its own, and it is true: nothing on that connection is handled any more. Clients with no request in flight discard the connection; net/http knows such responses.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -21,6 +21,8 @@
 	// has not acknowledged all output, up to maxLingerTime.
 	lingerTime    = 500 * time.Millisecond
 	maxLingerTime = 30 * time.Second
+	// closeNoticeTimeout bounds the write of the response that closes an idle connection.
+	closeNoticeTimeout = 100 * time.Millisecond
 )
 
 // conn is the server side of a caller's connection.
@@ -222,6 +224,16 @@
 	}
 }
 
+// closeIdle sends the close notice on a connection that no request was received on since its last response, and closes
+// the sending direction; the mutex is held.
+func (c *conn) closeIdle() {
+	if notice := c.server.closeNotice; notice != nil {
+		_ = c.rwc.SetWriteDeadline(time.Now().Add(closeNoticeTimeout))
+		_, _ = c.rwc.Write(notice)
+	}
+	c.closeWriteSide()
+}
+
 // closeWriteSide closes the sending direction and drops the queued requests; the mutex is held.
 func (c *conn) closeWriteSide() {
 	if c.writeClosed || c.closed {
@@ -262,9 +274,14 @@
 	default:
 		return false
 	}
+	idle := c.awaitingRequest
 	c.awaitingRequest, c.discarding, c.receiving = true, true, false
 	_ = c.rwc.SetReadDeadline(time.Time{})
-	if c.closing && len(c.running)+len(c.queue) == 0 {
+	switch {
+	case !c.closing || len(c.running)+len(c.queue) > 0:
+	case idle:
+		c.closeIdle()
+	default:
 		c.closeWriteSide()
 	}
 	return true
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -43,6 +44,9 @@
 	OnUnsendable func(r *http.Request, err error)
 	// OnIncomplete, if set, is called when a response could not be completed while the server shuts down.
 	OnIncomplete func(r *http.Request, err error)
+	// CloseNotice, if set, holds headers of the response with status 408 that is sent before an idle connection is
+	// closed. It answers a request that crosses the close, and states to its caller that it was not handled.
+	CloseNotice http.Header
 }
 
 // Pending counts what a server has received and not completed.
@@ -58,6 +62,8 @@
 // Server serves the connections of its listeners. It is safe for concurrent use.
 type Server struct {
 	cfg Config
+	// closeNotice is the response that is sent before an idle connection is closed, nil for none.
+	closeNotice []byte
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -71,7 +77,19 @@
 // New returns a server without listeners; see Serve.
 func New(cfg Config) *Server {
 	cfg.MaxConcurrent = max(1, cfg.MaxConcurrent)
-	return &Server{cfg: cfg, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
+	return &Server{cfg: cfg, closeNotice: formatCloseNotice(cfg.CloseNotice), listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
+}
+
+// formatCloseNotice returns the bytes of Config.CloseNotice, nil for none.
+func formatCloseNotice(header http.Header) []byte {
+	if header == nil {
+		return nil
+	}
+	var notice bytes.Buffer
+	fmt.Fprintf(&notice, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n", http.StatusRequestTimeout, http.StatusText(http.StatusRequestTimeout))
+	_ = header.Write(&notice)
+	notice.WriteString("\r\n")
+	return notice.Bytes()
 }
 
 // Serve accepts connections until Shutdown or Close, and then returns http.ErrServerClosed. It returns another error
