settings: a node stops within the grace that it is given

Seen by callers: where the platform kills a node 10 s after SIGTERM, the node cut its calls after 5.5 s, since stop_timeout was that long on every deployment.

Cause: the time to stop was a constant of the template; the grace is a bound of the deployment.

Change: the setting grace says when the process is killed. Without stop_timeout a stop may take eleven twelfths of it: 5.5 s of 6 s as before, 9.17 s of 10 s. A stop_timeout that is not shorter is refused.

TestStopTimeoutFollowsTheGrace does not compile without the setting.

--- a/pkg/settings/dataplane.go
+++ b/pkg/settings/dataplane.go
@@ -14,6 +14,8 @@
 	defaultTenantHeader           = "Request-Tenant"
 	defaultLimitHeader            = "Backend-Limit"
 	defaultLeavingHeader          = "Backend-Draining"
+	// exitDivisor is the part of Grace that StopTimeout leaves for the exit by default.
+	exitDivisor = 12
 )
 
 // Headers are the names of the headers that calls carry. Deadline, ExpectedInstance, Caller, Key, Tenant, Limit and
@@ -52,8 +54,7 @@
 
 // checkDataPlane sets the defaults of the data plane and checks its settings.
 func (p *problems) checkDataPlane(x *Proxy) {
-	setDefaultDuration(&x.StopTimeout, defaultStopTimeout)
-	setDefaultDuration(&x.CallerNotice, defaultCallerNotice)
+	p.checkStop(x)
 	if x.Retries.Ratio == 0 {
 		x.Retries.Ratio = defaultRetryRatio
 	}
@@ -80,6 +81,21 @@
 	}
 }
 
+// checkStop sets the defaults of a graceful stop and checks that it ends before the process is killed.
+func (p *problems) checkStop(x *Proxy) {
+	if x.Grace < 0 {
+		p.add("grace", "must not be negative")
+	}
+	if x.Grace > 0 {
+		setDefaultDuration(&x.StopTimeout, time.Duration(x.Grace-x.Grace/exitDivisor))
+	}
+	setDefaultDuration(&x.StopTimeout, defaultStopTimeout)
+	setDefaultDuration(&x.CallerNotice, defaultCallerNotice)
+	if x.Grace > 0 && x.StopTimeout >= x.Grace {
+		p.add("stop_timeout", "must be shorter than grace")
+	}
+}
+
 func setDefaultText(target *string, value string) {
 	if *target == "" {
 		*target = value
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -189,8 +189,10 @@
 	// KeysStaleLimit is how old the configuration may be for calls that need a tenant's key, so that a
 	// partitioned node accepts a revoked key no longer than this. Zero for no bound.
 	KeysStaleLimit bundle.Duration `toml:"keys_stale_limit,omitempty"`
-	// StopTimeout bounds a graceful stop. For CallerNotice after its start the node only
+	// Grace is how long after SIGTERM the process is killed, zero if it is not known. StopTimeout bounds a graceful
+	// stop; its default leaves a part of Grace for the exit. For CallerNotice after its start the node only
 	// asks callers to reconnect elsewhere, and still admits calls of other nodes.
+	Grace        bundle.Duration `toml:"grace,omitempty"`
 	StopTimeout  bundle.Duration `toml:"stop_timeout,omitempty"`
 	CallerNotice bundle.Duration `toml:"caller_notice,omitempty"`
 	Timing
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -6,6 +6,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"bramblelift/pkg/bundle"
 
 	"github.com/matryer/is"
 )
@@ -15,6 +18,10 @@
 	return Common{Cluster: "c", Name: "one", Zone: "z", AdminListen: "127.0.0.1:9001", ApprovalKeys: []string{key}}
 }
 
+func validProxy() Proxy {
+	return Proxy{Common: validCommon(), Listen: "127.0.0.1:9000", Relays: []Peer{{Name: "r", Address: "127.0.0.1:9"}}}
+}
+
 func validControl() Control {
 	return Control{
 		Common: validCommon(), Data: "/tmp/x", Listen: "127.0.0.1:9000",
@@ -62,7 +69,7 @@
 	is.True(relay.PingInterval > 0) // the default is set
 	relay.SilenceTimeout = relay.PingInterval
 	is.True(strings.Contains(relay.Check().Error(), `key "silence_timeout"`))
-	proxy := Proxy{Common: validCommon(), Listen: "127.0.0.1:9000", Relays: []Peer{{Name: "r", Address: "127.0.0.1:9"}}}
+	proxy := validProxy()
 	is.NoErr(proxy.Check())
 	proxy.Group = "*"
 	is.True(strings.Contains(proxy.Check().Error(), `key "group"`))
@@ -112,3 +119,17 @@
 		is.NoErr(target.Check())
 	}
 }
+
+// Guards against a node that cuts its calls long before it is killed, or is killed before it has stopped.
+func TestStopTimeoutFollowsTheGrace(t *testing.T) {
+	is := is.New(t)
+	for grace, want := range map[time.Duration]time.Duration{6 * time.Second: 5500 * time.Millisecond, 12 * time.Second: 11 * time.Second, 0: defaultStopTimeout} {
+		config := validProxy()
+		config.Grace = bundle.Duration(grace)
+		is.NoErr(config.Check())
+		is.Equal(time.Duration(config.StopTimeout), want)
+	}
+	config := validProxy()
+	config.Grace, config.StopTimeout = bundle.Duration(6*time.Second), bundle.Duration(6*time.Second)
+	is.True(strings.Contains(config.Check().Error(), `key "stop_timeout"`))
+}
