proxy: one account decides when a node may stop

Seen by callers: calls that a stopping node had passed on were cut without a response.

Cause: the node counted a call from its handler's start to its end, in polls, and then aborted every connection: what was read meanwhile, a response being written, what was not acknowledged. Calls taken before caller_notice had passed were not bounded by the stop at all, at the node as at its gate; what was left at the end was cut.

Change: the servers' account (pipeline.Pending) decides, for callers' and other nodes' connections; waitIdle and its counter are gone. The bound on a call's deadline holds from SIGTERM on, also at the gate, which rejects such a call as not run. Calls that are left a twentieth before the end are canceled and get a response. Steps of the stop are logged with the account (stopping, draining, stopped), and each response that could not be completed with its request (response_incomplete).

The tests of the former counter now run against the server; the same bounds hold.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -224,7 +224,7 @@
 // be held.
 func (g *Gate) rejectReason(now time.Duration, req request) exchange.Reason {
 	switch {
-	case g.stopping:
+	case g.stopping || g.outlastsProcess(req):
 		return exchange.ReasonStopping
 	case req.instance != "" && req.instance == g.departedID:
 		return exchange.ReasonRemoved
@@ -243,6 +243,15 @@
 	return g.versionRejectReason(now)
 }
 
+// outlastsProcess reports whether a call may last until after the process stops.
+func (g *Gate) outlastsProcess(req request) bool {
+	if g.config.StopsAt == nil {
+		return false
+	}
+	stopsAt := g.config.StopsAt()
+	return stopsAt > 0 && req.deadline > stopsAt
+}
+
 // takeSlot takes a slot. g.mu must be held.
 func (g *Gate) takeSlot(now, work time.Duration) admission {
 	g.running++
--- a/pkg/gate/closing_test.go
+++ b/pkg/gate/closing_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,3 +114,24 @@
 	g.release(adm, callResult{})
 	is.True(recorder.changes[len(recorder.changes)-1].Drained)
 }
+
+// Guards against a call that a stopping gate admits and cuts when its process ends.
+func TestGateRejectsCallsThatOutlastItsProcess(t *testing.T) {
+	is := is.New(t)
+	address, calls := scriptedBackend(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	var stopsAt atomic.Int64
+	started := time.Now()
+	now := func() time.Duration { return time.Since(started) }
+	g := New(Config{Headers: testHeaders, Now: now, StopsAt: func() time.Duration { return time.Duration(stopsAt.Load()) }})
+	g.SetBackend(Backend{ID: "b1", Address: address, Capacity: 1})
+	is.Equal(do(g, newCall(t, "POST", "c1")).StatusCode, http.StatusOK)
+	stopsAt.Store(int64(now() + time.Second))
+	response := do(g, newCall(t, "POST", "c1"))
+	is.Equal(reasonOf(response), exchange.ReasonStopping)
+	is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
+	is.Equal(do(g, newCall(t, "POST", "c1", "Left-Ms", "500")).StatusCode, http.StatusOK)
+	is.Equal(calls.Load(), int64(2))
+}
--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -6,74 +6,154 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/forward"
+	"bramblelift/pkg/pipeline"
 )
 
 const (
-	// drainPollInterval is the interval at which drain checks for calls in flight. drainIdleTime is how long
-	// no call must be in flight, since a call is counted only once its headers have been read.
-	drainPollInterval = 25 * time.Millisecond
-	drainIdleTime     = 150 * time.Millisecond
+	// drainReserveDivisor is the part of StopTimeout that is reserved for draining calls, answerReserveDivisor the part
+	// that is reserved for the responses of calls that the stop cancels.
+	drainReserveDivisor  = 5
+	answerReserveDivisor = 20
+	// idleBeforeStop is how long a stopping node must receive no call before it closes.
+	idleBeforeStop = time.Second
+	minIdlePoll    = 100 * time.Millisecond
 )
 
-// errCallsInFlight means that the drain timed out before all calls had finished.
+// errCallsInFlight means that the stop timed out before all calls had finished.
 var errCallsInFlight = errors.New("calls are still in flight")
 
-// inFlightCalls counts the calls that handlers are processing.
-type inFlightCalls struct {
-	n atomic.Int64
-}
-
-// track returns a handler that counts each call while next processes it.
-func (c *inFlightCalls) track(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.n.Add(1)
-		defer c.n.Add(-1)
-		next.ServeHTTP(w, r)
-	})
+// stopSchedule holds the times of a graceful stop, as readings of the node's clock.
+type stopSchedule struct {
+	// began is when the stop began. The node rejects calls of other nodes from closesGate on, drains from drainsLatest
+	// on at the latest, cancels the calls that are left at cancelsCalls and closes their connections at ends.
+	began, closesGate, drainsLatest, cancelsCalls, ends time.Duration
 }
 
-// waitIdle returns nil once no call has been in flight for drainIdleTime, or if none is when ctx ends, and errCallsInFlight
-// otherwise.
-func (c *inFlightCalls) waitIdle(ctx context.Context) error {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for idle := time.Duration(0); idle < drainIdleTime; idle += drainPollInterval {
-		if c.n.Load() > 0 {
-			idle = -drainPollInterval
-		}
-		select {
-		case <-ctx.Done():
-			if n := c.n.Load(); n > 0 {
-				return fmt.Errorf("%d: %w", n, errCallsInFlight)
-			}
-			return nil
-		case <-ticker.C:
-		}
+func newStopSchedule(now, callerNotice, timeout time.Duration) stopSchedule {
+	ends := now + timeout
+	return stopSchedule{
+		began: now, closesGate: min(now+callerNotice, ends), drainsLatest: ends - timeout/drainReserveDivisor,
+		cancelsCalls: ends - timeout/answerReserveDivisor, ends: ends,
 	}
-	return nil
 }
 
-// drainableServer is a server that can be shut down gracefully or closed at once, as http.Server.
+// drainableServer is a server that knows which requests it has received and not completed. Shutdown returns when there
+// are none, CancelRequests makes their handlers respond, and Close aborts them.
 type drainableServer interface {
 	Shutdown(ctx context.Context) error
+	CancelRequests()
+	Pending() pipeline.Pending
 	Close() error
 }
 
-// drain shuts servers down once no call is in flight. http.Server.Shutdown alone would wait until its
-// timeout for connections without a request, which HTTP clients keep open in advance.
-func (c *inFlightCalls) drain(ctx context.Context, servers ...drainableServer) error {
-	ctx, cancel := context.WithCancel(ctx)
-	var wg sync.WaitGroup
+// drain shuts servers down until ctx ends, and then cancels the calls that are left, whose responses have until ends. It
+// returns errCallsInFlight if a call was canceled, since its outcome may be unknown.
+func drain(ctx context.Context, ends time.Duration, servers ...drainableServer) error {
+	left := shutdownAll(ctx, servers)
+	if left == nil {
+		return nil
+	}
+	canceled := pendingOf(servers).Requests
 	for _, server := range servers {
-		wg.Go(func() { _ = server.Shutdown(ctx) })
+		server.CancelRequests()
 	}
-	err := c.waitIdle(ctx)
-	cancel()
-	wg.Wait()
+	last, cancel := context.WithTimeout(context.Background(), ends)
+	defer cancel()
+	_ = shutdownAll(last, servers)
 	for _, server := range servers {
 		_ = server.Close()
 	}
-	return err
+	if canceled > 0 {
+		return fmt.Errorf("%d: %w", canceled, errCallsInFlight)
+	}
+	return nil
+}
+
+// shutdownAll shuts servers down at the same time, since a call of one may pass through another.
+func shutdownAll(ctx context.Context, servers []drainableServer) error {
+	results := make([]error, len(servers))
+	var wg sync.WaitGroup
+	for i, server := range servers {
+		wg.Go(func() { results[i] = server.Shutdown(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(results...)
+}
+
+// pendingOf returns what servers have received and not completed.
+func pendingOf(servers []drainableServer) pipeline.Pending {
+	var all pipeline.Pending
+	for _, server := range servers {
+		p := server.Pending()
+		all.Connections += p.Connections
+		all.Receiving += p.Receiving
+		all.Requests += p.Requests
+		all.Unacknowledged += p.Unacknowledged
+	}
+	return all
+}
+
+// stop gives callers time to move to other nodes, then drains the calls in flight.
+func (s *Server) stop() error {
+	schedule := newStopSchedule(s.clock.Elapsed(), time.Duration(s.settings.CallerNotice), time.Duration(s.settings.StopTimeout))
+	s.stopsAt.Store(int64(schedule.cancelsCalls))
+	s.stopping.Store(true)
+	s.logPending("stopping", schedule)
+	s.sleepUntil(schedule.closesGate)
+	s.stopGate()
+	s.awaitNoNewCalls(schedule)
+	s.logPending("draining", schedule)
+	ctx, cancel := context.WithTimeout(context.Background(), schedule.cancelsCalls-s.clock.Elapsed())
+	defer cancel()
+	err := drain(ctx, schedule.ends-schedule.cancelsCalls, s.drainableServers()...)
+	s.closePlatformListener()
+	s.logPending("stopped", schedule, "error", err)
+	if err != nil {
+		return fmt.Errorf("calls in flight did not finish within %s: %w", time.Duration(s.settings.StopTimeout), err)
+	}
+	return nil
+}
+
+// logPending logs a step of the stop with what is not completed at that time.
+func (s *Server) logPending(event string, schedule stopSchedule, more ...any) {
+	p := pendingOf(s.drainableServers())
+	line := []any{
+		"event", event, "took", (s.clock.Elapsed() - schedule.began).Round(time.Millisecond), "connections", p.Connections,
+		"receiving", p.Receiving, "calls", p.Requests, "unacknowledged", p.Unacknowledged,
+	}
+	_ = s.logger.Log(append(line, more...)...)
+}
+
+func (s *Server) sleepUntil(at time.Duration) {
+	time.Sleep(at - s.clock.Elapsed())
+}
+
+// awaitNoNewCalls keeps the node open until no call has arrived for idleBeforeStop, or the time
+// reserved for draining begins: callers may have no other node. With a gate but no back end it always
+// waits until then.
+func (s *Server) awaitNoNewCalls(schedule stopSchedule) {
+	hasBackend := s.gate != nil && s.gate.Present()
+	for s.clock.Elapsed() < schedule.drainsLatest {
+		idle := s.clock.Elapsed() - time.Duration(s.lastCallAt.Load())
+		if idle >= idleBeforeStop && (s.gate == nil || hasBackend) {
+			return
+		}
+		time.Sleep(min(max(idleBeforeStop-idle, minIdlePoll), schedule.drainsLatest-s.clock.Elapsed()))
+	}
+}
+
+// stopsAtTime returns when the calls of a stopping node must have ended, zero unless it is stopping.
+func (s *Server) stopsAtTime() time.Duration { return time.Duration(s.stopsAt.Load()) }
+
+// closeNoticeToCallers and closeNoticeToNodes hold the headers of the response that closes an idle connection.
+func closeNoticeToCallers() http.Header {
+	return http.Header{forward.HeaderOutcome: {string(forward.NotRun)}}
+}
+
+func closeNoticeToNodes() http.Header {
+	return http.Header{exchange.HeaderOutcome: {string(exchange.NotRun)}, exchange.HeaderReason: {string(exchange.ReasonStopping)}}
 }
--- a/pkg/proxy/drain_test.go
+++ b/pkg/proxy/drain_test.go
@@ -6,51 +6,71 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
+	"bramblelift/pkg/pipeline"
+
 	"github.com/matryer/is"
 )
 
-// newBlockingServer returns a server whose calls respond once release is closed.
-func newBlockingServer(t *testing.T, calls *inFlightCalls) (server *httptest.Server, started chan struct{}, release chan struct{}) {
+// drainTestReserve is the time that canceled calls have for their responses.
+const drainTestReserve = 500 * time.Millisecond
+
+// startServer serves handler on a local port.
+func startServer(t *testing.T, handler http.HandlerFunc) (server *pipeline.Server, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server = pipeline.New(pipeline.Config{Handler: handler, HeaderTimeout: time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10})
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return server, l.Addr().String()
+}
+
+// newBlockingServer returns a server whose calls respond once release is closed, whether they are canceled or not.
+func newBlockingServer(t *testing.T) (server *pipeline.Server, address string, started, release chan struct{}) {
 	t.Helper()
 	started, release = make(chan struct{}, 1), make(chan struct{})
-	server = httptest.NewServer(calls.track(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server, address = startServer(t, func(w http.ResponseWriter, _ *http.Request) {
 		started <- struct{}{}
 		<-release
 		_, _ = io.WriteString(w, "whole")
-	})))
-	return server, started, release
+	})
+	return server, address, started, release
+}
+
+// getBody requests a page and returns its body, or the error.
+func getBody(address string) string {
+	response, err := http.Get("http://" + address)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
 }
 
 func TestDrainWaitsForCallsNotForConnections(t *testing.T) {
 	is := is.New(t)
-	var calls inFlightCalls
-	server, started, release := newBlockingServer(t, &calls)
-	idleConn, err := net.Dial("tcp", server.Listener.Addr().String())
+	server, address, started, release := newBlockingServer(t)
+	idleConn, err := net.Dial("tcp", address)
 	is.NoErr(err)
 	defer idleConn.Close()
 	result := make(chan string, 1)
-	go func() {
-		response, err := http.Get(server.URL)
-		if err != nil {
-			result <- err.Error()
-			return
-		}
-		body, _ := io.ReadAll(response.Body)
-		result <- string(body)
-	}()
+	go func() { result <- getBody(address) }()
 	<-started
 	drained := make(chan error, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	go func() { drained <- calls.drain(ctx, server.Config) }()
+	go func() { drained <- drain(ctx, drainTestReserve, server) }()
 	select {
 	case <-drained:
 		t.Fatal("drain returned with a call in flight")
-	case <-time.After(3 * drainIdleTime):
+	case <-time.After(450 * time.Millisecond):
 	}
 	start := time.Now()
 	close(release)
@@ -61,27 +81,43 @@
 
 func TestDrainFailsAtDeadlineWithCallsInFlight(t *testing.T) {
 	is := is.New(t)
-	var calls inFlightCalls
-	server, started, release := newBlockingServer(t, &calls)
+	server, address, started, release := newBlockingServer(t)
 	defer close(release)
-	go func() {
-		if response, err := http.Get(server.URL); err == nil {
-			response.Body.Close()
-		}
-	}()
+	go getBody(address)
 	<-started
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	is.True(errors.Is(calls.drain(ctx, server.Config), errCallsInFlight))
+	is.True(errors.Is(drain(ctx, 50*time.Millisecond, server), errCallsInFlight))
 }
 
 // Guards against a failed stop because the last call ended shortly before the time was up.
 func TestDrainSucceedsIfTheLastCallEndsShortlyBeforeDeadline(t *testing.T) {
 	is := is.New(t)
-	var calls inFlightCalls
-	calls.n.Store(1)
-	ctx, cancel := context.WithTimeout(context.Background(), 2*drainIdleTime)
+	server, address, started, release := newBlockingServer(t)
+	result := make(chan string, 1)
+	go func() { result <- getBody(address) }()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	time.AfterFunc(250*time.Millisecond, func() { close(release) })
+	is.NoErr(drain(ctx, drainTestReserve, server))
+	is.Equal(<-result, "whole")
+}
+
+// Guards against a connection that is cut, without a response, because its call outlasts the stop.
+func TestCallThatOutlastsTheStopGetsAResponse(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	server, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, "given up")
+	})
+	result := make(chan string, 1)
+	go func() { result <- getBody(address) }()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	time.AfterFunc(2*drainIdleTime-drainPollInterval*2, func() { calls.n.Store(0) })
-	is.NoErr(calls.waitIdle(ctx))
+	is.True(errors.Is(drain(ctx, drainTestReserve, server), errCallsInFlight))
+	is.Equal(<-result, "given up")
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -35,7 +35,7 @@
 		OnSender:  func(service string, sender exchange.Sender) { s.forwarder.UpdateReport(service, sender) },
 		OnCold:    s.observer.logColdChange, OnColdProbeFailed: s.observer.logColdUnknown, OnLimit: s.observer.logLimitChange,
 		OnLeaving: s.onBackendLeaving, OnInvalidResponse: s.observer.logInvalidResponse,
-		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() },
+		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() }, StopsAt: s.stopsAtTime,
 	})
 	s.observer.registerGate(s.admin.Registry, s.gate)
 	s.observer.registerBackend(s.admin.Registry, s.gate)
@@ -48,7 +48,7 @@
 	if s.gateListener, err = wire.Listen(s.settings.GateListen); err != nil {
 		return fmt.Errorf("listen for other nodes: %w", err)
 	}
-	s.gateServer = s.newServer(s.gate, nil)
+	s.gateServer = s.newServer(s.gate, nil, closeNoticeToNodes())
 	return nil
 }
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -54,15 +54,8 @@
 	// maxBufferedResponseBytes bounds the large responses buffered for callers that read slowly. Beyond
 	// it a response is streamed, which occupies its back end until the caller has read it.
 	maxBufferedResponseBytes = 24 << 20
-	// idleBeforeStop is how long a stopping node must receive no call before it closes.
-	idleBeforeStop = time.Second
-	minIdlePoll    = 100 * time.Millisecond
 	// maxStatusTenants bounds the tenants listed in /status, since there may be thousands.
 	maxStatusTenants = 20
-	// StopTimeout / drainReserveDivisor is reserved for draining calls, and stopMargin for the work
-	// after the last response.
-	drainReserveDivisor = 5
-	stopMargin          = 100 * time.Millisecond
 )
 
 // Server runs one node: it serves callers, other nodes, operators and the deployment's platform.
@@ -81,10 +74,9 @@
 	responsePacer *exchange.Pacer
 	// responseBuffer bounds the memory for large responses of the node and its gate.
 	responseBuffer *exchange.ResponseBuffer
-	inFlight       inFlightCalls
 	stopping       atomic.Bool
 	saveFailed     chan error
-	// lastCallAt is when the last call arrived. stopsAt is when all calls must have ended, zero unless the
+	// lastCallAt is when the last call of a caller arrived. stopsAt is when all calls must have ended, zero unless the
 	// node is stopping. Both are readings of clock.
 	lastCallAt atomic.Int64
 	stopsAt    atomic.Int64
@@ -139,19 +131,22 @@
 		return nil, err
 	}
 	s.forwarder = forward.New(s.forwardConfig())
-	s.callerServer = s.newServer(http.HandlerFunc(s.serveCall), s.forwarder.MayRunConcurrently)
+	s.callerServer = s.newServer(http.HandlerFunc(s.serveCall), s.forwarder.MayRunConcurrently, closeNoticeToCallers())
 	return s, s.newClient()
 }
 
 // newServer returns a server whose calls a graceful stop waits for.
-func (s *Server) newServer(handler http.Handler, concurrent func(*http.Request) bool) *pipeline.Server {
+func (s *Server) newServer(handler http.Handler, concurrent func(*http.Request) bool, closeNotice http.Header) *pipeline.Server {
 	return pipeline.New(pipeline.Config{
-		Handler: s.inFlight.track(handler), Concurrent: concurrent, MaxConcurrent: maxPipelined,
+		Handler: handler, Concurrent: concurrent, MaxConcurrent: maxPipelined, CloseNotice: closeNotice,
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
 		OnPanic: func(value any) { s.logger.Log("event", "handler_panicked", "value", value) },
 		OnUnsendable: func(r *http.Request, err error) {
 			s.logger.Log("event", "response_unsendable", "request", r.Header.Get(s.settings.Headers.RequestID), "error", err)
 		},
+		OnIncomplete: func(r *http.Request, err error) {
+			s.logger.Log("event", "response_incomplete", "request", r.Header.Get(s.settings.Headers.RequestID), "peer", r.RemoteAddr, "error", err)
+		},
 	})
 }
 
@@ -221,7 +216,7 @@
 	config := forward.Config{
 		Node: s.settings.Name, Zone: s.settings.Zone, Region: s.settings.Zones[s.settings.Zone], Now: s.clock.Elapsed,
 		Retry: retry.DefaultConfig(), DeclinedRetries: retry.DeclinedRetriesConfig(), OnCall: s.observer.call,
-		StopsAt: func() time.Duration { return time.Duration(s.stopsAt.Load()) },
+		StopsAt: s.stopsAtTime,
 		Link:    s.link,
 		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt, OnInvalidResponse: s.observer.logInvalidResponse, OnCongestion: s.observer.congestion,
 		Quarantine: &s.quarantine, OnCrash: s.onCrash, OnSuspectResponse: s.onWatchedResponse,
@@ -268,41 +263,6 @@
 	}
 }
 
-// stop gives callers time to move to other nodes, then drains the calls in flight.
-func (s *Server) stop() error {
-	s.logger.Log("event", "stopping")
-	s.stopping.Store(true)
-	deadline := s.clock.Elapsed() + time.Duration(s.settings.StopTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.settings.StopTimeout))
-	defer cancel()
-	time.Sleep(time.Duration(s.settings.CallerNotice))
-	s.stopGate()
-	s.awaitNoNewCalls(deadline)
-	err := s.inFlight.drain(ctx, s.drainableServers()...)
-	s.closePlatformListener()
-	s.logger.Log("event", "stopped", "error", err)
-	if err != nil {
-		return fmt.Errorf("calls in flight did not finish within %s: %w", time.Duration(s.settings.StopTimeout), err)
-	}
-	return nil
-}
-
-// awaitNoNewCalls keeps the node open until no call has arrived for idleBeforeStop, or the time
-// reserved for draining begins: callers may have no other node. With a gate but no back end it always
-// waits until then. Meanwhile calls that could outlast the process are rejected.
-func (s *Server) awaitNoNewCalls(deadline time.Duration) {
-	s.stopsAt.Store(int64(deadline - stopMargin))
-	hasBackend := s.gate != nil && s.gate.Present()
-	latest := deadline - time.Duration(s.settings.StopTimeout)/drainReserveDivisor
-	for s.clock.Elapsed() < latest {
-		idle := s.clock.Elapsed() - time.Duration(s.lastCallAt.Load())
-		if idle >= idleBeforeStop && (s.gate == nil || hasBackend) {
-			return
-		}
-		time.Sleep(min(max(idleBeforeStop-idle, minIdlePoll), latest-s.clock.Elapsed()))
-	}
-}
-
 // serveCall forwards a call; a stopping node asks the caller to reconnect elsewhere.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
 	s.lastCallAt.Store(int64(s.clock.Elapsed()))
