pipeline: responses in flight when a stop begins announce the close

Seen by callers: a connection whose last response was in flight at SIGTERM stayed open, and was closed under the next request.

Cause: a call took Connection: close from what the node knew when the call began.

Change: the server decides when it writes the head, for callers from SIGTERM on, for other nodes from the time at which the gate rejects their calls.

--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -64,6 +65,8 @@
 	cfg Config
 	// closeNotice is the response that is sent before an idle connection is closed, nil for none.
 	closeNotice []byte
+	// closing is set once responses announce the close of their connections.
+	closing atomic.Bool
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -214,6 +217,10 @@
 	return all
 }
 
+// AnnounceClose makes every response from now on announce the close of its connection, those of requests in flight
+// included, unless another request was received behind it.
+func (s *Server) AnnounceClose() { s.closing.Store(true) }
+
 // stopAccepting makes Serve close its listener once no established connection is left to accept.
 func (s *Server) stopAccepting() {
 	s.mu.Lock()
--- a/pkg/pipeline/shutdown_test.go
+++ b/pkg/pipeline/shutdown_test.go
@@ -148,3 +148,22 @@
 	c.Close()
 	is.NoErr(<-ended)
 }
+
+// Guards against a connection that stays open after its last response because the stop began while that was in flight.
+func TestResponsesInFlightAnnounceTheClose(t *testing.T) {
+	is := is.New(t)
+	h := newBlockingHandler()
+	s, address := serve(t, testConfig(h))
+	c := dial(t, address)
+	c.get("/1")
+	c.get("/2")
+	awaitReceived(t, s, 2)
+	s.AnnounceClose()
+	h.unblock("/2")
+	h.unblock("/1")
+	first, _ := c.readResponse()
+	second, _ := c.readResponse()
+	is.True(!first.Close)
+	is.True(second.Close)
+	is.True(c.closedByServer())
+}
--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -102,6 +102,7 @@
 	schedule := newStopSchedule(s.clock.Elapsed(), time.Duration(s.settings.CallerNotice), time.Duration(s.settings.StopTimeout))
 	s.stopsAt.Store(int64(schedule.cancelsCalls))
 	s.stopping.Store(true)
+	s.callerServer.AnnounceClose()
 	s.logPending("stopping", schedule)
 	s.sleepUntil(schedule.closesGate)
 	s.stopGate()
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -205,9 +205,11 @@
 
 // stopGate makes the gate reject calls of other nodes, so that they choose another back end.
 func (s *Server) stopGate() {
-	if s.gate != nil {
-		s.gate.Stop()
+	if s.gate == nil {
+		return
 	}
+	s.gate.Stop()
+	s.gateServer.AnnounceClose()
 }
 
 // drainableServers returns the servers whose calls a graceful stop waits for.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -263,12 +263,9 @@
 	}
 }
 
-// serveCall forwards a call; a stopping node asks the caller to reconnect elsewhere.
+// serveCall forwards a call.
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
 	s.lastCallAt.Store(int64(s.clock.Elapsed()))
-	if s.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	s.forwarder.ServeHTTP(w, r)
 }
 
