pipeline: a request is counted before it leaves the kernel, and is answered once it was read

- a response was dropped because the one before it was canceled: CancelRequests closed each connection after its next response.
Now what was read gets its response, and nothing more is read.
- a request was read and not counted until its goroutine ran on: the reader now waits for input without taking it (MSG_PEEK), and marks the request before it reads.
- established connections were reset when the accept deadline was noticed first: the kernel is asked (poll) whether any is left.
- a request behind a body that is not buffered was not seen.
- an empty line after a body counted as a request, and held the stop until its timeout.
- the close notice was left out when its write deadline was noticed first: it is sent without waiting.
- an aborted request reset the connection under the response before it: the sending side is closed instead, and input still read; only a body that ends with its connection is cut by a reset.
- a dropped request with an unbuffered body left its reader waiting for ever.

A connection that was just accepted has 100 ms for its first request before it is closed. Requests that are dropped are reported (OnIncomplete). stalledListener of the tests now stalls the wait for input, too, as the reader takes no byte before it.

--- a/pkg/link/meter.go
+++ b/pkg/link/meter.go
@@ -243,6 +243,14 @@
 	return errors.ErrUnsupported
 }
 
+// SyscallConn returns the raw connection of the underlying socket, or errors.ErrUnsupported if there is none.
+func (l *countedListener) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := l.Listener.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // countedConn counts the bytes that it reads and writes.
 type countedConn struct {
 	net.Conn
--- a/pkg/pipeline/body.go
+++ b/pkg/pipeline/body.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 const (
@@ -40,8 +42,10 @@
 	body io.ReadCloser
 	// contentLength is the body's declared length, negative if unknown.
 	contentLength int64
-	// readDone is closed once the body has been read completely or reading has failed.
+	// readDone is closed once the body has been read completely or reading has failed; ended is set if it was read
+	// completely.
 	readDone chan struct{}
+	ended    atomic.Bool
 
 	mu sync.Mutex
 	// awaitsContinue is set while the caller waits for 100 Continue.
@@ -85,6 +89,11 @@
 // recordEnd stores the error that ended reading; the mutex is held.
 func (b *requestBody) recordEnd(err error) error {
 	b.err = err
+	if err == io.EOF {
+		// The connection's reader waits for readDone, so its buffer can be examined.
+		b.conn.markReceiving(b.conn.reader.Buffered() > 0)
+		b.ended.Store(true)
+	}
 	close(b.readDone)
 	return err
 }
@@ -108,7 +117,10 @@
 		return b.err == io.EOF
 	}
 	remaining := b.contentLength - b.consumed
-	if b.awaitsContinue || b.contentLength < 0 || remaining > int64(b.conn.reader.Buffered()) {
+	if b.awaitsContinue || remaining > int64(b.conn.reader.Buffered()) {
+		return false
+	}
+	if b.contentLength < 0 && b.conn.rwc.SetReadDeadline(time.Now()) != nil {
 		return false
 	}
 	_, err := io.Copy(io.Discard, b.body)
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -21,8 +21,10 @@
 	// has not acknowledged all output, up to maxLingerTime.
 	lingerTime    = 500 * time.Millisecond
 	maxLingerTime = 30 * time.Second
-	// closeNoticeTimeout bounds the write of the response that closes an idle connection.
-	closeNoticeTimeout = 100 * time.Millisecond
+	// firstRequestTime is how long after it was accepted a connection without a request is not closed.
+	firstRequestTime = 100 * time.Millisecond
+	// drainHeaderTimeout bounds the head of a request while the server shuts down.
+	drainHeaderTimeout = time.Second
 )
 
 // conn is the server side of a caller's connection.
@@ -52,6 +54,8 @@
 	receiving bool
 	// discarding is set once no further request is read.
 	discarding bool
+	// closableAt is when the connection may be closed for want of a request.
+	closableAt time.Time
 	// closing is set when the connection closes after a response with no request behind it, writeClosed when its
 	// sending direction is closed, closed when both directions are.
 	closing       bool
@@ -61,7 +65,7 @@
 }
 
 func newConn(s *Server, rwc net.Conn) *conn {
-	c := &conn{server: s, rwc: rwc, reader: bufio.NewReaderSize(rwc, readBufferSize)}
+	c := &conn{server: s, rwc: rwc, reader: bufio.NewReaderSize(rwc, readBufferSize), closableAt: time.Now().Add(firstRequestTime)}
 	c.queueNotFull = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.requestCtx, c.cancelRequests = context.WithCancel(c.ctx)
@@ -81,16 +85,18 @@
 	}
 }
 
-// Reasons to read no further request.
+// Reasons to read no further request, or not to start it.
 var (
 	errLastRequest = errors.New("the caller sends no further request")
 	errConnClosing = errors.New("the connection is closing")
 	errBodyUnread  = errors.New("the request body was not read completely")
+	errCanceled    = errors.New("the requests of the server are canceled")
+	errDropped     = errors.New("the request was not started before its connection closed")
 )
 
 // readNext reads one request and queues it.
 func (c *conn) readNext() error {
-	if err := c.awaitFirstByte(); err != nil {
+	if err := c.awaitRequest(); err != nil {
 		return err
 	}
 	x, err := c.readRequest()
@@ -111,21 +117,38 @@
 	return nil
 }
 
-// awaitFirstByte waits for the first byte of a request.
-func (c *conn) awaitFirstByte() error {
-	if c.reader.Buffered() == 0 {
-		if err := c.startAwaiting(); err != nil {
-			return err
+// awaitRequest waits until the first byte of a request is buffered.
+func (c *conn) awaitRequest() error {
+	for {
+		if c.reader.Buffered() == 0 {
+			if err := c.awaitInput(); err != nil {
+				return err
+			}
 		}
-		_, err := c.reader.Peek(1)
-		for isTimeout(err) && c.resumeReading() {
-			_, err = c.reader.Peek(1)
+		if err := c.startReceiving(); err != nil {
+			return err
 		}
-		if err != nil {
+		if _, err := c.reader.Peek(1); err != nil {
 			return err
 		}
+		c.skipEmptyLines()
+		if c.reader.Buffered() > 0 {
+			return nil
+		}
+	}
+}
+
+// awaitInput waits until the kernel holds input. Nothing is read, so that a request is either held by the kernel or marked
+// as being received.
+func (c *conn) awaitInput() error {
+	if err := c.startAwaiting(); err != nil {
+		return err
+	}
+	err := c.awaitReadable()
+	for isTimeout(err) && c.resumeReading() {
+		err = c.awaitReadable()
 	}
-	return c.startReceiving()
+	return err
 }
 
 // resumeReading reports whether input arrived before the read deadline expired, and extends the deadline then. A
@@ -143,24 +166,41 @@
 
 // startReceiving marks a request as being received.
 func (c *conn) startReceiving() error {
-	if err := c.setReadDeadline(); err != nil {
+	timeout := c.server.cfg.HeaderTimeout
+	if c.server.isDraining() {
+		timeout = min(timeout, drainHeaderTimeout)
+	}
+	if err := c.extendReadDeadline(timeout); err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.requestCtx.Err() != nil {
+		return errCanceled
+	}
 	c.receiving = true
 	return nil
 }
 
+// markReceiving records whether bytes of a further request are buffered.
+func (c *conn) markReceiving(buffered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = buffered
+}
+
 // startAwaiting marks the reader as waiting for a request: without a limit while requests are in flight, otherwise
 // up to the idle timeout.
 func (c *conn) startAwaiting() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writeClosed || c.closed {
+	switch {
+	case c.writeClosed || c.closed:
 		return errConnClosing
+	case c.requestCtx.Err() != nil:
+		return errCanceled
 	}
-	c.awaitingRequest = true
+	c.awaitingRequest, c.receiving = true, false
 	if len(c.running)+len(c.queue) > 0 {
 		return c.rwc.SetReadDeadline(time.Time{})
 	}
@@ -168,15 +208,18 @@
 	return nil
 }
 
-// setReadDeadline applies HeaderTimeout to the rest of a head or the next bytes of a body.
-func (c *conn) setReadDeadline() error {
+// setReadDeadline applies HeaderTimeout to the next bytes of a body.
+func (c *conn) setReadDeadline() error { return c.extendReadDeadline(c.server.cfg.HeaderTimeout) }
+
+// extendReadDeadline bounds the time until more of a request arrives.
+func (c *conn) extendReadDeadline(timeout time.Duration) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitingRequest = false
 	if c.writeClosed || c.closed {
 		return errConnClosing
 	}
-	return c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.HeaderTimeout))
+	return c.rwc.SetReadDeadline(time.Now().Add(timeout))
 }
 
 // onIdle starts the idle timeout, or closes a closing connection; the mutex is held. It does nothing while a
@@ -185,10 +228,10 @@
 	switch {
 	case !c.awaitingRequest || c.writeClosed || c.closed:
 	case c.closing && c.discarding:
-		c.closeWriteSide()
+		c.closeIdle()
 	case c.closing:
 		// Only the reader knows whether a request has arrived meanwhile, so it closes the connection.
-		_ = c.rwc.SetReadDeadline(time.Now())
+		_ = c.rwc.SetReadDeadline(c.closableAt)
 	default:
 		_ = c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
 	}
@@ -224,12 +267,13 @@
 	}
 }
 
-// closeIdle sends the close notice on a connection that no request was received on since its last response, and closes
-// the sending direction; the mutex is held.
+// closeIdle closes the sending direction of a connection without a request in flight. It first sends the close notice,
+// unless earlier output is still on its way; the mutex is held.
 func (c *conn) closeIdle() {
 	if notice := c.server.closeNotice; notice != nil {
-		_ = c.rwc.SetWriteDeadline(time.Now().Add(closeNoticeTimeout))
-		_, _ = c.rwc.Write(notice)
+		if n, known := c.unacknowledged(); !known || n == 0 {
+			c.sendAtOnce(notice)
+		}
 	}
 	c.closeWriteSide()
 }
@@ -250,8 +294,10 @@
 
 // dropQueue discards the requests that were not started; the mutex is held.
 func (c *conn) dropQueue() {
-	for range c.queue {
+	for _, x := range c.queue {
+		close(x.done)
 		c.requests.Done()
+		c.server.reportIncomplete(x.request, errDropped)
 	}
 	c.queue = nil
 }
@@ -268,21 +314,16 @@
 	case c.writeClosed:
 		return true
 	case errors.Is(cause, errLastRequest) || errors.Is(cause, errBodyUnread):
-	case isTimeout(cause):
-		// No request arrived in time.
+	case isTimeout(cause) || errors.Is(cause, errCanceled):
+		// No request arrived in time, or none is handled any more.
 		c.closing = true
 	default:
 		return false
 	}
-	idle := c.awaitingRequest
 	c.awaitingRequest, c.discarding, c.receiving = true, true, false
 	_ = c.rwc.SetReadDeadline(time.Time{})
-	switch {
-	case !c.closing || len(c.running)+len(c.queue) > 0:
-	case idle:
+	if c.closing && len(c.running)+len(c.queue) == 0 {
 		c.closeIdle()
-	default:
-		c.closeWriteSide()
 	}
 	return true
 }
@@ -310,13 +351,24 @@
 	return c.rwc.SetReadDeadline(time.Now().Add(lingerTime)) == nil
 }
 
+// cancelAll cancels the contexts of the requests and returns how many there are.
+func (c *conn) cancelAll() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelRequests()
+	if len(c.running)+len(c.queue) == 0 {
+		c.onIdle()
+	}
+	return len(c.running) + len(c.queue)
+}
+
 // addPending adds what the connection has received and not completed.
 func (c *conn) addPending(all *Pending) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all.Connections++
 	all.Requests += len(c.running) + len(c.queue)
-	if c.receiving {
+	if c.receiving || (c.awaitingRequest && !c.discarding && c.inputPending()) {
 		all.Receiving++
 	}
 	if len(c.running)+len(c.queue) > 0 {
@@ -348,6 +400,23 @@
 	c.queueNotFull.Signal()
 }
 
+// breakOff ends a connection whose response is incomplete, and cancels its requests' contexts. Earlier responses stay
+// intact: input is still read, since closing with unread bytes would reset the connection.
+func (c *conn) breakOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel()
+	c.closeWriteSide()
+}
+
+// reset aborts the connection in a way that its caller cannot take for the end of a response.
+func (c *conn) reset() {
+	if socket, ok := c.rwc.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0)
+	}
+	c.abort()
+}
+
 // Write sends part of a response, within WriteTimeout. A failed write aborts the connection.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.server.cfg.WriteTimeout > 0 {
--- a/pkg/pipeline/disconnect_test.go
+++ b/pkg/pipeline/disconnect_test.go
@@ -5,17 +5,19 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
-// stalledListener accepts connections on which only the first read succeeds at once; further reads block until
-// resume is closed, as if the reader were not scheduled.
+// stalledListener accepts connections on which only the first read, and the first wait for input, succeed at once;
+// further ones block until resume is closed, as if the reader were not scheduled.
 type stalledListener struct {
 	net.Listener
-	resume chan struct{}
+	resume   chan struct{}
+	accepted atomic.Int64
 }
 
 func (l *stalledListener) Accept() (net.Conn, error) {
@@ -23,13 +25,33 @@
 	if err != nil {
 		return nil, err
 	}
+	l.accepted.Add(1)
 	return &stalledConn{TCPConn: conn.(*net.TCPConn), resume: l.resume}, nil
 }
 
 type stalledConn struct {
 	*net.TCPConn
-	resume chan struct{}
-	reads  atomic.Int64
+	resume       chan struct{}
+	reads, waits atomic.Int64
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *stalledConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return &stalledRawConn{RawConn: raw, conn: c}, err
+}
+
+type stalledRawConn struct {
+	syscall.RawConn
+	conn *stalledConn
+}
+
+// Read implements syscall.RawConn.
+func (r *stalledRawConn) Read(ready func(fd uintptr) (done bool)) error {
+	if r.conn.waits.Add(1) > 1 {
+		<-r.conn.resume
+	}
+	return r.RawConn.Read(ready)
 }
 
 func (c *stalledConn) Read(p []byte) (int, error) {
@@ -65,7 +87,7 @@
 				ended := make(chan error, 1)
 				go func() { ended <- s.Serve(stalled) }()
 				if disconnected {
-					awaitClosedOr(t, s, func() bool { return handled.Load() > 0 })
+					awaitClosedOr(t, s, func() bool { return handled.Load() > 0 || (stalled.accepted.Load() > 0 && len(s.openConns()) == 0) })
 				} else {
 					c.readResponse()
 				}
--- a/pkg/pipeline/head.go
+++ b/pkg/pipeline/head.go
@@ -58,7 +58,6 @@
 
 // peekHead waits until the buffer holds a complete head and returns it without consuming it.
 func (c *conn) peekHead() ([]byte, error) {
-	c.skipEmptyLines()
 	searched := 0
 	for {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
--- a/pkg/pipeline/order.go
+++ b/pkg/pipeline/order.go
@@ -48,8 +48,8 @@
 	if c.writeClosed || c.closed {
 		return false
 	}
-	// What is buffered behind a request without an unread body is a further request.
 	c.receiving = !x.last && x.body == nil && c.reader.Buffered() > 0
+	c.closableAt = x.readAt
 	c.queue = append(c.queue, x)
 	c.dispatch()
 	return true
@@ -84,21 +84,29 @@
 }
 
 // commitClose decides, when a response's head is written, whether the connection closes after it. The close is
-// deferred until no other request was received, so that all of them get a response, except after CancelRequests.
+// deferred until no other request was received, so that all of them get a response.
 func (c *conn) commitClose(x *exchange, wantClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = c.closing || wantClose || c.server.closing.Load()
-	x.closeAfter = c.closing && (c.requestCtx.Err() != nil || !c.receivedBehind(x))
+	x.closeAfter = c.closing && !c.receivedBehind(x)
 	return x.closeAfter
 }
 
 // receivedBehind reports whether a request was received behind a running one, if only by the kernel; the mutex is held.
 func (c *conn) receivedBehind(x *exchange) bool {
-	if len(c.running) > 1 || len(c.queue) > 0 || c.receiving {
+	switch {
+	case len(c.running) > 1 || len(c.queue) > 0:
+		return true
+	case c.requestCtx.Err() != nil:
+		// What was not read yet is not handled any more.
+		return false
+	case c.receiving:
 		return true
+	case x.last || (x.body != nil && !x.body.ended.Load()):
+		return false
 	}
-	return !x.last && x.body == nil && c.inputPending()
+	return c.inputPending()
 }
 
 // finish ends an exchange, unblocks the next response and starts queued requests.
@@ -138,14 +146,22 @@
 	}
 	w := newResponse(x)
 	if !x.handle(w) {
-		c.abort()
-		c.server.reportIncomplete(x.request, errHandlerAborted)
+		x.breakOff(w, errHandlerAborted)
 		return
 	}
 	if err := w.finish(); err != nil {
-		c.abort()
-		c.server.reportIncomplete(x.request, err)
+		x.breakOff(w, err)
+	}
+}
+
+// breakOff ends the connection after an incomplete response.
+func (x *exchange) breakOff(w *response, err error) {
+	if w.endsWithConnection() {
+		x.conn.reset()
+	} else {
+		x.conn.breakOff()
 	}
+	x.conn.server.reportIncomplete(x.request, err)
 }
 
 // handle calls the handler. It returns false if the handler panicked.
--- a/pkg/pipeline/response.go
+++ b/pkg/pipeline/response.go
@@ -120,6 +120,11 @@
 	return r.x.request.Method != http.MethodHead && r.status != http.StatusNoContent && r.status != http.StatusNotModified
 }
 
+// endsWithConnection reports whether the body is being sent without a length, up to the connection's end.
+func (r *response) endsWithConnection() bool {
+	return r.committed && r.contentLength < 0 && r.chunks == nil && r.hasBody()
+}
+
 // commit waits for the response's turn and writes its head.
 func (r *response) commit() error {
 	if r.committed || r.err != nil {
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -17,10 +17,10 @@
 	acceptRetryDelay = 20 * time.Millisecond
 	// shutdownPollInterval is the interval at which Shutdown checks for open connections.
 	shutdownPollInterval = 20 * time.Millisecond
-	// Closing a listener resets the connections that the kernel has established and nobody has accepted. Shutdown accepts
-	// them until there was none for acceptQuietTime, and for acceptDrainTime at most.
-	acceptQuietTime = 20 * time.Millisecond
-	acceptDrainTime = 200 * time.Millisecond
+	// maxBacklog bounds the established connections that Shutdown accepts: closing the listener resets the others.
+	maxBacklog = 4096
+	// acceptTimeout bounds accepting a connection that is established.
+	acceptTimeout = time.Second
 )
 
 // Config holds a Server's settings.
@@ -43,7 +43,8 @@
 	OnPanic func(value any)
 	// OnUnsendable, if set, is called when a handler set a status that is not sent.
 	OnUnsendable func(r *http.Request, err error)
-	// OnIncomplete, if set, is called when a response could not be completed while the server shuts down.
+	// OnIncomplete, if set, is called when a response could not be completed, or a received request was dropped, after
+	// AnnounceClose or Shutdown. It must not call the server.
 	OnIncomplete func(r *http.Request, err error)
 	// CloseNotice, if set, holds headers of the response with status 408 that is sent before an idle connection is
 	// closed. It answers a request that crosses the close, and states to its caller that it was not handled.
@@ -65,7 +66,7 @@
 	cfg Config
 	// closeNotice is the response that is sent before an idle connection is closed, nil for none.
 	closeNotice []byte
-	// closing is set once responses announce the close of their connections.
+	// closing is set once responses announce the close of their connections: from AnnounceClose or Shutdown on.
 	closing atomic.Bool
 
 	mu        sync.Mutex
@@ -133,13 +134,14 @@
 	if !ok {
 		return
 	}
-	for until := time.Now().Add(acceptDrainTime); time.Now().Before(until); {
-		if bounded.SetDeadline(time.Now().Add(acceptQuietTime)) != nil {
+	for range maxBacklog {
+		if !acceptPending(l) || bounded.SetDeadline(time.Now().Add(acceptTimeout)) != nil {
 			return
 		}
 		rwc, err := l.Accept()
 		if err != nil {
-			return
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		s.serveConn(rwc)
 	}
@@ -196,7 +198,7 @@
 }
 
 func (s *Server) reportIncomplete(r *http.Request, err error) {
-	if s.cfg.OnIncomplete != nil && s.isDraining() {
+	if s.cfg.OnIncomplete != nil && s.closing.Load() {
 		s.cfg.OnIncomplete(r, err)
 	}
 }
@@ -223,6 +225,7 @@
 
 // stopAccepting makes Serve close its listener once no established connection is left to accept.
 func (s *Server) stopAccepting() {
+	s.closing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
@@ -268,15 +271,17 @@
 	return len(s.listeners) > 0
 }
 
-// CancelRequests cancels the contexts of all requests, so that their handlers respond without waiting for others. Each
-// connection closes after the response that is written next.
-func (s *Server) CancelRequests() {
+// CancelRequests cancels the contexts of all requests, so that their handlers respond without waiting for others, and
+// returns how many there are. What was not read yet is not handled any more.
+func (s *Server) CancelRequests() int {
 	s.mu.Lock()
 	s.canceled = true
 	s.mu.Unlock()
+	requests := 0
 	for _, c := range s.openConns() {
-		c.cancelRequests()
+		requests += c.cancelAll()
 	}
+	return requests
 }
 
 // Pending returns what was received and is not completed.
