settings: caller_notice leaves time to drain

Found by review: grace = 2s with a caller_notice of 2.4 s was valid, and all calls were canceled at the end of the notice. It must be shorter than stop_timeout now; its default is at most half of that. TestCallerNoticeLeavesTimeToDrain fails without the change.

--- a/pkg/settings/dataplane.go
+++ b/pkg/settings/dataplane.go
@@ -90,7 +90,10 @@
 		setDefaultDuration(&x.StopTimeout, time.Duration(x.Grace-x.Grace/exitDivisor))
 	}
 	setDefaultDuration(&x.StopTimeout, defaultStopTimeout)
-	setDefaultDuration(&x.CallerNotice, defaultCallerNotice)
+	setDefaultDuration(&x.CallerNotice, min(defaultCallerNotice, time.Duration(x.StopTimeout)/2))
+	if x.CallerNotice >= x.StopTimeout {
+		p.add("caller_notice", "must be shorter than stop_timeout")
+	}
 	if x.Grace > 0 && x.StopTimeout >= x.Grace {
 		p.add("stop_timeout", "must be shorter than grace")
 	}
