gate: a call that would outlast the process is rejected with a reason of its own

Found by review: rejected as "stopping", it made its sender avoid the gate for 1.5 s, also for calls that the gate still serves. With the reason "outlasts" only this call goes elsewhere. Queued calls that a stop drops are rejected as stopping, not as absent, so that their senders do not come back at once.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -106,6 +106,8 @@
 	ReasonRemoved Reason = "left"
 	// ReasonStopping means that the gate's process is shutting down.
 	ReasonStopping Reason = "stopping"
+	// ReasonOutlasts means that the gate's process shuts down before the call's deadline.
+	ReasonOutlasts Reason = "outlasts"
 	// ReasonUnreachable means that no connection to the back end could be opened.
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonRetired means that the gate's connection to the back end was retired before the call was sent.
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -100,7 +100,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopping = true
-	g.dropWaiting(exchange.ReasonNoBackend)
+	g.dropWaiting(exchange.ReasonStopping)
 }
 
 // dropWaiting rejects all queued calls with reason. g.mu must be held.
@@ -224,8 +224,10 @@
 // be held.
 func (g *Gate) rejectReason(now time.Duration, req request) exchange.Reason {
 	switch {
-	case g.stopping || g.outlastsProcess(req):
+	case g.stopping:
 		return exchange.ReasonStopping
+	case g.outlastsProcess(req):
+		return exchange.ReasonOutlasts
 	case req.instance != "" && req.instance == g.departedID:
 		return exchange.ReasonRemoved
 	case !g.present || (req.instance != "" && req.instance != g.backend.ID):
@@ -249,7 +251,7 @@
 		return false
 	}
 	stopsAt := g.config.StopsAt()
-	return stopsAt > 0 && req.deadline > stopsAt
+	return stopsAt > 0 && req.deadline >= stopsAt
 }
 
 // takeSlot takes a slot. g.mu must be held.
