proxy: a node serves its back end until the gate's calls are over, and says what it cut

Found by review, with tests that fail on:

- the callers' server closed while the gate's calls were still at work at the back end, whose own calls come through it (TestDrainKeepsServingTheBackendOfACallInFlight): it closes once no call is at the gate.
- a stop whose last responses were not acknowledged exited with 0 (TestDrainFailsIfAResponseIsCut).
- the end of the stop is a point in time, not a duration after a step that may be late.
- heartbeats and departures in progress are finished before the node ends, for 200 ms.

--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -21,10 +21,15 @@
 	// idleBeforeStop is how long a stopping node must receive no call before it closes.
 	idleBeforeStop = time.Second
 	minIdlePoll    = 100 * time.Millisecond
+	// drainPollInterval is the interval at which drain checks for calls at the gate.
+	drainPollInterval = 20 * time.Millisecond
 )
 
-// errCallsInFlight means that the stop timed out before all calls had finished.
-var errCallsInFlight = errors.New("calls are still in flight")
+// Errors of a stop that timed out.
+var (
+	errCallsInFlight  = errors.New("calls are still in flight")
+	errUnacknowledged = errors.New("responses are not acknowledged")
+)
 
 // stopSchedule holds the times of a graceful stop, as readings of the node's clock.
 type stopSchedule struct {
@@ -35,8 +40,9 @@
 
 func newStopSchedule(now, callerNotice, timeout time.Duration) stopSchedule {
 	ends := now + timeout
+	drainsLatest := ends - timeout/drainReserveDivisor
 	return stopSchedule{
-		began: now, closesGate: min(now+callerNotice, ends), drainsLatest: ends - timeout/drainReserveDivisor,
+		began: now, closesGate: min(now+callerNotice, drainsLatest), drainsLatest: ends - timeout/drainReserveDivisor,
 		cancelsCalls: ends - timeout/answerReserveDivisor, ends: ends,
 	}
 }
@@ -45,43 +51,65 @@
 // are none, CancelRequests makes their handlers respond, and Close aborts them.
 type drainableServer interface {
 	Shutdown(ctx context.Context) error
-	CancelRequests()
+	CancelRequests() int
 	Pending() pipeline.Pending
 	Close() error
 }
 
-// drain shuts servers down until ctx ends, and then cancels the calls that are left, whose responses have until ends. It
-// returns errCallsInFlight if a call was canceled, since its outcome may be unknown.
-func drain(ctx context.Context, ends time.Duration, servers ...drainableServer) error {
-	left := shutdownAll(ctx, servers)
-	if left == nil {
+// drain shuts the callers' server and those of gates down until ctx ends, and then cancels the calls that are left, whose
+// responses have the time of reserve after that. It returns errCallsInFlight if a call was canceled, since its outcome may be
+// unknown, and errUnacknowledged if a response was not acknowledged in time.
+func drain(ctx context.Context, reserve time.Duration, callers drainableServer, gates ...drainableServer) error {
+	if shutdown(ctx, callers, gates) == nil {
 		return nil
 	}
-	canceled := pendingOf(servers).Requests
+	servers := append([]drainableServer{callers}, gates...)
+	canceled := 0
 	for _, server := range servers {
-		server.CancelRequests()
+		canceled += server.CancelRequests()
 	}
-	last, cancel := context.WithTimeout(context.Background(), ends)
+	began, _ := ctx.Deadline()
+	last, cancel := context.WithDeadline(context.Background(), began.Add(reserve))
 	defer cancel()
-	_ = shutdownAll(last, servers)
+	_ = shutdown(last, callers, gates)
+	left := pendingOf(servers)
 	for _, server := range servers {
 		_ = server.Close()
 	}
-	if canceled > 0 {
-		return fmt.Errorf("%d: %w", canceled, errCallsInFlight)
+	switch {
+	case canceled > 0:
+		return fmt.Errorf("%d canceled, %d without a response: %w", canceled, left.Requests, errCallsInFlight)
+	case left.Unacknowledged > 0:
+		return fmt.Errorf("%d connections: %w", left.Unacknowledged, errUnacknowledged)
 	}
 	return nil
 }
 
-// shutdownAll shuts servers down at the same time, since a call of one may pass through another.
-func shutdownAll(ctx context.Context, servers []drainableServer) error {
-	results := make([]error, len(servers))
+// shutdown shuts gates down, and the callers' server once no call is at a gate: the back end beside the node may still
+// make calls of its own for one.
+func shutdown(ctx context.Context, callers drainableServer, gates []drainableServer) error {
+	results := make([]error, len(gates))
 	var wg sync.WaitGroup
-	for i, server := range servers {
-		wg.Go(func() { results[i] = server.Shutdown(ctx) })
+	for i, gate := range gates {
+		wg.Go(func() { results[i] = gate.Shutdown(ctx) })
 	}
+	awaitNoRequests(ctx, gates)
+	err := callers.Shutdown(ctx)
 	wg.Wait()
-	return errors.Join(results...)
+	return errors.Join(append(results, err)...)
+}
+
+// awaitNoRequests waits until servers have no requests or ctx ends.
+func awaitNoRequests(ctx context.Context, servers []drainableServer) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for pendingOf(servers).Requests > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // pendingOf returns what servers have received and not completed.
@@ -110,8 +138,8 @@
 	s.logPending("draining", schedule)
 	ctx, cancel := context.WithTimeout(context.Background(), schedule.cancelsCalls-s.clock.Elapsed())
 	defer cancel()
-	err := drain(ctx, schedule.ends-schedule.cancelsCalls, s.drainableServers()...)
-	s.closePlatformListener()
+	err := drain(ctx, schedule.ends-schedule.cancelsCalls, s.callerServer, s.gateServers()...)
+	s.closePlatformServer()
 	s.logPending("stopped", schedule, "error", err)
 	if err != nil {
 		return fmt.Errorf("calls in flight did not finish within %s: %w", time.Duration(s.settings.StopTimeout), err)
@@ -121,7 +149,7 @@
 
 // logPending logs a step of the stop with what is not completed at that time.
 func (s *Server) logPending(event string, schedule stopSchedule, more ...any) {
-	p := pendingOf(s.drainableServers())
+	p := pendingOf(append(s.gateServers(), s.callerServer))
 	line := []any{
 		"event", event, "took", (s.clock.Elapsed() - schedule.began).Round(time.Millisecond), "connections", p.Connections,
 		"receiving", p.Receiving, "calls", p.Requests, "unacknowledged", p.Unacknowledged,
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -70,12 +70,16 @@
 	if s.platformListener, err = net.Listen("tcp", s.settings.InterfaceListen); err != nil {
 		return fmt.Errorf("listen for the deployment's interface: %w", err)
 	}
-	s.platformHandler = newPlatformHandler(s)
+	s.platformServer = admin.NewServer(newPlatformHandler(s), platformRequestTimeout)
 	return nil
 }
 
-// platformRequestTimeout bounds a whole request of the deployment's platform; heartbeats are small.
-const platformRequestTimeout = 10 * time.Second
+const (
+	// platformRequestTimeout bounds a whole request of the deployment's platform; heartbeats are small.
+	platformRequestTimeout = 10 * time.Second
+	// platformShutdownTimeout is how long a stopping node waits for such requests.
+	platformShutdownTimeout = 200 * time.Millisecond
+)
 
 // recordTimeout bounds the wait for the control plane to record that a back end leaves. Back ends wait one second for
 // a response and then send their request again.
@@ -192,7 +196,7 @@
 	}
 	if s.platformListener != nil {
 		wg.Go(func() {
-			s.logServeError("interface", admin.NewServer(s.platformHandler, platformRequestTimeout).Serve(s.platformListener))
+			s.logServeError("interface", s.platformServer.Serve(s.platformListener))
 		})
 	}
 }
@@ -212,19 +216,24 @@
 	s.gateServer.AnnounceClose()
 }
 
-// drainableServers returns the servers whose calls a graceful stop waits for.
-func (s *Server) drainableServers() []drainableServer {
+// gateServers returns the server of the gate, if the node has one.
+func (s *Server) gateServers() []drainableServer {
 	if s.gateServer == nil {
-		return []drainableServer{s.callerServer}
+		return nil
 	}
-	return []drainableServer{s.callerServer, s.gateServer}
+	return []drainableServer{s.gateServer}
 }
 
-// closePlatformListener closes the listener for the platform. It is closed last, so that the back end
-// can send heartbeats during the drain.
-func (s *Server) closePlatformListener() {
-	if s.platformListener != nil {
-		s.platformListener.Close()
+// closePlatformServer closes the server for the platform, after the requests in progress if those end soon. It is closed
+// last, so that the back end can send heartbeats during the drain.
+func (s *Server) closePlatformServer() {
+	if s.platformServer == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), platformShutdownTimeout)
+	defer cancel()
+	if s.platformServer.Shutdown(ctx) != nil {
+		_ = s.platformServer.Close()
 	}
 }
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -86,7 +86,7 @@
 	gateServer       *pipeline.Server
 	backendRegistry  *registration.Registry
 	platformListener net.Listener
-	platformHandler  http.Handler
+	platformServer   *http.Server
 	observer         *observer
 	// quarantine is the list of suspect requests; suspects holds the crashes and responses that this
 	// node saw and has not reported yet.
