proxy: a node whose callers' listener fails stops, and exits

Seen by reading (review of the stop): Run returned without stopping its other servers, and then waited for them for ever; SIGTERM had no effect any more.

TestNodeExitsWhenItsCallersListenerFails fails without the change (no exit in 5 s).

--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -235,7 +235,7 @@
 	return config
 }
 
-// Run serves until ctx ends, then drains the calls in flight. It returns an error if a listener fails,
+// Run serves until ctx ends, then drains the calls in flight. It returns an error if the callers' listener fails,
 // a configuration cannot be saved, or calls are still in flight after StopTimeout.
 func (s *Server) Run(ctx context.Context) error {
 	s.logger.Log("event", "started", "listen", s.callerListener.Addr(), "admin", s.admin.Address(), "group", s.settings.Group)
@@ -259,7 +259,7 @@
 	case err := <-s.saveFailed:
 		return errors.Join(fmt.Errorf("configuration cannot be saved: %w", err), s.stop())
 	case err := <-served:
-		return fmt.Errorf("serve callers: %w", err)
+		return errors.Join(fmt.Errorf("serve callers: %w", err), s.stop())
 	}
 }
 
