pipeline: the close notice follows a recent response, and a deadline does not discard what has arrived

- the close notice was left out while any output was unacknowledged, as for 40 ms after each response (TestCloseNoticeIsSentBehindARecentResponse): only a real backlog prevents it now.
- a cut response without a length ended with FIN through the node's counted connections (TestCutResponseWithoutALengthIsResetThroughAWrapper): SO_LINGER is set on the socket.
- a read deadline that is noticed first no longer discards a head or body that the kernel holds; a short body has the time of a body, not of a head.
- accepting what is established gives up after a few errors.

TestConnectionEndsThoughARequestWithABodyIsDropped guards the hang that mended.

--- a/pkg/pipeline/body.go
+++ b/pkg/pipeline/body.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 )
 
 const (
@@ -120,8 +119,8 @@
 	if b.awaitsContinue || remaining > int64(b.conn.reader.Buffered()) {
 		return false
 	}
-	if b.contentLength < 0 && b.conn.rwc.SetReadDeadline(time.Now()) != nil {
-		return false
+	if b.contentLength < 0 {
+		b.conn.expireReading()
 	}
 	_, err := io.Copy(io.Discard, b.body)
 	if err == nil {
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -25,6 +27,9 @@
 	firstRequestTime = 100 * time.Millisecond
 	// drainHeaderTimeout bounds the head of a request while the server shuts down.
 	drainHeaderTimeout = time.Second
+	// maxNoticeBacklog is how many bytes of output may be unacknowledged, in bytes, for a close notice to be sent: a socket
+	// with more might take it in part only.
+	maxNoticeBacklog = 16 << 10
 )
 
 // conn is the server side of a caller's connection.
@@ -65,7 +70,8 @@
 }
 
 func newConn(s *Server, rwc net.Conn) *conn {
-	c := &conn{server: s, rwc: rwc, reader: bufio.NewReaderSize(rwc, readBufferSize), closableAt: time.Now().Add(firstRequestTime)}
+	c := &conn{server: s, rwc: rwc, closableAt: time.Now().Add(firstRequestTime)}
+	c.reader = bufio.NewReaderSize(input{c}, readBufferSize)
 	c.queueNotFull = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.requestCtx, c.cancelRequests = context.WithCancel(c.ctx)
@@ -162,6 +168,30 @@
 	return c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.HeaderTimeout)) == nil
 }
 
+// expireReading lets reads return only what the kernel holds.
+func (c *conn) expireReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeClosed && !c.closed {
+		_ = c.rwc.SetReadDeadline(time.Now())
+	}
+}
+
+// input is what a connection's reader reads. It returns input that arrived before the read deadline expired also after
+// that.
+type input struct{ conn *conn }
+
+// Read implements io.Reader.
+func (r input) Read(p []byte) (int, error) {
+	n, err := r.conn.rwc.Read(p)
+	if n > 0 || !isTimeout(err) || !r.conn.resumeReading() {
+		return n, err
+	}
+	n, err = r.conn.rwc.Read(p)
+	r.conn.expireReading()
+	return n, err
+}
+
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // startReceiving marks a request as being received.
@@ -267,11 +297,11 @@
 	}
 }
 
-// closeIdle closes the sending direction of a connection without a request in flight. It first sends the close notice,
-// unless earlier output is still on its way; the mutex is held.
+// closeIdle closes the sending direction of a connection without a request in flight, after the close notice; the mutex
+// is held.
 func (c *conn) closeIdle() {
 	if notice := c.server.closeNotice; notice != nil {
-		if n, known := c.unacknowledged(); !known || n == 0 {
+		if n, known := c.unacknowledged(); !known || n <= maxNoticeBacklog {
 			c.sendAtOnce(notice)
 		}
 	}
@@ -411,9 +441,9 @@
 
 // reset aborts the connection in a way that its caller cannot take for the end of a response.
 func (c *conn) reset() {
-	if socket, ok := c.rwc.(interface{ SetLinger(seconds int) error }); ok {
-		_ = socket.SetLinger(0)
-	}
+	_ = c.controlSocket(func(fd uintptr) {
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
 	c.abort()
 }
 
--- a/pkg/pipeline/head.go
+++ b/pkg/pipeline/head.go
@@ -37,6 +37,9 @@
 		x.handler, x.last = errorHandler(errorStatus(err), err), true
 		return x, nil
 	}
+	if err := c.setReadDeadline(); err != nil {
+		return nil, err
+	}
 	r.RemoteAddr = c.rwc.RemoteAddr().String()
 	x.last = r.Close || !r.ProtoAtLeast(1, 1)
 	x.handler = c.server.cfg.Handler
@@ -96,7 +99,7 @@
 func (c *conn) growBuffer(buffered []byte) {
 	copied := bytes.Clone(buffered)
 	size := c.server.cfg.MaxHeaderBytes + readBufferSize
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(copied), c.rwc), size)
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(copied), input{c}), size)
 	_, _ = c.reader.Peek(len(copied))
 }
 
--- a/pkg/pipeline/order.go
+++ b/pkg/pipeline/order.go
@@ -96,13 +96,11 @@
 // receivedBehind reports whether a request was received behind a running one, if only by the kernel; the mutex is held.
 func (c *conn) receivedBehind(x *exchange) bool {
 	switch {
-	case len(c.running) > 1 || len(c.queue) > 0:
+	case len(c.running) > 1 || len(c.queue) > 0 || c.receiving:
 		return true
 	case c.requestCtx.Err() != nil:
 		// What was not read yet is not handled any more.
 		return false
-	case c.receiving:
-		return true
 	case x.last || (x.body != nil && !x.body.ended.Load()):
 		return false
 	}
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -19,6 +19,8 @@
 	shutdownPollInterval = 20 * time.Millisecond
 	// maxBacklog bounds the established connections that Shutdown accepts: closing the listener resets the others.
 	maxBacklog = 4096
+	// maxAcceptErrors bounds the failed attempts of that, for instance for want of file descriptors.
+	maxAcceptErrors = 5
 	// acceptTimeout bounds accepting a connection that is established.
 	acceptTimeout = time.Second
 )
@@ -134,12 +136,14 @@
 	if !ok {
 		return
 	}
+	errorsLeft := maxAcceptErrors
 	for range maxBacklog {
-		if !acceptPending(l) || bounded.SetDeadline(time.Now().Add(acceptTimeout)) != nil {
+		if errorsLeft == 0 || !acceptPending(l) || bounded.SetDeadline(time.Now().Add(acceptTimeout)) != nil {
 			return
 		}
 		rwc, err := l.Accept()
 		if err != nil {
+			errorsLeft--
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -56,7 +56,7 @@
 	Close() error
 }
 
-// drain shuts the callers' server and those of gates down until ctx ends, and then cancels the calls that are left, whose
+// drain shuts the callers' server and those of gates down until the deadline of ctx, and then cancels the calls that are left, whose
 // responses have the time of reserve after that. It returns errCallsInFlight if a call was canceled, since its outcome may be
 // unknown, and errUnacknowledged if a response was not acknowledged in time.
 func drain(ctx context.Context, reserve time.Duration, callers drainableServer, gates ...drainableServer) error {
@@ -68,8 +68,8 @@
 	for _, server := range servers {
 		canceled += server.CancelRequests()
 	}
-	began, _ := ctx.Deadline()
-	last, cancel := context.WithDeadline(context.Background(), began.Add(reserve))
+	canceledAt, _ := ctx.Deadline()
+	last, cancel := context.WithDeadline(context.Background(), canceledAt.Add(reserve))
 	defer cancel()
 	_ = shutdown(last, callers, gates)
 	left := pendingOf(servers)
