--- a/pkg/forward/gated_test.go
+++ b/pkg/forward/gated_test.go
@@ -47,8 +47,8 @@
 	started := time.Now()
 	cfg := Config{
 		Node: "n", Zone: "z", Now: func() time.Duration { return time.Since(started) }, Headers: gatedHeaders, Service: "shop",
-		OnAttempt: func(a Attempt) { n.attempts = append(n.attempts, a) },
-		StopsAt:   func() time.Duration { return time.Duration(n.stopsAt.Load()) },
+		OnAttempt:  func(a Attempt) { n.attempts = append(n.attempts, a) },
+		CallsEndBy: func() time.Duration { return time.Duration(n.stopsAt.Load()) },
 	}
 	change(&cfg)
 	handler := New(cfg)
--- a/pkg/forward/handler.go
+++ b/pkg/forward/handler.go
@@ -66,9 +66,9 @@
 	Gate        func(*http.Request, *exchange.Body) *http.Response
 	// SenderReport, if set, returns the load report of the back end beside the node for calls to other nodes.
 	SenderReport func() string
-	// StopsAt, if set, returns when the process stops, zero if it does not. Calls with a later deadline
-	// are rejected.
-	StopsAt func() time.Duration
+	// CallsEndBy, if set, returns when the calls of a stopping process must have ended, zero if it does not stop. Calls
+	// with a later deadline are rejected.
+	CallsEndBy func() time.Duration
 	// ConfirmedAt, if set, returns when the table was last confirmed to be the newest, false if never.
 	// StaleLimit is the age of that confirmation up to which unknown paths and keys are rejected
 	// permanently; beyond it the caller is asked to retry.
@@ -445,11 +445,11 @@
 
 // rejectIfOutlastsProcess rejects a call whose deadline is after the process stops.
 func (c *call) rejectIfOutlastsProcess() *Refusal {
-	if c.handler.config.StopsAt == nil {
+	if c.handler.config.CallsEndBy == nil {
 		return nil
 	}
-	stopsAt := c.handler.config.StopsAt()
-	if stopsAt == 0 || c.deadline < stopsAt {
+	endBy := c.handler.config.CallsEndBy()
+	if endBy == 0 || c.deadline < endBy {
 		return nil
 	}
 	return &Refusal{Outcome: NotRun, Step: "stop", Reason: "the node stops before the call's time is up",
--- a/pkg/forward/headers.go
+++ b/pkg/forward/headers.go
@@ -61,6 +61,14 @@
 	_, _ = w.Write(append(body, '\n'))
 }
 
+// CloseNotice returns the headers of the response that closes an idle connection of a caller.
+func CloseNotice() http.Header {
+	header := http.Header{}
+	header.Set(HeaderOutcome, string(NotRun))
+	header.Set("Retry-After", Refusal{RetryAfter: minGateRetry, Fractions: true}.retryAfterText())
+	return header
+}
+
 // retryAfterText returns whole seconds, as HTTP requires, or fractions for callers that parse them.
 func (r Refusal) retryAfterText() string {
 	if r.Fractions {
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -247,11 +247,11 @@
 
 // outlastsProcess reports whether a call may last until after the process stops.
 func (g *Gate) outlastsProcess(req request) bool {
-	if g.config.StopsAt == nil {
+	if g.config.CallsEndBy == nil {
 		return false
 	}
-	stopsAt := g.config.StopsAt()
-	return stopsAt > 0 && req.deadline >= stopsAt
+	endBy := g.config.CallsEndBy()
+	return endBy > 0 && req.deadline >= endBy
 }
 
 // takeSlot takes a slot. g.mu must be held.
--- a/pkg/gate/closing_test.go
+++ b/pkg/gate/closing_test.go
@@ -122,13 +122,13 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nCall-Id: c1\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
-	var stopsAt atomic.Int64
+	var endBy atomic.Int64
 	started := time.Now()
 	now := func() time.Duration { return time.Since(started) }
-	g := New(Config{Headers: testHeaders, Now: now, StopsAt: func() time.Duration { return time.Duration(stopsAt.Load()) }})
+	g := New(Config{Headers: testHeaders, Now: now, CallsEndBy: func() time.Duration { return time.Duration(endBy.Load()) }})
 	g.SetBackend(Backend{ID: "b1", Address: address, Capacity: 1})
 	is.Equal(do(g, newCall(t, "POST", "c1")).StatusCode, http.StatusOK)
-	stopsAt.Store(int64(now() + time.Second))
+	endBy.Store(int64(now() + time.Second))
 	response := do(g, newCall(t, "POST", "c1"))
 	is.Equal(reasonOf(response), exchange.ReasonOutlasts)
 	is.Equal(response.Header.Get(exchange.HeaderOutcome), string(exchange.NotRun))
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -71,8 +71,9 @@
 	// if it was never confirmed. Without it, the gate admits no calls to the new version of a
 	// rollout.
 	ConfirmedAt func() (time.Duration, bool)
-	// StopsAt returns when the process stops, zero if it does not. Calls with a later deadline are rejected.
-	StopsAt func() time.Duration
+	// CallsEndBy returns when the calls of a stopping process must have ended, zero if it does not stop. Calls with a
+	// later deadline are rejected.
+	CallsEndBy func() time.Duration
 	// OnClosing is called when orders close the gate, when its running calls have finished and when
 	// it opens again. It is called with the gate locked and must not call the gate.
 	OnClosing func(ClosingChange)
--- a/pkg/pipeline/body.go
+++ b/pkg/pipeline/body.go
@@ -14,6 +14,8 @@
 	// maxBufferedBody is the declared length up to which a body is read before its request is handled, so that
 	// the reader can continue and notice a disconnected caller.
 	maxBufferedBody = 16 << 10
+	// maxDiscardedBody bounds the rest of a body that is skipped before a response, in bytes.
+	maxDiscardedBody = 256 << 10
 )
 
 // bufferBody reads a short body into memory; it returns false if the body is long or of unknown
@@ -122,9 +124,12 @@
 	if b.contentLength < 0 {
 		b.conn.expireReading()
 	}
-	_, err := io.Copy(io.Discard, b.body)
-	if err == nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(b.body, maxDiscardedBody))
+	switch {
+	case err == nil && n < maxDiscardedBody:
 		err = io.EOF
+	case err == nil:
+		err = errBodyUnread
 	}
 	return b.recordEnd(err) == io.EOF
 }
--- a/pkg/pipeline/body_test.go
+++ b/pkg/pipeline/body_test.go
@@ -95,3 +95,24 @@
 	is.True(response.Close)
 	is.True(stuck.closedByServer())
 }
+
+// Guards against a response that is held back while its caller sends a body without end.
+func TestEndlessBodyDoesNotDelayItsResponse(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, testConfig(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})))
+	c := dial(t, address)
+	c.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+	go func() {
+		for chunk := "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"; ; {
+			if _, err := io.WriteString(c, chunk); err != nil {
+				return
+			}
+		}
+	}()
+	response, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Close)
+}
--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -27,9 +27,6 @@
 	firstRequestTime = 100 * time.Millisecond
 	// drainHeaderTimeout bounds the head of a request while the server shuts down.
 	drainHeaderTimeout = time.Second
-	// maxNoticeBacklog is how many bytes of output may be unacknowledged, in bytes, for a close notice to be sent: a socket
-	// with more might take it in part only.
-	maxNoticeBacklog = 16 << 10
 )
 
 // conn is the server side of a caller's connection.
@@ -57,7 +54,7 @@
 	awaitingRequest bool
 	// receiving is set from the first byte of a request until it is queued.
 	receiving bool
-	// discarding is set once no further request is read.
+	// discarding is set once no further request is read, but input is, to notice that the caller disconnects.
 	discarding bool
 	// closableAt is when the connection may be closed for want of a request.
 	closableAt time.Time
@@ -256,9 +253,10 @@
 // request is being read.
 func (c *conn) onIdle() {
 	switch {
-	case !c.awaitingRequest || c.writeClosed || c.closed:
-	case c.closing && c.discarding:
+	case c.writeClosed || c.closed:
+	case c.discarding && c.closing:
 		c.closeIdle()
+	case !c.awaitingRequest:
 	case c.closing:
 		// Only the reader knows whether a request has arrived meanwhile, so it closes the connection.
 		_ = c.rwc.SetReadDeadline(c.closableAt)
@@ -301,9 +299,7 @@
 // is held.
 func (c *conn) closeIdle() {
 	if notice := c.server.closeNotice; notice != nil {
-		if n, known := c.unacknowledged(); !known || n <= maxNoticeBacklog {
-			c.sendAtOnce(notice)
-		}
+		c.sendAtOnce(notice)
 	}
 	c.closeWriteSide()
 }
@@ -350,7 +346,7 @@
 	default:
 		return false
 	}
-	c.awaitingRequest, c.discarding, c.receiving = true, true, false
+	c.awaitingRequest, c.discarding, c.receiving = false, true, false
 	_ = c.rwc.SetReadDeadline(time.Time{})
 	if c.closing && len(c.running)+len(c.queue) == 0 {
 		c.closeIdle()
@@ -398,7 +394,7 @@
 	defer c.mu.Unlock()
 	all.Connections++
 	all.Requests += len(c.running) + len(c.queue)
-	if c.receiving || (c.awaitingRequest && !c.discarding && c.inputPending()) {
+	if c.receiving || (c.awaitingRequest && c.inputPending()) {
 		all.Receiving++
 	}
 	if len(c.running)+len(c.queue) > 0 {
@@ -441,7 +437,7 @@
 
 // reset aborts the connection in a way that its caller cannot take for the end of a response.
 func (c *conn) reset() {
-	_ = c.controlSocket(func(fd uintptr) {
+	_ = c.withSocket(func(fd uintptr) {
 		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
 	})
 	c.abort()
--- a/pkg/pipeline/doc.go
+++ b/pkg/pipeline/doc.go
@@ -15,8 +15,8 @@
 // of requests, head.go the parsing of a request, body.go its body, response.go the writing of its response, and
 // socket.go what the kernel knows of a connection.
 //
-// The server owns the account of what it has received: a request counts from its first byte, also while only the kernel
-// holds it, until the caller has acknowledged the last byte of its response. Pending returns the account, and Shutdown
-// returns when nothing is left on it. Only the reader of a connection closes it while it is idle, since only it can
-// tell whether a request has arrived.
+// The server tracks each request from its first byte, also while only the kernel holds it, until the caller has
+// acknowledged the last byte of its response. Pending reports what is not completed, and Shutdown returns when that is
+// nothing. Only the reader of a connection closes it while it is idle, since only it can tell whether a request has
+// arrived.
 package pipeline
--- a/pkg/pipeline/order.go
+++ b/pkg/pipeline/order.go
@@ -88,7 +88,7 @@
 func (c *conn) commitClose(x *exchange, wantClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = c.closing || wantClose || c.server.closing.Load()
+	c.closing = c.closing || wantClose || c.server.announcing.Load()
 	x.closeAfter = c.closing && !c.receivedBehind(x)
 	return x.closeAfter
 }
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -68,8 +68,8 @@
 	cfg Config
 	// closeNotice is the response that is sent before an idle connection is closed, nil for none.
 	closeNotice []byte
-	// closing is set once responses announce the close of their connections: from AnnounceClose or Shutdown on.
-	closing atomic.Bool
+	// announcing is set once responses announce the close of their connections: from AnnounceClose or Shutdown on.
+	announcing atomic.Bool
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -83,7 +83,10 @@
 // New returns a server without listeners; see Serve.
 func New(cfg Config) *Server {
 	cfg.MaxConcurrent = max(1, cfg.MaxConcurrent)
-	return &Server{cfg: cfg, closeNotice: formatCloseNotice(cfg.CloseNotice), listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}}
+	return &Server{
+		cfg: cfg, closeNotice: formatCloseNotice(cfg.CloseNotice),
+		listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{},
+	}
 }
 
 // formatCloseNotice returns the bytes of Config.CloseNotice, nil for none.
@@ -202,7 +205,7 @@
 }
 
 func (s *Server) reportIncomplete(r *http.Request, err error) {
-	if s.cfg.OnIncomplete != nil && s.closing.Load() {
+	if s.cfg.OnIncomplete != nil && s.announcing.Load() {
 		s.cfg.OnIncomplete(r, err)
 	}
 }
@@ -225,11 +228,11 @@
 
 // AnnounceClose makes every response from now on announce the close of its connection, those of requests in flight
 // included, unless another request was received behind it.
-func (s *Server) AnnounceClose() { s.closing.Store(true) }
+func (s *Server) AnnounceClose() { s.announcing.Store(true) }
 
 // stopAccepting makes Serve close its listener once no established connection is left to accept.
 func (s *Server) stopAccepting() {
-	s.closing.Store(true)
+	s.announcing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
@@ -251,7 +254,8 @@
 }
 
 // Shutdown closes the listeners, and each connection after its last response. It returns when no connection is
-// open, or with the context's error. A connection stays open until its caller has acknowledged all output.
+// open, or with the context's error. A connection stays open until its caller has acknowledged all output, for
+// maxLingerTime at most.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopAccepting()
 	for _, c := range s.openConns() {
--- a/pkg/pipeline/socket.go
+++ b/pkg/pipeline/socket.go
@@ -29,7 +29,7 @@
 
 // peekSocket reads at most one byte without consuming it and without waiting.
 func (c *conn) peekSocket() (n int, err error) {
-	ctlErr := c.controlSocket(func(fd uintptr) { n, err = peekOne(fd) })
+	ctlErr := c.withSocket(func(fd uintptr) { n, err = peekOne(fd) })
 	if ctlErr != nil {
 		return 0, ctlErr
 	}
@@ -71,7 +71,7 @@
 	}
 }
 
-// sendAtOnce sends data if the socket takes it without waiting.
+// sendAtOnce sends a few bytes if the socket has room for them, without waiting.
 func (c *conn) sendAtOnce(data []byte) {
 	raw, err := c.rawConn()
 	if err != nil || c.rwc.SetWriteDeadline(time.Time{}) != nil {
@@ -86,12 +86,12 @@
 // unacknowledged returns how many sent bytes the peer's kernel has not acknowledged, or false if that is not known.
 func (c *conn) unacknowledged() (n int, known bool) {
 	var err error
-	ctlErr := c.controlSocket(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	ctlErr := c.withSocket(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
 	return n, ctlErr == nil && err == nil
 }
 
-// controlSocket calls use with the connection's file descriptor.
-func (c *conn) controlSocket(use func(fd uintptr)) error {
+// withSocket calls use with the connection's file descriptor.
+func (c *conn) withSocket(use func(fd uintptr)) error {
 	raw, err := c.rawConn()
 	if err != nil {
 		return err
--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -9,13 +9,12 @@
 	"time"
 
 	"bramblelift/pkg/exchange"
-	"bramblelift/pkg/forward"
 	"bramblelift/pkg/pipeline"
 )
 
 const (
-	// drainReserveDivisor is the part of StopTimeout that is reserved for draining calls, answerReserveDivisor the part
-	// that is reserved for the responses of calls that the stop cancels.
+	// StopTimeout / drainReserveDivisor is reserved for draining calls, of which StopTimeout / answerReserveDivisor for
+	// the responses of calls that the stop cancels.
 	drainReserveDivisor  = 5
 	answerReserveDivisor = 20
 	// idleBeforeStop is how long a stopping node must receive no call before it closes.
@@ -27,23 +26,29 @@
 
 // Errors of a stop that timed out.
 var (
-	errCallsInFlight  = errors.New("calls are still in flight")
+	errCallsCanceled  = errors.New("calls were canceled")
 	errUnacknowledged = errors.New("responses are not acknowledged")
 )
 
 // stopSchedule holds the times of a graceful stop, as readings of the node's clock.
 type stopSchedule struct {
-	// began is when the stop began. The node rejects calls of other nodes from closesGate on, drains from drainsLatest
-	// on at the latest, cancels the calls that are left at cancelsCalls and closes their connections at ends.
-	began, closesGate, drainsLatest, cancelsCalls, ends time.Duration
+	began time.Duration
+	// closeGateAt is when the node begins to reject the calls of other nodes.
+	closeGateAt time.Duration
+	// drainBy is when it drains at the latest.
+	drainBy time.Duration
+	// cancelAt is when it cancels the calls that are left.
+	cancelAt time.Duration
+	// endAt is when it closes the connections that are left.
+	endAt time.Duration
 }
 
 func newStopSchedule(now, callerNotice, timeout time.Duration) stopSchedule {
-	ends := now + timeout
-	drainsLatest := ends - timeout/drainReserveDivisor
+	endAt := now + timeout
+	drainBy := endAt - timeout/drainReserveDivisor
 	return stopSchedule{
-		began: now, closesGate: min(now+callerNotice, drainsLatest), drainsLatest: ends - timeout/drainReserveDivisor,
-		cancelsCalls: ends - timeout/answerReserveDivisor, ends: ends,
+		began: now, closeGateAt: min(now+callerNotice, drainBy), drainBy: drainBy,
+		cancelAt: endAt - timeout/answerReserveDivisor, endAt: endAt,
 	}
 }
 
@@ -56,8 +61,8 @@
 	Close() error
 }
 
-// drain shuts the callers' server and those of gates down until the deadline of ctx, and then cancels the calls that are left, whose
-// responses have the time of reserve after that. It returns errCallsInFlight if a call was canceled, since its outcome may be
+// drain shuts the callers' server and those of gates down until the deadline of ctx, and then cancels the calls that are
+// left, whose responses have the time of reserve after that. It returns errCallsCanceled if a call was canceled, since its outcome may be
 // unknown, and errUnacknowledged if a response was not acknowledged in time.
 func drain(ctx context.Context, reserve time.Duration, callers drainableServer, gates ...drainableServer) error {
 	if shutdown(ctx, callers, gates) == nil {
@@ -68,8 +73,8 @@
 	for _, server := range servers {
 		canceled += server.CancelRequests()
 	}
-	canceledAt, _ := ctx.Deadline()
-	last, cancel := context.WithDeadline(context.Background(), canceledAt.Add(reserve))
+	cancelAt, _ := ctx.Deadline()
+	last, cancel := context.WithDeadline(context.Background(), cancelAt.Add(reserve))
 	defer cancel()
 	_ = shutdown(last, callers, gates)
 	left := pendingOf(servers)
@@ -78,15 +83,15 @@
 	}
 	switch {
 	case canceled > 0:
-		return fmt.Errorf("%d canceled, %d without a response: %w", canceled, left.Requests, errCallsInFlight)
+		return fmt.Errorf("%d canceled, %d without a response: %w", canceled, left.Requests, errCallsCanceled)
 	case left.Unacknowledged > 0:
 		return fmt.Errorf("%d connections: %w", left.Unacknowledged, errUnacknowledged)
 	}
 	return nil
 }
 
-// shutdown shuts gates down, and the callers' server once no call is at a gate: the back end beside the node may still
-// make calls of its own for one.
+// shutdown shuts gates down, and the callers' server once no call is at a gate, or half of the time is over: the back end
+// beside the node may still make calls of its own for one.
 func shutdown(ctx context.Context, callers drainableServer, gates []drainableServer) error {
 	results := make([]error, len(gates))
 	var wg sync.WaitGroup
@@ -99,8 +104,11 @@
 	return errors.Join(append(results, err)...)
 }
 
-// awaitNoRequests waits until servers have no requests or ctx ends.
+// awaitNoRequests waits until servers have no requests, for half of the time until the deadline of ctx at most.
 func awaitNoRequests(ctx context.Context, servers []drainableServer) {
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+	defer cancel()
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for pendingOf(servers).Requests > 0 {
@@ -128,17 +136,17 @@
 // stop gives callers time to move to other nodes, then drains the calls in flight.
 func (s *Server) stop() error {
 	schedule := newStopSchedule(s.clock.Elapsed(), time.Duration(s.settings.CallerNotice), time.Duration(s.settings.StopTimeout))
-	s.stopsAt.Store(int64(schedule.cancelsCalls))
+	s.callsEndBy.Store(int64(schedule.cancelAt))
 	s.stopping.Store(true)
 	s.callerServer.AnnounceClose()
 	s.logPending("stopping", schedule)
-	s.sleepUntil(schedule.closesGate)
+	s.sleepUntil(schedule.closeGateAt)
 	s.stopGate()
 	s.awaitNoNewCalls(schedule)
 	s.logPending("draining", schedule)
-	ctx, cancel := context.WithTimeout(context.Background(), schedule.cancelsCalls-s.clock.Elapsed())
+	ctx, cancel := context.WithTimeout(context.Background(), schedule.cancelAt-s.clock.Elapsed())
 	defer cancel()
-	err := drain(ctx, schedule.ends-schedule.cancelsCalls, s.callerServer, s.gateServers()...)
+	err := drain(ctx, schedule.endAt-schedule.cancelAt, s.callerServer, s.gateServers()...)
 	s.closePlatformServer()
 	s.logPending("stopped", schedule, "error", err)
 	if err != nil {
@@ -166,23 +174,19 @@
 // waits until then.
 func (s *Server) awaitNoNewCalls(schedule stopSchedule) {
 	hasBackend := s.gate != nil && s.gate.Present()
-	for s.clock.Elapsed() < schedule.drainsLatest {
+	for s.clock.Elapsed() < schedule.drainBy {
 		idle := s.clock.Elapsed() - time.Duration(s.lastCallAt.Load())
 		if idle >= idleBeforeStop && (s.gate == nil || hasBackend) {
 			return
 		}
-		time.Sleep(min(max(idleBeforeStop-idle, minIdlePoll), schedule.drainsLatest-s.clock.Elapsed()))
+		time.Sleep(min(max(idleBeforeStop-idle, minIdlePoll), schedule.drainBy-s.clock.Elapsed()))
 	}
 }
 
-// stopsAtTime returns when the calls of a stopping node must have ended, zero unless it is stopping.
-func (s *Server) stopsAtTime() time.Duration { return time.Duration(s.stopsAt.Load()) }
-
-// closeNoticeToCallers and closeNoticeToNodes hold the headers of the response that closes an idle connection.
-func closeNoticeToCallers() http.Header {
-	return http.Header{forward.HeaderOutcome: {string(forward.NotRun)}}
-}
+// callsEndByTime returns when the calls of a stopping node must have ended, zero unless it is stopping.
+func (s *Server) callsEndByTime() time.Duration { return time.Duration(s.callsEndBy.Load()) }
 
+// closeNoticeToNodes returns the headers of the response that closes an idle connection of another node.
 func closeNoticeToNodes() http.Header {
 	return http.Header{exchange.HeaderOutcome: {string(exchange.NotRun)}, exchange.HeaderReason: {string(exchange.ReasonStopping)}}
 }
--- a/pkg/proxy/drain_test.go
+++ b/pkg/proxy/drain_test.go
@@ -87,7 +87,7 @@
 	<-started
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	is.True(errors.Is(drain(ctx, 50*time.Millisecond, server), errCallsInFlight))
+	is.True(errors.Is(drain(ctx, 50*time.Millisecond, server), errCallsCanceled))
 }
 
 // Guards against a failed stop because the last call ended shortly before the time was up.
@@ -118,6 +118,6 @@
 	<-started
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	is.True(errors.Is(drain(ctx, drainTestReserve, server), errCallsInFlight))
+	is.True(errors.Is(drain(ctx, drainTestReserve, server), errCallsCanceled))
 	is.Equal(<-result, "given up")
 }
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -35,7 +35,7 @@
 		OnSender:  func(service string, sender exchange.Sender) { s.forwarder.UpdateReport(service, sender) },
 		OnCold:    s.observer.logColdChange, OnColdProbeFailed: s.observer.logColdUnknown, OnLimit: s.observer.logLimitChange,
 		OnLeaving: s.onBackendLeaving, OnInvalidResponse: s.observer.logInvalidResponse,
-		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() }, StopsAt: s.stopsAtTime,
+		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() }, CallsEndBy: s.callsEndByTime,
 	})
 	s.observer.registerGate(s.admin.Registry, s.gate)
 	s.observer.registerBackend(s.admin.Registry, s.gate)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -76,10 +76,10 @@
 	responseBuffer *exchange.ResponseBuffer
 	stopping       atomic.Bool
 	saveFailed     chan error
-	// lastCallAt is when the last call of a caller arrived. stopsAt is when all calls must have ended, zero unless the
+	// lastCallAt is when the last call of a caller arrived. callsEndBy is when all calls must have ended, zero unless the
 	// node is stopping. Both are readings of clock.
 	lastCallAt atomic.Int64
-	stopsAt    atomic.Int64
+	callsEndBy atomic.Int64
 
 	gate             *gate.Gate
 	gateListener     net.Listener
@@ -131,7 +131,7 @@
 		return nil, err
 	}
 	s.forwarder = forward.New(s.forwardConfig())
-	s.callerServer = s.newServer(http.HandlerFunc(s.serveCall), s.forwarder.MayRunConcurrently, closeNoticeToCallers())
+	s.callerServer = s.newServer(http.HandlerFunc(s.serveCall), s.forwarder.MayRunConcurrently, forward.CloseNotice())
 	return s, s.newClient()
 }
 
@@ -216,9 +216,9 @@
 	config := forward.Config{
 		Node: s.settings.Name, Zone: s.settings.Zone, Region: s.settings.Zones[s.settings.Zone], Now: s.clock.Elapsed,
 		Retry: retry.DefaultConfig(), DeclinedRetries: retry.DeclinedRetriesConfig(), OnCall: s.observer.call,
-		StopsAt: s.stopsAtTime,
-		Link:    s.link,
-		Headers: s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt, OnInvalidResponse: s.observer.logInvalidResponse, OnCongestion: s.observer.congestion,
+		CallsEndBy: s.callsEndByTime,
+		Link:       s.link,
+		Headers:    s.settings.Headers, Service: s.settings.Service, OnAttempt: s.observer.attempt, OnInvalidResponse: s.observer.logInvalidResponse, OnCongestion: s.observer.congestion,
 		Quarantine: &s.quarantine, OnCrash: s.onCrash, OnSuspectResponse: s.onWatchedResponse,
 		Quotas: s.quotas, KeysStaleLimit: time.Duration(s.settings.KeysStaleLimit),
 		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() }, StaleLimit: time.Duration(s.settings.StaleLimit),
--- a/pkg/settings/dataplane.go
+++ b/pkg/settings/dataplane.go
@@ -14,7 +14,7 @@
 	defaultTenantHeader           = "Request-Tenant"
 	defaultLimitHeader            = "Backend-Limit"
 	defaultLeavingHeader          = "Backend-Draining"
-	// exitDivisor is the part of Grace that StopTimeout leaves for the exit by default.
+	// Grace / exitDivisor is what StopTimeout leaves for the exit by default.
 	exitDivisor = 12
 )
 
