pipeline: waiting for input allocates nothing

The wait without taking input (MSG_PEEK) made 5 allocations a request: the raw connection and a closure.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -34,6 +35,9 @@
 	server *Server
 	rwc    net.Conn
 	reader *bufio.Reader
+	// raw is the connection's socket, nil if it has none. wait is used by the reader only.
+	raw  syscall.RawConn
+	wait inputWait
 	// ctx is canceled when the caller has disconnected or the connection was aborted; requestCtx, the parent of the
 	// requests' contexts, also by cancelRequests.
 	ctx            context.Context
@@ -68,6 +72,8 @@
 
 func newConn(s *Server, rwc net.Conn) *conn {
 	c := &conn{server: s, rwc: rwc, closableAt: time.Now().Add(firstRequestTime)}
+	c.raw = rawConnOf(rwc)
+	c.wait.ready = c.wait.peek
 	c.reader = bufio.NewReaderSize(input{c}, readBufferSize)
 	c.queueNotFull = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
--- a/pkg/pipeline/socket.go
+++ b/pkg/pipeline/socket.go
@@ -38,28 +38,34 @@
 
 // awaitReadable waits until the kernel holds input, the caller has closed its side or the read deadline has passed.
 func (c *conn) awaitReadable() error {
-	raw, err := c.rawConn()
-	if err != nil {
+	if c.raw == nil {
 		_, err := c.reader.Peek(1)
 		return err
 	}
-	var n int
-	var peekErr error
-	err = raw.Read(func(fd uintptr) (done bool) {
-		n, peekErr = peekOne(fd)
-		return peekErr != syscall.EAGAIN
-	})
+	err := c.raw.Read(c.wait.ready)
 	switch {
 	case err != nil:
 		return err
-	case peekErr != nil:
-		return fmt.Errorf("read from %s: %w", c.rwc.RemoteAddr(), peekErr)
-	case n == 0:
+	case c.wait.err != nil:
+		return fmt.Errorf("read from %s: %w", c.rwc.RemoteAddr(), c.wait.err)
+	case c.wait.n == 0:
 		return io.EOF
 	}
 	return nil
 }
 
+// inputWait is a wait for input, kept to save allocations. The result of peek is n and err.
+type inputWait struct {
+	ready func(fd uintptr) (done bool)
+	n     int
+	err   error
+}
+
+func (w *inputWait) peek(fd uintptr) (done bool) {
+	w.n, w.err = peekOne(fd)
+	return w.err != syscall.EAGAIN
+}
+
 // peekOne reads at most one byte without consuming it and without waiting.
 func peekOne(fd uintptr) (n int, err error) {
 	var next [1]byte
@@ -73,11 +79,10 @@
 
 // sendAtOnce sends a few bytes if the socket has room for them, without waiting.
 func (c *conn) sendAtOnce(data []byte) {
-	raw, err := c.rawConn()
-	if err != nil || c.rwc.SetWriteDeadline(time.Time{}) != nil {
+	if c.raw == nil || c.rwc.SetWriteDeadline(time.Time{}) != nil {
 		return
 	}
-	_ = raw.Write(func(fd uintptr) (done bool) {
+	_ = c.raw.Write(func(fd uintptr) (done bool) {
 		_, _ = syscall.Write(int(fd), data)
 		return true
 	})
@@ -92,33 +97,33 @@
 
 // withSocket calls use with the connection's file descriptor.
 func (c *conn) withSocket(use func(fd uintptr)) error {
-	raw, err := c.rawConn()
-	if err != nil {
-		return err
+	if c.raw == nil {
+		return errNoSocket
 	}
-	return raw.Control(use)
+	return c.raw.Control(use)
 }
 
-func (c *conn) rawConn() (syscall.RawConn, error) {
-	socket, ok := c.rwc.(syscall.Conn)
+// rawConnOf returns the socket of a connection or listener, nil if it has none.
+func rawConnOf(from any) syscall.RawConn {
+	socket, ok := from.(syscall.Conn)
 	if !ok {
-		return nil, errNoSocket
+		return nil
 	}
-	return socket.SyscallConn()
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
 }
 
 // acceptPending reports whether the kernel holds established connections of a listener.
 func acceptPending(l net.Listener) bool {
-	socket, ok := l.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
+	raw := rawConnOf(l)
+	if raw == nil {
 		return false
 	}
 	ready := 0
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
 	})
 	return err == nil && ready > 0
