control: a stop does not wait for the handshake with a silent replica

Seen: a replica that gets SIGTERM while another one accepts connections and answers nothing (frozen, or cut off after the connection was established) exits only when the handshake or a write to that replica has timed out.

Cause: peerSet.close cancels its context and waits for its senders, but a handshake (3 s) and a write (2 s) on an open connection do not watch the context.

Change: a connection to another replica is closed when the peer set is closed.

TestStopDoesNotWaitForASilentReplica fails without the change ("server did not stop in time" after 1 s, 2 of 2 plays), and passes with it (5 of 5, 3 of 3 with the race detector).

--- a/pkg/control/membership.go
+++ b/pkg/control/membership.go
@@ -14,6 +14,7 @@
 	"bramblelift/pkg/replica"
 	"bramblelift/pkg/settings"
 	"bramblelift/pkg/storage"
+	"bramblelift/pkg/wire"
 )
 
 const (
@@ -195,14 +196,14 @@
 	var group sync.WaitGroup
 	for _, address := range addresses {
 		group.Go(func() {
-			conn, err := p.dial(address)
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			if err := conn.Send(protocol.KindJoin, protocol.Join{Member: member}); err != nil {
-				p.server.logger.Log("event", "join_request_failed", "peer", address, "error", err)
-			}
+			// An unreachable replica is asked again after joinInterval.
+			_ = p.withConn(address, func(conn *wire.Conn) error {
+				err := conn.Send(protocol.KindJoin, protocol.Join{Member: member})
+				if err != nil {
+					p.server.logger.Log("event", "join_request_failed", "peer", address, "error", err)
+				}
+				return err
+			})
 		})
 	}
 	group.Wait()
--- a/pkg/control/peers.go
+++ b/pkg/control/peers.go
@@ -107,18 +107,15 @@
 	if !open {
 		return nil
 	}
-	conn, err := p.dial(address)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	for open {
-		if err := conn.Send(frame.kind, frame.value); err != nil {
-			return err
+	return p.withConn(address, func(conn *wire.Conn) error {
+		for open {
+			if err := conn.Send(frame.kind, frame.value); err != nil {
+				return err
+			}
+			frame, open = p.nextFrame(queue)
 		}
-		frame, open = p.nextFrame(queue)
-	}
-	return nil
+		return nil
+	})
 }
 
 // nextFrame waits for a message. It returns false once the peer set is closed.
@@ -131,24 +128,27 @@
 	}
 }
 
-func (p *peerSet) dial(address string) (*wire.Conn, error) {
+// withConn calls use with a new connection to a replica, and closes it afterwards or when the peer set is closed.
+func (p *peerSet) withConn(address string, use func(*wire.Conn) error) error {
 	raw, err := wire.Dial(p.ctx, address, peerDialTimeout)
 	if err != nil {
-		return nil, fmt.Errorf("dial replica %s: %w", address, err)
+		return fmt.Errorf("dial replica %s: %w", address, err)
 	}
 	role := &metrics.PeerRole{}
 	role.Set(metrics.LinkReplica)
 	conn := wire.NewConn(raw, wire.DefaultMaxFrame, peerWriteTimeout, p.server.traffic.Observe(role))
+	defer conn.Close()
+	stop := context.AfterFunc(p.ctx, func() { conn.Close() })
+	defer stop()
 	hello := protocol.Hello{ClusterID: p.server.settings.Cluster, Role: protocol.RoleReplica, Name: p.server.settings.Name, Zone: p.server.settings.Zone,
 		Address: ownAddress(p.server.settings), KnowsSuspects: true, Level: catalog.NewestLevel}
 	welcome, err := protocol.Open(conn, hello, handshakeTimeout)
 	if err != nil {
-		conn.Close()
-		return nil, err
+		return err
 	}
 	// A replica that restarted and becomes the leader needs the level of the others' subscribers.
 	p.server.recordSubscriberLevel(welcome.Earlier)
-	return conn, nil
+	return use(conn)
 }
 
 // announce queues an announcement for a replica. It runs on the event loop.
--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"net"
 	"path/filepath"
 	"runtime"
 	"testing"
@@ -51,3 +52,33 @@
 		}
 	}
 }
+
+// Guards against a stop that waits until the handshake with a silent replica times out.
+func TestStopDoesNotWaitForASilentReplica(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer silent.Close()
+	config := singleReplicaSettings(t)
+	for _, name := range []string{"two", "three"} {
+		config.Replicas = append(config.Replicas, settings.Peer{Name: name, Address: silent.Addr().String()})
+	}
+	is.NoErr(config.Check())
+	is.NoErr(Init(config))
+	server, err := New(config, log.NewNopLogger(), nil)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Run(ctx) }()
+	conn, err := silent.Accept()
+	is.NoErr(err)
+	defer conn.Close()
+	cancel()
+	select {
+	case err := <-stopped:
+		is.NoErr(err)
+	case <-time.After(handshakeTimeout / 3):
+		t.Fatal("server did not stop in time")
+	}
+}
