control: a replica that waits for its disk to take a new state can be stopped

Seen: a replica with an empty data folder on a disk that rejects writes ignores SIGTERM; it is there until it is killed.

Cause: the signal's context is passed to Run, and New retries the creation of the state without an end before that.

Change: New takes the context and returns its error; the daemon then logs event=stopped and exits with 0.

--- a/pkg/control/announce_test.go
+++ b/pkg/control/announce_test.go
@@ -19,7 +19,7 @@
 	config := singleReplicaSettings(t)
 	is.NoErr(config.Check())
 	is.NoErr(Init(config))
-	server, err := New(config, log.NewNopLogger(), nil)
+	server, err := New(context.Background(), config, log.NewNopLogger(), nil)
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
--- a/pkg/control/membership.go
+++ b/pkg/control/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -65,8 +66,8 @@
 }
 
 // createState creates the state in an empty data folder. It retries while the disk rejects writes,
-// because a restart of the process would not help.
-func (s *Server) createState(files storage.FileSystem) error {
+// because a restart of the process would not help, until ctx ends.
+func (s *Server) createState(ctx context.Context, files storage.FileSystem) error {
 	bootstrap := s.settings.Found && slices.Contains(s.settings.SeedAddresses(), s.settings.Advertise)
 	s.logger.Log("event", "empty_data_folder", "founding", bootstrap)
 	for {
@@ -79,7 +80,11 @@
 		if !errors.Is(err, storage.ErrWriteRejected) {
 			return err
 		}
-		time.Sleep(createRetryPause)
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("create state: %w", errors.Join(ctx.Err(), err))
+		case <-time.After(createRetryPause):
+		}
 	}
 }
 
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -113,9 +113,10 @@
 }
 
 // New opens the replica's state and its listeners. A replica with an empty data folder asks to replace the
-// member of its name. newPlatformAPI, if not nil, creates the handler of the platform API, which is served
-// at settings.InterfaceListen.
-func New(config settings.Control, logger log.Logger, newPlatformAPI func(*Server) http.Handler) (*Server, error) {
+// member of its name; New returns the error of ctx if that ends before the disk has taken the new state.
+// newPlatformAPI, if not nil, creates the handler of the platform API, which is served at
+// settings.InterfaceListen.
+func New(ctx context.Context, config settings.Control, logger log.Logger, newPlatformAPI func(*Server) http.Handler) (*Server, error) {
 	s := &Server{
 		newPlatformAPI: newPlatformAPI, endpointQueue: make(chan []distribution.Endpoint, inputQueueSize),
 		evidenceQueue: make(chan []quarantine.Evidence, inputQueueSize), suspectsChanged: make(chan struct{}, 1),
@@ -136,7 +137,7 @@
 	if s.verifier, err = config.Verifier(); err != nil {
 		return nil, err
 	}
-	if err := s.openReplica(); err != nil {
+	if err := s.openReplica(ctx); err != nil {
 		return nil, err
 	}
 	s.quotas = newQuotaCoordinator(s)
@@ -165,14 +166,14 @@
 	return s, nil
 }
 
-func (s *Server) openReplica() error {
+func (s *Server) openReplica(ctx context.Context) error {
 	files, err := storage.OpenDir(s.settings.Data)
 	if err != nil {
 		return err
 	}
 	identity, err := storage.ReadIdentity(files)
 	if errors.Is(err, storage.ErrNoState) {
-		err = s.createState(files)
+		err = s.createState(ctx, files)
 	}
 	if err != nil {
 		return err
--- a/pkg/control/server_test.go
+++ b/pkg/control/server_test.go
@@ -37,7 +37,7 @@
 	is.NoErr(config.Check())
 	is.NoErr(Init(config))
 	for range 40 {
-		server, err := New(config, log.NewNopLogger(), nil)
+		server, err := New(context.Background(), config, log.NewNopLogger(), nil)
 		is.NoErr(err)
 		ctx, cancel := context.WithCancel(context.Background())
 		stopped := make(chan error, 1)
@@ -65,7 +65,7 @@
 	}
 	is.NoErr(config.Check())
 	is.NoErr(Init(config))
-	server, err := New(config, log.NewNopLogger(), nil)
+	server, err := New(context.Background(), config, log.NewNopLogger(), nil)
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -164,7 +164,11 @@
 	}
 	logger := logging.New(stdout, "control", config.Name)
 	defer logger.Close()
-	server, err := control.New(config, logger, handlers.Control)
+	server, err := control.New(ctx, config, logger, handlers.Control)
+	if errors.Is(err, context.Canceled) {
+		logger.Log("event", "stopped", "error", err)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
