--- a/pkg/link/meter.go
+++ b/pkg/link/meter.go
@@ -235,6 +235,22 @@
 	return l.meter.Conn(l.peer, conn), nil
 }
 
+// SetDeadline bounds Accept if the listener supports it.
+func (l *countedListener) SetDeadline(t time.Time) error {
+	if bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return bounded.SetDeadline(t)
+	}
+	return errors.ErrUnsupported
+}
+
+// SyscallConn returns the raw connection of the underlying socket, or errors.ErrUnsupported if there is none.
+func (l *countedListener) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := l.Listener.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // countedConn counts the bytes that it reads and writes.
 type countedConn struct {
 	net.Conn
--- a/pkg/pipeline/order.go
+++ b/pkg/pipeline/order.go
@@ -48,7 +48,8 @@
 	if c.writeClosed || c.closed {
 		return false
 	}
-	c.receiving = false
+	c.receiving = !x.last && x.body == nil && c.reader.Buffered() > 0
+	c.closableAt = x.readAt
 	c.queue = append(c.queue, x)
 	c.dispatch()
 	return true
@@ -87,11 +88,25 @@
 func (c *conn) commitClose(x *exchange, wantClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = c.closing || wantClose
-	x.closeAfter = c.closing && len(c.running) == 1 && len(c.queue) == 0 && !c.receiving
+	c.closing = c.closing || wantClose || c.server.closing.Load()
+	x.closeAfter = c.closing && !c.receivedBehind(x)
 	return x.closeAfter
 }
 
+// receivedBehind reports whether a request was received behind a running one, if only by the kernel; the mutex is held.
+func (c *conn) receivedBehind(x *exchange) bool {
+	switch {
+	case len(c.running) > 1 || len(c.queue) > 0 || c.receiving:
+		return true
+	case c.requestCtx.Err() != nil:
+		// What was not read yet is not handled any more.
+		return false
+	case x.last || (x.body != nil && !x.body.ended.Load()):
+		return false
+	}
+	return c.inputPending()
+}
+
 // finish ends an exchange, unblocks the next response and starts queued requests.
 func (c *conn) finish(x *exchange) {
 	c.mu.Lock()
@@ -119,7 +134,7 @@
 	defer c.requests.Done()
 	defer c.finish(x)
 	if waited := time.Since(x.readAt); waited >= minReportedWait {
-		x.request = x.request.WithContext(context.WithValue(c.ctx, waitedKey{}, waited))
+		x.request = x.request.WithContext(context.WithValue(c.requestCtx, waitedKey{}, waited))
 	}
 	// After a pause of the process the caller may have disconnected without the reader having noticed. Such a
 	// request must not reach a back end.
@@ -129,12 +144,22 @@
 	}
 	w := newResponse(x)
 	if !x.handle(w) {
-		c.abort()
+		x.breakOff(w, errHandlerAborted)
 		return
 	}
 	if err := w.finish(); err != nil {
-		c.abort()
+		x.breakOff(w, err)
+	}
+}
+
+// breakOff ends the connection after an incomplete response.
+func (x *exchange) breakOff(w *response, err error) {
+	if w.endsWithConnection() {
+		x.conn.reset()
+	} else {
+		x.conn.breakOff()
 	}
+	x.conn.server.reportIncomplete(x.request, err)
 }
 
 // handle calls the handler. It returns false if the handler panicked.
--- a/pkg/proxy/gate.go
+++ b/pkg/proxy/gate.go
@@ -35,7 +35,7 @@
 		OnSender:  func(service string, sender exchange.Sender) { s.forwarder.UpdateReport(service, sender) },
 		OnCold:    s.observer.logColdChange, OnColdProbeFailed: s.observer.logColdUnknown, OnLimit: s.observer.logLimitChange,
 		OnLeaving: s.onBackendLeaving, OnInvalidResponse: s.observer.logInvalidResponse,
-		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() },
+		ConfirmedAt: func() (time.Duration, bool) { return s.controlClient.ConfirmedAt() }, StopsAt: s.stopsAtTime,
 	})
 	s.observer.registerGate(s.admin.Registry, s.gate)
 	s.observer.registerBackend(s.admin.Registry, s.gate)
@@ -48,7 +48,7 @@
 	if s.gateListener, err = wire.Listen(s.settings.GateListen); err != nil {
 		return fmt.Errorf("listen for other nodes: %w", err)
 	}
-	s.gateServer = s.newServer(s.gate, nil)
+	s.gateServer = s.newServer(s.gate, nil, closeNoticeToNodes())
 	return nil
 }
 
@@ -70,12 +70,16 @@
 	if s.platformListener, err = net.Listen("tcp", s.settings.InterfaceListen); err != nil {
 		return fmt.Errorf("listen for the deployment's interface: %w", err)
 	}
-	s.platformHandler = newPlatformHandler(s)
+	s.platformServer = admin.NewServer(newPlatformHandler(s), platformRequestTimeout)
 	return nil
 }
 
-// platformRequestTimeout bounds a whole request of the deployment's platform; heartbeats are small.
-const platformRequestTimeout = 10 * time.Second
+const (
+	// platformRequestTimeout bounds a whole request of the deployment's platform; heartbeats are small.
+	platformRequestTimeout = 10 * time.Second
+	// platformShutdownTimeout is how long a stopping node waits for such requests.
+	platformShutdownTimeout = 200 * time.Millisecond
+)
 
 // recordTimeout bounds the wait for the control plane to record that a back end leaves. Back ends wait one second for
 // a response and then send their request again.
@@ -192,7 +196,7 @@
 	}
 	if s.platformListener != nil {
 		wg.Go(func() {
-			s.logServeError("interface", admin.NewServer(s.platformHandler, platformRequestTimeout).Serve(s.platformListener))
+			s.logServeError("interface", s.platformServer.Serve(s.platformListener))
 		})
 	}
 }
@@ -205,24 +209,31 @@
 
 // stopGate makes the gate reject calls of other nodes, so that they choose another back end.
 func (s *Server) stopGate() {
-	if s.gate != nil {
-		s.gate.Stop()
+	if s.gate == nil {
+		return
 	}
+	s.gate.Stop()
+	s.gateServer.AnnounceClose()
 }
 
-// drainableServers returns the servers whose calls a graceful stop waits for.
-func (s *Server) drainableServers() []drainableServer {
+// gateServers returns the server of the gate, if the node has one.
+func (s *Server) gateServers() []drainableServer {
 	if s.gateServer == nil {
-		return []drainableServer{s.callerServer}
+		return nil
 	}
-	return []drainableServer{s.callerServer, s.gateServer}
+	return []drainableServer{s.gateServer}
 }
 
-// closePlatformListener closes the listener for the platform. It is closed last, so that the back end
-// can send heartbeats during the drain.
-func (s *Server) closePlatformListener() {
-	if s.platformListener != nil {
-		s.platformListener.Close()
+// closePlatformServer closes the server for the platform, after the requests in progress if those end soon. It is closed
+// last, so that the back end can send heartbeats during the drain.
+func (s *Server) closePlatformServer() {
+	if s.platformServer == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), platformShutdownTimeout)
+	defer cancel()
+	if s.platformServer.Shutdown(ctx) != nil {
+		_ = s.platformServer.Close()
 	}
 }
 
