pipeline: a request costs no further system call until a stop begins

It is needed only while connections close: AnnounceClose ends the waits that read, and later ones leave the input to the kernel.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -147,17 +147,37 @@
 	}
 }
 
-// awaitInput waits until the kernel holds input. Nothing is read, so that a request is either held by the kernel or marked
-// as being received.
+// awaitInput waits for input. Once responses announce the close it takes nothing of it, so that a request is either held
+// by the kernel or marked as being received. Before, it reads, which saves a system call.
 func (c *conn) awaitInput() error {
 	if err := c.startAwaiting(); err != nil {
 		return err
 	}
-	err := c.awaitReadable()
-	for isTimeout(err) && c.resumeReading() {
-		err = c.awaitReadable()
+	for {
+		take := !c.server.announcing.Load()
+		err := c.awaitReadable(take)
+		switch {
+		case !isTimeout(err):
+			return err
+		case c.resumeReading():
+		case take && c.server.announcing.Load():
+			// AnnounceClose has ended the wait.
+			if err := c.startAwaiting(); err != nil {
+				return err
+			}
+		default:
+			return err
+		}
+	}
+}
+
+// wakeReader ends the reader's wait for a request.
+func (c *conn) wakeReader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaitingRequest && !c.writeClosed && !c.closed {
+		_ = c.rwc.SetReadDeadline(time.Now())
 	}
-	return err
 }
 
 // resumeReading reports whether input arrived before the read deadline expired, and extends the deadline then. A
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -228,11 +228,15 @@
 
 // AnnounceClose makes every response from now on announce the close of its connection, those of requests in flight
 // included, unless another request was received behind it.
-func (s *Server) AnnounceClose() { s.announcing.Store(true) }
+func (s *Server) AnnounceClose() {
+	s.announcing.Store(true)
+	for _, c := range s.openConns() {
+		c.wakeReader()
+	}
+}
 
 // stopAccepting makes Serve close its listener once no established connection is left to accept.
 func (s *Server) stopAccepting() {
-	s.announcing.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
@@ -257,6 +261,7 @@
 // open, or with the context's error. A connection stays open until its caller has acknowledged all output, for
 // maxLingerTime at most.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.AnnounceClose()
 	s.stopAccepting()
 	for _, c := range s.openConns() {
 		c.drain()
--- a/pkg/pipeline/socket.go
+++ b/pkg/pipeline/socket.go
@@ -36,9 +36,10 @@
 	return n, err
 }
 
-// awaitReadable waits until the kernel holds input, the caller has closed its side or the read deadline has passed.
-func (c *conn) awaitReadable() error {
-	if c.raw == nil {
+// awaitReadable waits until there is input, the caller has closed its side or the read deadline has passed. It buffers the
+// input if take is set, and otherwise leaves it to the kernel.
+func (c *conn) awaitReadable(take bool) error {
+	if take || c.raw == nil {
 		_, err := c.reader.Peek(1)
 		return err
 	}
