test: responses cut off at every byte of head and body

Sixteen sound responses (with a length, chunked, with trailers, that end with their connection, HTTP/1.0, folded, with bare line feeds, after a 1xx) are cut off at every byte, by a close and by a reset, behind the own gate, another node's gate and no gate, and read by an HTTP/1.1 caller on a real socket.

--- a/pkg/bench/standin/raw.go
+++ b/pkg/bench/standin/raw.go
@@ -16,8 +16,8 @@
 	// Endless is repeated after First until the connection closes, with a pause in between.
 	Endless string
 	Pause   time.Duration
-	// Close closes the connection at the end. Otherwise the back end falls silent.
-	Close bool
+	// Close closes the connection at the end, Reset resets it. Otherwise the back end falls silent.
+	Close, Reset bool
 }
 
 // InvalidResponse is a RawResponse that is not a response, with the fault to report for it.
@@ -46,7 +46,10 @@
 		}
 		time.Sleep(r.Pause)
 	}
-	return !r.Close
+	if tcp, ok := conn.(*net.TCPConn); ok && r.Reset {
+		_ = tcp.SetLinger(0)
+	}
+	return !r.Close && !r.Reset
 }
 
 // Parts of raw responses.
--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -204,13 +204,19 @@
 
 // call sends a request on a connection of its own.
 func (s *responseStack) call(t *testing.T, method, path, id string) result {
+	t.Helper()
+	return s.callWith(t, method, path, "HTTP/1.1", id)
+}
+
+// callWith is call with a version of HTTP.
+func (s *responseStack) callWith(t *testing.T, method, path, version, id string) result {
 	t.Helper()
 	conn, err := net.Dial("tcp", s.address)
 	is.New(t).NoErr(err)
 	defer conn.Close()
 	began := time.Now()
 	is.New(t).NoErr(conn.SetDeadline(began.Add(resultTimeout)))
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: shop.example\r\nCall-Id: %s\r\nContent-Length: 4\r\n\r\nbody", method, path, id)
+	_, err = fmt.Fprintf(conn, "%s %s %s\r\nHost: shop.example\r\nCall-Id: %s\r\nContent-Length: 4\r\n\r\nbody", method, path, version, id)
 	is.New(t).NoErr(err)
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
