roundtrip: the body of a failure has at most 1 MiB

A back end that answers with a failure whose body does not end took its slot, the link and the processors of each hop until the route's timeout. Everything above 1 MiB was streamed to the caller as fast as it came, 30 to 100 MB (once 200) a call. Nodes count these bytes as load of their link (link_load 0.62 to 0.77 in the logs), so that from then on the throttle of busy links turned other calls away (503, step=throttle), and other calls ran out of time (504).

A 4xx or 5xx of more than 1 MiB is now an invalid response (fault body), decided where the bytes are read: for gates, nodes, probes and the client alike. With a gate nothing of it is passed on and the caller gets 502; without one the response is cut off after 1 MiB. A failure of exactly 1 MiB passes unchanged.

--- a/pkg/roundtrip/invalid.go
+++ b/pkg/roundtrip/invalid.go
@@ -100,6 +100,7 @@
 	errUpgrade     = errors.New("101 Switching Protocols was not asked for")
 	errHeaderName  = errors.New("a header name has bytes that are not allowed")
 	errHeaderValue = errors.New("a header value has bytes that are not allowed")
+	errLongFailure = fmt.Errorf("a failure of more than %d bytes", MaxFailureBytes)
 )
 
 // IsFinalStatus reports whether a status may end an exchange (RFC 9110, section 15). Informational (1xx) ones do not.
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +14,10 @@
 // MaxHeadBytes bounds the head of a response, together with the informational (1xx) responses before it.
 const MaxHeadBytes = 64 << 10
 
+// MaxFailureBytes bounds the body of a failure (4xx, 5xx). A longer one would take the link from other exchanges for no
+// use to its caller.
+const MaxFailureBytes = 1 << 20
+
 // Transport sends requests and rejects what is not a response. It is safe for concurrent use and implements
 // http.RoundTripper.
 type Transport struct{ base *http.Transport }
@@ -50,7 +55,7 @@
 		return nil, err
 	}
 	if response.Body != http.NoBody {
-		response.Body = &body{ReadCloser: response.Body, status: response.StatusCode}
+		response.Body = &body{ReadCloser: response.Body, status: response.StatusCode, left: maxBodyBytes(response.StatusCode)}
 	}
 	return response, nil
 }
@@ -73,15 +78,31 @@
 	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 }
 
+// maxBodyBytes returns the bound of a body for a status.
+func maxBodyBytes(status int) int64 {
+	if status >= http.StatusBadRequest {
+		return MaxFailureBytes
+	}
+	return math.MaxInt64
+}
+
 // body is the body of a response. Its read errors are an *InvalidResponse.
 type body struct {
 	io.ReadCloser
 	status int
+	// left is how many more bytes the body may have, negative if it had more.
+	left int64
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return 0, b.tooLong()
+	}
 	n, err := b.ReadCloser.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return n + int(b.left), b.tooLong()
+	}
 	switch {
 	case err == nil || err == io.EOF || errors.Is(err, http.ErrBodyReadAfterClose):
 		return n, err
@@ -91,6 +112,10 @@
 	return n, &InvalidResponse{Fault: FaultBody, Status: b.status, Err: err}
 }
 
+func (b *body) tooLong() error {
+	return &InvalidResponse{Fault: FaultBody, Status: b.status, Err: errLongFailure}
+}
+
 // ReadAll reads the whole body of a response. More than limit bytes are an *InvalidResponse.
 func ReadAll(response *http.Response, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
