link: a counted connection can be reset

Connections of callers are wrapped to count their bytes, and the wrapper hid SetLinger. A response to an HTTP/1.0 caller without a length ends with its connection; when it is cut off, only a reset tells the caller so. pkg/pipeline asks the connection for SetLinger before it aborts (branch stop); behind the wrapper that was not there, so the close looked like the response's end.

--- a/pkg/link/meter_test.go
+++ b/pkg/link/meter_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -104,3 +106,23 @@
 
 // Read implements io.Reader.
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against a counted connection that cannot be reset, so that its peer takes the end of a cut response for a whole one.
+func TestCountedConnectionCanBeReset(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	counted := NewMeter(0).Listener(Callers, listener)
+	defer counted.Close()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer peer.Close()
+	conn, err := counted.Accept()
+	is.NoErr(err)
+	lingerer, ok := conn.(interface{ SetLinger(seconds int) error })
+	is.True(ok)
+	is.NoErr(lingerer.SetLinger(0))
+	is.NoErr(conn.Close())
+	_, err = peer.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
