forward: a streamed response counts at its back end until the call's deadline at most

A caller that does not read a large response, or one without end, blocks the node's write for up to 30 s. Gate and back end are free at the call's deadline, but the node went on counting the call at the back end: without a gate it took one of the back end's slots at this node, with a gate it made the back end look busier than it is. The ticket now ends with the call's context, which also ends the exchange with the back end.

Test first: awaitIdle of the response tests now also waits until the node counts no call; TestUnreadEndlessResponseKeepsNoSlot then failed for all three kinds of gate (1 call in flight at the node), and passes with the change, as do the other tests that use it (-race).

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -140,6 +141,7 @@
 // writeResponse copies the response to the caller.
 func (c *call) writeResponse(ctx context.Context, ticket *balancer.Ticket, response *http.Response) {
 	defer response.Body.Close()
+	done := c.doneAtEnd(ctx, ticket)
 	c.status = response.StatusCode
 	exchange.RemoveHop(response.Header)
 	exchange.Copy(c.writer.Header(), response.Header)
@@ -154,7 +156,7 @@
 		if c.request.Context().Err() != nil || ctx.Err() != nil {
 			outcome = balancer.Canceled
 		}
-		ticket.Done(c.handler.config.Now(), outcome)
+		done(outcome)
 		c.reportInvalid(ticket, err)
 		c.handler.reportCall(c, nil)
 		panic(http.ErrAbortHandler)
@@ -162,7 +164,21 @@
 	for name, values := range response.Trailer {
 		c.writer.Header()[name] = values
 	}
-	ticket.Done(c.handler.config.Now(), balancer.Answered)
+	done(balancer.Answered)
+}
+
+// doneAtEnd returns a function that ends a ticket while the response is streamed. The ticket ends with the context at the
+// latest: the back end's connection is closed then, but the caller may not read.
+func (c *call) doneAtEnd(ctx context.Context, ticket *balancer.Ticket) func(balancer.Outcome) {
+	var once sync.Once
+	end := func(outcome balancer.Outcome) {
+		once.Do(func() { ticket.Done(c.handler.config.Now(), outcome) })
+	}
+	stop := context.AfterFunc(ctx, func() { end(balancer.Canceled) })
+	return func(outcome balancer.Outcome) {
+		stop()
+		end(outcome)
+	}
 }
 
 // checkID verifies that a response belongs to the call. A rejection may name none.
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -126,7 +126,7 @@
 			g.reportAttempt(ticket, &gateFailure{reason: exchange.ReasonServerError, peer: ticket.Address}, wait, now, true)
 			return nil, true
 		}
-		g.respond(ticket, response)
+		g.respond(ctx, ticket, response)
 		return nil, false
 	}
 	g.lastReason = failure.reason
@@ -265,18 +265,19 @@
 
 // respond sends the back end's response to the caller. The ticket is done once a buffered response is
 // complete, because the caller may read it slowly.
-func (g *gatedCall) respond(ticket *balancer.Ticket, response *http.Response) {
+func (g *gatedCall) respond(ctx context.Context, ticket *balancer.Ticket, response *http.Response) {
 	g.closeHeldResponse()
 	serviceTime, _ := exchange.ReadMicros(response.Header, exchange.HeaderWork)
 	body, _ := response.Body.(bufferedBody)
+	done := func(balancer.Outcome) {}
 	if body.complete {
 		g.recordCompleted(response, serviceTime)
 		ticket.Done(g.now(), balancer.Answered)
+	} else {
+		done = g.doneAtEnd(ctx, ticket)
 	}
 	err := g.writeResponse(response, g.isOwnGate(ticket))
-	if !body.complete {
-		ticket.Done(g.now(), streamOutcome(err))
-	}
+	done(streamOutcome(err))
 	if err == nil && !body.complete {
 		g.recordCompleted(response, serviceTime)
 	}
--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -117,6 +117,7 @@
 type responseStack struct {
 	backend *scriptedBackend
 	gate    *gate.Gate
+	node    *Handler
 	address string
 	mu      sync.Mutex
 	// faults are the distinct faults that gate and node reported by request ID.
@@ -155,9 +156,9 @@
 	for i := range state.Active.Content.Routes {
 		state.Active.Content.Routes[i].Timeout = bundle.Duration(timeout)
 	}
-	handler := New(cfg)
-	handler.SetTable(routing.New(state))
-	s.address = serveWithPipeline(t, handler)
+	s.node = New(cfg)
+	s.node.SetTable(routing.New(state))
+	s.address = serveWithPipeline(t, s.node)
 	return s
 }
 
@@ -229,18 +230,21 @@
 	return result{status: response.StatusCode, header: response.Header, body: string(body), complete: err == nil, took: time.Since(began)}
 }
 
-// awaitIdle waits until the gate has no call and the back end no connection.
+// awaitIdle waits until gate and node have no call and the back end no connection.
 func (s *responseStack) awaitIdle() error {
 	deadline := time.Now().Add(500 * time.Millisecond)
-	for s.gate.Report().Running > 0 || s.backend.open.Load() > 0 {
+	for s.gate.Report().Running > 0 || s.backend.open.Load() > 0 || s.inFlight() > 0 {
 		if time.Now().After(deadline) {
-			return fmt.Errorf("%d slots and %d connections are taken", s.gate.Report().Running, s.backend.open.Load())
+			return fmt.Errorf("%d slots and %d connections are taken, %d calls in flight at the node", s.gate.Report().Running, s.backend.open.Load(), s.inFlight())
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
 	return nil
 }
 
+// inFlight returns how many calls the node counts at the back end.
+func (s *responseStack) inFlight() int { return s.node.Pools()["s"][0].InFlight }
+
 const (
 	okHead      = standin.RawOK
 	chunkedHead = standin.RawChunked
