forward: a response without a length leaves the link to others, and ends at the deadline

Responses of 16 KiB and more are paced to what the link has left, but not those without a length, nor, in effect, those that declare more than the time left can carry: an even spread until the deadline sends each of their pieces at once. A body without end filled the link and the buffers to its caller until the route's timeout, so that its end arrived late and other calls met a busy link.

Such a response is now read in pieces that the pacer of large responses admits, 50 ms of link time at once, at least a tenth of the link whatever others have reserved. It ends with the call's context also while its first, buffered part is sent. A response that is complete before it is sent is paced as before. A slower node reads less from the gate, which reads less from the back end. Calls without a gate are not paced, as before.

--- a/pkg/exchange/pacer.go
+++ b/pkg/exchange/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"sync"
 	"time"
 )
@@ -15,10 +16,14 @@
 	usableLinkShare  = 0.95
 	minResponseShare = 0.4
 	maxResponseShare = 0.92
+	// minStreamShare is the share of the link's rate that a body without a known size gets at least.
+	minStreamShare = 0.1
 	// maxPieceTime is how long a piece of a paced body may occupy the link, which bounds the delay
 	// of other messages.
 	maxPieceTime  = 6 * time.Millisecond
 	minPieceBytes = 4 << 10
+	// streamBlockTime is the time for which a body without a known size reserves the link at once.
+	streamBlockTime = 50 * time.Millisecond
 )
 
 // Pacer spreads large bodies over time, so that small messages on a narrow link are sent between
@@ -26,7 +31,9 @@
 // at the paced rate. A Pacer is safe for concurrent use.
 type Pacer struct {
 	// rate returns the total rate of all paced bodies in bytes per second.
-	rate       func(now time.Duration) float64
+	rate func(now time.Duration) float64
+	// linkRate is the link's rate in bytes per second.
+	linkRate   float64
 	pieceBytes int
 	now        func() time.Duration
 	sleep      func(time.Duration)
@@ -55,7 +62,7 @@
 
 func newPacer(bytesPerSecond float64, rate func(now time.Duration) float64, now func() time.Duration) *Pacer {
 	return &Pacer{
-		rate:       rate,
+		rate: rate, linkRate: bytesPerSecond,
 		pieceBytes: max(minPieceBytes, int(bytesPerSecond*maxPieceTime.Seconds())),
 		now:        now, sleep: time.Sleep,
 	}
@@ -74,6 +81,69 @@
 	return &pacedBody{ReadCloser: body, pacer: p, size: size, start: p.now(), maxDuration: maxDuration, due: due}
 }
 
+// TransferTime returns how long a body takes at the link's rate, zero without a pacer.
+func (p *Pacer) TransferTime(size int64) time.Duration {
+	if p == nil {
+		return 0
+	}
+	return time.Duration(min(float64(size)/p.linkRate, math.MaxInt32) * float64(time.Second))
+}
+
+// Stream returns a body of unknown size that is read in paced pieces. Its link time is reserved in blocks.
+func (p *Pacer) Stream(body io.ReadCloser) io.ReadCloser {
+	if p == nil {
+		return body
+	}
+	return &pacedStream{ReadCloser: body, pacer: p, size: max(minPieceBytes, int(p.linkRate*streamBlockTime.Seconds()))}
+}
+
+// pacedStream is a body of unknown size that is read in paced pieces.
+type pacedStream struct {
+	io.ReadCloser
+	pacer *Pacer
+	// start is when the link time of the current block starts, linkTime how long it lasts. size is the size of a block,
+	// sent how many bytes of the current one were read.
+	start, linkTime time.Duration
+	size, sent      int
+	closed          sync.Once
+}
+
+// Read implements io.Reader. It returns one piece once it is due.
+func (b *pacedStream) Read(buf []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buf[:min(len(buf), b.pacer.pieceBytes)])
+	if n == 0 {
+		return n, err
+	}
+	if b.linkTime == 0 || b.sent >= b.size {
+		b.startBlock()
+	}
+	due := b.start + b.linkTimeOf(b.sent)
+	b.sent += n
+	if wait := due - b.pacer.now(); wait > 0 {
+		b.pacer.sleep(wait)
+	}
+	return n, err
+}
+
+// startBlock reserves the link time of the next block. It starts once it is due, or once minStreamShare requires it.
+func (b *pacedStream) startBlock() {
+	due, linkTime := b.pacer.reserve(b.size)
+	longest := time.Duration(float64(b.size) / (minStreamShare * b.pacer.linkRate) * float64(time.Second))
+	latest := b.pacer.now() + max(0, longest-linkTime)
+	b.start, b.linkTime, b.sent = min(due, latest), linkTime, 0
+}
+
+// linkTimeOf returns the link time of n bytes of the current block.
+func (b *pacedStream) linkTimeOf(n int) time.Duration {
+	return time.Duration(float64(b.linkTime) * float64(n) / float64(b.size))
+}
+
+// Close implements io.Closer. It releases the link time of the bytes that were not read.
+func (b *pacedStream) Close() error {
+	b.closed.Do(func() { b.pacer.release(b.linkTimeOf(max(0, b.size-b.sent))) })
+	return b.ReadCloser.Close()
+}
+
 // WrapResponse returns a response body of size bytes whose paced pieces follow those of the bodies
 // reserved before it. It is never slower than an even spread over maxDuration. Sending responses one
 // after the other lowers their mean completion time.
--- a/pkg/exchange/pacer_test.go
+++ b/pkg/exchange/pacer_test.go
@@ -121,3 +121,31 @@
 		is.Equal(linkTime, time.Duration(100_000/c.rate*float64(time.Second)))
 	}
 }
+
+// readStream reads n bytes of a body without a known size.
+func readStream(t *testing.T, p *Pacer, n int64) {
+	t.Helper()
+	stream := p.Stream(io.NopCloser(bytes.NewReader(make([]byte, 2*n))))
+	_, err := io.CopyN(io.Discard, stream, n)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(stream.Close())
+}
+
+func TestStreamUsesItsShareOfTheLink(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPacer(8)
+	readStream(t, p, 500_000)
+	whole := timeAtRequestShare(500_000)
+	is.True(c.now > whole*9/10)
+	is.True(c.now <= whole)
+	is.True(p.freeAt <= c.now+timeAtRequestShare(float64(p.pieceBytes))) // the rest of the last block is released
+}
+
+// Guards against a declared size that is not kept, and for whose link time bodies without a size would wait.
+func TestStreamProceedsBehindHugeReservation(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPacer(8)
+	p.reserve(1 << 40)
+	readStream(t, p, 500_000)
+	is.True(c.now.Seconds() < 1.1*500_000/(minStreamShare*1e6))
+}
--- a/pkg/forward/gated.go
+++ b/pkg/forward/gated.go
@@ -276,7 +276,7 @@
 	} else {
 		done = g.doneAtEnd(ctx, ticket)
 	}
-	err := g.writeResponse(response, g.isOwnGate(ticket))
+	err := g.writeResponse(ctx, response, g.isOwnGate(ticket))
 	done(streamOutcome(err))
 	if err == nil && !body.complete {
 		g.recordCompleted(response, serviceTime)
@@ -308,8 +308,8 @@
 
 // writeResponse sends a response to the caller; reserved is set if the node's own gate has reserved
 // link capacity for it.
-func (g *gatedCall) writeResponse(response *http.Response, reserved bool) error {
-	g.paceResponse(response, reserved)
+func (g *gatedCall) writeResponse(ctx context.Context, response *http.Response, reserved bool) error {
+	g.paceResponse(ctx, response, reserved)
 	defer response.Body.Close()
 	g.status = response.StatusCode
 	exchange.RemoveHop(response.Header)
@@ -365,7 +365,7 @@
 // has Retry-After only if no attempt may have run.
 func (g *gatedCall) giveUp(step, reason string) *Refusal {
 	if g.heldResponse != nil {
-		if err := g.writeResponse(g.heldResponse, false); err != nil {
+		if err := g.writeResponse(g.request.Context(), g.heldResponse, false); err != nil {
 			g.abort()
 		}
 		return nil
--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -18,6 +18,7 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
+	"bramblelift/pkg/link"
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/roundtrip"
 	"bramblelift/pkg/routing"
@@ -135,6 +136,12 @@
 
 // newResponseStack returns a stack with a gate of the given kind, whose routes have a timeout.
 func newResponseStack(t *testing.T, kind gateKind, timeout time.Duration, response standin.RawResponse) *responseStack {
+	t.Helper()
+	return newLinkedResponseStack(t, kind, timeout, 0, response)
+}
+
+// newLinkedResponseStack is newResponseStack for a node whose link has a capacity, zero for no limit.
+func newLinkedResponseStack(t *testing.T, kind gateKind, timeout time.Duration, bytesPerSecond float64, response standin.RawResponse) *responseStack {
 	t.Helper()
 	s := &responseStack{backend: newScriptedBackend(t, response), faults: map[string][]roundtrip.Fault{}}
 	started := time.Now()
@@ -147,6 +154,10 @@
 	if kind == ownGate {
 		cfg.GateAddress, cfg.Gate = gateAddress, s.gate.Do
 	}
+	if bytesPerSecond > 0 {
+		cfg.Link = link.NewMeter(8 * bytesPerSecond)
+		cfg.ResponsePacer = exchange.NewResponsePacer(8*bytesPerSecond, cfg.Link.UnpacedRate, now)
+	}
 	state := gatedState([]string{gateAddress}, []string{"z"})
 	if kind == noGate {
 		endpoint := state.Endpoints["s"]["e0"]
