test: the status and time of each failure without end is logged

TestFailureWithoutEndEndsEarly failed once in a run of all packages at a load of 37 to 66 (2.7 s, 2.5 allowed, no status in its log). It did not come again: 1125 cases alone at a load of 45 to 63 took 1.27 s at most, each with 502.

--- a/pkg/forward/endless_failure_test.go
+++ b/pkg/forward/endless_failure_test.go
@@ -27,6 +27,7 @@
 					response := standin.RawResponse{First: "HTTP/1.1 " + status + " x\r\n{id}\r\n" + rest.First, Endless: rest.Endless}
 					s := newResponseStack(t, kind, soundTimeout, response)
 					got := s.call(t, "POST", "/unsafe/x", "endless")
+					t.Logf("status %d, %d bytes, complete %t, after %v", got.status, len(got.body), got.complete, got.took)
 					is.True(got.took < soundTimeout/2)
 					is.NoErr(checkBroken(got))
 					is.True(len(got.body) <= roundtrip.MaxFailureBytes)
