--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -18,6 +18,7 @@
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
+	"bramblelift/pkg/link"
 	"bramblelift/pkg/pipeline"
 	"bramblelift/pkg/roundtrip"
 	"bramblelift/pkg/routing"
@@ -117,6 +118,7 @@
 type responseStack struct {
 	backend *scriptedBackend
 	gate    *gate.Gate
+	node    *Handler
 	address string
 	mu      sync.Mutex
 	// faults are the distinct faults that gate and node reported by request ID.
@@ -134,6 +136,12 @@
 
 // newResponseStack returns a stack with a gate of the given kind, whose routes have a timeout.
 func newResponseStack(t *testing.T, kind gateKind, timeout time.Duration, response standin.RawResponse) *responseStack {
+	t.Helper()
+	return newLinkedResponseStack(t, kind, timeout, 0, response)
+}
+
+// newLinkedResponseStack is newResponseStack for a node whose link has a capacity, zero for no limit.
+func newLinkedResponseStack(t *testing.T, kind gateKind, timeout time.Duration, bytesPerSecond float64, response standin.RawResponse) *responseStack {
 	t.Helper()
 	s := &responseStack{backend: newScriptedBackend(t, response), faults: map[string][]roundtrip.Fault{}}
 	started := time.Now()
@@ -146,6 +154,10 @@
 	if kind == ownGate {
 		cfg.GateAddress, cfg.Gate = gateAddress, s.gate.Do
 	}
+	if bytesPerSecond > 0 {
+		cfg.Link = link.NewMeter(8 * bytesPerSecond)
+		cfg.ResponsePacer = exchange.NewResponsePacer(8*bytesPerSecond, cfg.Link.UnpacedRate, now)
+	}
 	state := gatedState([]string{gateAddress}, []string{"z"})
 	if kind == noGate {
 		endpoint := state.Endpoints["s"]["e0"]
@@ -155,9 +167,9 @@
 	for i := range state.Active.Content.Routes {
 		state.Active.Content.Routes[i].Timeout = bundle.Duration(timeout)
 	}
-	handler := New(cfg)
-	handler.SetTable(routing.New(state))
-	s.address = serveWithPipeline(t, handler)
+	s.node = New(cfg)
+	s.node.SetTable(routing.New(state))
+	s.address = serveWithPipeline(t, s.node)
 	return s
 }
 
@@ -204,13 +216,19 @@
 
 // call sends a request on a connection of its own.
 func (s *responseStack) call(t *testing.T, method, path, id string) result {
+	t.Helper()
+	return s.callWith(t, method, path, "HTTP/1.1", id)
+}
+
+// callWith is call with a version of HTTP.
+func (s *responseStack) callWith(t *testing.T, method, path, version, id string) result {
 	t.Helper()
 	conn, err := net.Dial("tcp", s.address)
 	is.New(t).NoErr(err)
 	defer conn.Close()
 	began := time.Now()
 	is.New(t).NoErr(conn.SetDeadline(began.Add(resultTimeout)))
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: shop.example\r\nCall-Id: %s\r\nContent-Length: 4\r\n\r\nbody", method, path, id)
+	_, err = fmt.Fprintf(conn, "%s %s %s\r\nHost: shop.example\r\nCall-Id: %s\r\nContent-Length: 4\r\n\r\nbody", method, path, version, id)
 	is.New(t).NoErr(err)
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
@@ -223,18 +241,21 @@
 	return result{status: response.StatusCode, header: response.Header, body: string(body), complete: err == nil, took: time.Since(began)}
 }
 
-// awaitIdle waits until the gate has no call and the back end no connection.
+// awaitIdle waits until gate and node have no call and the back end no connection.
 func (s *responseStack) awaitIdle() error {
 	deadline := time.Now().Add(500 * time.Millisecond)
-	for s.gate.Report().Running > 0 || s.backend.open.Load() > 0 {
+	for s.gate.Report().Running > 0 || s.backend.open.Load() > 0 || s.inFlight() > 0 {
 		if time.Now().After(deadline) {
-			return fmt.Errorf("%d slots and %d connections are taken", s.gate.Report().Running, s.backend.open.Load())
+			return fmt.Errorf("%d slots and %d connections are taken, %d calls in flight at the node", s.gate.Report().Running, s.backend.open.Load(), s.inFlight())
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
 	return nil
 }
 
+// inFlight returns how many calls the node counts at the back end.
+func (s *responseStack) inFlight() int { return s.node.Pools()["s"][0].InFlight }
+
 const (
 	okHead      = standin.RawOK
 	chunkedHead = standin.RawChunked
