pipeline: a shutdown wakes no reader behind a request in flight

Cause: Shutdown announced the close a second time and so ended the waits for input again. A wait that leaves its input to the kernel took that for the idle timeout and read no further request, though others were in flight.

Change: only the first announcement ends waits, and a timeout is one only while no request is in flight. TestShutdownAfterAnnounceCloseReadsOn fails without the change.

--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -160,8 +160,7 @@
 		case !isTimeout(err):
 			return err
 		case c.resumeReading():
-		case take && c.server.announcing.Load():
-			// AnnounceClose has ended the wait.
+		case c.wasWoken(take):
 			if err := c.startAwaiting(); err != nil {
 				return err
 			}
@@ -171,6 +170,14 @@
 	}
 }
 
+// wasWoken reports whether AnnounceClose has ended a wait, rather than a timeout, which does not apply while requests are
+// in flight.
+func (c *conn) wasWoken(take bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return (take && c.server.announcing.Load()) || len(c.running)+len(c.queue) > 0
+}
+
 // wakeReader ends the reader's wait for a request.
 func (c *conn) wakeReader() {
 	c.mu.Lock()
--- a/pkg/pipeline/server.go
+++ b/pkg/pipeline/server.go
@@ -229,7 +229,9 @@
 // AnnounceClose makes every response from now on announce the close of its connection, those of requests in flight
 // included, unless another request was received behind it.
 func (s *Server) AnnounceClose() {
-	s.announcing.Store(true)
+	if s.announcing.Swap(true) {
+		return
+	}
 	for _, c := range s.openConns() {
 		c.wakeReader()
 	}
--- a/pkg/pipeline/shutdown_test.go
+++ b/pkg/pipeline/shutdown_test.go
@@ -167,3 +167,27 @@
 	is.True(second.Close)
 	is.True(c.closedByServer())
 }
+
+// Guards against pipelined requests that are dropped because the shutdown wakes a reader that waits behind a request in flight.
+func TestShutdownAfterAnnounceCloseReadsOn(t *testing.T) {
+	is := is.New(t)
+	h := newBlockingHandler()
+	s, address := serve(t, testConfig(h))
+	c := dial(t, address)
+	c.get("/1")
+	h.awaitStarted(t, "/1")
+	s.AnnounceClose()
+	time.Sleep(20 * time.Millisecond)
+	ended := startShutdown(t, s)
+	awaitDraining(t, s)
+	time.Sleep(20 * time.Millisecond)
+	c.get("/now/2")
+	awaitReceived(t, s, 2)
+	h.unblock("/1")
+	_, body := c.readResponse()
+	is.Equal(body, "answer to /1")
+	_, body = c.readResponse()
+	is.Equal(body, "answer to /now/2")
+	c.Close()
+	is.NoErr(<-ended)
+}
