--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -20,6 +20,8 @@
 	// idleBeforeStop is how long a stopping node must receive no call before it closes.
 	idleBeforeStop = time.Second
 	minIdlePoll    = 100 * time.Millisecond
+	// minAnswerTime is what canceled calls have for their responses at least, if the process was paused.
+	minAnswerTime = 200 * time.Millisecond
 	// drainPollInterval is the interval at which drain checks for calls at the gate.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -74,7 +76,11 @@
 		canceled += server.CancelRequests()
 	}
 	cancelAt, _ := ctx.Deadline()
-	last, cancel := context.WithDeadline(context.Background(), cancelAt.Add(reserve))
+	endAt := cancelAt.Add(reserve)
+	if earliest := time.Now().Add(minAnswerTime); endAt.Before(earliest) {
+		endAt = earliest
+	}
+	last, cancel := context.WithDeadline(context.Background(), endAt)
 	defer cancel()
 	_ = shutdown(last, callers, gates)
 	left := pendingOf(servers)
