--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -100,7 +100,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopping = true
-	g.dropWaiting(exchange.ReasonNoBackend)
+	g.dropWaiting(exchange.ReasonStopping)
 }
 
 // dropWaiting rejects all queued calls with reason. g.mu must be held.
@@ -226,6 +226,8 @@
 	switch {
 	case g.stopping:
 		return exchange.ReasonStopping
+	case g.outlastsProcess(req):
+		return exchange.ReasonOutlasts
 	case req.instance != "" && req.instance == g.departedID:
 		return exchange.ReasonRemoved
 	case !g.present || (req.instance != "" && req.instance != g.backend.ID):
@@ -243,6 +245,15 @@
 	return g.versionRejectReason(now)
 }
 
+// outlastsProcess reports whether a call may last until after the process stops.
+func (g *Gate) outlastsProcess(req request) bool {
+	if g.config.StopsAt == nil {
+		return false
+	}
+	stopsAt := g.config.StopsAt()
+	return stopsAt > 0 && req.deadline >= stopsAt
+}
+
 // takeSlot takes a slot. g.mu must be held.
 func (g *Gate) takeSlot(now, work time.Duration) admission {
 	g.running++
