--- a/pkg/control/membership.go
+++ b/pkg/control/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -14,6 +15,7 @@
 	"bramblelift/pkg/replica"
 	"bramblelift/pkg/settings"
 	"bramblelift/pkg/storage"
+	"bramblelift/pkg/wire"
 )
 
 const (
@@ -64,8 +66,8 @@
 }
 
 // createState creates the state in an empty data folder. It retries while the disk rejects writes,
-// because a restart of the process would not help.
-func (s *Server) createState(files storage.FileSystem) error {
+// because a restart of the process would not help, until ctx ends.
+func (s *Server) createState(ctx context.Context, files storage.FileSystem) error {
 	bootstrap := s.settings.Found && slices.Contains(s.settings.SeedAddresses(), s.settings.Advertise)
 	s.logger.Log("event", "empty_data_folder", "founding", bootstrap)
 	for {
@@ -78,7 +80,11 @@
 		if !errors.Is(err, storage.ErrWriteRejected) {
 			return err
 		}
-		time.Sleep(createRetryPause)
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("create state: %w", errors.Join(ctx.Err(), err))
+		case <-time.After(createRetryPause):
+		}
 	}
 }
 
@@ -195,14 +201,14 @@
 	var group sync.WaitGroup
 	for _, address := range addresses {
 		group.Go(func() {
-			conn, err := p.dial(address)
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			if err := conn.Send(protocol.KindJoin, protocol.Join{Member: member}); err != nil {
-				p.server.logger.Log("event", "join_request_failed", "peer", address, "error", err)
-			}
+			// An unreachable replica is asked again after joinInterval.
+			_ = p.withConn(address, func(conn *wire.Conn) error {
+				err := conn.Send(protocol.KindJoin, protocol.Join{Member: member})
+				if err != nil {
+					p.server.logger.Log("event", "join_request_failed", "peer", address, "error", err)
+				}
+				return err
+			})
 		})
 	}
 	group.Wait()
