--- a/pkg/pipeline/conn.go
+++ b/pkg/pipeline/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -27,9 +28,6 @@
 	firstRequestTime = 100 * time.Millisecond
 	// drainHeaderTimeout bounds the head of a request while the server shuts down.
 	drainHeaderTimeout = time.Second
-	// maxNoticeBacklog is how many bytes of output may be unacknowledged, in bytes, for a close notice to be sent: a socket
-	// with more might take it in part only.
-	maxNoticeBacklog = 16 << 10
 )
 
 // conn is the server side of a caller's connection.
@@ -37,6 +35,9 @@
 	server *Server
 	rwc    net.Conn
 	reader *bufio.Reader
+	// raw is the connection's socket, nil if it has none. wait is used by the reader only.
+	raw  syscall.RawConn
+	wait inputWait
 	// ctx is canceled when the caller has disconnected or the connection was aborted; requestCtx, the parent of the
 	// requests' contexts, also by cancelRequests.
 	ctx            context.Context
@@ -57,7 +58,7 @@
 	awaitingRequest bool
 	// receiving is set from the first byte of a request until it is queued.
 	receiving bool
-	// discarding is set once no further request is read.
+	// discarding is set once no further request is read, but input is, to notice that the caller disconnects.
 	discarding bool
 	// closableAt is when the connection may be closed for want of a request.
 	closableAt time.Time
@@ -71,6 +72,8 @@
 
 func newConn(s *Server, rwc net.Conn) *conn {
 	c := &conn{server: s, rwc: rwc, closableAt: time.Now().Add(firstRequestTime)}
+	c.raw = rawConnOf(rwc)
+	c.wait.ready = c.wait.peek
 	c.reader = bufio.NewReaderSize(input{c}, readBufferSize)
 	c.queueNotFull = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -256,9 +259,10 @@
 // request is being read.
 func (c *conn) onIdle() {
 	switch {
-	case !c.awaitingRequest || c.writeClosed || c.closed:
-	case c.closing && c.discarding:
+	case c.writeClosed || c.closed:
+	case c.discarding && c.closing:
 		c.closeIdle()
+	case !c.awaitingRequest:
 	case c.closing:
 		// Only the reader knows whether a request has arrived meanwhile, so it closes the connection.
 		_ = c.rwc.SetReadDeadline(c.closableAt)
@@ -301,9 +305,7 @@
 // is held.
 func (c *conn) closeIdle() {
 	if notice := c.server.closeNotice; notice != nil {
-		if n, known := c.unacknowledged(); !known || n <= maxNoticeBacklog {
-			c.sendAtOnce(notice)
-		}
+		c.sendAtOnce(notice)
 	}
 	c.closeWriteSide()
 }
@@ -350,7 +352,7 @@
 	default:
 		return false
 	}
-	c.awaitingRequest, c.discarding, c.receiving = true, true, false
+	c.awaitingRequest, c.discarding, c.receiving = false, true, false
 	_ = c.rwc.SetReadDeadline(time.Time{})
 	if c.closing && len(c.running)+len(c.queue) == 0 {
 		c.closeIdle()
@@ -398,7 +400,7 @@
 	defer c.mu.Unlock()
 	all.Connections++
 	all.Requests += len(c.running) + len(c.queue)
-	if c.receiving || (c.awaitingRequest && !c.discarding && c.inputPending()) {
+	if c.receiving || (c.awaitingRequest && c.inputPending()) {
 		all.Receiving++
 	}
 	if len(c.running)+len(c.queue) > 0 {
@@ -441,7 +443,7 @@
 
 // reset aborts the connection in a way that its caller cannot take for the end of a response.
 func (c *conn) reset() {
-	_ = c.controlSocket(func(fd uintptr) {
+	_ = c.withSocket(func(fd uintptr) {
 		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
 	})
 	c.abort()
