forward: the test of a named limit runs on the clock of a synctest bubble

Cause: TestCallsBeyondANamedLimitGoToOtherBackEnds takes it for granted that the two back ends without a limit have room: 6 slots of 20 ms each. On a real clock beside load they have none: the back ends, the gates, the nodes and the callers are one process, and the mean time of a call there rises from 20 ms to 46 to 393 ms. Ten runs of the test on the code before, at a load of 40 on 8 cores, each rejected call recorded: 850 rejections for lack of slots, all by the gates of the two back ends without a limit; at 784 of them both had all slots in use, and at 842 the limited back end had no token. The pauses and the callers that come all at once after one take the rest of the 3 s on which the test counts.

Change: the fleet of this test runs in a bubble (testing/synctest) on pipes, so that 20 ms are 20 ms. Nodes, gates, HTTP and all bounds are the same; for the gate's connection to the back end gate.Config gets Dial. The other tests of the file keep real connections and the real clock.

--- a/pkg/forward/limit_test.go
+++ b/pkg/forward/limit_test.go
@@ -9,11 +9,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/exchange"
 	"bramblelift/pkg/gate"
+	"bramblelift/pkg/roundtrip"
 	"bramblelift/pkg/routing"
 
 	"github.com/matryer/is"
@@ -23,6 +25,7 @@
 type limitedBackend struct {
 	limit float64
 	work  time.Duration
+	now   func() time.Duration
 
 	mu    sync.Mutex
 	calls []time.Duration
@@ -30,7 +33,7 @@
 
 func (b *limitedBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	b.calls = append(b.calls, sinceTestStart())
+	b.calls = append(b.calls, b.now())
 	b.mu.Unlock()
 	time.Sleep(b.work)
 	w.Header().Set("Call-Id", r.Header.Get("Call-Id"))
@@ -55,6 +58,7 @@
 type limitedFleet struct {
 	nodes    []*gatedNode
 	backends []*limitedBackend
+	now      func() time.Duration
 
 	mu      sync.Mutex
 	results map[string]*limitedResult
@@ -71,18 +75,27 @@
 // route "unsafe" have a higher priority than those to "safe".
 func newLimitedFleet(t *testing.T, nodes, capacity int, work time.Duration, limits ...float64) *limitedFleet {
 	t.Helper()
-	f := &limitedFleet{results: map[string]*limitedResult{"safe": {}, "unsafe": {}}}
+	return newLimitedFleetOn(t, nil, nodes, capacity, work, limits...)
+}
+
+// newLimitedFleetOn is newLimitedFleet on a network of pipes, or on TCP if that is nil.
+func newLimitedFleetOn(t *testing.T, network *pipeNetwork, nodes, capacity int, work time.Duration, limits ...float64) *limitedFleet {
+	t.Helper()
+	started := time.Now()
+	f := &limitedFleet{now: func() time.Duration { return time.Since(started) }, results: map[string]*limitedResult{"safe": {}, "unsafe": {}}}
 	var gates []string
 	for i, limit := range limits {
-		b := &limitedBackend{limit: limit, work: work}
-		server := httptest.NewServer(b)
-		t.Cleanup(server.Close)
+		b := &limitedBackend{limit: limit, work: work, now: f.now}
+		server := startServer(t, network, b)
 		headers := gatedHeaders
 		headers.Limit = []string{"Backend-Limit"}
-		g := gate.New(gate.Config{Headers: headers, Now: sinceTestStart})
+		cfg := gate.Config{Headers: headers, Now: f.now}
+		if network != nil {
+			cfg.Dial = network.dial
+		}
+		g := gate.New(cfg)
 		g.SetBackend(gate.Backend{ID: fmt.Sprintf("e%d", i), Service: "s", Address: server.Listener.Addr().String(), Capacity: capacity, Incarnation: 1})
-		gateServer := httptest.NewServer(g)
-		t.Cleanup(gateServer.Close)
+		gateServer := startServer(t, network, g)
 		f.backends, gates = append(f.backends, b), append(gates, gateServer.Listener.Addr().String())
 	}
 	state := gatedState(gates, slices.Repeat([]string{"z"}, len(gates)))
@@ -92,15 +105,28 @@
 	}
 	for range nodes {
 		n := &gatedNode{}
-		handler := New(Config{Node: "n", Zone: "z", Now: sinceTestStart, Headers: gatedHeaders, Service: "shop"})
+		handler := New(Config{Node: "n", Zone: "z", Now: f.now, Headers: gatedHeaders, Service: "shop"})
+		if network != nil {
+			handler.gates = roundtrip.New(&http.Transport{DialContext: network.dial, DisableCompression: true, MaxIdleConnsPerHost: gateConnections})
+		}
 		handler.SetTable(routing.New(state))
-		n.Server = httptest.NewServer(handler)
-		t.Cleanup(n.Close)
+		n.Server = startServer(t, network, handler)
 		f.nodes = append(f.nodes, n)
 	}
 	return f
 }
 
+// startServer starts a server on a network of pipes, or on TCP if that is nil.
+func startServer(t *testing.T, network *pipeNetwork, handler http.Handler) *httptest.Server {
+	t.Helper()
+	if network != nil {
+		return network.serve(t, handler)
+	}
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server
+}
+
 // send makes calls to a route at a rate per second, through the nodes in turn.
 func (f *limitedFleet) send(t *testing.T, route string, perSecond float64, lasting time.Duration) {
 	var group sync.WaitGroup
@@ -134,13 +160,18 @@
 	}
 }
 
-// Calls beyond one back end's limit go to others, which have room, and the back end still gets nearly its limit.
+// Calls beyond one back end's limit go to others, which have room, and the back end still gets nearly its limit. The others have
+// room only while their work takes as long as stated, which a busy machine does not grant on a real clock.
 func TestCallsBeyondANamedLimitGoToOtherBackEnds(t *testing.T) {
+	synctest.Test(t, testCallsBeyondANamedLimit)
+}
+
+func testCallsBeyondANamedLimit(t *testing.T) {
 	is := is.New(t)
 	const limit, seconds = 10, 3
-	f := newLimitedFleet(t, 3, 6, 20*time.Millisecond, limit, 0, 0)
+	f := newLimitedFleetOn(t, &pipeNetwork{}, 3, 6, 20*time.Millisecond, limit, 0, 0)
 	f.send(t, "unsafe", 60, 300*time.Millisecond)
-	began := sinceTestStart()
+	began := f.now()
 	f.send(t, "unsafe", 300, seconds*time.Second)
 	r := f.results["unsafe"]
 	got := f.backends[0].arrivedSince(began)
@@ -158,7 +189,7 @@
 	const limit, seconds = 20, 4
 	f := newLimitedFleet(t, 3, 6, 20*time.Millisecond, limit, limit, limit)
 	f.send(t, "safe", 200, 300*time.Millisecond)
-	began := sinceTestStart()
+	began := f.now()
 	var group sync.WaitGroup
 	group.Go(func() { f.send(t, "unsafe", 30, seconds*time.Second) })
 	group.Go(func() { f.send(t, "safe", 300, seconds*time.Second) })
@@ -290,7 +321,7 @@
 	f := newLimitedFleet(t, 12, 6, 230*time.Millisecond, 6, 6, 6, 6, 6, 6, 6)
 	f.sendBoth(t, 26, 77, 500*time.Millisecond)
 	f.results = map[string]*limitedResult{"safe": {}, "unsafe": {}}
-	began := sinceTestStart()
+	began := f.now()
 	f.sendBoth(t, 26, 77, seconds*time.Second)
 	high, low := f.results["unsafe"], f.results["safe"]
 	got := 0
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -49,6 +49,8 @@
 	Now func() time.Duration
 	// OnCall is called with the result of each call.
 	OnCall func(Call)
+	// Dial, if set, opens the connections to the back end, in place of TCP.
+	Dial link.DialFunc
 	// Link measures the traffic on the machine's link and knows its capacity; nil means an
 	// unlimited link.
 	Link *link.Meter
@@ -163,14 +165,17 @@
 
 // New returns a gate without a back end.
 func New(config Config) *Gate {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}
+	dial := config.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout, Control: wire.SetUserTimeout}).DialContext
+	}
 	capacity := config.Link.Capacity()
 	return &Gate{config: config, inbound: newLinkScheduler(capacity, inboundShare, inboundUsableShare, config.Link.UnscheduledRate),
 		outbound: newLinkScheduler(capacity, largeResponseShare, outboundUsableShare, config.Link.UnreservedRate), transport: roundtrip.New(&http.Transport{
-			DialContext: dialer.DialContext, DisableCompression: true,
+			DialContext: dial, DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
 			ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
-		}), probeTransport: roundtrip.New(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true})}
+		}), probeTransport: roundtrip.New(&http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true})}
 }
 
 const maxIdleConnections = 64
