balancer: a back end with a limit that was slow for a while gets calls again

Cause: a node scores gates by the service time that they report, a mean over about a dozen calls. After all back ends were slow for a moment, those without a limit measure themselves fast again within a tenth of a second. One with a limit has far fewer calls: its mean stays above theirs, it loses each comparison while others are not full, and without calls the mean stays as it is, so that it gets none from then on, though a call is allowed at any time, and its limit cannot end, since only its own answer can end it. Traced in the failing runs of TestCallsBeyondANamedLimitGoToOtherBackEnds beside load: of 2,739 ms it had a token for 1,871, and 472 choices were lost without any delay, at 32 to 48 ms against 16 to 32.

Change: for a back end that names a limit, the excess of its service time over the fastest one's halves each second without a measured call. Others are scored as before.

--- a/pkg/balancer/gated.go
+++ b/pkg/balancer/gated.go
@@ -36,6 +36,8 @@
 	report   exchange.Report
 	at       time.Duration
 	reported bool
+	// serviceTimeAt is when a call of this node was last answered, or the report's service time last changed.
+	serviceTimeAt time.Duration
 	// priority is that of the call that the report responded to.
 	priority int
 	// limitPauses holds the pauses after rejections by the named limit, by the priority of the rejected calls.
@@ -292,7 +294,7 @@
 // distance and failures. Lower is better.
 func (e *endpoint) gateScore(params scoreParams) float64 {
 	now, fastest := params.now, params.fastest
-	service := float64(e.gate.report.ServiceTime)
+	service := e.agedServiceTime(now, fastest)
 	if service == 0 {
 		service = max(1, float64(fastest))
 	}
@@ -306,7 +308,11 @@
 
 // recordReport stores the newest report of the back end's gate.
 func (e *endpoint) recordReport(now time.Duration, report exchange.Report) {
-	e.gate = gateState{report: report, at: now, reported: true, limitPauses: e.gate.limitPauses}
+	serviceTimeAt := e.gate.serviceTimeAt
+	if report.ServiceTime != e.gate.report.ServiceTime {
+		serviceTimeAt = now
+	}
+	e.gate = gateState{report: report, at: now, reported: true, serviceTimeAt: serviceTimeAt, limitPauses: e.gate.limitPauses}
 }
 
 // UpdateGateReport stores the report that came with a gate's response, including the wait for its link.
--- a/pkg/balancer/limit.go
+++ b/pkg/balancer/limit.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bramblelift/pkg/clock"
 	"bramblelift/pkg/limit"
 )
 
@@ -40,6 +41,20 @@
 	return max(0, admittedIn)
 }
 
+// limitedServiceTimeHalfLife is the half-life of the excess of a service time over the fastest one's, for back ends that name a
+// limit. Only calls can show that such a back end is no longer slow, or that its limit has ended.
+const limitedServiceTimeHalfLife = time.Second
+
+// agedServiceTime returns the reported service time in nanoseconds. If the back end names a limit, the excess over the fastest
+// one's decays from one measured call to the next.
+func (e *endpoint) agedServiceTime(now, fastest time.Duration) float64 {
+	service := e.gate.report.ServiceTime
+	if !e.gate.report.Limit.Named || service <= fastest {
+		return float64(service)
+	}
+	return float64(fastest) + float64(service-fastest)*clock.DecayFactor(now-e.gate.serviceTimeAt, limitedServiceTimeHalfLife)
+}
+
 // limitWait returns how long this node sends the back end no call of a priority because of its limit: limitDelay, or the
 // rest of the pause after a rejection of a call that was no less urgent.
 func (e *endpoint) limitWait(now time.Duration, priority int) time.Duration {
--- a/pkg/balancer/pool.go
+++ b/pkg/balancer/pool.go
@@ -299,6 +299,7 @@
 	case Answered:
 		t.endpoint.recordResponse()
 		t.endpoint.recordLimitAdmission(t.priority)
+		t.endpoint.gate.serviceTimeAt = now
 	case Refused:
 		t.endpoint.recordRefusal()
 	case Failed:
--- a/pkg/forward/limit_test.go
+++ b/pkg/forward/limit_test.go
@@ -182,6 +182,29 @@
 	is.True(float64(got) >= 0.85*limit*seconds)
 }
 
+// Guards against a back end with a limit that gets no calls, and so cannot end its limit, after all were slow for a while: the
+// few calls that it gets leave its service time above that of the others.
+func TestLimitedBackEndThatWasSlowIsChosenAgain(t *testing.T) {
+	synctest.Test(t, testLimitedBackEndThatWasSlow)
+}
+
+func testLimitedBackEndThatWasSlow(t *testing.T) {
+	is := is.New(t)
+	const limit, seconds = 10, 3
+	f := newLimitedFleetOn(t, &pipeNetwork{}, 3, 6, 40*time.Millisecond, limit, 0, 0)
+	f.send(t, "unsafe", 60, 500*time.Millisecond)
+	for _, b := range f.backends {
+		b.work = 20 * time.Millisecond
+	}
+	f.send(t, "unsafe", 300, 8*time.Second)
+	began := f.now()
+	f.send(t, "unsafe", 300, seconds*time.Second)
+	got := f.backends[0].arrivedSince(began)
+	t.Logf("%d calls in %d s at a limit of %d", got, seconds, limit)
+	is.True(got <= limit*seconds+limit/4+2)
+	is.True(float64(got) >= 0.85*limit*seconds)
+}
+
 // If all back ends of a service name limits, they get nearly as much, calls of lower priority are rejected first, and at
 // once, and are told to come back when there may be room.
 func TestServiceWhoseBackEndsAllNameLimits(t *testing.T) {
