--- a/pkg/link/meter.go
+++ b/pkg/link/meter.go
@@ -286,11 +286,3 @@
 	}
 	return nil
 }
-
-// SetLinger sets how the connection closes (net.TCPConn), or returns errors.ErrUnsupported if it cannot be chosen.
-func (c *countedConn) SetLinger(seconds int) error {
-	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		return l.SetLinger(seconds)
-	}
-	return errors.ErrUnsupported
-}
