logging: what libraries write to the standard logger is an event like others

The standard logger's lines are events of kind library now. TestStandardLogIsCaptured does not compile without the change.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -164,6 +164,7 @@
 	}
 	logger := logging.New(stdout, "control", config.Name)
 	defer logger.Close()
+	logger.CaptureStandardLog()
 	server, err := control.New(ctx, config, logger, handlers.Control)
 	if errors.Is(err, context.Canceled) {
 		logger.Log("event", "stopped", "error", err)
@@ -201,6 +202,7 @@
 	}
 	logger := logging.New(stdout, "relay", config.Name)
 	defer logger.Close()
+	logger.CaptureStandardLog()
 	server, err := relay.New(config, logger)
 	if err != nil {
 		return err
@@ -216,6 +218,7 @@
 	}
 	logger := logging.New(stdout, "proxy", config.Name)
 	defer logger.Close()
+	logger.CaptureStandardLog()
 	server, err := proxy.New(config, logger, handlers.Proxy)
 	if err != nil {
 		return err
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -8,6 +8,7 @@
 
 import (
 	"io"
+	stdlog "log"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,12 @@
 	}
 }
 
+// CaptureStandardLog makes the lines that libraries write to the standard logger events of this one.
+func (l *Logger) CaptureStandardLog() {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.NewStdlibAdapter(log.With(l, eventKey, "library")))
+}
+
 // Log writes one line, unless the limit of its kind is reached, and implements log.Logger. The
 // kind is the value of the first key if that is "event"; all other lines share one limit.
 func (l *Logger) Log(keyvals ...any) error {
--- a/pkg/logging/logging_test.go
+++ b/pkg/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	stdlog "log"
 	"strings"
 	"sync"
 	"testing"
@@ -41,6 +42,27 @@
 	is.True(strings.Contains(text, fmt.Sprintf("event=lines_left_out kind=call_refused lines=%d", 100-maxLinesPerSecond)))
 }
 
+// Guards against lines of libraries that are neither structured nor bounded.
+func TestStandardLogIsCaptured(t *testing.T) {
+	is := is.New(t)
+	output, flags := stdlog.Writer(), stdlog.Flags()
+	defer func() {
+		stdlog.SetOutput(output)
+		stdlog.SetFlags(flags)
+	}()
+	var out lockedBuffer
+	logger := New(&out, "proxy", "one")
+	logger.CaptureStandardLog()
+	for range 2 * maxLinesPerSecond {
+		stdlog.Printf("Unsolicited response on %s", "a channel")
+	}
+	logger.Close()
+	text := out.String()
+	is.True(strings.Contains(text, `role=proxy name=one event=library msg="Unsolicited response on a channel"`))
+	is.True(strings.Count(text, "event=library") <= 2*maxLinesPerSecond)
+	is.True(strings.Contains(text, "lines_left_out kind=library") || strings.Count(text, "event=library") == 2*maxLinesPerSecond)
+}
+
 // blockingWriter blocks each write until release is closed, like a pipe that nobody reads.
 type blockingWriter struct{ release chan struct{} }
 
