--- a/pkg/proxy/drain.go
+++ b/pkg/proxy/drain.go
@@ -64,8 +64,8 @@
 }
 
 // drain shuts the callers' server and those of gates down until the deadline of ctx, and then cancels the calls that are
-// left, whose responses have the time of reserve after that. It returns errCallsCanceled if a call was canceled, since its outcome may be
-// unknown, and errUnacknowledged if a response was not acknowledged in time.
+// left, whose responses have the time of reserve after that. It returns errCallsCanceled if a call was canceled, since its
+// outcome may be unknown, and errUnacknowledged if a response was not acknowledged in time.
 func drain(ctx context.Context, reserve time.Duration, callers drainableServer, gates ...drainableServer) error {
 	if shutdown(ctx, callers, gates) == nil {
 		return nil
