--- a/pkg/proxy/drain_test.go
+++ b/pkg/proxy/drain_test.go
@@ -121,3 +121,56 @@
 	is.True(errors.Is(drain(ctx, drainTestReserve, server), errCallsInFlight))
 	is.Equal(<-result, "given up")
 }
+
+// unreadListener accepts connections with a large send buffer, so that responses are written though nobody reads them.
+type unreadListener struct{ *net.TCPListener }
+
+func (l unreadListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.SetWriteBuffer(1 << 20)
+}
+
+// Guards against a stop that reports that nothing was cut off after it has cut a response.
+func TestDrainFailsIfAResponseIsCut(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := pipeline.New(pipeline.Config{HeaderTimeout: time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 400<<10))
+	})})
+	go func() { _ = server.Serve(unreadListener{l.(*net.TCPListener)}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.(*net.TCPConn).SetReadBuffer(32 << 10))
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(server.Pending().Unacknowledged, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	is.True(drain(ctx, 50*time.Millisecond, server) != nil)
+}
+
+// Guards against a call that fails because its back end, which calls other services through the node, can no longer do so.
+func TestDrainKeepsServingTheBackendOfACallInFlight(t *testing.T) {
+	is := is.New(t)
+	callers, callerAddress := startServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "nested") })
+	started := make(chan struct{})
+	gate, gateAddress := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.WriteString(w, getBody(callerAddress))
+	})
+	result := make(chan string, 1)
+	go func() { result <- getBody(gateAddress) }()
+	<-started
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	is.NoErr(drain(ctx, drainTestReserve, callers, gate))
+	is.Equal(<-result, "nested")
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -133,3 +133,13 @@
 	config.Grace, config.StopTimeout = bundle.Duration(6*time.Second), bundle.Duration(6*time.Second)
 	is.True(strings.Contains(config.Check().Error(), `key "stop_timeout"`))
 }
+
+// Guards against a node that cancels all calls at the end of the caller notice, which has used up the stop.
+func TestCallerNoticeLeavesTimeToDrain(t *testing.T) {
+	is := is.New(t)
+	config := validProxy()
+	config.Grace, config.CallerNotice = bundle.Duration(2*time.Second), bundle.Duration(2400*time.Millisecond)
+	err := config.Check()
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), `key "caller_notice"`))
+}
