--- a/pkg/pipeline/received_test.go
+++ b/pkg/pipeline/received_test.go
@@ -220,3 +220,27 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(len(body), size)
 }
+
+// Guards against a connection that stays open for good because a request with a long body was dropped from its queue.
+func TestConnectionEndsThoughARequestWithABodyIsDropped(t *testing.T) {
+	is := is.New(t)
+	committed, release := make(chan struct{}), make(chan struct{})
+	s, address := serve(t, testConfig(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_ = http.NewResponseController(w).Flush()
+		close(committed)
+		<-release
+	})))
+	c := dial(t, address)
+	c.get("/1")
+	await(t, committed, "the head was not sent")
+	c.send("POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+	awaitReceived(t, s, 2)
+	close(release)
+	response, _ := c.readResponse()
+	is.True(response.Close)
+	c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*lingerTime)
+	defer cancel()
+	is.NoErr(s.Shutdown(ctx))
+}
