--- a/pkg/pipeline/cut_test.go
+++ b/pkg/pipeline/cut_test.go
@@ -13,8 +13,10 @@
 
 type wrappedConn struct{ net.Conn }
 
-func (c wrappedConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
-func (c wrappedConn) CloseWrite() error                     { return c.Conn.(*net.TCPConn).CloseWrite() }
+func (c wrappedConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+func (c wrappedConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
 
 type wrappingListener struct{ net.Listener }
 
