--- a/pkg/pipeline/received_test.go
+++ b/pkg/pipeline/received_test.go
@@ -189,6 +189,7 @@
 	_, _ = c.readResponse()
 	ended := startShutdown(t, s)
 	awaitDraining(t, s)
+	time.Sleep(50 * time.Millisecond)
 	c.post("/2", "body")
 	response, _ := c.readResponse()
 	is.Equal(response.Header.Get(noticeHeader), "not-run")
@@ -244,3 +245,23 @@
 	defer cancel()
 	is.NoErr(s.Shutdown(ctx))
 }
+
+// Guards against a close notice that is left out because the caller's kernel delays the acknowledgement of the last response.
+func TestCloseNoticeIsSentBehindARecentResponse(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig(newBlockingHandler())
+	cfg.CloseNotice = http.Header{noticeHeader: {"not-run"}}
+	for range 5 {
+		s, address := serve(t, cfg)
+		c := dial(t, address)
+		for range 40 {
+			c.get("/now/" + strconv.FormatInt(time.Now().UnixNano(), 10))
+			_, _ = c.readResponse()
+		}
+		ended := startShutdown(t, s)
+		response, _ := c.readResponse()
+		is.Equal(response.Header.Get(noticeHeader), "not-run")
+		c.Close()
+		is.NoErr(<-ended)
+	}
+}
