wire: a frame is given up for silence, not for its length

A subscriber had one silence timeout (1.2 s) for a whole frame, a server 2 s to send one. A state that takes longer on a narrow, busy link was dropped however it progressed, and asked for again from its first byte: such a node kept its old version for as long as its link stayed busy.

Each read and each written chunk of 16 kB renews the deadline now. Frames of a handshake keep a timeout as a whole, since they are small and come from peers that are not known yet. The errors say how far a frame had come.

--- a/pkg/wire/conn.go
+++ b/pkg/wire/conn.go
@@ -45,6 +45,7 @@
 // goroutine.
 type Conn struct {
 	conn     net.Conn
+	input    *input
 	reader   *bufio.Reader
 	maxFrame int
 	observe  Observer
@@ -58,10 +59,12 @@
 	writeTimeout time.Duration
 }
 
-// NewConn wraps a connection. maxFrame bounds received frames in bytes; observe may be nil.
+// NewConn wraps a connection. maxFrame bounds received frames in bytes, writeTimeout the time in which the peer
+// takes no byte of a sent frame; observe may be nil.
 func NewConn(conn net.Conn, maxFrame int, writeTimeout time.Duration, observe Observer) *Conn {
+	in := &input{conn: conn}
 	c := &Conn{
-		conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize),
+		conn: conn, input: in, reader: bufio.NewReaderSize(in, readBufferSize),
 		maxFrame: maxFrame, writeTimeout: writeTimeout, observe: observe,
 	}
 	c.decoder = gob.NewDecoder(&c.received)
@@ -69,8 +72,29 @@
 	return c
 }
 
-// readBufferSize is small because a relay holds thousands of connections.
-const readBufferSize = 1024
+const (
+	// readBufferSize is small because a relay holds thousands of connections.
+	readBufferSize = 1024
+	// writeChunk is the largest part of a frame, in bytes, that the peer must take within the write timeout.
+	writeChunk = 16 << 10
+)
+
+// input reads from a connection and renews the read deadline before each read.
+type input struct {
+	conn net.Conn
+	// silenceTimeout is how long the peer may send nothing, zero if the deadline is not renewed.
+	silenceTimeout time.Duration
+}
+
+// Read implements io.Reader.
+func (r *input) Read(data []byte) (int, error) {
+	if r.silenceTimeout > 0 {
+		if err := r.conn.SetReadDeadline(time.Now().Add(r.silenceTimeout)); err != nil {
+			return 0, fmt.Errorf("set read deadline: %w", err)
+		}
+	}
+	return r.conn.Read(data)
+}
 
 // Peer returns the remote address.
 func (c *Conn) Peer() string { return c.conn.RemoteAddr().String() }
@@ -78,7 +102,7 @@
 // Close closes the connection; pending operations fail.
 func (c *Conn) Close() error { return c.conn.Close() }
 
-// Send writes one value within the write timeout.
+// Send writes one value. It fails if the peer takes no part of it for the write timeout.
 func (c *Conn) Send(kind Kind, value any) error {
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
@@ -92,36 +116,65 @@
 	if c.encoded.Cap() > readBufferSize*16 {
 		c.releaseSendBuffer()
 	}
-	if err := c.conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-		return fmt.Errorf("set write deadline to %s: %w", c.Peer(), err)
-	}
-	if _, err := c.conn.Write(frame); err != nil {
-		return fmt.Errorf("write frame to %s: %w", c.Peer(), err)
+	if err := c.write(frame); err != nil {
+		return err
 	}
 	c.notifyObserver(kind, Sent, len(frame))
 	return nil
 }
 
+// write writes a frame in chunks and renews the write deadline before each of them.
+func (c *Conn) write(frame []byte) error {
+	size := len(frame)
+	for len(frame) > 0 {
+		chunk := frame[:min(len(frame), writeChunk)]
+		if err := c.conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return fmt.Errorf("set write deadline to %s: %w", c.Peer(), err)
+		}
+		if _, err := c.conn.Write(chunk); err != nil {
+			return fmt.Errorf("write frame to %s, after %d of %d bytes: %w", c.Peer(), size-len(frame), size, err)
+		}
+		frame = frame[len(chunk):]
+	}
+	return nil
+}
+
 // releaseSendBuffer drops the send buffer after a large frame.
 func (c *Conn) releaseSendBuffer() {
 	c.encoded = bytes.Buffer{}
 }
 
-// Receive reads one frame within timeout, zero for none. Decode must be called before the next
-// Receive.
-func (c *Conn) Receive(timeout time.Duration) (Kind, error) {
-	return c.ReceiveAtMost(timeout, c.maxFrame)
+// Receive reads one frame. It fails if the peer sends nothing for silenceTimeout, zero for no limit. A frame that
+// arrives slowly takes as long as it needs. Decode must be called before the next Receive.
+func (c *Conn) Receive(silenceTimeout time.Duration) (Kind, error) {
+	c.input.silenceTimeout = silenceTimeout
+	if silenceTimeout <= 0 {
+		if err := c.setReadDeadline(time.Time{}); err != nil {
+			return 0, err
+		}
+	}
+	return c.readFrame(c.maxFrame)
 }
 
-// ReceiveAtMost is Receive for a frame of at most maxFrame bytes.
+// ReceiveAtMost reads one frame of at most maxFrame bytes, all of which must arrive within timeout. Decode must be
+// called before the next Receive.
 func (c *Conn) ReceiveAtMost(timeout time.Duration, maxFrame int) (Kind, error) {
-	deadline := time.Time{}
-	if timeout > 0 {
-		deadline = time.Now().Add(timeout)
+	c.input.silenceTimeout = 0
+	if err := c.setReadDeadline(time.Now().Add(timeout)); err != nil {
+		return 0, err
 	}
+	return c.readFrame(maxFrame)
+}
+
+func (c *Conn) setReadDeadline(deadline time.Time) error {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
-		return 0, fmt.Errorf("set read deadline for %s: %w", c.Peer(), err)
+		return fmt.Errorf("set read deadline for %s: %w", c.Peer(), err)
 	}
+	return nil
+}
+
+// readFrame reads one frame of at most maxFrame bytes into the receive buffer.
+func (c *Conn) readFrame(maxFrame int) (Kind, error) {
 	length, err := binary.ReadUvarint(c.reader)
 	if err != nil {
 		return 0, fmt.Errorf("read frame from %s: %w", c.Peer(), err)
@@ -137,8 +190,8 @@
 	if c.received.Cap() > readBufferSize*16 {
 		c.received = bytes.Buffer{}
 	}
-	if _, err := io.CopyN(&c.received, c.reader, int64(length)); err != nil {
-		return 0, fmt.Errorf("read frame body from %s: %w", c.Peer(), err)
+	if received, err := io.CopyN(&c.received, c.reader, int64(length)); err != nil {
+		return 0, fmt.Errorf("read frame body from %s, after %d of %d bytes: %w", c.Peer(), received, length, err)
 	}
 	c.notifyObserver(Kind(kind), Received, int(length)+1+uvarintSize(length))
 	return Kind(kind), nil
