stream: attempts to subscribe overlap

A node whose replica fell silent gave each dial 150 ms, six times, each followed by a pause and a mark that kept it away from the replica. On a link on which packets wait 75 ms or longer in each direction all six fail, though the replicas are well: the node kept its old version for 4.1 to 6.6 s after its replica had vanished, 3 s of which are excused.

An attempt goes on now while the next one begins, and the first that completes the handshake is used (opener). The interval between attempts is what the timeout of a dial was, so servers that are down are passed as quickly as before. The same for a move away from a stale server.

--- /dev/null
+++ b/pkg/stream/busy_link_test.go
@@ -0,0 +1,47 @@
+package stream
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramblelift/pkg/distribution"
+
+	"github.com/matryer/is"
+)
+
+// A node counts as connected again 3 s after its server vanished. It must then hold what was accepted 1 s after that.
+func TestSilentServerIsReplacedInTimeOverABusyLink(t *testing.T) {
+	for _, delay := range []time.Duration{time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 225 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				n := newNetwork(ctx)
+				var addresses []string
+				for i := range 4 {
+					addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
+					n.addServer(addresses[i], &distribution.State{Revision: 1, Endpoints: distribution.EndpointTable{}})
+				}
+				target := &positionTarget{}
+				client := n.addClient(t, link{delay: delay, bytesPerSecond: 40_000}, target, addresses...)
+				awaitRevision(target, 1, 10*time.Second)
+				time.Sleep(2 * time.Second)
+				n.servers[client.Server()].silence()
+				vanished := time.Now()
+				time.Sleep(time.Second)
+				for _, server := range n.servers {
+					server.SetState(&distribution.State{Revision: 2, Endpoints: distribution.EndpointTable{}})
+				}
+				awaitRevision(target, 2, 20*time.Second)
+				took := time.Since(vanished)
+				cancel()
+				time.Sleep(10 * time.Second)
+				t.Log(took)
+				is.True(took <= 3*time.Second)
+			})
+		})
+	}
+}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -37,7 +37,10 @@
 	// SilenceTimeout is abandoned.
 	PingInterval   time.Duration
 	SilenceTimeout time.Duration
-	DialTimeout    time.Duration
+	// DialTimeout is how long a server may take to accept a subscription before another one is tried, too.
+	DialTimeout time.Duration
+	// Dial, if set, opens the connections in place of a TCP dialer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Wrap, if set, wraps each new connection, for example to count its bytes.
 	Wrap    func(net.Conn) net.Conn
 	Observe wire.Observer
@@ -66,15 +69,15 @@
 	minPingGap = 50 * time.Millisecond
 	// awaitPingInterval is the interval between pings while Await is in effect.
 	awaitPingInterval = 150 * time.Millisecond
-	// The first quickDialAttempts consecutive dials time out after quickDialTimeout, two round
-	// trips between regions 35 ms apart. Together they span a restart of the control plane.
+	// The first quickDialAttempts consecutive dials are followed by another after quickDialInterval, two
+	// round trips between regions 35 ms apart. Together they span a restart of the control plane.
 	quickDialAttempts = 6
-	quickDialTimeout  = 150 * time.Millisecond
-	// Later dials use the configured timeout, doubled after every dialsPerTimeout failures up to
-	// maxDialTimeout: on a saturated link SYN packets queue for longer than a short timeout, and a
-	// lost one is retransmitted only after a second.
-	dialsPerTimeout = 3
-	maxDialTimeout  = 1600 * time.Millisecond
+	quickDialInterval = 150 * time.Millisecond
+	// Later intervals are the configured timeout, doubled after every dialsPerInterval dials up to
+	// maxDialInterval: on a saturated link SYN packets queue for long, and a lost one is retransmitted
+	// only after a second.
+	dialsPerInterval = 3
+	maxDialInterval  = 1600 * time.Millisecond
 )
 
 // Client maintains one subscription and switches servers when the current one fails or is stale.
@@ -98,8 +101,8 @@
 	currentServer  atomic.Pointer[string]
 	// awaiting counts the calls of Await in effect.
 	awaiting atomic.Int32
-	// failedDials counts consecutive failed dials.
-	failedDials atomic.Int32
+	// unansweredDials counts the dials since the last one that was answered.
+	unansweredDials atomic.Int32
 }
 
 // NewClient returns a client for the given servers, and an error if there are none.
@@ -188,16 +191,16 @@
 func (c *Client) Run(ctx context.Context) {
 	var successor *clientSession
 	for ctx.Err() == nil {
-		s, err := successor, error(nil)
+		s := successor
 		if s == nil {
-			s, err = c.openNext(ctx)
+			s = c.open(ctx)
 		}
-		successor = nil
-		if err == nil {
-			err = s.run(ctx)
-			successor = s.successor
-			c.currentServer.Store(nil)
+		if s == nil {
+			return
 		}
+		err := s.run(ctx)
+		successor = s.successor
+		c.currentServer.Store(nil)
 		if ctx.Err() == nil {
 			c.handleSessionEnd(s, err)
 		}
@@ -205,22 +208,52 @@
 	successor.close()
 }
 
-// openNext waits for the selector's backoff and subscribes to the server it selects. It returns
-// errNearerServer if the server's Welcome lists a server in the client's zone.
-func (c *Client) openNext(ctx context.Context) (*clientSession, error) {
-	candidate, wait := c.selector.Next(c.config.Now())
-	if !sleep(ctx, wait) {
-		return nil, ctx.Err()
+// open subscribes to one of the servers that the selector names, with its pauses in between. It returns nil if the
+// context ended.
+func (c *Client) open(ctx context.Context) *clientSession {
+	o := newOpener(ctx, c)
+	defer o.stop()
+	for ctx.Err() == nil {
+		s := c.openNext(o)
+		if s != nil && c.isNearest(s) {
+			return s
+		}
+	}
+	return nil
+}
+
+// openNext begins an attempt at the server that the selector names next. It returns nil if neither this attempt nor an
+// earlier one has opened a session by the time of the next.
+func (c *Client) openNext(o *opener) *clientSession {
+	candidate, pause := c.selector.Next(c.config.Now())
+	if s, _ := o.await(pause, nil); s != nil {
+		return s
 	}
-	s, err := c.open(ctx, candidate.Address)
-	if err == nil && c.selector.NearerAvailable(c.config.Now()) {
-		s.close()
-		err = errNearerServer
+	if s := o.awaitRoom(); s != nil || o.ctx.Err() != nil {
+		return s
 	}
-	if err != nil {
-		return &clientSession{address: candidate.Address}, err
+	attempt := o.start(candidate.Address)
+	s, err := o.await(attempt.interval, attempt)
+	if s != nil || o.ctx.Err() != nil {
+		return s
+	}
+	if err == nil {
+		err = errSlowServer
+	}
+	c.handleSessionEnd(&clientSession{address: candidate.Address}, err)
+	return nil
+}
+
+// isNearest makes the server of an opened session the current one. If its Welcome lists a server in the client's zone,
+// it closes the session and selects that one.
+func (c *Client) isNearest(s *clientSession) bool {
+	c.selector.SetCurrent(s.address)
+	if !c.selector.NearerAvailable(c.config.Now()) {
+		return true
 	}
-	return s, nil
+	s.close()
+	c.handleSessionEnd(s, errNearerServer)
+	return false
 }
 
 // handleSessionEnd updates the selector after a subscription, or an attempt to open one, has ended.
--- a/pkg/stream/client_session.go
+++ b/pkg/stream/client_session.go
@@ -40,27 +40,35 @@
 	leaveReason atomic.Pointer[ServerHealth]
 }
 
-// dialTimeout returns the timeout of the next dial. It starts short, because a server that is
-// booting drops packets and is reached only by a later dial, and grows with failed dials for slow
-// networks.
-func (c *Client) dialTimeout() time.Duration {
-	failed := c.failedDials.Load()
-	if failed < quickDialAttempts {
-		return min(quickDialTimeout, c.config.DialTimeout)
+// dialInterval returns how long to wait for a server before another one is tried, too. It starts short, because a server
+// that is booting drops packets and is reached only by a later dial, and grows with unanswered dials.
+func (c *Client) dialInterval() time.Duration {
+	unanswered := c.unansweredDials.Load()
+	if unanswered < quickDialAttempts {
+		return min(quickDialInterval, c.config.DialTimeout)
 	}
-	doublings := min((failed-quickDialAttempts)/dialsPerTimeout, maxDoublings)
-	return max(c.config.DialTimeout, min(maxDialTimeout, c.config.DialTimeout<<doublings))
+	doublings := min((unanswered-quickDialAttempts)/dialsPerInterval, maxDoublings)
+	return max(c.config.DialTimeout, min(maxDialInterval, c.config.DialTimeout<<doublings))
 }
 
-// open dials a server and performs the handshake. No ping is sent yet.
-func (c *Client) open(ctx context.Context, address string) (*clientSession, error) {
-	dialer := net.Dialer{Timeout: c.dialTimeout()}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+// dial connects to a server.
+func (c *Client) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if c.config.Dial != nil {
+		return c.config.Dial(ctx, address)
+	}
+	dialer := net.Dialer{}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// openSession dials a server and performs the handshake. No ping is sent yet.
+func (c *Client) openSession(ctx context.Context, address string, dialTimeout time.Duration) (*clientSession, error) {
+	raw, err := c.dial(ctx, address, dialTimeout)
 	if err != nil {
-		c.failedDials.Add(1)
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	c.failedDials.Store(0)
+	c.unansweredDials.Store(0)
 	if c.config.Wrap != nil {
 		raw = c.config.Wrap(raw)
 	}
@@ -133,18 +141,27 @@
 // if there is none.
 func (s *clientSession) openFirstReachable(ctx context.Context, candidate Candidate, nextCandidate func(now time.Duration) (Candidate, bool)) *clientSession {
 	c := s.client
+	o := newOpener(ctx, c)
+	defer o.stop()
 	for found := true; found && ctx.Err() == nil; candidate, found = nextCandidate(c.config.Now()) {
-		next, err := c.open(ctx, candidate.Address)
-		if err == nil {
+		if next := o.awaitRoom(); next != nil {
+			return next
+		}
+		attempt := o.start(candidate.Address)
+		next, err := o.await(attempt.interval, attempt)
+		if next != nil {
 			return next
 		}
 		if ctx.Err() != nil {
 			return nil
 		}
+		if err == nil {
+			err = errSlowServer
+		}
 		c.selector.MarkUnreachable(c.config.Now(), candidate.Address)
 		c.config.Logger.Log("event", "subscription_stays", "server", s.address, "tried", candidate.Address, "error", err)
 	}
-	return nil
+	return o.awaitAll()
 }
 
 // ping sends pings until the session ends. The intervals are jittered so that clients that
--- a/pkg/stream/nearer_test.go
+++ b/pkg/stream/nearer_test.go
@@ -198,16 +198,16 @@
 }
 
 // A client that starts before its servers must find them soon after they start, so the first dials
-// have a short timeout.
-func TestFirstDialsUseShortTimeout(t *testing.T) {
+// follow one another at a short interval.
+func TestFirstDialsUseShortInterval(t *testing.T) {
 	is := is.New(t)
 	c := &Client{config: ClientConfig{DialTimeout: 400 * time.Millisecond}}
-	is.Equal(c.dialTimeout(), quickDialTimeout)
-	c.failedDials.Store(quickDialAttempts)
-	is.Equal(c.dialTimeout(), 400*time.Millisecond)
+	is.Equal(c.dialInterval(), quickDialInterval)
+	c.unansweredDials.Store(quickDialAttempts)
+	is.Equal(c.dialInterval(), 400*time.Millisecond)
 	c.config.DialTimeout = 100 * time.Millisecond
-	c.failedDials.Store(0)
-	is.Equal(c.dialTimeout(), 100*time.Millisecond) // at most the configured timeout
+	c.unansweredDials.Store(0)
+	is.Equal(c.dialInterval(), 100*time.Millisecond) // at most the configured timeout
 }
 
 // After a full restart all servers wait for a leader. A starting client must not switch between
--- /dev/null
+++ b/pkg/stream/network_test.go
@@ -0,0 +1,185 @@
+package stream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/protocol"
+	"bramblelift/pkg/wire"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+)
+
+const (
+	nodeSilence    = 1200 * time.Millisecond
+	nodePing       = 400 * time.Millisecond
+	nodeStaleLimit = 900 * time.Millisecond
+	packetBytes    = 1400
+)
+
+// network connects clients to hubs in memory. It runs in a synctest bubble.
+type network struct {
+	ctx     context.Context
+	started time.Time
+
+	mu      sync.Mutex
+	servers map[string]*networkServer
+}
+
+// networkServer is a hub on a network. While it is silent it accepts and sends nothing.
+type networkServer struct {
+	*Hub
+	silent chan struct{}
+}
+
+func newNetwork(ctx context.Context) *network {
+	return &network{ctx: ctx, started: time.Now(), servers: map[string]*networkServer{}}
+}
+
+func (n *network) now() time.Duration { return time.Since(n.started) }
+
+// addServer starts a hub of another zone than the clients'.
+func (n *network) addServer(address string, state *distribution.State) *networkServer {
+	server := &networkServer{silent: make(chan struct{})}
+	server.Hub = NewHub(HubConfig{
+		Name: address, SilenceTimeout: 5 * time.Second, Admission: AdmissionConfig{PerSecond: 200, Burst: 200}, Now: n.now,
+		ConfirmedAt: func() (time.Duration, bool) { return n.now(), true },
+		Servers:     n.list,
+	}, state)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[address] = server
+	return server
+}
+
+// silence makes the server vanish without closing its connections, like a loss of power.
+func (s *networkServer) silence() { close(s.silent) }
+
+// list returns the servers; all of them are in the clients' zone.
+func (n *network) list() []protocol.Server {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var servers []protocol.Server
+	for address := range n.servers {
+		servers = append(servers, protocol.Server{Address: address, Zone: "own"})
+	}
+	return servers
+}
+
+// link is a client's link to the network.
+type link struct {
+	// delay is how long a packet waits in each direction, bytesPerSecond what is left for the client's subscription.
+	delay          time.Duration
+	bytesPerSecond int
+}
+
+// dial connects a client to a server over the client's link.
+func (n *network) dial(ctx context.Context, over link, address string) (net.Conn, error) {
+	n.mu.Lock()
+	server := n.servers[address]
+	n.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(2 * over.delay):
+	}
+	if isClosed(server.silent) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	clientEnd, fromServer := net.Pipe()
+	serverEnd, fromClient := net.Pipe()
+	go relayPackets(fromServer, fromClient, over, server.silent)
+	go relayPackets(fromClient, fromServer, over, server.silent)
+	go func() {
+		conn := wire.NewConn(serverEnd, wire.DefaultMaxFrame, 2*time.Second, nil)
+		defer conn.Close()
+		if hello, err := protocol.Accept(conn, "test", 3*time.Second); err == nil {
+			_ = server.Serve(n.ctx, conn, hello)
+		}
+	}()
+	return clientEnd, nil
+}
+
+// packet is a part of a connection's bytes that is under way.
+type packet struct {
+	data    []byte
+	arrives time.Time
+}
+
+// relayPackets passes bytes on with the delay and the rate of a link, until either end closes or the server is silent.
+func relayPackets(from, to net.Conn, over link, silent <-chan struct{}) {
+	underWay := make(chan packet, 1<<12)
+	go func() {
+		defer to.Close()
+		for p := range underWay {
+			time.Sleep(time.Until(p.arrives))
+			if isClosed(silent) {
+				continue
+			}
+			if _, err := to.Write(p.data); err != nil {
+				break
+			}
+		}
+	}()
+	defer close(underWay)
+	defer from.Close()
+	sentAt := time.Now()
+	for {
+		data := make([]byte, packetBytes)
+		size, err := from.Read(data)
+		if err != nil {
+			return
+		}
+		sentAt = laterOf(sentAt, time.Now()).Add(time.Duration(size) * time.Second / time.Duration(over.bytesPerSecond))
+		underWay <- packet{data: data[:size], arrives: sentAt.Add(over.delay)}
+	}
+}
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// addClient runs a client that holds the given target and knows the servers, until the context ends.
+func (n *network) addClient(t *testing.T, over link, target Target, servers ...string) *Client {
+	t.Helper()
+	var candidates []Candidate
+	for _, address := range servers {
+		candidates = append(candidates, Candidate{Address: address, Near: true})
+	}
+	client, err := NewClient(ClientConfig{
+		Hello:    protocol.Hello{ClusterID: "test", Role: protocol.RoleNode, Name: "node", Zone: "own"},
+		Selector: SelectorConfigFor(nodeStaleLimit), PingInterval: nodePing, SilenceTimeout: nodeSilence,
+		DialTimeout: 400 * time.Millisecond, Logger: log.NewNopLogger(), Now: n.now,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) { return n.dial(ctx, over, address) },
+	}, target, candidates)
+	is.New(t).NoErr(err)
+	go client.Run(n.ctx)
+	return client
+}
+
+// awaitRevision returns how long a target takes to reach a revision, at most limit.
+func awaitRevision(target Target, revision uint64, limit time.Duration) time.Duration {
+	began := time.Now()
+	for target.Position().Revision < revision && time.Since(began) < limit {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(began)
+}
--- a/pkg/stream/stale_server_test.go
+++ b/pkg/stream/stale_server_test.go
@@ -100,15 +100,15 @@
 func TestDialTimeoutGrowsAfterRepeatedFailures(t *testing.T) {
 	is := is.New(t)
 	c := &Client{config: ClientConfig{DialTimeout: 400 * time.Millisecond}}
-	is.Equal(c.dialTimeout(), quickDialTimeout)
-	c.failedDials.Store(quickDialAttempts)
-	is.Equal(c.dialTimeout(), 400*time.Millisecond)
-	c.failedDials.Store(quickDialAttempts + dialsPerTimeout)
-	is.Equal(c.dialTimeout(), 800*time.Millisecond)
-	c.failedDials.Store(1000)
-	is.Equal(c.dialTimeout(), maxDialTimeout)
+	is.Equal(c.dialInterval(), quickDialInterval)
+	c.unansweredDials.Store(quickDialAttempts)
+	is.Equal(c.dialInterval(), 400*time.Millisecond)
+	c.unansweredDials.Store(quickDialAttempts + dialsPerInterval)
+	is.Equal(c.dialInterval(), 800*time.Millisecond)
+	c.unansweredDials.Store(1000)
+	is.Equal(c.dialInterval(), maxDialInterval)
 	c.config.DialTimeout = 5 * time.Second
-	is.Equal(c.dialTimeout(), 5*time.Second) // a longer configured timeout is kept
+	is.Equal(c.dialInterval(), 5*time.Second) // a longer configured timeout is kept
 }
 
 // A server that is behind must be replaced even by a candidate marked as failed.
