distribution: a node that missed many versions gets what changed

A replica kept the eight latest replaced bundles as bases of deltas: 1.6 s of changes at five a second. A node that was away for longer, as after its replica had vanished, needed the whole content, 3,000 routes in place of 15, on the link that had made it late.

A delta is the join of the steps since the holder's version (Delta.Then), if they are all known and the node's group had the same scope throughout; the holder verifies the digest as before, and earlier releases understand it. Nothing more is kept on disk, and a replica that was started again begins with the eight bundles.

TestHolderThatMissedManyVersionsGetsOnlyWhatChanged failed before (a reset with 1,200 routes).

--- a/pkg/bundle/delta.go
+++ b/pkg/bundle/delta.go
@@ -36,6 +36,33 @@
 		len(d.Secrets) + len(d.RemovedSecrets) + len(d.Tenants) + len(d.RemovedTenants)
 }
 
+// Then returns the delta that has the effect of d followed by next.
+func (d Delta) Then(next Delta) Delta {
+	both := Delta{HandBack: next.HandBack, Limits: next.Limits}
+	both.Routes, both.RemovedRoutes = joinByName(d.Routes, next.Routes, d.RemovedRoutes, next.RemovedRoutes, routeName)
+	both.Services, both.RemovedServices = joinByName(d.Services, next.Services, d.RemovedServices, next.RemovedServices, serviceName)
+	both.Secrets, both.RemovedSecrets = joinByName(d.Secrets, next.Secrets, d.RemovedSecrets, next.RemovedSecrets, secretName)
+	both.Tenants, both.RemovedTenants = joinByName(d.Tenants, next.Tenants, d.RemovedTenants, next.RemovedTenants, tenantName)
+	return both
+}
+
+// joinByName joins two consecutive changes of a list into the changed items and the removed names, each sorted by name.
+func joinByName[T any](first, second []T, firstRemoved, secondRemoved []string, name func(T) string) (changed []T, removed []string) {
+	changed = applyByName(first, second, secondRemoved, name)
+	present := map[string]bool{}
+	for _, item := range changed {
+		present[name(item)] = true
+	}
+	for _, gone := range slices.Concat(firstRemoved, secondRemoved) {
+		if !present[gone] {
+			present[gone] = true
+			removed = append(removed, gone)
+		}
+	}
+	slices.Sort(removed)
+	return changed, removed
+}
+
 // Apply returns the content after the delta. It does not modify c.
 func (c Content) Apply(d Delta) Content {
 	next := Content{
--- a/pkg/distribution/update.go
+++ b/pkg/distribution/update.go
@@ -59,13 +59,15 @@
 	scopes  map[scopeKey]*bundle.Content
 	updates map[updateKey]*Update
 	// packed caches the packed forms of updates.
-	packed map[*Update]*PackedUpdate
-	hasher *bundle.Hasher
+	packed  map[*Update]*PackedUpdate
+	history history
+	hasher  *bundle.Hasher
 }
 
 type scopeKey struct {
 	version uint64
-	group   string
+	// scope is the name of the scope.
+	scope string
 }
 
 type updateKey struct {
@@ -85,6 +87,7 @@
 
 // SetState replaces the state by a newer one and drops the cached updates.
 func (p *Planner) SetState(state *State) {
+	p.recordStep(state)
 	p.state = state
 	p.updates = map[updateKey]*Update{}
 	p.packed = map[*Update]*PackedUpdate{}
@@ -100,6 +103,47 @@
 	}
 }
 
+// recordStep adds the change of the active bundle, if there is one, to the history.
+func (p *Planner) recordStep(next *State) {
+	if p.state == nil || p.state.Active == nil || next.Active == nil {
+		return
+	}
+	step := versionStep{from: versionOf(p.state.Active), to: versionOf(next.Active), groups: map[string]bool{}, scopes: map[string]scopeStep{}}
+	if step.from == step.to {
+		return
+	}
+	for _, group := range p.state.Active.Content.Groups() {
+		step.groups[group] = true
+	}
+	for _, scope := range p.plannedScopes() {
+		if p.state.Active.Content.ScopeName(scope) == scope && next.Active.Content.ScopeName(scope) == scope {
+			before := p.scopedContent(step.from, scope)
+			changed := bundle.Diff(*before, next.Active.Content.Scope(scope))
+			step.scopes[scope] = scopeStep{delta: changed, services: neededServices(before)}
+		}
+	}
+	p.history.add(step)
+}
+
+// plannedScopes returns the names of the scopes whose holders have been planned for lately.
+func (p *Planner) plannedScopes() []string {
+	var scopes []string
+	for key := range p.scopes {
+		if !slices.Contains(scopes, key.scope) {
+			scopes = append(scopes, key.scope)
+		}
+	}
+	return scopes
+}
+
+// stepsFrom returns the changes of a group's scope from a version to the active bundle, nil if they are not known.
+func (p *Planner) stepsFrom(version uint64, group string) []scopeStep {
+	if p.state.Active == nil || version == 0 {
+		return nil
+	}
+	return p.history.since(version, group, p.state.Active.Content.ScopeName(group))
+}
+
 // Plan returns the update for a holder of a group at a position, or nil if the holder is up to date.
 // The update is shared and must not be modified.
 func (p *Planner) Plan(group string, position Position) (*Update, error) {
@@ -148,7 +192,7 @@
 		return false
 	}
 	for _, version := range []uint64{position.Active, position.Staged} {
-		if version != 0 && p.scopedContent(version, group) == nil {
+		if version != 0 && p.heldServices(version, group) == nil {
 			return true
 		}
 	}
@@ -185,6 +229,10 @@
 		return BundleUpdate{}, fmt.Errorf("version %d has no scope %q", version, scope)
 	}
 	planned := BundleUpdate{Manifest: signed.Manifest, Approval: signed.Approval, Scope: scope, Proof: proof}
+	if steps := p.stepsFrom(held.Active, group); signed == p.state.Active && steps != nil {
+		planned.Base, planned.Delta = held.Active, deltaOf(steps)
+		return planned, nil
+	}
 	baseContent := &bundle.Content{}
 	for _, candidate := range []uint64{held.Active, held.Staged} {
 		if content := p.scopedContent(candidate, group); content != nil {
@@ -214,10 +262,11 @@
 // of services that it did not use at its position.
 func (p *Planner) planGroupEndpoints(update *Update, group string, position Position) {
 	needed := neededServices(p.scopedContent(update.Active, group), p.scopedContent(update.Staged, group))
-	known := neededServices(p.scopedContent(position.Active, group), p.scopedContent(position.Staged, group))
+	known := p.heldServices(position.Active, group)
+	staged := p.heldServices(position.Staged, group)
 	update.EndpointDigest = p.state.Endpoints.digest(needed)
 	for service := range needed {
-		sendAll := update.Reset || !known[service]
+		sendAll := update.Reset || (!known[service] && !staged[service])
 		for _, endpoint := range p.state.Endpoints[service] {
 			if sendAll && endpoint.State == Removed {
 				continue
@@ -230,6 +279,17 @@
 	}
 }
 
+// heldServices returns the services that a holder of a group's part of a version has, nil if they are not known.
+func (p *Planner) heldServices(version uint64, group string) map[string]bool {
+	if content := p.scopedContent(version, group); content != nil {
+		return neededServices(content)
+	}
+	if steps := p.stepsFrom(version, group); steps != nil {
+		return steps[0].services
+	}
+	return nil
+}
+
 // scopedContent returns the part of a version's content that a group needs, or nil if the state no longer
 // has the version.
 func (p *Planner) scopedContent(version uint64, group string) *bundle.Content {
@@ -237,11 +297,11 @@
 	if version == 0 || signed == nil {
 		return nil
 	}
-	key := scopeKey{version: version, group: signed.Content.ScopeName(group)}
+	key := scopeKey{version: version, scope: signed.Content.ScopeName(group)}
 	if content, found := p.scopes[key]; found {
 		return content
 	}
-	content := signed.Content.Scope(key.group)
+	content := signed.Content.Scope(key.scope)
 	p.scopes[key] = &content
 	return &content
 }
