stream: large updates are packed outside the hub's lock

The first sender packs an update now, others at the same position wait for it alone.

TestPlannerLeavesPackingToTheSender; before, the planner packed.

--- a/pkg/distribution/orders_test.go
+++ b/pkg/distribution/orders_test.go
@@ -20,7 +20,7 @@
 		first, err := planner.Plan(group, Position{})
 		is.NoErr(err)
 		is.True(first.Large())
-		packed, err := planner.Packed(first)
+		packed, err := planner.Packing(first).Packed()
 		is.NoErr(err)
 		unpacked, err := packed.Unpack()
 		is.NoErr(err)
--- a/pkg/distribution/packed.go
+++ b/pkg/distribution/packed.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"sync"
 
 	"bramblelift/pkg/deflate"
 )
@@ -60,15 +61,26 @@
 	return &update, nil
 }
 
-// Packed returns the packed form of an update that Plan returned. It is cached until SetState.
-func (p *Planner) Packed(update *Update) (*PackedUpdate, error) {
-	if packed, found := p.packed[update]; found {
-		return packed, nil
-	}
-	packed, err := pack(update)
-	if err != nil {
-		return nil, err
+// Packing is the packed form of an update, which is made once when it is first needed. It is safe for concurrent use.
+type Packing struct {
+	update *Update
+	once   sync.Once
+	packed *PackedUpdate
+	err    error
+}
+
+// Packed returns the packed form.
+func (p *Packing) Packed() (*PackedUpdate, error) {
+	p.once.Do(func() { p.packed, p.err = pack(p.update) })
+	return p.packed, p.err
+}
+
+// Packing returns the packing of an update that Plan returned. It is cached until SetState.
+func (p *Planner) Packing(update *Update) *Packing {
+	packing, found := p.packings[update]
+	if !found {
+		packing = &Packing{update: update}
+		p.packings[update] = packing
 	}
-	p.packed[update] = packed
-	return packed, nil
+	return packing
 }
--- a/pkg/distribution/packed_test.go
+++ b/pkg/distribution/packed_test.go
@@ -34,11 +34,11 @@
 	update, err := planner.Plan("shop", Position{})
 	is.NoErr(err)
 	is.True(update.Large())
-	first, err := planner.Packed(update)
+	first, err := planner.Packing(update).Packed()
 	is.NoErr(err)
 	again, err := planner.Plan("shop", Position{})
 	is.NoErr(err)
-	second, err := planner.Packed(again)
+	second, err := planner.Packing(again).Packed()
 	is.NoErr(err)
 	is.True(first == second)
 	is.True(len(first.Data) < 40_000) // gob alone needs 134 KB
@@ -49,7 +49,23 @@
 	is.NoErr(holder.Apply(unpacked))
 	is.Equal(len(holder.State().Active.Content.Routes), 1200)
 	planner.SetState(newStateWithRoutes(t, 1200))
-	is.Equal(len(planner.packed), 0) // SetState drops the cached updates
+	is.Equal(len(planner.packings), 0) // SetState drops the cached updates
+}
+
+// A planner is used under a lock that also takes new states: packing must not be done there.
+func TestPlannerLeavesPackingToTheSender(t *testing.T) {
+	is := is.New(t)
+	planner := NewPlanner(newStateWithRoutes(t, 1200))
+	update, err := planner.Plan("shop", Position{})
+	is.NoErr(err)
+	packing := planner.Packing(update)
+	is.True(packing.packed == nil)
+	planner.SetState(newStateWithRoutes(t, 10)) // while it is packed
+	packed, err := packing.Packed()
+	is.NoErr(err)
+	unpacked, err := packed.Unpack()
+	is.NoErr(err)
+	is.Equal(unpacked, update)
 }
 
 func TestSmallUpdatesAreNotPacked(t *testing.T) {
@@ -64,7 +80,7 @@
 	planner := NewPlanner(newStateWithRoutes(t, 100))
 	update, err := planner.Plan("shop", Position{})
 	is.NoErr(err)
-	packed, err := planner.Packed(update)
+	packed, err := planner.Packing(update).Packed()
 	is.NoErr(err)
 	_, err = (&PackedUpdate{Data: packed.Data[:len(packed.Data)/2]}).Unpack()
 	is.True(err != nil)
--- a/pkg/distribution/update.go
+++ b/pkg/distribution/update.go
@@ -58,10 +58,10 @@
 	// scopes caches the part of each content that a group needs.
 	scopes  map[scopeKey]*bundle.Content
 	updates map[updateKey]*Update
-	// packed caches the packed forms of updates.
-	packed  map[*Update]*PackedUpdate
-	history history
-	hasher  *bundle.Hasher
+	// packings caches the packed forms of updates.
+	packings map[*Update]*Packing
+	history  history
+	hasher   *bundle.Hasher
 }
 
 type scopeKey struct {
@@ -90,7 +90,7 @@
 	p.recordStep(state)
 	p.state = state
 	p.updates = map[updateKey]*Update{}
-	p.packed = map[*Update]*PackedUpdate{}
+	p.packings = map[*Update]*Packing{}
 	for version := range p.trees {
 		if state.bundleOf(version) == nil {
 			delete(p.trees, version)
--- a/pkg/stream/hub.go
+++ b/pkg/stream/hub.go
@@ -421,15 +421,15 @@
 	update, pong, err := s.session.PendingMessages(h.planner, h.freshness())
 	pushed := s.pendingQuotas
 	s.pendingQuotas = nil
-	var packed *distribution.PackedUpdate
+	var packing *distribution.Packing
 	if err == nil && update != nil && update.Large() {
-		packed, err = h.planner.Packed(update)
+		packing = h.planner.Packing(update)
 	}
 	h.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	if err := s.sendUpdate(update, packed); err != nil {
+	if err := s.sendUpdate(update, packing); err != nil {
 		return err
 	}
 	if pushed != nil {
@@ -447,10 +447,14 @@
 	return s.conn.Send(protocol.KindPong, pong)
 }
 
-// sendUpdate sends an update, in packed form if there is one; both may be nil.
-func (s *subscriber) sendUpdate(update *distribution.Update, packed *distribution.PackedUpdate) error {
+// sendUpdate sends an update, in packed form if there is a packing; both may be nil.
+func (s *subscriber) sendUpdate(update *distribution.Update, packing *distribution.Packing) error {
 	switch {
-	case packed != nil:
+	case packing != nil:
+		packed, err := packing.Packed()
+		if err != nil {
+			return err
+		}
 		return s.conn.Send(protocol.KindPackedUpdate, packed)
 	case update != nil:
 		return s.conn.Send(protocol.KindUpdate, update)
