--- a/pkg/bench/faultnet/faultnet.go
+++ b/pkg/bench/faultnet/faultnet.go
@@ -60,8 +60,9 @@
 	activeToxics map[Link][]string
 }
 
-// New returns a network without links.
+// New returns a network without links. It turns off the global log of zerolog, which some faults write to.
 func New() *Network {
+	zerolog.SetGlobalLevel(zerolog.Disabled)
 	return &Network{
 		server:  toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.New(io.Discard)),
 		proxies: map[Link]*toxiproxy.Proxy{}, activeToxics: map[Link][]string{},
@@ -109,6 +110,13 @@
 
 // DelayPermanently adds a delay to each direction of the matching links. Heal keeps it.
 func (n *Network) DelayPermanently(match func(Link) bool, delay time.Duration) error {
+	// Toxiproxy has millisecond resolution; shorter delays are rounded up to 1 ms.
+	millis := max(1, delay.Milliseconds())
+	return n.addPermanently(match, "latency", fmt.Sprintf(`{"latency":%d}`, millis))
+}
+
+// addPermanently adds a toxiproxy fault that Heal keeps to both directions of the matching links.
+func (n *Network) addPermanently(match func(Link) bool, kind, attributes string) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for link, proxy := range n.proxies {
@@ -116,17 +124,21 @@
 			continue
 		}
 		for _, stream := range []string{clientToServer, serverToClient} {
-			// Toxiproxy has millisecond resolution; shorter delays are rounded up to 1 ms.
-			millis := max(1, delay.Milliseconds())
-			text := fmt.Sprintf(`{"type":"latency","stream":%q,"attributes":{"latency":%d}}`, stream, millis)
+			text := fmt.Sprintf(`{"type":%q,"stream":%q,"attributes":%s}`, kind, stream, attributes)
 			if _, err := proxy.Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
-				return fmt.Errorf("delay %s: %w", proxy.Name, err)
+				return fmt.Errorf("add %s to %s: %w", kind, proxy.Name, err)
 			}
 		}
 	}
 	return nil
 }
 
+// NarrowPermanently limits the rate of each connection over the matching links, in each direction. Heal keeps the limit.
+func (n *Network) NarrowPermanently(match func(Link) bool, kilobytesPerSecond int) error {
+	attributes := fmt.Sprintf(`{"rate":%d}`, kilobytesPerSecond)
+	return n.addPermanently(match, "bandwidth", attributes)
+}
+
 // DelayWithJitter adds a delay with jitter to each direction of the matching links until Heal.
 func (n *Network) DelayWithJitter(match func(Link) bool, delay time.Duration) error {
 	attributes := fmt.Sprintf(`{"latency":%d,"jitter":%d}`, max(1, delay.Milliseconds()), delay.Milliseconds()/2)
