stream: a node is back soon after a cut that hid all replicas

With few replicas a node that reached none of them paused for up to 3 s between dials (2 s and jitter), and the dials, which grew to 1.6 s, were abandoned before the packets of the kernel's retransmissions arrived. After a cut of 5 or 6 s a node came back up to 3.05 s later, with 50 ms of delay in each direction; on a saturated link (400 and 550 ms) a node needed 15 to 26 s to subscribe at all.

Pauses end at the limit of staleness of the node's settings, attempts follow one another at a fixed interval, up to six of them overlap, and each dial has 3 s.

TestClientConnectsOverASaturatedLink: 2.5 and 3.4 s; 15 to 26 s on.

--- a/pkg/bench/hollow/node.go
+++ b/pkg/bench/hollow/node.go
@@ -21,7 +21,7 @@
 	"github.com/go-kit/log"
 )
 
-const dialTimeout = time.Second
+const dialInterval = time.Second
 
 // Config is the configuration shared by all nodes of a set.
 type Config struct {
@@ -78,7 +78,7 @@
 		Selector:       stream.DefaultSelectorConfig(),
 		PingInterval:   time.Duration(n.config.Timing.PingInterval),
 		SilenceTimeout: time.Duration(n.config.Timing.SilenceTimeout),
-		DialTimeout:    dialTimeout,
+		DialInterval:   dialInterval,
 		Observe:        n.tally.Observe,
 		Logger:         log.NewNopLogger(),
 		Now:            runClock.Elapsed,
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -37,9 +37,8 @@
 
 // These constants are the limits and timeouts of a node.
 const (
-	// dialTimeout is short, since a machine that is down does not respond and another server can be
-	// tried.
-	dialTimeout    = 400 * time.Millisecond
+	// dialInterval is how long a replica may take to accept the node before another one is tried, too.
+	dialInterval   = 400 * time.Millisecond
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
@@ -185,7 +184,7 @@
 		Selector:       stream.SelectorConfigFor(time.Duration(s.settings.StaleLimit)),
 		PingInterval:   time.Duration(s.settings.PingInterval),
 		SilenceTimeout: time.Duration(s.settings.SilenceTimeout),
-		DialTimeout:    dialTimeout,
+		DialInterval:   dialInterval,
 		Wrap:           func(conn net.Conn) net.Conn { return s.link.Conn(link.Control, conn) },
 		Observe:        metrics.NewTraffic(s.admin.Registry).Observe(relayRole),
 		Logger:         s.logger,
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -30,7 +30,7 @@
 const (
 	handshakeTimeout = 3 * time.Second
 	writeTimeout     = 3 * time.Second
-	dialTimeout      = time.Second
+	dialInterval     = time.Second
 	// nodeSilenceTimeout ends the subscription of a node that sends no pings.
 	nodeSilenceTimeout = 10 * time.Second
 	// The admission rate lets a relay accept its share of a zone's nodes within about two seconds.
@@ -106,7 +106,7 @@
 		Selector:       stream.SelectorConfigFor(time.Duration(s.settings.StaleLimit)),
 		PingInterval:   time.Duration(s.settings.PingInterval),
 		SilenceTimeout: time.Duration(s.settings.SilenceTimeout),
-		DialTimeout:    dialTimeout,
+		DialInterval:   dialInterval,
 		Observe:        s.traffic.Observe(role),
 		Logger:         s.logger,
 		Now:            s.clock.Elapsed,
--- a/pkg/stream/busy_link_test.go
+++ b/pkg/stream/busy_link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,3 +46,67 @@
 		})
 	}
 }
+
+// A node counts as connected again 3 s after a cut, and must hold then what was accepted 1 s after the cut.
+func TestClientIsBackInTimeAfterACut(t *testing.T) {
+	for cutFor := time.Second; cutFor <= 10*time.Second; cutFor += time.Second {
+		t.Run(cutFor.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const clients = 100
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				n := newNetwork(ctx)
+				var addresses []string
+				for i := range 4 {
+					addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
+					n.addServer(addresses[i], &distribution.State{Revision: 1, Endpoints: distribution.EndpointTable{}})
+				}
+				over := link{delay: 50 * time.Millisecond, bytesPerSecond: 100_000, cut: &atomic.Bool{}}
+				var targets []*positionTarget
+				for range clients {
+					target := &positionTarget{}
+					n.addClient(t, over, target, addresses...)
+					targets = append(targets, target)
+				}
+				time.Sleep(5 * time.Second)
+				over.cut.Store(true)
+				time.Sleep(cutFor)
+				over.cut.Store(false)
+				healed := time.Now()
+				time.Sleep(time.Second)
+				for _, server := range n.servers {
+					server.SetState(&distribution.State{Revision: 2, Endpoints: distribution.EndpointTable{}})
+				}
+				for _, target := range targets {
+					awaitRevision(target, 2, 20*time.Second)
+				}
+				took := time.Since(healed)
+				cancel()
+				time.Sleep(20 * time.Second)
+				t.Log(took)
+				is.True(took <= 3*time.Second)
+			})
+		})
+	}
+}
+
+// Dials on a saturated link take longer than a server that is down is worth waiting for.
+func TestClientConnectsOverASaturatedLink(t *testing.T) {
+	for _, delay := range []time.Duration{400 * time.Millisecond, 550 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				n := newNetwork(ctx)
+				n.addServer("10.0.0.1:1", &distribution.State{Revision: 1, Endpoints: distribution.EndpointTable{}})
+				target := &positionTarget{}
+				n.addClient(t, link{delay: delay, bytesPerSecond: 40_000}, target, "10.0.0.1:1")
+				took := awaitRevision(target, 1, time.Minute)
+				cancel()
+				time.Sleep(20 * time.Second)
+				t.Log(took)
+				is.True(took <= 4*time.Second)
+			})
+		})
+	}
+}
--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -37,8 +37,8 @@
 	// SilenceTimeout is abandoned.
 	PingInterval   time.Duration
 	SilenceTimeout time.Duration
-	// DialTimeout is how long a server may take to accept a subscription before another one is tried, too.
-	DialTimeout time.Duration
+	// DialInterval is how long a server may take to accept a subscription before another one is tried, too.
+	DialInterval time.Duration
 	// Dial, if set, opens the connections in place of a TCP dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Wrap, if set, wraps each new connection, for example to count its bytes.
@@ -73,11 +73,9 @@
 	// round trips between regions 35 ms apart. Together they span a restart of the control plane.
 	quickDialAttempts = 6
 	quickDialInterval = 150 * time.Millisecond
-	// Later intervals are the configured timeout, doubled after every dialsPerInterval dials up to
-	// maxDialInterval: on a saturated link SYN packets queue for long, and a lost one is retransmitted
-	// only after a second.
-	dialsPerInterval = 3
-	maxDialInterval  = 1600 * time.Millisecond
+	// dialPatience is how long a dial may take: on a saturated link SYN packets queue for long, and a lost one is
+	// retransmitted only after a second.
+	dialPatience = 3 * time.Second
 )
 
 // Client maintains one subscription and switches servers when the current one fails or is stale.
--- a/pkg/stream/client_session.go
+++ b/pkg/stream/client_session.go
@@ -41,19 +41,17 @@
 }
 
 // dialInterval returns how long to wait for a server before another one is tried, too. It starts short, because a server
-// that is booting drops packets and is reached only by a later dial, and grows with unanswered dials.
+// that is booting drops packets and is reached only by a later dial.
 func (c *Client) dialInterval() time.Duration {
-	unanswered := c.unansweredDials.Load()
-	if unanswered < quickDialAttempts {
-		return min(quickDialInterval, c.config.DialTimeout)
+	if c.unansweredDials.Load() < quickDialAttempts {
+		return min(quickDialInterval, c.config.DialInterval)
 	}
-	doublings := min((unanswered-quickDialAttempts)/dialsPerInterval, maxDoublings)
-	return max(c.config.DialTimeout, min(maxDialInterval, c.config.DialTimeout<<doublings))
+	return c.config.DialInterval
 }
 
 // dial connects to a server.
-func (c *Client) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialPatience)
 	defer cancel()
 	if c.config.Dial != nil {
 		return c.config.Dial(ctx, address)
@@ -63,8 +61,8 @@
 }
 
 // openSession dials a server and performs the handshake. No ping is sent yet.
-func (c *Client) openSession(ctx context.Context, address string, dialTimeout time.Duration) (*clientSession, error) {
-	raw, err := c.dial(ctx, address, dialTimeout)
+func (c *Client) openSession(ctx context.Context, address string) (*clientSession, error) {
+	raw, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
--- a/pkg/stream/opener.go
+++ b/pkg/stream/opener.go
@@ -11,12 +11,8 @@
 // errSlowServer reports an attempt that goes on while the next one begins.
 var errSlowServer = errors.New("the server has not accepted the subscription yet; trying another one, too")
 
-const (
-	// maxOpenAttempts bounds the attempts of an opener that are under way at a time.
-	maxOpenAttempts = 3
-	// dialPatience is how many intervals between attempts a dial may take.
-	dialPatience = 5
-)
+// maxOpenAttempts bounds the attempts of an opener that are under way at a time.
+const maxOpenAttempts = 6
 
 // opener opens a session at the first of several servers that completes the handshake. Its attempts overlap: on a
 // busy link a handshake takes longer than it pays to wait for a server that is down. It is used by one goroutine.
@@ -59,7 +55,7 @@
 	o.client.unansweredDials.Add(1)
 	o.attempts = append(o.attempts, attempt)
 	o.wg.Go(func() {
-		session, err := o.client.openSession(o.ctx, address, dialPatience*attempt.interval)
+		session, err := o.client.openSession(o.ctx, address)
 		select {
 		case o.results <- openResult{attempt: attempt, session: session, err: err}:
 		case <-o.ctx.Done():
--- a/pkg/stream/selector.go
+++ b/pkg/stream/selector.go
@@ -56,11 +56,12 @@
 const failureMarkFactor = 1.6
 
 // SelectorConfigFor returns the default configuration adapted to a limit on the staleness of a
-// server.
+// server. After a cut that hid all servers a client comes back within that limit, too.
 func SelectorConfigFor(staleLimit time.Duration) SelectorConfig {
 	config := DefaultSelectorConfig()
 	config.StaleLimit = staleLimit
 	config.FailureMarkDuration = time.Duration(failureMarkFactor * float64(staleLimit))
+	config.MaxBackoff = min(config.MaxBackoff, staleLimit)
 	return config
 }
 
