--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -298,9 +298,14 @@
 }
 
 func (c *Client) advanceConfirmedAt(at time.Duration) {
-	if at <= time.Duration(c.confirmedAt.Load()) {
+	before, confirmed := c.ConfirmedAt()
+	if at <= before {
 		return
 	}
+	if unconfirmedFor := at - before; confirmed && unconfirmedFor > c.config.Selector.StaleLimit {
+		c.config.Logger.Log("event", "confirmed_again", "server", c.Server(), "unconfirmed_for", unconfirmedFor,
+			"revision", c.target.Position().Revision)
+	}
 	c.confirmedAt.Store(int64(at))
 	if c.config.OnConfirmed != nil {
 		c.config.OnConfirmed(at)
