--- a/pkg/stream/client.go
+++ b/pkg/stream/client.go
@@ -264,6 +264,9 @@
 	case errors.Is(err, errNearerServer):
 		c.selector.SelectNearest(now)
 		c.config.Logger.Log("event", "subscription_moves", "server", s.address, "reason", err)
+	case errors.Is(err, errSlowServer):
+		c.selector.Failed(now, 0)
+		c.config.Logger.Log("event", "subscription_slow", "server", s.address)
 	default:
 		c.selector.Failed(now, retryAfter(err))
 		c.config.Logger.Log("event", "subscription_ended", "server", s.address, "error", err)
--- a/pkg/stream/opener.go
+++ b/pkg/stream/opener.go
@@ -9,7 +9,7 @@
 )
 
 // errSlowServer reports an attempt that goes on while the next one begins.
-var errSlowServer = errors.New("the server has not accepted the subscription yet; trying another one, too")
+var errSlowServer = errors.New("the server has not accepted the subscription yet")
 
 // maxOpenAttempts bounds the attempts of an opener that are under way at a time.
 const maxOpenAttempts = 6
