distribution: a named test in place of a recorded draw

TestHolderWhoseGroupLostItsScopeGetsTheWholeContent plays what the property test found while the history was written: a holder whose group had a scope of its own before.

--- a/pkg/distribution/history_test.go
+++ b/pkg/distribution/history_test.go
@@ -78,3 +78,23 @@
 	is.True(planner.stepsFrom(1, "shop") == nil)
 	is.True(planner.stepsFrom(20, "shop") != nil)
 }
+
+func TestHolderWhoseGroupLostItsScopeGetsTheWholeContent(t *testing.T) {
+	is := is.New(t)
+	planner := NewPlanner(&State{Revision: 1, Active: newBundle(1, 1)})
+	holder := NewHolder("shop", acceptAllApprovals{}, nil)
+	for _, group := range []string{"shop", "none"} {
+		_, err := planner.Plan(group, Position{})
+		is.NoErr(err)
+	}
+	first, err := planner.Plan("shop", Position{})
+	is.NoErr(err)
+	is.NoErr(holder.Apply(first))
+	planner.SetState(planner.State().Activate(newBundle(2, 0))) // no route refers to the group
+	is.True(planner.stepsFrom(1, "none") != nil)
+	is.True(planner.stepsFrom(1, "shop") == nil)
+	second, err := planner.Plan("shop", holder.State().Position())
+	is.NoErr(err)
+	is.NoErr(holder.Apply(second))
+	is.Equal(holder.State().Active.Content, planner.State().Active.Content.Scope("shop"))
+}
