--- a/pkg/distribution/history_test.go
+++ b/pkg/distribution/history_test.go
@@ -11,6 +11,16 @@
 
 const manyRoutes = 1200
 
+// newUpToDateHolder returns a holder of the group shop that has the planner's state.
+func newUpToDateHolder(t *testing.T, planner *Planner) *Holder {
+	t.Helper()
+	holder := NewHolder("shop", acceptAllApprovals{}, nil)
+	update, err := planner.Plan("shop", Position{})
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(holder.Apply(update))
+	return holder
+}
+
 // activateVersions activates versions 2 to last. Each changes one route; even ones add a service and odd ones drop it.
 func activateVersions(t *testing.T, planner *Planner, last uint64) {
 	t.Helper()
@@ -36,10 +46,7 @@
 func TestHolderThatMissedManyVersionsGetsOnlyWhatChanged(t *testing.T) {
 	is := is.New(t)
 	planner := NewPlanner(newStateWithRoutes(t, manyRoutes))
-	holder := NewHolder("shop", acceptAllApprovals{}, nil)
-	first, err := planner.Plan("shop", Position{})
-	is.NoErr(err)
-	is.NoErr(holder.Apply(first))
+	holder := newUpToDateHolder(t, planner)
 	activateVersions(t, planner, 100)
 	update, err := planner.Plan("shop", holder.State().Position())
 	is.NoErr(err)
@@ -52,10 +59,7 @@
 func TestHolderOfAVersionBeyondTheHistoryGetsTheWholeContent(t *testing.T) {
 	is := is.New(t)
 	planner := NewPlanner(newStateWithRoutes(t, manyRoutes))
-	holder := NewHolder("shop", acceptAllApprovals{}, nil)
-	first, err := planner.Plan("shop", Position{})
-	is.NoErr(err)
-	is.NoErr(holder.Apply(first))
+	holder := newUpToDateHolder(t, planner)
 	activateVersions(t, planner, maxHistorySteps+10)
 	is.Equal(len(planner.history.steps), maxHistorySteps)
 	update, err := planner.Plan("shop", holder.State().Position())
@@ -82,14 +86,9 @@
 func TestHolderWhoseGroupLostItsScopeGetsTheWholeContent(t *testing.T) {
 	is := is.New(t)
 	planner := NewPlanner(&State{Revision: 1, Active: newBundle(1, 1)})
-	holder := NewHolder("shop", acceptAllApprovals{}, nil)
-	for _, group := range []string{"shop", "none"} {
-		_, err := planner.Plan(group, Position{})
-		is.NoErr(err)
-	}
-	first, err := planner.Plan("shop", Position{})
+	holder := newUpToDateHolder(t, planner)
+	_, err := planner.Plan("none", Position{})
 	is.NoErr(err)
-	is.NoErr(holder.Apply(first))
 	planner.SetState(planner.State().Activate(newBundle(2, 0))) // no route refers to the group
 	is.True(planner.stepsFrom(1, "none") != nil)
 	is.True(planner.stepsFrom(1, "shop") == nil)
--- a/pkg/stream/busy_link_test.go
+++ b/pkg/stream/busy_link_test.go
@@ -8,8 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"bramblelift/pkg/distribution"
-
 	"github.com/matryer/is"
 )
 
@@ -34,12 +32,7 @@
 func testLostServer(t *testing.T, delay time.Duration, lose func(*network, *networkServer)) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	n := newNetwork(ctx)
-	var addresses []string
-	for i := range 4 {
-		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
-		n.addServer(addresses[i], &distribution.State{Revision: 1, Endpoints: distribution.EndpointTable{}})
-	}
+	n, addresses := newNetworkOf(ctx, 4, stateAtRevision(1))
 	target := &positionTarget{}
 	client := n.addClient(t, link{delay: delay, bytesPerSecond: 40_000}, target, addresses...)
 	awaitRevision(target, 1, 10*time.Second)
@@ -48,11 +41,7 @@
 	lose(n, lost)
 	lostAt := time.Now()
 	time.Sleep(time.Second)
-	for _, server := range n.servers {
-		if server != lost {
-			server.SetState(&distribution.State{Revision: 2, Endpoints: distribution.EndpointTable{}})
-		}
-	}
+	n.acceptAt(stateAtRevision(2), lost)
 	awaitRevision(target, 2, 20*time.Second)
 	took := time.Since(lostAt)
 	cancel()
@@ -69,12 +58,7 @@
 				const clients = 100
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(context.Background())
-				n := newNetwork(ctx)
-				var addresses []string
-				for i := range 4 {
-					addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
-					n.addServer(addresses[i], &distribution.State{Revision: 1, Endpoints: distribution.EndpointTable{}})
-				}
+				n, addresses := newNetworkOf(ctx, 4, stateAtRevision(1))
 				over := link{delay: 50 * time.Millisecond, bytesPerSecond: 100_000, cut: &atomic.Bool{}}
 				var targets []*positionTarget
 				for range clients {
@@ -88,9 +72,7 @@
 				over.cut.Store(false)
 				healed := time.Now()
 				time.Sleep(time.Second)
-				for _, server := range n.servers {
-					server.SetState(&distribution.State{Revision: 2, Endpoints: distribution.EndpointTable{}})
-				}
+				n.acceptAt(stateAtRevision(2), nil)
 				for _, target := range targets {
 					awaitRevision(target, 2, 20*time.Second)
 				}
@@ -111,10 +93,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(context.Background())
-				n := newNetwork(ctx)
-				n.addServer("10.0.0.1:1", &distribution.State{Revision: 1, Endpoints: distribution.EndpointTable{}})
+				n, addresses := newNetworkOf(ctx, 1, stateAtRevision(1))
 				target := &positionTarget{}
-				n.addClient(t, link{delay: delay, bytesPerSecond: 40_000}, target, "10.0.0.1:1")
+				n.addClient(t, link{delay: delay, bytesPerSecond: 40_000}, target, addresses...)
 				took := awaitRevision(target, 1, time.Minute)
 				cancel()
 				time.Sleep(20 * time.Second)
--- a/pkg/stream/large_state_test.go
+++ b/pkg/stream/large_state_test.go
@@ -89,10 +89,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
-		n := newNetwork(ctx)
-		n.addServer("10.0.0.1:1", newVersionedRoutes(t, 3000).state)
+		n, addresses := newNetworkOf(ctx, 1, newVersionedRoutes(t, 3000).state)
 		target := newHolderTarget()
-		n.addClient(t, link{delay: 100 * time.Millisecond, bytesPerSecond: 8000}, target, "10.0.0.1:1")
+		n.addClient(t, link{delay: 100 * time.Millisecond, bytesPerSecond: 8000}, target, addresses...)
 		took := awaitRevision(target, 1, time.Minute)
 		cancel()
 		time.Sleep(time.Minute)
@@ -113,13 +112,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
-		n := newNetwork(ctx)
 		versions := newVersionedRoutes(t, 3000)
-		var addresses []string
-		for i := range 4 {
-			addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
-			n.addServer(addresses[i], versions.state)
-		}
+		n, addresses := newNetworkOf(ctx, 4, versions.state)
 		var targets []*holderTarget
 		for range nodes {
 			target := newHolderTarget()
@@ -138,9 +132,7 @@
 		for range 50 {
 			state := versions.next(t)
 			acceptedAt[state.Position().Active] = time.Now()
-			for _, address := range addresses {
-				n.servers[address].SetState(state)
-			}
+			n.acceptAt(state, nil)
 			time.Sleep(interval)
 			if time.Since(vanished) < excused {
 				continue
--- a/pkg/stream/network_test.go
+++ b/pkg/stream/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,31 @@
 	return &network{ctx: ctx, started: time.Now(), servers: map[string]*networkServer{}}
 }
 
+// newNetworkOf returns a network with some servers of one state, and their addresses.
+func newNetworkOf(ctx context.Context, servers int, state *distribution.State) (n *network, addresses []string) {
+	n = newNetwork(ctx)
+	for i := range servers {
+		address := fmt.Sprintf("10.0.0.%d:1", i+1)
+		n.addServer(address, state)
+		addresses = append(addresses, address)
+	}
+	return n, addresses
+}
+
+// stateAtRevision returns a state without a bundle.
+func stateAtRevision(revision uint64) *distribution.State {
+	return &distribution.State{Revision: revision, Endpoints: distribution.EndpointTable{}}
+}
+
+// acceptAt gives a state to all servers except one, which may be nil.
+func (n *network) acceptAt(state *distribution.State, except *networkServer) {
+	for _, server := range n.servers {
+		if server != except {
+			server.SetState(state)
+		}
+	}
+}
+
 func (n *network) now() time.Duration { return time.Since(n.started) }
 
 // addServer starts a hub of another zone than the clients'.
