--- a/pkg/stream/network_test.go
+++ b/pkg/stream/network_test.go
@@ -72,7 +72,7 @@
 
 func (n *network) now() time.Duration { return time.Since(n.started) }
 
-// addServer starts a hub of another zone than the clients'.
+// addServer starts a hub.
 func (n *network) addServer(address string, state *distribution.State) *networkServer {
 	server := &networkServer{silent: make(chan struct{})}
 	server.Hub = NewHub(HubConfig{
