--- a/pkg/bench/standin/platform.go
+++ b/pkg/bench/standin/platform.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -27,12 +28,14 @@
 
 	mu sync.Mutex
 	// lag is the delay after which a new list is served.
-	lag          time.Duration
-	lists        []publishedList
-	bundles      map[string]string
-	down         bool
-	requestCount int
-	bytes        int64
+	lag     time.Duration
+	lists   []publishedList
+	bundles map[string]string
+	down    bool
+	// rawList and rawBundle are written in place of every list and bundle, nil for none.
+	rawList, rawBundle *RawResponse
+	requestCount       int
+	bytes              int64
 }
 
 type publishedList struct {
@@ -83,6 +86,25 @@
 	p.down = down
 }
 
+// RespondRaw makes the platform write raw responses in place of the machine list and of bundles; nil ends that.
+func (p *Platform) RespondRaw(list, bundle *RawResponse) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rawList, p.rawBundle = list, bundle
+}
+
+// writeRaw writes a raw response in place of the handler's.
+func writeRaw(w http.ResponseWriter, response RawResponse) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if response.Write(conn, RawHeaders{RequestID: "X-Id", NotRun: "X-Not-Run"}, "1") {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
 // RequestCount returns the number of requests for the machine list and for bundles.
 func (p *Platform) RequestCount() int {
 	p.mu.Lock()
@@ -103,7 +125,7 @@
 func (p *Platform) serveMachines(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.requestCount++
-	down := p.down
+	down, raw := p.down, p.rawList
 	machines, revision := []Machine{}, 0
 	for i, list := range p.lists {
 		if time.Since(list.at) >= p.lag {
@@ -111,6 +133,10 @@
 		}
 	}
 	p.mu.Unlock()
+	if raw != nil {
+		writeRaw(w, *raw)
+		return
+	}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -135,10 +161,12 @@
 func (p *Platform) serveBundle(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	text, found := p.bundles[r.PathValue("name")]
-	down := p.down
+	down, raw := p.down, p.rawBundle
 	p.requestCount++
 	p.mu.Unlock()
 	switch {
+	case raw != nil:
+		writeRaw(w, *raw)
 	case down:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case !found:
--- a/pkg/machinelist/machinelist_test.go
+++ b/pkg/machinelist/machinelist_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
+	"bramblelift/pkg/bench/standin"
 	"bramblelift/pkg/distribution"
+	"bramblelift/pkg/roundtrip"
 
 	"github.com/matryer/is"
 )
@@ -87,6 +91,31 @@
 	}
 }
 
+// Guards against a list that is taken from bytes which are no response, or replaces the one that is known.
+func TestReadTakesNothingFromBytesThatAreNoResponse(t *testing.T) {
+	const body = `{"machines":[{"service":"s","id":"a","address":"10.0.0.1:80"}]}`
+	for _, c := range standin.InvalidResponses {
+		if c.Fault == roundtrip.FaultOtherRequest {
+			continue // a list names no request
+		}
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			go c.WithBody(body).Serve(listener, standin.RawHeaders{RequestID: "X-Id", NotRun: "X-Not-Run"})
+			reader := NewReader(&http.Client{Transport: roundtrip.New(&http.Transport{})}, "http://"+listener.Addr().String())
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			_, err = reader.Read(ctx)
+			is.True(err != nil)
+			is.Equal(reader.last, List{})
+			is.Equal(reader.etag, "")
+		})
+	}
+}
+
 func TestUnchangedListIsNotSentAgain(t *testing.T) {
 	is := is.New(t)
 	etag, sent := `"one"`, 0
--- a/pkg/operator/invalid_response_test.go
+++ b/pkg/operator/invalid_response_test.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -10,6 +9,7 @@
 	"time"
 
 	"bramblelift/pkg/bench/standin"
+	"bramblelift/pkg/roundtrip"
 
 	"github.com/matryer/is"
 )
@@ -20,29 +20,19 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					if _, err := http.ReadRequest(reader); err != nil || !response.Write(conn, standin.RawHeaders{RequestID: "X-Id", NotRun: "X-Not-Run"}, "1") {
-						return
-					}
-				}
-			}()
-		}
-	}()
+	go response.Serve(listener, standin.RawHeaders{RequestID: "X-Id", NotRun: "X-Not-Run"})
 	return listener.Addr().String()
 }
 
 // Guards against bytes that are no response being taken for a result, or keeping the client from the other replicas.
 func TestClientPassesByReplicaThatSendsNoResponse(t *testing.T) {
-	responses := append([]standin.InvalidResponse{{Name: "200 without JSON", RawResponse: standin.RawStatus("200 OK")}}, standin.InvalidResponses...)
+	responses := []standin.InvalidResponse{{Name: "200 without JSON", RawResponse: standin.RawStatus("200 OK")}}
+	for _, c := range standin.InvalidResponses {
+		if c.Fault != roundtrip.FaultOtherRequest { // responses of replicas name no request
+			c.RawResponse = c.WithBody(`{"head":3}`)
+		}
+		responses = append(responses, c)
+	}
 	for _, c := range responses {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
