roundtrip: a response of HTTP/1.0 with Transfer-Encoding is invalid

Seen: a back end answers HTTP/1.0 with Transfer-Encoding, and callers get 200 with the chunk lines in the body, or with as much of it as a Content-Length beside it says. The probe believes the state in such a head.

Cause: that version has no transfer codings. net/http deletes the field before the response is returned and reads the body by its length or up to the connection's end, so CheckHead sees nothing. RFC 9112, 6.1, asks to treat the framing as faulty, even with a Content-Length, and to close the connection.

The connection copies what it reads while a response is awaited. For a response of HTTP/1.0 the copy is read by net/textproto, as net/http did, and the field is found; a head that was not seen since it came before its request is invalid too. Other responses are not read twice.

--- a/pkg/bench/standin/raw.go
+++ b/pkg/bench/standin/raw.go
@@ -94,6 +94,7 @@
 // Parts of raw responses.
 const (
 	RawOK      = "HTTP/1.1 200 OK\r\n{id}\r\n"
+	rawOK10    = "HTTP/1.0 200 OK\r\n{id}\r\n"
 	RawChunked = RawOK + "Transfer-Encoding: chunked\r\n\r\n"
 	RawBody    = "Content-Length: 5\r\n\r\nsound"
 	rawChunk   = "5\r\nsound\r\n"
@@ -187,6 +188,15 @@
 	{"negative length", RawResponse{First: RawOK + "Content-Length: -5\r\n\r\nsound"}, roundtrip.FaultHead},
 	{"length without digits", RawResponse{First: RawOK + "Content-Length: x\r\n\r\nsound"}, roundtrip.FaultHead},
 	{"unknown transfer encoding", RawResponse{First: RawOK + "Transfer-Encoding: gzip\r\n\r\nsound"}, roundtrip.FaultHead},
+	{"HTTP/1.0 with chunks", RawResponse{First: rawOK10 + "Transfer-Encoding: chunked\r\n\r\n" + rawChunks, Close: true}, roundtrip.FaultHead},
+	{"HTTP/1.0 with chunks, kept alive", RawResponse{First: rawOK10 + "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + rawChunks}, roundtrip.FaultHead},
+	{"HTTP/1.0 with chunks and a length", RawResponse{First: rawOK10 + "Transfer-Encoding: chunked\r\n" + RawBody, Close: true}, roundtrip.FaultHead},
+	{"HTTP/1.0 with chunks, folded", RawResponse{First: rawOK10 + "transfer-encoding:\r\n\tchunked\r\n\r\n" + rawChunks, Close: true}, roundtrip.FaultHead},
+	{"HTTP/1.0 with chunks, lines end with LF", RawResponse{First: "HTTP/1.0 200 OK\n{id}\nTransfer-Encoding: chunked\n\n" + rawChunks, Close: true}, roundtrip.FaultHead},
+	{"HTTP/1.0 with chunks after 1xx", RawResponse{First: "HTTP/1.1 103 Early Hints\r\n\r\n" + rawOK10 + "Transfer-Encoding: chunked\r\n\r\n" + rawChunks, Close: true}, roundtrip.FaultHead},
+	{"HTTP/1.0 with identity encoding", RawResponse{First: rawOK10 + "Transfer-Encoding: identity\r\n\r\nsound", Close: true}, roundtrip.FaultHead},
+	{"HTTP/1.0 with an encoding without a value", RawResponse{First: rawOK10 + "Transfer-Encoding:\r\n\r\nsound", Close: true}, roundtrip.FaultHead},
+	{"HTTP/1.0 with chunks, rejection", RawResponse{First: "HTTP/1.0 503 x\r\n{id}\r\n{not-run}\r\nTransfer-Encoding: chunked\r\n\r\n" + rawChunks, Close: true}, roundtrip.FaultHead},
 	{"bytes before the response", RawResponse{First: "out of memory\r\n" + RawOK + RawBody}, roundtrip.FaultHead},
 	{"body shorter than its length", RawResponse{First: RawOK + "Content-Length: 9\r\n\r\nsound", Close: true}, roundtrip.FaultBody},
 	{"body shorter than its length, silent", RawResponse{First: RawOK + "Content-Length: 9\r\n\r\nsound"}, roundtrip.FaultIncomplete},
--- a/pkg/roundtrip/delivery.go
+++ b/pkg/roundtrip/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -12,11 +13,14 @@
 // dialFunc opens connections for a transport.
 type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// countedConn counts the writes that passed any byte to the kernel, including one in progress.
+// countedConn counts the writes that passed any byte to the kernel, including one in progress, and copies what it reads
+// while a response is awaited.
 type countedConn struct {
 	net.Conn
 	writes  atomic.Int64
 	retired atomic.Bool
+	// awaited receives a copy of what is read, nil for none.
+	awaited atomic.Pointer[receivedHead]
 }
 
 var errRetired = errors.New("the connection is retired")
@@ -35,6 +39,15 @@
 	return n, err
 }
 
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if head := c.awaited.Load(); head != nil {
+		head.add(p[:n])
+	}
+	return n, err
+}
+
 // countWrites returns a dial function whose connections count their writes, as Delivery requires.
 func countWrites(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -62,6 +75,8 @@
 	resends int
 	// responding is set once the first byte of a response was received.
 	responding bool
+	// head is what conn has received.
+	head receivedHead
 }
 
 // trace returns the trace to attach to the request's context.
@@ -98,7 +113,28 @@
 	if d.arrivedEarlier {
 		d.resends++
 	}
+	d.stopRecording()
+	d.head.reset()
 	d.conn, d.writesBefore = counted, counted.writes.Load()
+	counted.awaited.Store(&d.head)
+}
+
+// stopRecording ends the copies of what conn reads; mu must be held.
+func (d *Delivery) stopRecording() {
+	if d.conn != nil {
+		d.conn.awaited.CompareAndSwap(&d.head, nil)
+	}
+}
+
+// checkHead returns an *InvalidResponse if the bytes of a response's head make it invalid in a way that net/http hides.
+func (d *Delivery) checkHead(response *http.Response) error { return d.head.check(response) }
+
+// endHead releases what was received of the head.
+func (d *Delivery) endHead() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopRecording()
+	d.head.close()
 }
 
 // Resends returns how many more times the transport sent the request after it may have arrived.
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -45,11 +45,15 @@
 // no byte of a response was received, or that the body was not read because the caller closed it.
 func (t *Transport) Send(ctx context.Context, request *http.Request, delivery *Delivery) (*http.Response, error) {
 	request = request.WithContext(httptrace.WithClientTrace(ctx, delivery.trace()))
+	defer delivery.endHead()
 	response, err := t.base.RoundTrip(request)
 	if err != nil {
 		return nil, headError(delivery, err)
 	}
-	if err := CheckHead(response); err != nil {
+	if err = CheckHead(response); err == nil {
+		err = delivery.checkHead(response)
+	}
+	if err != nil {
 		response.Body.Close()
 		delivery.discardConn()
 		return nil, err
