--- a/pkg/roundtrip/head.go
+++ b/pkg/roundtrip/head.go
@@ -61,8 +61,8 @@
 
 // check returns an *InvalidResponse if what was received makes a response invalid in a way that net/http hides.
 func (h *receivedHead) check(response *http.Response) error {
-	if response.TLS != nil || response.ProtoAtLeast(1, 1) {
-		return nil // encrypted, or nothing is hidden
+	if response.TLS != nil {
+		return nil // the bytes are encrypted
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -70,20 +70,29 @@
 	if h.buffer != nil {
 		received = h.buffer.Bytes()
 	}
+	if response.ProtoAtLeast(1, 1) && !beginsInformational(received) {
+		return nil // nothing is hidden
+	}
 	return checkHeads(received, response.StatusCode)
 }
 
+// beginsInformational reports whether what was received begins with an informational response.
+func beginsInformational(received []byte) bool {
+	_, status, _ := bytes.Cut(received, []byte(" "))
+	return bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
+}
+
 // checkHeads checks the heads of the informational responses and that of the final response, in the order received.
 func checkHeads(received []byte, status int) error {
 	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(received)))
 	for {
 		head, err := readHead(reader)
-		if err == nil {
-			err = head.check()
-		}
 		if err != nil {
 			return &InvalidResponse{Fault: FaultHead, Status: status, Err: err}
 		}
+		if err := head.check(status); err != nil {
+			return err
+		}
 		if !head.informational {
 			return nil
 		}
@@ -116,10 +125,17 @@
 	return head{major: major, minor: minor, informational: strings.HasPrefix(strings.TrimLeft(status, " "), "1"), fields: http.Header(fields)}, nil
 }
 
-// check returns an error if the head is invalid in a way that net/http hides.
-func (h head) check() error {
-	if _, found := h.fields["Transfer-Encoding"]; found && h.major == 1 && h.minor == 0 {
-		return errTransferEncoding
+// check returns an *InvalidResponse if the head is invalid in a way that net/http hides; status is that of the final
+// response.
+func (h head) check(status int) error {
+	if h.major != 1 {
+		return &InvalidResponse{Fault: FaultProtocol, Status: status, Err: fmt.Errorf("informational response of HTTP/%d.%d", h.major, h.minor)}
+	}
+	if _, found := h.fields["Transfer-Encoding"]; found && h.minor == 0 {
+		return &InvalidResponse{Fault: FaultHead, Status: status, Err: errTransferEncoding}
+	}
+	if err := checkFields(h.fields); err != nil {
+		return &InvalidResponse{Fault: FaultHead, Status: status, Err: err}
 	}
 	return nil
 }
--- a/pkg/roundtrip/invalid.go
+++ b/pkg/roundtrip/invalid.go
@@ -121,13 +121,22 @@
 	case !IsFinalStatus(response.StatusCode):
 		return invalid(FaultStatus, fmt.Errorf("status %03d is not from 200 to %d", response.StatusCode, maxStatus))
 	}
-	for name, values := range response.Header {
+	if err := checkFields(response.Header); err != nil {
+		return invalid(FaultHead, err)
+	}
+	return nil
+}
+
+// checkFields returns an error if a name or a value of header or trailer fields has bytes that are not allowed (RFC 9110,
+// 5.1 and 5.5). net/http accepts spaces in names.
+func checkFields(fields http.Header) error {
+	for name, values := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return invalid(FaultHead, errHeaderName)
+			return errHeaderName
 		}
 		for _, value := range values {
 			if !httpguts.ValidHeaderFieldValue(value) {
-				return invalid(FaultHead, errHeaderValue)
+				return errHeaderValue
 			}
 		}
 	}
