roundtrip: malformed trailer fields make a response invalid

Seen: a back end sends a chunked response whose trailer has a blank in a field name, and callers get the response (without the trailer, which is not passed on through gates). A control byte there was rejected already.

Cause: as in heads, net/http accepts spaces in names, and the trailer is read at the end of the body, when CheckHead is long over.

Decision: RFC 9110, 5.1 and 6.5, have the same fields in trailers as in heads. A recipient may discard trailer fields (RFC 9112, 7.1.2), but these lines are none, and nothing says that the back end was in order until just before them. The body ends with an error, as for a control byte: a response that was not sent on yet becomes 502, a streamed one is cut off recognizably.

--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	if response.Body != http.NoBody {
-		response.Body = &body{ReadCloser: response.Body, status: response.StatusCode, left: maxBodyBytes(response.StatusCode)}
+		response.Body = &body{ReadCloser: response.Body, response: response, delivery: delivery, left: maxBodyBytes(response.StatusCode)}
 	}
 	return response, nil
 }
@@ -90,10 +90,11 @@
 	return math.MaxInt64
 }
 
-// body is the body of a response. Its read errors are an *InvalidResponse.
+// body is the body of a response. Its read errors are an *InvalidResponse, and so are trailer fields that are malformed.
 type body struct {
 	io.ReadCloser
-	status int
+	response *http.Response
+	delivery *Delivery
 	// left is how many more bytes the body may have, negative if it had more.
 	left int64
 }
@@ -108,16 +109,30 @@
 		return n + int(b.left), b.tooLong()
 	}
 	switch {
-	case err == nil || err == io.EOF || errors.Is(err, http.ErrBodyReadAfterClose):
+	case err == io.EOF:
+		return n, b.checkTrailer()
+	case err == nil || errors.Is(err, http.ErrBodyReadAfterClose):
 		return n, err
 	case isContextError(err):
-		return n, &InvalidResponse{Fault: FaultIncomplete, Status: b.status, Err: fmt.Errorf("body: %w", err)}
+		return n, b.invalid(FaultIncomplete, fmt.Errorf("body: %w", err))
 	}
-	return n, &InvalidResponse{Fault: FaultBody, Status: b.status, Err: err}
+	return n, b.invalid(FaultBody, err)
 }
 
-func (b *body) tooLong() error {
-	return &InvalidResponse{Fault: FaultBody, Status: b.status, Err: errLongFailure}
+// checkTrailer returns io.EOF, or an *InvalidResponse if the trailer fields behind the body are malformed. The connection,
+// which net/http would use again, is closed then.
+func (b *body) checkTrailer() error {
+	if err := checkFields(b.response.Trailer); err != nil {
+		b.delivery.discardConn()
+		return b.invalid(FaultBody, fmt.Errorf("trailer: %w", err))
+	}
+	return io.EOF
+}
+
+func (b *body) tooLong() error { return b.invalid(FaultBody, errLongFailure) }
+
+func (b *body) invalid(fault Fault, err error) error {
+	return &InvalidResponse{Fault: fault, Status: b.response.StatusCode, Err: err}
 }
 
 // ReadAll reads the whole body of a response. More than limit bytes are an *InvalidResponse.
