roundtrip: closing a connection for an invalid response spares the next request on it

The connection counts the requests assigned to it. It is retired as before, so that nothing more is sent over it, but closed only by the latest of them: a later request that was sent is served, one that was not fails before any byte is sent and is sent again elsewhere. TestDiscardedConnectionServesALaterRequest fails without the change; no call was seen to be cut off by this.

--- a/pkg/roundtrip/delivery.go
+++ b/pkg/roundtrip/delivery.go
@@ -19,6 +19,8 @@
 	net.Conn
 	writes  atomic.Int64
 	retired atomic.Bool
+	// requests counts the requests that were assigned to the connection.
+	requests atomic.Int64
 	// awaited receives a copy of what is read, nil for none.
 	awaited atomic.Pointer[receivedHead]
 }
@@ -65,9 +67,10 @@
 type Delivery struct {
 	mu sync.Mutex
 	// conn is the latest connection, nil for none; writesBefore is its write count before the
-	// request.
+	// request, number that of its requests up to this one.
 	conn         *countedConn
 	writesBefore int64
+	number       int64
 	// arrivedEarlier is set if an earlier connection wrote part of the request, or if the writes of
 	// a connection were not counted.
 	arrivedEarlier bool
@@ -115,7 +118,7 @@
 	}
 	d.stopRecording()
 	d.head.reset()
-	d.conn, d.writesBefore = counted, counted.writes.Load()
+	d.conn, d.writesBefore, d.number = counted, counted.writes.Load(), counted.requests.Add(1)
 	counted.awaited.Store(&d.head)
 }
 
@@ -163,19 +166,19 @@
 	return !d.mayHaveArrived() && d.conn != nil && d.conn.retired.Load()
 }
 
-// discardConn closes the connection that the request used last. A request that the transport has assigned to it already
-// fails before any byte is sent.
+// discardConn retires the connection that the request used last, and closes it unless a later request uses it.
 func (d *Delivery) discardConn() {
 	d.RetireConn()
 	d.CloseRetired()
 }
 
 // CloseRetired closes the connection that the request used last if it is retired. The response must not be read any
-// more. A request that the transport has assigned to the connection already fails before any byte is sent.
+// more. If the transport has assigned a later request to the connection, that one ends it: it fails before any byte is
+// sent, or was sent before the connection was retired and may still be served.
 func (d *Delivery) CloseRetired() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.conn != nil && d.conn.retired.Load() {
+	if d.conn != nil && d.conn.retired.Load() && d.conn.requests.Load() == d.number {
 		d.conn.Close()
 	}
 }
--- a/pkg/roundtrip/delivery_test.go
+++ b/pkg/roundtrip/delivery_test.go
@@ -118,3 +118,26 @@
 	delivery.recordConn(&countedConn{Conn: other})
 	is.True(delivery.MayHaveArrived())
 }
+
+// Guards against a call that is cut off because the response before it on the connection turns out to be invalid.
+func TestDiscardedConnectionServesALaterRequest(t *testing.T) {
+	is := is.New(t)
+	peer, other := net.Pipe()
+	defer peer.Close()
+	go func() { _, _ = io.Copy(peer, peer) }()
+	conn := &countedConn{Conn: other}
+	var earlier, later, last Delivery
+	earlier.recordConn(conn)
+	later.recordConn(conn)
+	_, err := conn.Write([]byte("x"))
+	is.NoErr(err)
+	earlier.discardConn()
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	is.NoErr(err) // the later request is still served
+	last.recordConn(conn)
+	_, err = conn.Write([]byte("x"))
+	is.True(errors.Is(err, errRetired))
+	last.discardConn()
+	_, err = conn.Read(make([]byte, 1))
+	is.True(err != nil) // closed
+}
