forward: a node without a gate announces no trailers that it does not send

Seen: a back end without a gate announces trailer fields, and callers get the field Trailer, but no trailer (pkg/pipeline sends none; the assignment after the body had no effect). Through gates neither was passed on.

Cause: the announcement was copied back into the head after RemoveHop.

Decision: trailers are not passed on. A recipient that removes the chunked coding may discard them (RFC 9112, 7.1.2), and the announcement with them: it tells which fields a caller may expect (RFC 9110, 6.6.1).

TestTrailersAreNeitherAnnouncedNorSent fails without the change, without a gate only.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -138,16 +138,13 @@
 	return failure
 }
 
-// writeResponse copies the response to the caller.
+// writeResponse copies the response to the caller, without its trailer fields and their announcement.
 func (c *call) writeResponse(ctx context.Context, ticket *balancer.Ticket, response *http.Response) {
 	defer response.Body.Close()
 	done := c.doneAtEnd(ctx, ticket)
 	c.status = response.StatusCode
 	exchange.RemoveHop(response.Header)
 	exchange.Copy(c.writer.Header(), response.Header)
-	for name := range response.Trailer {
-		c.writer.Header().Add("Trailer", name)
-	}
 	c.writer.WriteHeader(response.StatusCode)
 	// A truncated body must reach the caller as an error, so the connection is aborted.
 	err := exchange.CopyBody(c.writer, response)
@@ -161,9 +158,6 @@
 		c.handler.reportCall(c, nil)
 		panic(http.ErrAbortHandler)
 	}
-	for name, values := range response.Trailer {
-		c.writer.Header()[name] = values
-	}
 	done(balancer.Answered)
 }
 
--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -201,6 +201,7 @@
 type result struct {
 	status   int
 	header   http.Header
+	trailer  http.Header
 	body     string
 	complete bool
 	took     time.Duration
@@ -238,7 +239,7 @@
 	if err == nil {
 		_, err = io.Copy(io.Discard, response.Body)
 	}
-	return result{status: response.StatusCode, header: response.Header, body: string(body), complete: err == nil, took: time.Since(began)}
+	return result{status: response.StatusCode, header: response.Header, trailer: response.Trailer, body: string(body), complete: err == nil, took: time.Since(began)}
 }
 
 // awaitIdle waits until gate and node have no call and the back end no connection.
@@ -367,6 +368,25 @@
 	}
 }
 
+// Guards against trailer fields that are announced to a caller and never sent.
+func TestTrailersAreNeitherAnnouncedNorSent(t *testing.T) {
+	for name, body := range map[string]string{"small": "sound", "streamed": strings.Repeat("0123456789abcdef", 200_000)} {
+		t.Run(name, func(t *testing.T) {
+			forEachGate(t, func(t *testing.T, kind gateKind) {
+				is := is.New(t)
+				response := fmt.Sprintf("%sTrailer: A\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nA: b\r\nB: c\r\n\r\n", okHead, len(body), body)
+				s := newResponseStack(t, kind, soundTimeout, standin.RawResponse{First: response})
+				got := s.call(t, "GET", "/safe/x", "trailers")
+				is.Equal(got.status, http.StatusOK)
+				is.True(got.complete)
+				is.True(got.body == body)
+				is.Equal(got.header["Trailer"], nil)
+				is.Equal(len(got.trailer), 0)
+			})
+		})
+	}
+}
+
 // Guards against a check on responses that ends a slow one before the call's time is up.
 func TestSlowSoundResponsePasses(t *testing.T) {
 	forEachGate(t, func(t *testing.T, kind gateKind) {
