roundtrip: Cache-Control that net/http adds for Pragma is removed again

Seen: a back end answers with Pragma: no-cache and without Cache-Control, and callers get Cache-Control: no-cache beside it, a field that the back end did not send.

Cause: http.ReadResponse adds it. What Pragma means in a response is not specified (RFC 9111, 5.4), so a proxy has no reason to; a sound response passes unchanged.

The received head tells whether the field was there. It is read again only if a response has Pragma and exactly that Cache-Control. TestNoHeaderFieldIsAddedForPragma fails without the change with each kind of gate.

--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -387,6 +387,48 @@
 	}
 }
 
+// Guards against header fields that a library adds to a response.
+func TestNoHeaderFieldIsAddedForPragma(t *testing.T) {
+	const pragma, control = "Pragma: no-cache\r\n", "Cache-Control: no-cache\r\n"
+	for name, c := range map[string]struct {
+		head  string
+		added bool
+	}{
+		"alone":                          {okHead + pragma, false},
+		"after 1xx":                      {"HTTP/1.1 103 x\r\n" + control + "\r\n" + okHead + pragma, false},
+		"HTTP/1.0":                       {"HTTP/1.0 200 OK\r\n{id}\r\n" + pragma, false},
+		"with Cache-Control":             {okHead + pragma + control, true},
+		"with Cache-Control, lower case": {okHead + strings.ToLower(control) + pragma, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachGate(t, func(t *testing.T, kind gateKind) {
+				is := is.New(t)
+				s := newResponseStack(t, kind, soundTimeout, standin.RawResponse{First: c.head + soundBody, Close: true})
+				head := s.callForHead(t, "pragma")
+				is.True(strings.HasPrefix(head, "HTTP/1.1 200 "))
+				is.True(strings.Contains(head, pragma))
+				is.Equal(strings.Contains(head, control), c.added)
+			})
+		})
+	}
+}
+
+// callForHead sends a request and returns the bytes of the response's head: http.ReadResponse would change them.
+func (s *responseStack) callForHead(t *testing.T, id string) string {
+	t.Helper()
+	is := is.New(t)
+	conn, err := net.Dial("tcp", s.address)
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(resultTimeout)))
+	_, err = fmt.Fprintf(conn, "GET /safe/x HTTP/1.1\r\nHost: shop.example\r\nCall-Id: %s\r\nConnection: close\r\n\r\n", id)
+	is.NoErr(err)
+	response, err := io.ReadAll(conn)
+	is.NoErr(err)
+	head, _, _ := strings.Cut(string(response), "\r\n\r\n")
+	return head + "\r\n"
+}
+
 // Guards against a check on responses that ends a slow one before the call's time is up.
 func TestSlowSoundResponsePasses(t *testing.T) {
 	forEachGate(t, func(t *testing.T, kind gateKind) {
--- a/pkg/roundtrip/head.go
+++ b/pkg/roundtrip/head.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -59,10 +60,11 @@
 	h.buffer, h.closed = nil, true
 }
 
-// check returns an *InvalidResponse if what was received makes a response invalid in a way that net/http hides.
+// check returns an *InvalidResponse if what was received makes a response invalid in a way that net/http hides, and removes
+// what net/http has added to the header. It does nothing if the connection is encrypted.
 func (h *receivedHead) check(response *http.Response) error {
 	if response.TLS != nil {
-		return nil // the bytes are encrypted
+		return nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -70,10 +72,23 @@
 	if h.buffer != nil {
 		received = h.buffer.Bytes()
 	}
-	if response.ProtoAtLeast(1, 1) && !beginsInformational(received) {
-		return nil // nothing is hidden
+	mended := mayBeMended(response.Header)
+	if response.ProtoAtLeast(1, 1) && !mended && !beginsInformational(received) {
+		return nil
 	}
-	return checkHeads(received, response.StatusCode)
+	final, err := checkHeads(received, response.StatusCode)
+	if err != nil {
+		return err
+	}
+	if mended && final.fields["Cache-Control"] == nil {
+		delete(response.Header, "Cache-Control")
+	}
+	return nil
+}
+
+// mayBeMended reports whether net/http may have added Cache-Control to a header, as it does for Pragma: no-cache.
+func mayBeMended(header http.Header) bool {
+	return header["Pragma"] != nil && slices.Equal(header["Cache-Control"], []string{"no-cache"})
 }
 
 // beginsInformational reports whether what was received begins with an informational response.
@@ -82,19 +97,20 @@
 	return bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
 }
 
-// checkHeads checks the heads of the informational responses and that of the final response, in the order received.
-func checkHeads(received []byte, status int) error {
+// checkHeads checks the heads of the informational responses and that of the final response, in the order received, and
+// returns the latter; status is that of the final response.
+func checkHeads(received []byte, status int) (head, error) {
 	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(received)))
 	for {
-		head, err := readHead(reader)
+		next, err := readHead(reader)
 		if err != nil {
-			return &InvalidResponse{Fault: FaultHead, Status: status, Err: err}
+			return head{}, &InvalidResponse{Fault: FaultHead, Status: status, Err: err}
 		}
-		if err := head.check(status); err != nil {
-			return err
+		if err := next.check(status); err != nil {
+			return head{}, err
 		}
-		if !head.informational {
-			return nil
+		if !next.informational {
+			return next, nil
 		}
 	}
 }
