roundtrip: HTTP/2 is not agreed on over TLS

Seen in going through the readers: a platform list, a configuration source or a replica behind https whose server speaks HTTP/2 is never read: net/http agrees on HTTP/2 by itself, and CheckHead rejects its responses.

Cause: the transports of control and bramblectl are copies of http.DefaultTransport, which asks for HTTP/2. A Transport speaks HTTP/1 only; now it also says so. TestOnlyHTTP1IsAgreedOnOverTLS fails without the change.

--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -22,13 +22,14 @@
 // http.RoundTripper.
 type Transport struct{ base *http.Transport }
 
-// New returns a Transport on top of base, which it changes. The head of a response is bounded by
-// base.MaxResponseHeaderBytes, or by MaxHeadBytes if that is not set.
+// New returns a Transport on top of base, which it changes. It speaks HTTP/1 only, also over TLS. The head of a response is
+// bounded by base.MaxResponseHeaderBytes, or by MaxHeadBytes if that is not set.
 func New(base *http.Transport) *Transport {
 	if base.DialContext == nil {
 		base.DialContext = (&net.Dialer{}).DialContext
 	}
 	base.DialContext = countWrites(base.DialContext)
+	base.ForceAttemptHTTP2 = false
 	if base.MaxResponseHeaderBytes == 0 {
 		base.MaxResponseHeaderBytes = MaxHeadBytes
 	}
--- a/pkg/roundtrip/transport_test.go
+++ b/pkg/roundtrip/transport_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -96,3 +99,24 @@
 	t.Logf("body %q", body)
 	is.True(FaultOf(err) != "")
 }
+
+// Guards against a server of HTTP/2 over TLS with which this protocol is agreed on, and whose responses are then rejected.
+func TestOnlyHTTP1IsAgreedOnOverTLS(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Proto) }))
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	base.TLSClientConfig = &tls.Config{RootCAs: roots}
+	request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+	is.NoErr(err)
+	response, err := New(base).RoundTrip(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	body, err := ReadAll(response, 1<<10)
+	is.NoErr(err)
+	is.Equal(string(body), "HTTP/1.1")
+}
