operator: a redirect that turns a change into a GET is no answer to it

Seen in going through the readers: a replica, or what stands at its address, answers the POST of bramblectl with 301, 302 or 303. net/http sends a GET to the address given there, and its JSON is taken for the result of the change.

Such a redirect counts as a response that can't be read: the request is sent to the next replica under its operation ID. 307 and 308, which keep method and body, are followed as before, ten at most. TestRedirectToAGetIsNoResultOfAChange fails for the first three without the change. The readers of lists and bundles send GET only.

--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -36,7 +36,28 @@
 // NewClient returns a client for the operator addresses of the control replicas.
 func NewClient(addresses []string) *Client {
 	transport := roundtrip.New(http.DefaultTransport.(*http.Transport).Clone())
-	return &Client{addresses: addresses, http: &http.Client{Timeout: attemptTimeout, Transport: transport}}
+	return &Client{addresses: addresses, http: &http.Client{Timeout: attemptTimeout, Transport: transport, CheckRedirect: checkRedirect}}
+}
+
+// maxRedirects is how many redirects are followed, as net/http does by default.
+const maxRedirects = 10
+
+// Causes of redirects that are not followed.
+var (
+	errMethodChanged    = errors.New("the redirect changes the request's method")
+	errTooManyRedirects = fmt.Errorf("more than %d redirects", maxRedirects)
+)
+
+// checkRedirect rejects redirects after which net/http would send a GET in place of another request: its response is not
+// one to that request.
+func checkRedirect(next *http.Request, sent []*http.Request) error {
+	if next.Method != sent[0].Method {
+		return errMethodChanged
+	}
+	if len(sent) >= maxRedirects {
+		return errTooManyRedirects
+	}
+	return nil
 }
 
 // NewOperationID returns a random ID under which a request may be resent.
--- a/pkg/operator/client_test.go
+++ b/pkg/operator/client_test.go
@@ -63,3 +63,32 @@
 	is.Equal(list.Head, uint64(7))
 	is.True(time.Since(started) < attemptTimeout/2)
 }
+
+// Guards against the response to a GET, which a redirect leads to, being taken for the result of a change.
+func TestRedirectToAGetIsNoResultOfAChange(t *testing.T) {
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusFound, http.StatusSeeOther, http.StatusTemporaryRedirect, http.StatusPermanentRedirect} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			redirecting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/other" {
+					_ = json.NewEncoder(w).Encode(map[string]any{"number": 4242, "method": r.Method})
+					return
+				}
+				w.Header().Set("Location", "/other")
+				w.WriteHeader(status)
+			}))
+			defer redirecting.Close()
+			leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_ = json.NewEncoder(w).Encode(map[string]any{"number": 7, "method": r.Method})
+			}))
+			defer leader.Close()
+			client := NewClient([]string{strings.TrimPrefix(redirecting.URL, "http://"), strings.TrimPrefix(leader.URL, "http://")})
+			var result struct {
+				Number int
+				Method string
+			}
+			is.NoErr(client.Do(context.Background(), http.MethodPost, PathVersions, CreateRequest{}, &result))
+			is.Equal(result.Method, http.MethodPost)
+		})
+	}
+}
