pipeline: a response 204 has no Content-Length

Seen in going through what net/http accepts: a back end in trouble answers 204 with a length, and callers get that length, for which one may wait. The body behind it is rightly not read (RFC 9112, 6.3), but a server must not send a length in a 204 (RFC 9110, 8.6), and to callers the node is the server.

TestNoContentHasNoLength fails without the change.

--- a/pkg/pipeline/response.go
+++ b/pkg/pipeline/response.go
@@ -151,6 +151,9 @@
 // setFraming sets the headers for the body's length and for keeping or closing the connection.
 func (r *response) setFraming() {
 	delete(r.header, "Transfer-Encoding")
+	if r.status == http.StatusNoContent {
+		delete(r.header, "Content-Length") // it must not have one (RFC 9110, 8.6), and a caller might wait for the body
+	}
 	wantClose := r.x.last || httpguts.HeaderValuesContainsToken(r.header["Connection"], "close")
 	if r.x.body != nil && !r.x.body.discardRest() {
 		wantClose = true
--- a/pkg/pipeline/response_test.go
+++ b/pkg/pipeline/response_test.go
@@ -63,6 +63,20 @@
 	is.True(err != nil)
 }
 
+// Guards against a response 204 with the length of a body that does not follow.
+func TestNoContentHasNoLength(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, testConfig(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "5")
+		w.WriteHeader(http.StatusNoContent)
+	})))
+	c := dial(t, address)
+	c.get("/1")
+	response, _ := c.readResponse()
+	is.Equal(response.StatusCode, http.StatusNoContent)
+	is.Equal(response.Header["Content-Length"], nil)
+}
+
 // A response to HEAD must not have a body, which the caller would parse as the next response.
 func TestResponsesToHeadHaveNoBody(t *testing.T) {
 	is := is.New(t)
