standin: a table of sound responses, played to every reader

What must pass unchanged was a list in the test of gate and node. Gate and node also get each with a body of 3.2 MB.

Part of what the test of gate and node played before stands in it unchanged: the statuses, 204, 304, the empty body.

--- a/pkg/forward/invalid_response_test.go
+++ b/pkg/forward/invalid_response_test.go
@@ -317,50 +317,33 @@
 // Guards against a sound response that is turned away, or a call that is repeated, because of checks on responses.
 func TestSoundResponsesPassUnchanged(t *testing.T) {
 	large := strings.Repeat("0123456789abcdef", 200_000)
-	type test struct {
-		name     string
-		response standin.RawResponse
-		status   int
-		body     string
+	tests := standin.SoundResponses("sound")
+	for _, c := range standin.SoundResponses(large) {
+		c.Name += ", large"
+		tests = append(tests, c)
 	}
-	tests := []test{
-		{"after 100", standin.RawResponse{First: "HTTP/1.1 100 Continue\r\n\r\n" + okHead + soundBody}, 200, "sound"},
-		{"after several 1xx", standin.RawResponse{First: strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 20) + "HTTP/1.1 102 x\r\n\r\n" + okHead + soundBody}, 200, "sound"},
-		{"large, with a length", standin.RawResponse{First: fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", okHead, len(large), large)}, 200, large},
-		{"large, in chunks", standin.RawResponse{First: chunkedHead + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(large), large)}, 200, large},
-		{"large, ends with its connection", standin.RawResponse{First: okHead + "\r\n" + large, Close: true}, 200, large},
-		{"ends with its connection", standin.RawResponse{First: okHead + "\r\nsound", Close: true}, 200, "sound"},
-		{"HTTP/1.0", standin.RawResponse{First: "HTTP/1.0 200 OK\r\n{id}\r\n\r\nsound", Close: true}, 200, "sound"},
-		{"HTTP/1.0 with a length", standin.RawResponse{First: "HTTP/1.0 200 OK\r\n{id}\r\n" + soundBody, Close: true}, 200, "sound"},
-		{"HTTP/1.0, kept alive", standin.RawResponse{First: "HTTP/1.0 200 OK\r\n{id}\r\nConnection: keep-alive\r\n" + soundBody}, 200, "sound"},
-		{"HTTP/1.0 after 1xx", standin.RawResponse{First: "HTTP/1.1 103 x\r\nLink: x\r\n\r\nHTTP/1.0 200 OK\r\n{id}\r\n\r\nsound", Close: true}, 200, "sound"},
-		{"HTTP/1.0 with the name of a coding in a value", standin.RawResponse{First: "HTTP/1.0 200 OK\r\n{id}\r\nVary: x,\r\n Transfer-Encoding: chunked\r\n\r\nsound", Close: true}, 200, "sound"},
-		{"HTTP/1.0 with a coding in its body", standin.RawResponse{First: "HTTP/1.0 200 OK\r\n{id}\r\n\r\nTransfer-Encoding: chunked\r\n\r\n", Close: true}, 200, "Transfer-Encoding: chunked\r\n\r\n"},
-		{"HTTP/1.0 without a reason, lines end with LF", standin.RawResponse{First: "HTTP/1.0 200\n{id}\nA:\n folded\n\nsound", Close: true}, 200, "sound"},
-		{"HTTP/1.0, large head", standin.RawResponse{First: "HTTP/1.0 200 OK\r\n{id}\r\nA: " + strings.Repeat("x", 32<<10) + "\r\n" + soundBody, Close: true}, 200, "sound"},
-		{"lines end with LF", standin.RawResponse{First: "HTTP/1.1 200 OK\n{id}\nContent-Length: 5\n\nsound"}, 200, "sound"},
-		{"folded value", standin.RawResponse{First: okHead + "A: b\r\n\tc\r\n  d\r\n" + soundBody}, 200, "sound"},
-		{"odd header names", standin.RawResponse{First: okHead + "!#$%&'*+-.^_`|~1aZ: b\r\n0: \r\n" + soundBody}, 200, "sound"},
-		{"empty chunked body", standin.RawResponse{First: chunkedHead + "0\r\n\r\n"}, 200, ""},
-		{"trailers", standin.RawResponse{First: chunkedHead + "5\r\nsound\r\n0\r\nA: b\r\n\r\n"}, 200, "sound"},
-		{"chunk extension", standin.RawResponse{First: chunkedHead + "5;a=b\r\nsound\r\n0\r\n\r\n"}, 200, "sound"},
-		{"large head", standin.RawResponse{First: okHead + "A: " + strings.Repeat("x", 32<<10) + "\r\n" + soundBody}, 200, "sound"},
-		{"status without a reason", withStatus("200"), 200, "sound"},
-		{"204", standin.RawResponse{First: "HTTP/1.1 204 x\r\n{id}\r\n\r\n"}, 204, ""},
-		{"304", standin.RawResponse{First: "HTTP/1.1 304 x\r\n{id}\r\n\r\n"}, 304, ""},
+	other := func(name, text string, status int, body string) {
+		tests = append(tests, standin.SoundResponse{Name: name, RawResponse: standin.RawResponse{First: text}, Status: status, Body: body})
 	}
+	other("empty chunked body", chunkedHead+"0\r\n\r\n", 200, "")
+	other("204", "HTTP/1.1 204 x\r\n{id}\r\n\r\n", 204, "")
+	other("304", "HTTP/1.1 304 x\r\n{id}\r\n\r\n", 304, "")
+	other("text of a coding in the body of HTTP/1.0", "HTTP/1.0 200 OK\r\n{id}\r\nContent-Length: 28\r\n\r\nTransfer-Encoding: chunked\r\n", 200, "Transfer-Encoding: chunked\r\n")
 	for _, status := range []int{200, 201, 202, 206, 299, 301, 302, 307, 308, 400, 401, 403, 404, 408, 409, 412, 413, 421, 422, 429, 431, 499, 500, 501, 502, 503, 504, 599} {
-		tests = append(tests, test{fmt.Sprint("status ", status), withStatus(fmt.Sprint(status, " x")), status, "sound"})
+		other(fmt.Sprint("status ", status), withStatus(fmt.Sprint(status, " x")).First, status, "sound")
 	}
 	for _, c := range tests {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(c.Name, func(t *testing.T) {
 			forEachGate(t, func(t *testing.T, kind gateKind) {
 				is := is.New(t)
-				s := newResponseStack(t, kind, soundTimeout, c.response)
+				s := newResponseStack(t, kind, soundTimeout, c.RawResponse)
 				got := s.call(t, "POST", "/unsafe/x", "sound")
-				is.Equal(got.status, c.status)
+				is.Equal(got.status, c.Status)
 				is.True(got.complete)
-				is.True(got.body == c.body)
+				is.True(got.body == c.Body)
+				for name, value := range c.Fields {
+					is.Equal(got.header[http.CanonicalHeaderKey(name)], []string{value})
+				}
 				is.Equal(s.backend.runsOf("sound"), 1)
 				is.Equal(len(s.faultsOf("sound")), 0)
 			})
--- a/pkg/gate/probe_invalid_test.go
+++ b/pkg/gate/probe_invalid_test.go
@@ -38,3 +38,22 @@
 		})
 	}
 }
+
+// Guards against a check on responses that keeps a probe from the state of a back end whose response is sound.
+func TestProbeTakesStateFromSoundResponses(t *testing.T) {
+	headers := settings.Headers{RequestID: "Call-Id", Cold: "Cold-Ms", Limit: []string{"Named-Limit"}}
+	for _, c := range standin.SoundResponses("sound") {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			address, _ := scriptedBackend(t, func(conn net.Conn, _ *http.Request, _ int64) bool {
+				return c.Write(conn, standin.RawHeaders{RequestID: "Call-Id", NotRun: "Not-Run"}, "x\r\nCold-Ms: 40\r\nNamed-Limit: 1")
+			})
+			g := New(Config{Headers: headers, Now: func() time.Duration { return 0 }})
+			remaining, said, err := g.probeHealth(address, "/health")
+			is.NoErr(err)
+			is.Equal(remaining, 40*time.Millisecond)
+			is.True(said != exchange.Statement{})
+		})
+	}
+}
--- a/pkg/machinelist/machinelist_test.go
+++ b/pkg/machinelist/machinelist_test.go
@@ -91,9 +91,20 @@
 	}
 }
 
+const rawList = `{"machines":[{"service":"s","id":"a","address":"10.0.0.1:80"}]}`
+
+// newRawReader returns a reader of a server that writes a raw response to each request.
+func newRawReader(t *testing.T, response standin.RawResponse) *Reader {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	go response.Serve(listener, standin.RawHeaders{RequestID: "X-Id", NotRun: "X-Not-Run"})
+	return NewReader(&http.Client{Transport: roundtrip.New(&http.Transport{})}, "http://"+listener.Addr().String())
+}
+
 // Guards against a list that is taken from bytes which are no response, or replaces the one that is known.
 func TestReadTakesNothingFromBytesThatAreNoResponse(t *testing.T) {
-	const body = `{"machines":[{"service":"s","id":"a","address":"10.0.0.1:80"}]}`
 	for _, c := range standin.InvalidResponses {
 		if c.Fault == roundtrip.FaultOtherRequest {
 			continue // a list names no request
@@ -101,14 +112,10 @@
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			defer listener.Close()
-			go c.WithBody(body).Serve(listener, standin.RawHeaders{RequestID: "X-Id", NotRun: "X-Not-Run"})
-			reader := NewReader(&http.Client{Transport: roundtrip.New(&http.Transport{})}, "http://"+listener.Addr().String())
+			reader := newRawReader(t, c.WithBody(rawList))
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
-			_, err = reader.Read(ctx)
+			_, err := reader.Read(ctx)
 			is.True(err != nil)
 			is.Equal(reader.last, List{})
 			is.Equal(reader.etag, "")
@@ -116,6 +123,19 @@
 	}
 }
 
+// Guards against a check on responses that keeps the list from being read.
+func TestReadAcceptsSoundResponses(t *testing.T) {
+	for _, c := range standin.SoundResponses(rawList) {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			list, err := newRawReader(t, c.RawResponse).Read(context.Background())
+			is.NoErr(err)
+			is.Equal(len(list.Machines), 1)
+		})
+	}
+}
+
 func TestUnchangedListIsNotSentAgain(t *testing.T) {
 	is := is.New(t)
 	etag, sent := `"one"`, 0
--- a/pkg/operator/invalid_response_test.go
+++ b/pkg/operator/invalid_response_test.go
@@ -49,3 +49,19 @@
 		})
 	}
 }
+
+// Guards against a check on responses that keeps the client from a result.
+func TestClientReadsSoundResponses(t *testing.T) {
+	for _, c := range standin.SoundResponses(`{"head":3}`) {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			client := NewClient([]string{startRaw(t, c.RawResponse)})
+			for range 2 { // the second request may use the connection of the first
+				var list VersionList
+				is.NoErr(client.attemptWithTimeout(context.Background(), firstAttemptTimeout, http.MethodGet, "http://"+client.addresses[0]+PathVersions, nil, &list))
+				is.Equal(list.Head, uint64(3))
+			}
+		})
+	}
+}
