--- a/pkg/roundtrip/delivery.go
+++ b/pkg/roundtrip/delivery.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -129,9 +128,6 @@
 	}
 }
 
-// checkHead returns an *InvalidResponse if the bytes of a response's head make it invalid in a way that net/http hides.
-func (d *Delivery) checkHead(response *http.Response) error { return d.head.check(response) }
-
 // endHead releases what was received of the head.
 func (d *Delivery) endHead() {
 	d.mu.Lock()
--- a/pkg/roundtrip/head.go
+++ b/pkg/roundtrip/head.go
@@ -60,23 +60,27 @@
 	h.buffer, h.closed = nil, true
 }
 
-// check returns an *InvalidResponse if what was received makes a response invalid in a way that net/http hides, and removes
-// what net/http has added to the header. It does nothing if the connection is encrypted.
-func (h *receivedHead) check(response *http.Response) error {
+// bytes returns what was received; mu must be held.
+func (h *receivedHead) bytes() []byte {
+	if h.buffer == nil {
+		return nil
+	}
+	return h.buffer.Bytes()
+}
+
+// restore removes from the header of a response what net/http has added to it, and returns an *InvalidResponse if something
+// that net/http has dropped makes the response invalid. Over an encrypted connection it does nothing.
+func (h *receivedHead) restore(response *http.Response) error {
 	if response.TLS != nil {
 		return nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var received []byte
-	if h.buffer != nil {
-		received = h.buffer.Bytes()
-	}
 	mended := mayBeMended(response.Header)
-	if response.ProtoAtLeast(1, 1) && !mended && !beginsInformational(received) {
+	if response.ProtoAtLeast(1, 1) && !mended && !beginsInformational(h.bytes()) {
 		return nil
 	}
-	final, err := checkHeads(received, response.StatusCode)
+	final, err := checkHeads(h.bytes(), response.StatusCode)
 	if err != nil {
 		return err
 	}
--- a/pkg/roundtrip/head_test.go
+++ b/pkg/roundtrip/head_test.go
@@ -83,9 +83,9 @@
 	is := is.New(t)
 	response := &http.Response{StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 0}
 	var delivery Delivery
-	is.Equal(FaultOf(delivery.checkHead(response)), FaultHead)
+	is.Equal(FaultOf(delivery.head.restore(response)), FaultHead)
 	delivery.head.add([]byte("HTTP/1.0 200 OK\r\nA: b\r\n"))
-	is.Equal(FaultOf(delivery.checkHead(response)), FaultHead)
+	is.Equal(FaultOf(delivery.head.restore(response)), FaultHead)
 	delivery.head.add([]byte("\r\nbody"))
-	is.NoErr(delivery.checkHead(response))
+	is.NoErr(delivery.head.restore(response))
 }
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -52,7 +52,7 @@
 		return nil, headError(delivery, err)
 	}
 	if err = CheckHead(response); err == nil {
-		err = delivery.checkHead(response)
+		err = delivery.head.restore(response)
 	}
 	if err != nil {
 		response.Body.Close()
