roundtrip: an invalid informational response is named as such in logs; standin: one way to write raw responses

The reason of response_invalid did not tell a 1xx from the final response. The platform's tests and the stand-in of the platform had the same function to write a raw response in place of a handler's.

--- a/pkg/bench/standin/platform.go
+++ b/pkg/bench/standin/platform.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -93,17 +92,8 @@
 	p.rawList, p.rawBundle = list, bundle
 }
 
-// writeRaw writes a raw response in place of the handler's.
-func writeRaw(w http.ResponseWriter, response RawResponse) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	if response.Write(conn, RawHeaders{RequestID: "X-Id", NotRun: "X-Not-Run"}, "1") {
-		_, _ = io.Copy(io.Discard, conn)
-	}
-}
+// platformHeaders are names for raw responses, which the platform's readers do not look at.
+var platformHeaders = RawHeaders{RequestID: "X-Id", NotRun: "X-Not-Run"}
 
 // RequestCount returns the number of requests for the machine list and for bundles.
 func (p *Platform) RequestCount() int {
@@ -134,7 +124,7 @@
 	}
 	p.mu.Unlock()
 	if raw != nil {
-		writeRaw(w, *raw)
+		raw.Replace(w, platformHeaders, "1")
 		return
 	}
 	if down {
@@ -166,7 +156,7 @@
 	p.mu.Unlock()
 	switch {
 	case raw != nil:
-		writeRaw(w, *raw)
+		raw.Replace(w, platformHeaders, "1")
 	case down:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case !found:
--- a/pkg/bench/standin/raw.go
+++ b/pkg/bench/standin/raw.go
@@ -55,6 +55,18 @@
 	return !r.Close && !r.Reset
 }
 
+// Replace writes the response in place of a handler's. Unless it closes its connection, the peer has to.
+func (r RawResponse) Replace(w http.ResponseWriter, headers RawHeaders, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if r.Write(conn, headers, id) {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
 // Serve writes the response to each request on the connections that a listener accepts, until it is closed.
 func (r RawResponse) Serve(listener net.Listener, headers RawHeaders) {
 	for {
--- a/pkg/roundtrip/head.go
+++ b/pkg/roundtrip/head.go
@@ -148,16 +148,22 @@
 // check returns an *InvalidResponse if the head is invalid in a way that net/http hides; status is that of the final
 // response.
 func (h head) check(status int) error {
-	if h.major != 1 {
-		return &InvalidResponse{Fault: FaultProtocol, Status: status, Err: fmt.Errorf("informational response of HTTP/%d.%d", h.major, h.minor)}
-	}
-	if _, found := h.fields["Transfer-Encoding"]; found && h.minor == 0 {
-		return &InvalidResponse{Fault: FaultHead, Status: status, Err: errTransferEncoding}
+	fault, err := FaultHead, error(nil)
+	switch {
+	case h.major != 1:
+		fault, err = FaultProtocol, fmt.Errorf("response of HTTP/%d.%d", h.major, h.minor)
+	case h.minor == 0 && h.fields["Transfer-Encoding"] != nil:
+		err = errTransferEncoding
+	default:
+		err = checkFields(h.fields)
+	}
+	if err == nil {
+		return nil
 	}
-	if err := checkFields(h.fields); err != nil {
-		return &InvalidResponse{Fault: FaultHead, Status: status, Err: err}
+	if h.informational {
+		err = fmt.Errorf("informational response: %w", err)
 	}
-	return nil
+	return &InvalidResponse{Fault: fault, Status: status, Err: err}
 }
 
 // Causes of an InvalidResponse that net/http hides.
--- a/test/integration/invalid_response_test.go
+++ b/test/integration/invalid_response_test.go
@@ -75,6 +75,7 @@
 		}
 		s.awaitListRequests(1)
 	}
+	s.awaitListRequests(1) // the list before was read to its end
 	is.Equal(s.countLogged(changed), changes)
 	is.True(s.countLogged("event=platform_list_unreadable") > 0)
 	s.platform.RespondRaw(nil, nil)
