roundtrip: a request assigned to a retired connection is sent over another one

Cause, traced: net/http puts a connection back as soon as a head without a body is read, before the response is found invalid. The connection is retired and closed, but net/http goes on assigning requests to it until it notices. Such a request fails before any byte is sent; net/http sends it again only if it has no body, since the bodies here can't be rewound (which keeps it from repeating calls by itself).

Delivery has a Rewind now, set for bodies that are buffered whole. Send uses it only if the connection was retired and no byte was sent, for three retired connections at most.

--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -78,13 +78,23 @@
 	request.ContentLength = declaredLength
 	if b.rest == nil {
 		request.ContentLength = int64(len(b.data))
-		request.Body = io.NopCloser(readerOnly{bytes.NewReader(b.data)})
+		request.Body = b.newReader()
 		return
 	}
 	b.consumed = true
 	request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(b.data), b.rest))
 }
 
+// Rewind returns a function that returns the body from its start, nil for a body that is not buffered whole.
+func (b *Body) Rewind() func() io.ReadCloser {
+	if b.rest != nil {
+		return nil
+	}
+	return b.newReader
+}
+
+func (b *Body) newReader() io.ReadCloser { return io.NopCloser(readerOnly{bytes.NewReader(b.data)}) }
+
 // readerOnly hides every other method of a reader, such as WriteTo.
 type readerOnly struct{ io.Reader }
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -51,7 +51,7 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request := c.outgoingRequest(httptrace.WithClientTrace(ctx, trace), ticket)
-	var delivery roundtrip.Delivery
+	delivery := roundtrip.Delivery{Rewind: c.body.rewind()}
 	response, err := c.service.transport.Send(request.Context(), request, &delivery)
 	if err == nil {
 		err = c.checkID(response, &delivery)
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -46,6 +46,14 @@
 // replayable reports whether the body can be sent again.
 func (b *replayBody) replayable() bool { return b.complete || !b.readStarted.Load() }
 
+// rewind returns a function that returns the body from its start, nil for one that is streamed.
+func (b *replayBody) rewind() func() io.ReadCloser {
+	if !b.complete {
+		return nil
+	}
+	return b.reader
+}
+
 // reader returns the body for one attempt. It is never http.NoBody and cannot be rewound, which
 // keeps the transport from retrying the request.
 func (b *replayBody) reader() io.ReadCloser {
--- a/pkg/roundtrip/delivery.go
+++ b/pkg/roundtrip/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -64,6 +65,10 @@
 // the peer has closed fails before any byte is sent; such a request can be retried safely. The zero
 // value is ready for one request.
 type Delivery struct {
+	// Rewind, if set, returns the request's body from its start. A request with a body is then sent over another
+	// connection if that which it was assigned to was retired before.
+	Rewind func() io.ReadCloser
+
 	mu sync.Mutex
 	// conn is the latest connection, nil for none; writesBefore is its write count before the
 	// request, number that of its requests up to this one.
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -47,7 +47,7 @@
 func (t *Transport) Send(ctx context.Context, request *http.Request, delivery *Delivery) (*http.Response, error) {
 	request = request.WithContext(httptrace.WithClientTrace(ctx, delivery.trace()))
 	defer delivery.endHead()
-	response, err := t.base.RoundTrip(request)
+	response, err := t.roundTrip(request, delivery)
 	if err != nil {
 		return nil, headError(delivery, err)
 	}
@@ -65,6 +65,23 @@
 	return response, nil
 }
 
+// maxRetiredConns bounds how many retired connections a request is assigned to before it fails.
+const maxRetiredConns = 3
+
+// roundTrip sends a request, again if its connection was retired before any byte was sent. net/http may assign requests to
+// such a connection until it notices that it is closed, and itself sends only those without a body again.
+func (t *Transport) roundTrip(request *http.Request, delivery *Delivery) (*http.Response, error) {
+	for retired := 0; ; retired++ {
+		response, err := t.base.RoundTrip(request)
+		resend := err != nil && delivery.RejectedByRetired() && delivery.Rewind != nil && request.Context().Err() == nil
+		if !resend || retired == maxRetiredConns {
+			return response, err
+		}
+		request = request.WithContext(request.Context())
+		request.Body = delivery.Rewind()
+	}
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
