gate: a body is sent again only if it is the buffered one

The lengths are compared now, and a request without a body is left to net/http, which sends it again itself.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -355,7 +355,9 @@
 		g.releaseUnsent(adm)
 		return g.reject(call, http.StatusServiceUnavailable, exchange.NotRun)
 	}
-	delivery.Rewind = body.Rewind()
+	if outgoing.ContentLength == int64(body.Size()) {
+		delivery.Rewind = body.Rewind()
+	}
 	response, err := g.transport.Send(ctx, outgoing, &delivery)
 	g.chargeResends(adm, delivery.Resends())
 	if err != nil && delivery.RejectedByRetired() {
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -73,7 +73,7 @@
 func (t *Transport) roundTrip(request *http.Request, delivery *Delivery) (*http.Response, error) {
 	for retired := 0; ; retired++ {
 		response, err := t.base.RoundTrip(request)
-		resend := err != nil && delivery.RejectedByRetired() && delivery.Rewind != nil && request.Context().Err() == nil
+		resend := err != nil && delivery.RejectedByRetired() && request.Body != nil && delivery.Rewind != nil && request.Context().Err() == nil
 		if !resend || retired == maxRetiredConns {
 			return response, err
 		}
