roundtrip, forward: announced trailers are not checked; calls to gates leave retired connections too

Found in reading the change once more: - A field Trailer that is no list of names, as "Trailer: A b", made a chunked response invalid once its body ended, though nothing of it is passed on: a sound answer turned away. Only trailer fields that were received are checked. - A call with a body to another node's gate got 503 if its connection was retired, as calls to back ends did. It is sent over another one, too. - If no other connection could be opened then, the failure counted as a retired connection and not as an unreachable peer: the retired one is forgotten before the request is assigned again.

The step that undoes net/http and the count of requests have plainer names.

--- a/pkg/exchange/body.go
+++ b/pkg/exchange/body.go
@@ -85,7 +85,8 @@
 	request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(b.data), b.rest))
 }
 
-// Rewind returns a function that returns the body from its start, nil for a body that is not buffered whole.
+// Rewind returns the Rewind of a roundtrip.Delivery: a function that returns the body from its start, nil for a body that is
+// not buffered whole.
 func (b *Body) Rewind() func() io.ReadCloser {
 	if b.rest != nil {
 		return nil
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -46,7 +46,8 @@
 // replayable reports whether the body can be sent again.
 func (b *replayBody) replayable() bool { return b.complete || !b.readStarted.Load() }
 
-// rewind returns a function that returns the body from its start, nil for one that is streamed.
+// rewind returns the Rewind of a roundtrip.Delivery: a function that returns the body from its start, nil for one that is
+// streamed.
 func (b *replayBody) rewind() func() io.ReadCloser {
 	if !b.complete {
 		return nil
--- a/pkg/forward/gate_exchange.go
+++ b/pkg/forward/gate_exchange.go
@@ -82,6 +82,9 @@
 	g.requestHeldTime(ticket, request)
 	sent := g.now()
 	var delivery roundtrip.Delivery
+	if g.body.Size() <= largeBodyBytes { // larger ones are paced
+		delivery.Rewind = g.body.Rewind()
+	}
 	response, err := g.handler.gates.Send(ctx, request, &delivery)
 	switch {
 	case err == nil:
--- a/pkg/roundtrip/delivery.go
+++ b/pkg/roundtrip/delivery.go
@@ -65,16 +65,16 @@
 // the peer has closed fails before any byte is sent; such a request can be retried safely. The zero
 // value is ready for one request.
 type Delivery struct {
-	// Rewind, if set, returns the request's body from its start. A request with a body is then sent over another
-	// connection if that which it was assigned to was retired before.
+	// Rewind, if set, returns the request's body from its start. It allows to send the request over another connection
+	// if the one that it was assigned to turns out to be retired.
 	Rewind func() io.ReadCloser
 
 	mu sync.Mutex
 	// conn is the latest connection, nil for none; writesBefore is its write count before the
-	// request, number that of its requests up to this one.
-	conn         *countedConn
-	writesBefore int64
-	number       int64
+	// request, and requestNumber counts the requests assigned to it up to this one.
+	conn          *countedConn
+	writesBefore  int64
+	requestNumber int64
 	// arrivedEarlier is set if an earlier connection wrote part of the request, or if the writes of
 	// a connection were not counted.
 	arrivedEarlier bool
@@ -122,7 +122,7 @@
 	}
 	d.stopRecording()
 	d.head.reset()
-	d.conn, d.writesBefore, d.number = counted, counted.writes.Load(), counted.requests.Add(1)
+	d.conn, d.writesBefore, d.requestNumber = counted, counted.writes.Load(), counted.requests.Add(1)
 	counted.awaited.Store(&d.head)
 }
 
@@ -164,9 +164,26 @@
 func (d *Delivery) RejectedByRetired() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.rejectedByRetired()
+}
+
+// rejectedByRetired is RejectedByRetired with mu held.
+func (d *Delivery) rejectedByRetired() bool {
 	return !d.mayHaveArrived() && d.conn != nil && d.conn.retired.Load()
 }
 
+// forgetRetired forgets the connection if the request was not sent since it was retired, and reports whether that was so.
+func (d *Delivery) forgetRetired() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.rejectedByRetired() {
+		return false
+	}
+	d.stopRecording()
+	d.conn = nil
+	return true
+}
+
 // discardConn retires the connection that the request used last, and closes it unless a later request uses it.
 func (d *Delivery) discardConn() {
 	d.RetireConn()
@@ -174,12 +191,12 @@
 }
 
 // CloseRetired closes the connection that the request used last if it is retired. The response must not be read any
-// more. If the transport has assigned a later request to the connection, that one ends it: it fails before any byte is
-// sent, or was sent before the connection was retired and may still be served.
+// more. A connection to which the transport has assigned a later request is left open: that request may have been sent
+// before the connection was retired, and otherwise fails before any byte is sent.
 func (d *Delivery) CloseRetired() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.conn != nil && d.conn.retired.Load() && d.conn.requests.Load() == d.number {
+	if d.conn != nil && d.conn.retired.Load() && d.conn.requests.Load() == d.requestNumber {
 		d.conn.Close()
 	}
 }
--- a/pkg/roundtrip/head.go
+++ b/pkg/roundtrip/head.go
@@ -76,22 +76,22 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	mended := mayBeMended(response.Header)
-	if response.ProtoAtLeast(1, 1) && !mended && !beginsInformational(h.bytes()) {
+	mayHaveAdded := mayHaveAddedCacheControl(response.Header)
+	if response.ProtoAtLeast(1, 1) && !mayHaveAdded && !beginsInformational(h.bytes()) {
 		return nil
 	}
 	final, err := checkHeads(h.bytes(), response.StatusCode)
 	if err != nil {
 		return err
 	}
-	if mended && final.fields["Cache-Control"] == nil {
+	if mayHaveAdded && final.fields["Cache-Control"] == nil {
 		delete(response.Header, "Cache-Control")
 	}
 	return nil
 }
 
-// mayBeMended reports whether net/http may have added Cache-Control to a header, as it does for Pragma: no-cache.
-func mayBeMended(header http.Header) bool {
+// mayHaveAddedCacheControl reports whether net/http may have added Cache-Control to a header, as it does for Pragma: no-cache.
+func mayHaveAddedCacheControl(header http.Header) bool {
 	return header["Pragma"] != nil && slices.Equal(header["Cache-Control"], []string{"no-cache"})
 }
 
@@ -166,7 +166,7 @@
 	return &InvalidResponse{Fault: fault, Status: status, Err: err}
 }
 
-// Causes of an InvalidResponse that net/http hides.
+// Causes of an InvalidResponse that are found in the copy of a head.
 var (
 	errVersion          = errors.New("the status line has no version")
 	errTransferEncoding = errors.New("Transfer-Encoding in a response of HTTP/1.0")
--- a/pkg/roundtrip/invalid.go
+++ b/pkg/roundtrip/invalid.go
@@ -127,17 +127,25 @@
 	return nil
 }
 
-// checkFields returns an error if a name or a value of header or trailer fields has bytes that are not allowed (RFC 9110,
-// 5.1 and 5.5). net/http accepts spaces in names.
+// checkFields returns an error if one of the fields of a head is malformed.
 func checkFields(fields http.Header) error {
 	for name, values := range fields {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return errHeaderName
+		if err := checkField(name, values); err != nil {
+			return err
 		}
-		for _, value := range values {
-			if !httpguts.ValidHeaderFieldValue(value) {
-				return errHeaderValue
-			}
+	}
+	return nil
+}
+
+// checkField returns an error if the name or a value of a header or trailer field has bytes that are not allowed (RFC 9110,
+// 5.1 and 5.5). net/http accepts spaces in names.
+func checkField(name string, values []string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return errHeaderName
+	}
+	for _, value := range values {
+		if !httpguts.ValidHeaderFieldValue(value) {
+			return errHeaderValue
 		}
 	}
 	return nil
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -65,21 +65,23 @@
 	return response, nil
 }
 
-// maxRetiredConns bounds how many retired connections a request is assigned to before it fails.
-const maxRetiredConns = 3
+// maxReassignments bounds how often a request is assigned to another connection.
+const maxReassignments = 3
 
-// roundTrip sends a request, again if its connection was retired before any byte was sent. net/http may assign requests to
-// such a connection until it notices that it is closed, and itself sends only those without a body again.
+// roundTrip sends a request. net/http goes on assigning requests to a connection that is retired, until it notices that it
+// is closed. Such a request is assigned to another connection: by net/http if it has no body, here if its body can be
+// rewound.
 func (t *Transport) roundTrip(request *http.Request, delivery *Delivery) (*http.Response, error) {
-	for retired := 0; ; retired++ {
-		response, err := t.base.RoundTrip(request)
-		resend := err != nil && delivery.RejectedByRetired() && request.Body != nil && delivery.Rewind != nil && request.Context().Err() == nil
-		if !resend || retired == maxRetiredConns {
-			return response, err
+	response, err := t.base.RoundTrip(request)
+	for range maxReassignments {
+		if err == nil || request.Body == nil || delivery.Rewind == nil || !delivery.forgetRetired() {
+			break
 		}
 		request = request.WithContext(request.Context())
 		request.Body = delivery.Rewind()
+		response, err = t.base.RoundTrip(request)
 	}
+	return response, err
 }
 
 // CloseIdleConnections closes the connections that no request uses.
@@ -128,7 +130,10 @@
 	}
 	switch {
 	case err == io.EOF:
-		return n, b.checkTrailer()
+		if invalid := b.checkTrailer(); invalid != nil {
+			return n, invalid
+		}
+		return n, io.EOF
 	case err == nil || errors.Is(err, http.ErrBodyReadAfterClose):
 		return n, err
 	case isContextError(err):
@@ -137,14 +142,19 @@
 	return n, b.invalid(FaultBody, err)
 }
 
-// checkTrailer returns io.EOF, or an *InvalidResponse if the trailer fields behind the body are malformed. The connection,
-// which net/http would use again, is closed then.
+// checkTrailer returns an *InvalidResponse if a trailer field that was received is malformed. The connection, which net/http
+// would use again, is closed then.
 func (b *body) checkTrailer() error {
-	if err := checkFields(b.response.Trailer); err != nil {
-		b.delivery.discardConn()
-		return b.invalid(FaultBody, fmt.Errorf("trailer: %w", err))
+	for name, values := range b.response.Trailer {
+		if values == nil {
+			continue // only announced
+		}
+		if err := checkField(name, values); err != nil {
+			b.delivery.discardConn()
+			return b.invalid(FaultBody, fmt.Errorf("trailer: %w", err))
+		}
 	}
-	return io.EOF
+	return nil
 }
 
 func (b *body) tooLong() error { return b.invalid(FaultBody, errLongFailure) }
