--- a/pkg/bench/standin/raw.go
+++ b/pkg/bench/standin/raw.go
@@ -67,18 +67,29 @@
 	}
 }
 
-// Serve writes the response to each request on the connections that a listener accepts, until it is closed.
+// Serve writes the response to each request on the connections that a listener accepts.
 func (r RawResponse) Serve(listener net.Listener, headers RawHeaders) {
+	ServeRaw(listener, func(conn net.Conn, request *http.Request) bool {
+		return r.Write(conn, headers, request.Header.Get(headers.RequestID))
+	})
+}
+
+// RawHandler writes the response to a request, whose body was read, and reports whether the connection stays open.
+type RawHandler func(conn net.Conn, request *http.Request) (keep bool)
+
+// ServeRaw serves the connections that a listener accepts, until it is closed.
+func ServeRaw(listener net.Listener, handle RawHandler) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go r.serveConn(conn, headers)
+		go ServeRawConn(conn, handle)
 	}
 }
 
-func (r RawResponse) serveConn(conn net.Conn, headers RawHeaders) {
+// ServeRawConn serves a connection and closes it.
+func ServeRawConn(conn net.Conn, handle RawHandler) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -86,7 +97,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil || !r.Write(conn, headers, request.Header.Get(headers.RequestID)) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		if !handle(conn, request) {
 			return
 		}
 	}
--- a/pkg/bench/standin/raw_invalid.go
+++ b/pkg/bench/standin/raw_invalid.go
@@ -8,7 +8,7 @@
 	"bramblelift/pkg/roundtrip"
 )
 
-// withHeaderName returns a sound response but for a header line whose name is given.
+// withHeaderName returns a response that is sound except for the name of one header line.
 func withHeaderName(name string) RawResponse {
 	return RawResponse{First: RawOK + name + ": c\r\n" + RawBody}
 }
--- a/pkg/bench/standin/raw_sound.go
+++ b/pkg/bench/standin/raw_sound.go
@@ -18,10 +18,7 @@
 
 // SoundResponses returns responses of status 200 that carry a body in the ways that HTTP/1 allows.
 func SoundResponses(body string) []SoundResponse {
-	const (
-		http10 = "HTTP/1.0 200 OK\r\n{id}\r\n"
-		hints  = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-	)
+	const hints = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
 	toEnd := "\r\n" + body
@@ -46,15 +43,16 @@
 		sound("in chunks, with an extension", RawChunked+strings.Replace(chunk, "\r\n", ";a=b\r\n", 1)+"0\r\n\r\n", nil),
 		sound("in chunks, with a trailer", RawChunked+chunk+"0\r\nA: b\r\n!#$%&'*+-.^_`|~1aZ:\r\n\r\n", nil),
 		sound("in chunks, with an announced trailer", RawOK+"Trailer: A\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk+"0\r\nA: b\r\n\r\n", nil),
+		sound("in chunks, announcing what is no list of names", RawOK+"Trailer: A b, C;d\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk+"0\r\nA: b\r\n\r\n", nil),
 		sound("in chunks, with a large trailer", RawChunked+chunk+"0\r\nA: "+strings.Repeat("x", 1900)+"\r\n\r\n", nil),
 		sound("in chunks, with a length to ignore", RawOK+"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk+"0\r\n\r\n", nil),
-		closed("HTTP/1.0", http10+toEnd, nil),
-		closed("HTTP/1.0 with a length", http10+length, nil),
-		sound("HTTP/1.0, kept alive", http10+"Connection: keep-alive\r\n"+length, nil),
-		closed("HTTP/1.0 after 1xx", hints+http10+toEnd, nil),
-		closed("HTTP/1.0 with the name of a coding in a value", http10+"Vary: x,\r\n Transfer-Encoding: chunked\r\n"+toEnd, fields{"Vary": "x, Transfer-Encoding: chunked"}),
+		closed("HTTP/1.0", rawOK10+toEnd, nil),
+		closed("HTTP/1.0 with a length", rawOK10+length, nil),
+		sound("HTTP/1.0, kept alive", rawOK10+"Connection: keep-alive\r\n"+length, nil),
+		closed("HTTP/1.0 after 1xx", hints+rawOK10+toEnd, nil),
+		closed("HTTP/1.0 with the name of a coding in a value", rawOK10+"Vary: x,\r\n Transfer-Encoding: chunked\r\n"+toEnd, fields{"Vary": "x, Transfer-Encoding: chunked"}),
 		closed("HTTP/1.0 without a reason, lines end with LF", "HTTP/1.0 200\n{id}\nA:\n folded\n\n"+body, fields{"A": "folded"}),
-		closed("HTTP/1.0, large head", http10+"A: "+strings.Repeat("x", 32<<10)+"\r\n"+length, nil),
+		closed("HTTP/1.0, large head", rawOK10+"A: "+strings.Repeat("x", 32<<10)+"\r\n"+length, nil),
 		sound("HTTP/1.2", "HTTP/1.2 200 OK\r\n{id}\r\n"+length, nil),
 		sound("lines end with LF", "HTTP/1.1 200 OK\n{id}\n"+strings.ReplaceAll(length, "\r\n", "\n"), nil),
 		sound("several spaces before the status", "HTTP/1.1  200 OK\r\n{id}\r\n"+length, nil),
--- a/pkg/forward/handler_test.go
+++ b/pkg/forward/handler_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"testing"
 	"time"
 
+	"bramblelift/pkg/bench/standin"
 	"bramblelift/pkg/bundle"
 	"bramblelift/pkg/distribution"
 	"bramblelift/pkg/retry"
@@ -59,33 +59,10 @@
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { listener.Close() })
 	requests = &atomic.Int64{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveRaw(conn, requests, serve)
-		}
-	}()
+	go standin.ServeRaw(listener, func(conn net.Conn, request *http.Request) bool { return serve(conn, request, requests.Add(1)) })
 	return listener.Addr().String(), requests
 }
 
-func serveRaw(conn net.Conn, requests *atomic.Int64, serve func(net.Conn, *http.Request, int64) bool) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		if !serve(conn, request, requests.Add(1)) {
-			return
-		}
-	}
-}
-
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func send(t *testing.T, server *httptest.Server, method, path string, header http.Header, body string) *http.Response {
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -13,7 +12,9 @@
 	"testing"
 	"time"
 
+	"bramblelift/pkg/bench/standin"
 	"bramblelift/pkg/exchange"
+	"bramblelift/pkg/roundtrip"
 	"bramblelift/pkg/settings"
 
 	"github.com/matryer/is"
@@ -56,28 +57,7 @@
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { listener.Close() })
 	var calls atomic.Int64
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					if !serve(conn, request, calls.Add(1)) {
-						return
-					}
-				}
-			}()
-		}
-	}()
+	go standin.ServeRaw(listener, func(conn net.Conn, request *http.Request) bool { return serve(conn, request, calls.Add(1)) })
 	return listener.Addr().String(), &calls
 }
 
@@ -356,3 +336,22 @@
 
 // Read implements io.Reader.
 func (f readerFunc) Read(buffer []byte) (int, error) { return f(buffer) }
+
+// Guards against a call of another node that fails because the response before it on the connection was invalid.
+func TestCallAfterRetiredConnectionIsServed(t *testing.T) {
+	is := is.New(t)
+	address, _ := scriptedBackend(t, func(conn net.Conn, r *http.Request, _ int64) bool {
+		writeResponse(conn, r.Header.Get("Call-Id"), "Content-Length: 2\r\n\r\nok")
+		return true
+	})
+	g := newGateFor(address, 2)
+	request, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+	is.NoErr(err)
+	var delivery roundtrip.Delivery
+	response, err := g.transport.Send(t.Context(), request, &delivery)
+	is.NoErr(err)
+	_, err = roundtrip.ReadAll(response, 1<<10)
+	is.NoErr(err)
+	is.True(delivery.RetireConn()) // left open, as net/http keeps it for a moment
+	is.Equal(g.serve(newCall(t, "POST", "a")).StatusCode, http.StatusOK)
+}
