roundtrip: an error before a response names its connection

Cause: while a gate is down, the soak's link in front of it accepts connections and resets them. The soak excuses those by the addresses in the error. If the reset meets a write rather than the read, the kernel has reported it to the writer and the read returns EOF; net/http passes on io.EOF, which names no connection, to the soak and to operators' logs alike.

Errors before a response that name no connection name it now. The soak's check is as it was: a call is excused only if the link has reset that very connection.

--- a/pkg/roundtrip/delivery.go
+++ b/pkg/roundtrip/delivery.go
@@ -148,6 +148,17 @@
 	return d.resends
 }
 
+// nameConn adds the addresses of the connection that the request used last to an error that names none, such as io.EOF.
+func (d *Delivery) nameConn(err error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var named *net.OpError
+	if d.conn == nil || isContextError(err) || errors.As(err, &named) {
+		return err
+	}
+	return &net.OpError{Op: "exchange", Net: "tcp", Source: d.conn.LocalAddr(), Addr: d.conn.RemoteAddr(), Err: err}
+}
+
 // RetireConn makes the connection that the request used last reject later requests before any byte is sent, so that
 // the transport sends them over another one. It returns true if this was the connection's first request: then a response
 // that names no request cannot be a surplus one to an earlier request.
--- a/pkg/roundtrip/transport.go
+++ b/pkg/roundtrip/transport.go
@@ -91,7 +91,7 @@
 func headError(delivery *Delivery, err error) error {
 	switch {
 	case !delivery.responseBegan():
-		return err
+		return delivery.nameConn(err)
 	case isContextError(err):
 		return &InvalidResponse{Fault: FaultIncomplete, Err: fmt.Errorf("head: %w", err)}
 	}
--- a/pkg/roundtrip/transport_test.go
+++ b/pkg/roundtrip/transport_test.go
@@ -91,6 +91,15 @@
 	}
 }
 
+// Guards against an error of which nobody can tell the connection.
+func TestConnectionThatEndsWithoutResponseIsNamed(t *testing.T) {
+	is := is.New(t)
+	var delivery Delivery
+	_, err := get(context.Background(), respondRaw(t, "", false), &delivery)
+	is.True(errors.Is(err, io.EOF))
+	is.True(strings.Contains(err.Error(), delivery.conn.LocalAddr().String()+"->"+delivery.conn.RemoteAddr().String()))
+}
+
 // Guards against a response of HTTP/1.0 whose chunked framing is passed on as its body: net/http ignores the header there.
 func TestTransferEncodingOfHTTP10IsInvalid(t *testing.T) {
 	is := is.New(t)
